--- /dev/null
+++ b/crates/sardinerelayd/src/api.rs
@@ -0,0 +1,135 @@
+//! Routes for callers and platforms.
+
+use {
+    crate::{
+        filter::{
+            Shape,
+            admit::Admit,
+            dispatch::Dispatch,
+            identify::{Identify, authenticate},
+            limit::Limit,
+            relay::Relay,
+        },
+        metrics::Metrics,
+        refusal::{Code, Refusal},
+        snapshot::Shared,
+        stop::Drain,
+    },
+    axum::{
+        Json, Router,
+        body::Body,
+        extract::{Request, State},
+        http::{HeaderMap, StatusCode},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    serde_json::{Value, json},
+    std::sync::Arc,
+    tower::{Service, ServiceExt},
+};
+
+/// The whole filter chain up to the relay.
+pub type Chain = Identify<Limit<Admit<Dispatch>>>;
+
+/// What the routes need.
+#[derive(Debug, Clone)]
+pub struct Api {
+    /// The filter chain.
+    pub chain: Chain,
+    /// The end of the chain.
+    pub relay: Relay,
+    /// Control state.
+    pub view: Shared,
+    /// Whether a planned stop is under way.
+    pub drain: Drain,
+    /// Observations.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Api {
+    /// Builds the router.
+    pub fn router(self) -> Router {
+        Router::new()
+            .route("/v1/chat/completions", post(chat))
+            .route("/v1/completions", post(text))
+            .route("/v1/models", get(models))
+            .route("/livez", get(live))
+            .route("/readyz", get(ready))
+            .route("/metrics", get(metrics))
+            .fallback(unknown_path)
+            .method_not_allowed_fallback(wrong_method)
+            .with_state(self)
+    }
+}
+
+async fn chat(State(api): State<Api>, request: Request) -> Response {
+    generate(api, Shape::Chat, request).await
+}
+
+async fn text(State(api): State<Api>, request: Request) -> Response {
+    generate(api, Shape::Text, request).await
+}
+
+async fn generate(mut api: Api, shape: Shape, request: Request) -> Response {
+    let Some(open) = api.drain.enter() else {
+        let refusal = Refusal::new(Code::Stopping, "this host is stopping; try another");
+        return api.relay.respond(Err(refusal)).await;
+    };
+    let result = match api.chain.ready().await {
+        Ok(chain) => chain.call((shape, request)).await,
+        Err(refusal) => Err(refusal),
+    };
+    let response = api.relay.respond(result).await;
+    // The request counts as open until its body is sent or dropped.
+    response.map(|body| open.hold(body))
+}
+
+async fn models(State(api): State<Api>, headers: HeaderMap) -> Response {
+    let view = api.view.load();
+    if let Err(refusal) = authenticate(&view, &headers) {
+        return api.relay.respond(Err(refusal)).await;
+    }
+    let sheet = view.sheet.as_ref();
+    let names = sheet.into_iter().flat_map(|sheet| &sheet.models).flat_map(|model| {
+        let adapters = model.adapters.iter().map(|adapter| format!("{}:{adapter}", model.name));
+        std::iter::once(model.name.to_string()).chain(adapters)
+    });
+    let data: Vec<Value> =
+        names.map(|id| json!({ "id": id, "object": "model", "created": 0, "owned_by": "sardinerelay" })).collect();
+    Json(json!({ "object": "list", "data": data })).into_response()
+}
+
+async fn live() -> &'static str {
+    "ok\n"
+}
+
+async fn ready(State(api): State<Api>) -> Response {
+    if api.drain.draining() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "stopping\n").into_response();
+    }
+    if api.view.load().sheet.is_none() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration in force\n").into_response();
+    }
+    "ready\n".into_response()
+}
+
+async fn metrics(State(api): State<Api>) -> Response {
+    match api.metrics.text() {
+        Ok(text) => Response::new(Body::from(text)),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")).into_response(),
+    }
+}
+
+async fn unknown_path(State(api): State<Api>, request: Request) -> Response {
+    let message = format!("nothing is served at {}", request.uri().path());
+    let mut response = api.relay.respond(Err(Refusal::new(Code::InvalidRequest, message))).await;
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
+
+async fn wrong_method(State(api): State<Api>, request: Request) -> Response {
+    let message = format!("{} is not allowed at {}", request.method(), request.uri().path());
+    let mut response = api.relay.respond(Err(Refusal::new(Code::InvalidRequest, message))).await;
+    *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+    response
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/dev.rs
@@ -0,0 +1,69 @@
+//! Development mode: a stand-in engine within this process and a sheet that names it.
+
+use {
+    crate::filter::identify::digest,
+    anyhow::{Context, Result},
+    sardinerelay::sheet::{Account, Deployment, RequestClass, Server, Sheet},
+    sardinerelay_standin::{
+        batch::Size,
+        engine::{Config, Engine},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// The API key of the development organisation.
+pub const KEY: &str = "dev-key";
+
+const MODEL: &str = "bend-planner";
+const MEMORY_TOKENS: u64 = 60_000;
+
+/// Starts the stand-in engine and returns the sheet for it.
+///
+/// # Errors
+///
+/// Returns an error if no loopback port can be bound.
+pub async fn start(zone: &str) -> Result<Sheet> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.context("binding the stand-in engine")?;
+    let address = listener.local_addr()?;
+    let engine = Engine::new(Config {
+        name: "engine-dev".into(),
+        models: vec![MODEL.into()],
+        size: Size { memory_tokens: MEMORY_TOKENS, max_running: 64, prefill_tokens_per_step: 4096 },
+        step: Duration::from_millis(20),
+        report_lag: Duration::from_millis(500),
+        orphan_window: Duration::from_secs(10),
+        seed: 1,
+        mean_tokens: 60,
+    });
+    tokio::spawn(engine.run(listener));
+    Ok(sheet(zone, address))
+}
+
+fn sheet(zone: &str, address: SocketAddr) -> Sheet {
+    Sheet {
+        number: 1,
+        classes: vec![RequestClass { name: "interactive".into(), priority: 0, max_wait_ms: 10_000 }],
+        targets: vec![Server {
+            name: "engine-dev".into(),
+            zone: zone.into(),
+            address,
+            memory_tokens: MEMORY_TOKENS,
+            checks_fencing: true,
+        }],
+        models: vec![Deployment {
+            name: MODEL.into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+            targets: vec!["engine-dev".into()],
+        }],
+        services: Vec::new(),
+        organisations: vec![Account {
+            name: "development".into(),
+            key_sha256: vec![digest(KEY).into()],
+            classes: vec!["interactive".into()],
+            tokens_per_minute: 1_000_000,
+            requests_per_minute: 10_000,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/engine/sse.rs
@@ -0,0 +1,90 @@
+//! Incremental reader of server-sent events.
+
+use {
+    bytes::{Buf, Bytes, BytesMut},
+    thiserror::Error,
+};
+
+/// Largest event in bytes; engines send a token or a few in each.
+const MAX_EVENT: usize = 1 << 20;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The `id` field, empty if absent.
+    pub id: Bytes,
+    /// The `event` field, empty if absent.
+    pub kind: Bytes,
+    /// The `data` field.
+    pub data: Bytes,
+}
+
+/// An event that is larger than the bound.
+#[derive(Debug, Error)]
+#[error("an event is larger than {MAX_EVENT} bytes")]
+pub struct Oversize;
+
+/// Splits bytes into events.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of an event.
+    scanned: usize,
+}
+
+impl Decoder {
+    /// Adds bytes as they arrive.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next complete event.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event exceeds the bound.
+    pub fn next(&mut self) -> Result<Option<Event>, Oversize> {
+        loop {
+            let Some(end) = self.find_end() else {
+                if self.buffer.len() > MAX_EVENT {
+                    return Err(Oversize);
+                }
+                return Ok(None);
+            };
+            let raw = self.buffer.split_to(end).freeze();
+            self.buffer.advance(2);
+            self.scanned = 0;
+            if let Some(event) = parse(&raw) {
+                return Ok(Some(event));
+            }
+        }
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.scanned.saturating_sub(1);
+        let found = self.buffer[from..].windows(2).position(|pair| pair == b"\n\n");
+        self.scanned = self.buffer.len();
+        found.map(|position| from + position)
+    }
+}
+
+/// Parses one event's lines. Comments and unknown fields are skipped.
+fn parse(raw: &Bytes) -> Option<Event> {
+    let mut event = Event { id: Bytes::new(), kind: Bytes::new(), data: Bytes::new() };
+    for line in raw.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+            continue;
+        };
+        let value = &line[colon + 1..];
+        let value = raw.slice_ref(value.strip_prefix(b" ").unwrap_or(value));
+        match &line[..colon] {
+            b"id" => event.id = value,
+            b"event" => event.kind = value,
+            b"data" if event.data.is_empty() => event.data = value,
+            b"data" => event.data = [&event.data[..], &value[..]].join(&b'\n').into(),
+            _ => {}
+        }
+    }
+    (!event.data.is_empty()).then_some(event)
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -0,0 +1,162 @@
+//! Starts the generation on its target and waits for the first token.
+//!
+//! Until the first token was read, a generation that failed may be started anew elsewhere, with
+//! a new identifier and within the retry budget. Afterwards it may only be resumed.
+
+use {
+    crate::{
+        engine::{Client, Event, Lost, Reader, Start, reader::Patience},
+        filter::{Answer, Call, Reply, admit::Admitted},
+        refusal::{Code, Refusal},
+        schedule::{Failure, Scheduler, Ticket},
+    },
+    compact_str::format_compact,
+    http::HeaderValue,
+    log::{info, warn},
+    sardinerelay::id::Generation,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+    tokio::runtime::Handle,
+    tower::Service,
+    uuid::Uuid,
+};
+
+/// The end of the chain.
+#[derive(Debug, Clone)]
+pub struct Dispatch {
+    client: Client,
+    scheduler: Arc<Scheduler>,
+    patience: Patience,
+}
+
+impl Dispatch {
+    /// Sends to the targets that the scheduler's tickets name.
+    pub fn new(client: Client, scheduler: Arc<Scheduler>, patience: Patience) -> Self {
+        Self { client, scheduler, patience }
+    }
+}
+
+impl Service<Admitted> for Dispatch {
+    type Response = Answer;
+    type Error = Refusal;
+    type Future = Reply;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Refusal>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, admitted: Admitted) -> Reply {
+        let dispatch = self.clone();
+        Box::pin(async move { dispatch.run(admitted).await })
+    }
+}
+
+impl Dispatch {
+    async fn run(self, Admitted { call, mut ticket }: Admitted) -> Result<Answer, Refusal> {
+        let mut may_have_run = false;
+        loop {
+            let guard = Abandon::new(self.client.clone(), ticket.address);
+            match self.attempt(&call, &ticket, &guard).await {
+                Ok((reader, first)) => return Ok(self.answer(call, ticket, guard, reader, first)),
+                Err(lost) => {
+                    let refusal = self.explain(&lost, &ticket);
+                    may_have_run |= !matches!(lost, Lost::NotRun(_));
+                    warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = ticket.target.as_str(); "generation did not start: {lost}");
+                    let failure = if matches!(lost, Lost::NotRun(_)) { Failure::NotRun } else { Failure::Lost };
+                    ticket = match self.scheduler.readmit(&call, ticket, failure).await {
+                        Some(ticket) => ticket,
+                        None if may_have_run => return Err(refusal.may_have_run()),
+                        None => return Err(refusal),
+                    };
+                }
+            }
+        }
+    }
+
+    /// One attempt on one target, up to the first event.
+    async fn attempt(&self, call: &Call, ticket: &Ticket, guard: &Abandon) -> Result<(Reader, Event), Lost> {
+        let start = Start {
+            address: ticket.address,
+            path: call.shape.path(),
+            generation: guard.generation,
+            request: HeaderValue::from_str(&call.id).unwrap_or(HeaderValue::from_static("")),
+            priority: call.priority,
+            body: call.body.clone(),
+        };
+        let mut reader = Reader::start(&self.client, &start, self.patience).await?;
+        let first = reader.next().await?;
+        Ok((reader, first))
+    }
+
+    fn answer(&self, call: Arc<Call>, ticket: Ticket, guard: Abandon, reader: Reader, first: Event) -> Answer {
+        ticket.first_token();
+        let target = ticket.target.clone();
+        info!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = target.as_str(); "generation started");
+        let progress = ticket.progress();
+        Answer {
+            call,
+            target,
+            first: Some(first),
+            reader,
+            resume: None,
+            on_end: vec![Box::new(move |end| ticket.finish(end))],
+            on_token: Box::new(move |index| progress.token(index)),
+            abandon: guard,
+        }
+    }
+
+    fn explain(&self, lost: &Lost, ticket: &Ticket) -> Refusal {
+        let message = format_compact!("target '{}': {lost}", ticket.target);
+        match lost {
+            Lost::NotRun(_) => Refusal::new(Code::EngineRefused, message),
+            _ => Refusal::new(Code::GenerationLost, message),
+        }
+    }
+}
+
+/// Cancels the generation on the engine when dropped, so that an attempt whose caller left, or
+/// that was given up, doesn't go on holding memory there.
+#[derive(Debug)]
+pub struct Abandon {
+    client: Client,
+    address: SocketAddr,
+    /// The attempt's generation.
+    pub generation: Generation,
+    armed: bool,
+}
+
+impl Abandon {
+    fn new(client: Client, address: SocketAddr) -> Self {
+        Self::of(client, address, Uuid::new_v4())
+    }
+
+    /// Cancels this generation when dropped.
+    pub fn of(client: Client, address: SocketAddr, generation: Generation) -> Self {
+        Self { client, address, generation, armed: true }
+    }
+
+    /// Leaves the generation alone.
+    pub fn disarm(&mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for Abandon {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let (client, address, generation) = (self.client.clone(), self.address, self.generation);
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            if let Err(error) = client.cancel(address, generation).await {
+                warn!(generation = generation.to_string().as_str(); "cancelling failed: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/filter/identify.rs
@@ -0,0 +1,242 @@
+//! Reads the request and finds out who asks for what.
+
+use {
+    crate::{
+        filter::{Answer, Call, Reply, Shape},
+        refusal::{Code, Refusal},
+        snapshot::{Shared, View},
+    },
+    axum::body::Body,
+    bytes::Bytes,
+    compact_str::{CompactString, format_compact},
+    futures::future::BoxFuture,
+    http::{HeaderMap, Request, header},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    serde::Deserialize,
+    sha2::{Digest, Sha256},
+    std::{
+        fmt::Write as _,
+        mem,
+        task::{Context, Poll},
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
+    tower::Service,
+    uuid::Uuid,
+};
+
+/// Bytes of request body that make one token, on average over English text.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Time a caller has to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest request identifier in bytes that is taken from a caller.
+const MAX_REQUEST_ID: usize = 128;
+
+/// The filter.
+#[derive(Debug, Clone)]
+pub struct Identify<S> {
+    inner: S,
+    view: Shared,
+    max_body: usize,
+}
+
+impl<S> Identify<S> {
+    /// Puts the filter before `inner`.
+    pub fn new(inner: S, view: Shared, max_body: usize) -> Self {
+        Self { inner, view, max_body }
+    }
+}
+
+impl<S> Service<(Shape, Request<Body>)> for Identify<S>
+where
+    S: Service<Call, Response = Answer, Error = Refusal, Future = Reply> + Clone + Send + 'static,
+{
+    type Response = Answer;
+    type Error = Refusal;
+    type Future = BoxFuture<'static, Result<Answer, Refusal>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Refusal>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, (shape, request): (Shape, Request<Body>)) -> Self::Future {
+        let ready = self.inner.clone();
+        let mut inner = mem::replace(&mut self.inner, ready);
+        let view = self.view.load_full();
+        let max_body = self.max_body;
+        Box::pin(async move {
+            let received = Instant::now();
+            let (parts, body) = request.into_parts();
+            let caller = authenticate(&view, &parts.headers)?;
+            let body = read_body(body, max_body).await?;
+            let call = describe(&view, &caller, shape, &parts.headers, body, received)?;
+            inner.call(call).await
+        })
+    }
+}
+
+/// The organisation behind the API key, and its classes.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// The organisation's name.
+    pub organisation: CompactString,
+    /// Classes it may use; the first is the default.
+    pub classes: Vec<CompactString>,
+}
+
+/// Finds the caller by its API key.
+///
+/// # Errors
+///
+/// Refuses a request without a key that the sheet in force names.
+pub fn authenticate(view: &View, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    if view.sheet.is_none() {
+        return Err(Refusal::new(Code::NotReady, "no configuration is in force on this host yet"));
+    }
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(Refusal::new(Code::Unauthorized, "send one Authorization header with your API key"));
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(|| Refusal::new(Code::Unauthorized, "the Authorization header must be 'Bearer <API key>'"))?;
+    let account = view
+        .account(&digest(key.trim()))
+        .ok_or_else(|| Refusal::new(Code::Unauthorized, "the API key belongs to no organisation"))?;
+    Ok(Caller { organisation: account.name.clone(), classes: account.classes.clone() })
+}
+
+/// The SHA-256 digest of an API key in lower-case hexadecimal, as sheets state it.
+pub fn digest(key: &str) -> String {
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(key.as_bytes()) {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// The caller's request identifier, or a new one.
+pub fn request_id(headers: &HeaderMap) -> CompactString {
+    let given = headers.get("x-request-id").and_then(|value| value.to_str().ok());
+    match given {
+        Some(id) if !id.is_empty() && id.len() <= MAX_REQUEST_ID => id.into(),
+        _ => format_compact!("{}", Uuid::new_v4().simple()),
+    }
+}
+
+/// Reads the whole body within the size and time bounds.
+///
+/// # Errors
+///
+/// Refuses a body that is too large, too slow or broken off.
+pub async fn read_body(body: Body, max_body: usize) -> Result<Bytes, Refusal> {
+    let collected = timeout(BODY_TIMEOUT, Limited::new(body, max_body).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(
+            Code::BodyTooLarge,
+            format_compact!("the body is larger than {max_body} bytes"),
+        )),
+        Ok(Err(_)) => Err(Refusal::new(Code::InvalidRequest, "the body broke off")),
+        Err(_) => Err(Refusal::new(Code::InvalidRequest, "the body did not arrive in time")),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Fields {
+    model: CompactString,
+    #[serde(default)]
+    stream: bool,
+    stream_options: Option<StreamOptions>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    n: Option<u64>,
+    messages: Option<serde_json::Value>,
+    prompt: Option<serde_json::Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+fn describe(
+    view: &View,
+    caller: &Caller,
+    shape: Shape,
+    headers: &HeaderMap,
+    body: Bytes,
+    received: Instant,
+) -> Result<Call, Refusal> {
+    let fields: Fields = serde_json::from_slice(&body).map_err(|error| {
+        Refusal::new(Code::InvalidRequest, format_compact!("the body is not valid: {error}"))
+    })?;
+    check(shape, &fields)?;
+    let (model, adapter) = fields.model.split_once(':').unwrap_or((&fields.model, ""));
+    let deployment = view.model(model).ok_or_else(|| {
+        Refusal::new(Code::UnknownModel, format_compact!("the model '{model}' does not exist")).param("model")
+    })?;
+    if !adapter.is_empty() && !deployment.adapters.iter().any(|name| name == adapter) {
+        let message = format_compact!("the model '{model}' has no adapter '{adapter}'");
+        return Err(Refusal::new(Code::UnknownModel, message).param("model"));
+    }
+    let class = class(view, caller, headers)?;
+    Ok(Call {
+        id: request_id(headers),
+        organisation: caller.organisation.clone(),
+        class: class.0,
+        priority: class.1,
+        max_wait: class.2,
+        model: model.into(),
+        shape,
+        prompt_tokens: (body.len() as u64 / BYTES_PER_TOKEN).max(1),
+        max_tokens: fields.max_completion_tokens.or(fields.max_tokens),
+        stream: fields.stream,
+        include_usage: fields.stream_options.is_some_and(|options| options.include_usage),
+        resumable: headers.get("x-sardinerelay-resume").is_some_and(|value| value == "true"),
+        body,
+        received,
+    })
+}
+
+fn check(shape: Shape, fields: &Fields) -> Result<(), Refusal> {
+    let (name, input) = match shape {
+        Shape::Chat => ("messages", &fields.messages),
+        Shape::Text => ("prompt", &fields.prompt),
+    };
+    if input.is_none() {
+        let message = format_compact!("'{name}' is required");
+        return Err(Refusal::new(Code::InvalidRequest, message).param(name));
+    }
+    if fields.n.is_some_and(|n| n != 1) {
+        return Err(Refusal::new(Code::InvalidRequest, "only n = 1 is supported").param("n"));
+    }
+    if fields.max_completion_tokens.or(fields.max_tokens) == Some(0) {
+        return Err(Refusal::new(Code::InvalidRequest, "the output must allow a token").param("max_tokens"));
+    }
+    Ok(())
+}
+
+/// The class from `x-sardinerelay-class`, or the organisation's first.
+fn class(view: &View, caller: &Caller, headers: &HeaderMap) -> Result<(CompactString, u8, Duration), Refusal> {
+    let asked = headers.get("x-sardinerelay-class").map(|value| value.to_str().unwrap_or_default());
+    let name = match asked {
+        Some(asked) => caller.classes.iter().find(|name| *name == asked).ok_or_else(|| {
+            let message = format_compact!("the organisation may not use the class '{asked}'");
+            Refusal::new(Code::InvalidRequest, message).param("x-sardinerelay-class")
+        })?,
+        None => caller
+            .classes
+            .first()
+            .ok_or_else(|| Refusal::new(Code::InvalidRequest, "the organisation has no class"))?,
+    };
+    let class = view
+        .class(name)
+        .ok_or_else(|| Refusal::new(Code::NotReady, "the sheet in force lacks the class"))?;
+    Ok((class.name.clone(), class.priority, Duration::from_millis(class.max_wait_ms)))
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/lib.rs
@@ -0,0 +1,18 @@
+//! The daemon's parts, as a library so that its own tests can reach them.
+
+pub mod api;
+pub mod cli;
+pub mod config;
+pub mod dev;
+pub mod engine;
+pub mod exit_code;
+pub mod filter;
+pub mod limits;
+pub mod logging;
+pub mod metrics;
+pub mod refusal;
+pub mod run;
+pub mod schedule;
+pub mod serve;
+pub mod snapshot;
+pub mod stop;
--- /dev/null
+++ b/crates/sardinerelayd/src/logging.rs
@@ -0,0 +1,69 @@
+//! Logs by `fern`, for people or as JSON lines.
+//!
+//! Key-value pairs of a record (`request`, `organisation`, `target`) become fields of the line.
+
+use {
+    crate::config::{Config, LogFormat},
+    fern::{Dispatch, FormatCallback, InitError},
+    log::{
+        Record,
+        kv::{Error, Key, Value, VisitSource},
+    },
+    serde_json::{Map, json},
+    std::{fmt::Arguments, fmt::Write as _, io, time::SystemTime},
+};
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// Returns an error if a logger was set before.
+pub fn start(config: &Config) -> Result<(), InitError> {
+    let format = match config.log_format {
+        LogFormat::Human => human,
+        LogFormat::Json => json_line,
+    };
+    Dispatch::new()
+        .format(format)
+        .level(config.log_level)
+        .level_for("jsonrpsee", config.log_level.min(log::LevelFilter::Warn))
+        .level_for("soketto", config.log_level.min(log::LevelFilter::Warn))
+        .chain(io::stderr())
+        .apply()?;
+    Ok(())
+}
+
+fn human(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    let mut fields = Fields::default();
+    // Collecting into memory can't fail.
+    let _ = record.key_values().visit(&mut fields);
+    let mut pairs = String::new();
+    for (key, value) in &fields.map {
+        let _ = write!(pairs, " {key}={}", value.as_str().unwrap_or_default());
+    }
+    out.finish(format_args!("{time} {:5} {message}{pairs}", record.level()));
+}
+
+fn json_line(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let mut fields = Fields::default();
+    let _ = record.key_values().visit(&mut fields);
+    let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+    fields.map.insert("time".into(), json!(time));
+    fields.map.insert("level".into(), json!(record.level().as_str()));
+    fields.map.insert("module".into(), json!(record.target()));
+    fields.map.insert("message".into(), json!(message.to_string()));
+    out.finish(format_args!("{}", serde_json::Value::Object(fields.map)));
+}
+
+#[derive(Default)]
+struct Fields {
+    map: Map<String, serde_json::Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.map.insert(key.to_string(), json!(value.to_string()));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Metrics by `opentelemetry`, exported as Prometheus text.
+//!
+//! Histograms are kept for each organisation and class.
+
+use {
+    crate::refusal::Code,
+    anyhow::Result,
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Histogram, Meter, MeterProvider as _},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder, Registry, TextEncoder},
+    std::{fmt, time::Duration},
+};
+
+/// Silence between two tokens that counts as stall time, as docs/MEASUREMENTS.md defines it.
+const STALL_AFTER: Duration = Duration::from_millis(250);
+
+/// Bounds of latency histograms in seconds.
+const SECONDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.028, 0.05, 0.1, 0.25, 0.5, 1.3, 3.0, 10.0, 60.0,
+];
+
+/// Bounds of length histograms in tokens.
+const TOKENS: [f64; 10] = [8.0, 32.0, 128.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0, 65536.0];
+
+/// All instruments.
+pub struct Metrics {
+    registry: Registry,
+    // Dropping the provider would end the export.
+    _provider: SdkMeterProvider,
+    first_token: Histogram<f64>,
+    between_tokens: Histogram<f64>,
+    stall: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    output: Histogram<f64>,
+    streams: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    preemptions: Counter<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    /// Registers the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the exporter's error.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sardinerelay");
+        Ok(Self {
+            registry,
+            first_token: seconds(&meter, "first_token", "Time from request to first token"),
+            between_tokens: seconds(&meter, "between_tokens", "Time between two tokens"),
+            stall: seconds(&meter, "stall", "Time beyond 250 ms in which a stream got no token"),
+            queue_wait: seconds(&meter, "queue_wait", "Time from request to dispatch"),
+            output: meter
+                .f64_histogram("sardinerelay_output_tokens")
+                .with_description("Tokens of an answer")
+                .with_boundaries(TOKENS.to_vec())
+                .build(),
+            streams: counter(&meter, "answers", "Answers by outcome"),
+            refusals: counter(&meter, "refusals", "Refused requests by code"),
+            retries: counter(&meter, "retries", "Generations started anew before their first token"),
+            preemptions: counter(&meter, "preemptions", "Preemptions that engines reported"),
+            _provider: provider,
+        })
+    }
+
+    /// Observes the first token.
+    pub fn first_token(&self, organisation: &str, class: &str, elapsed: Duration) {
+        self.first_token.record(elapsed.as_secs_f64(), &labels(organisation, class));
+    }
+
+    /// Observes the time between two tokens, and the stall within it.
+    pub fn between_tokens(&self, organisation: &str, class: &str, elapsed: Duration) {
+        let labels = labels(organisation, class);
+        self.between_tokens.record(elapsed.as_secs_f64(), &labels);
+        if let Some(stall) = elapsed.checked_sub(STALL_AFTER) {
+            self.stall.record(stall.as_secs_f64(), &labels);
+        }
+    }
+
+    /// Observes the wait for a target.
+    pub fn queue_wait(&self, organisation: &str, class: &str, elapsed: Duration) {
+        self.queue_wait.record(elapsed.as_secs_f64(), &labels(organisation, class));
+    }
+
+    /// Observes the end of an answer.
+    pub fn ended(&self, organisation: &str, class: &str, tokens: u64, outcome: &'static str) {
+        self.output.record(tokens as f64, &labels(organisation, class));
+        self.streams.add(
+            1,
+            &[KeyValue::new("organisation", organisation.to_owned()), KeyValue::new("outcome", outcome)],
+        );
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, code: Code) {
+        self.refusals.add(1, &[KeyValue::new("code", code.text())]);
+    }
+
+    /// Counts a generation that was started anew.
+    pub fn retried(&self, target: &str) {
+        self.retries.add(1, &[KeyValue::new("target", target.to_owned())]);
+    }
+
+    /// Counts preemptions that an engine reported.
+    pub fn preempted(&self, target: &str, count: u64) {
+        self.preemptions.add(count, &[KeyValue::new("target", target.to_owned())]);
+    }
+
+    /// The Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn text(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn seconds(meter: &Meter, name: &str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(format!("sardinerelay_{name}"))
+        .with_unit("s")
+        .with_description(description)
+        .with_boundaries(SECONDS.to_vec())
+        .build()
+}
+
+fn counter(meter: &Meter, name: &str, description: &'static str) -> Counter<u64> {
+    meter.u64_counter(format!("sardinerelay_{name}")).with_description(description).build()
+}
+
+fn labels(organisation: &str, class: &str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("organisation", organisation.to_owned()),
+        KeyValue::new("class", class.to_owned()),
+    ]
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/serve.rs
@@ -0,0 +1,65 @@
+//! Accepts callers' connections.
+
+use {
+    crate::config::Config,
+    axum::Router,
+    hyper::{body::Incoming, server::conn::http1},
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        server::graceful::GracefulShutdown,
+        service::TowerToHyperService,
+    },
+    log::{debug, warn},
+    std::{future::Future, time::Duration},
+    tokio::{
+        net::TcpListener,
+        time::{sleep, timeout},
+    },
+    tower::ServiceExt,
+};
+
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that idle connections get to close after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves the router until `stop` completes, then closes the connections.
+pub async fn run<F>(listener: TcpListener, router: Router, config: &Config, stop: F)
+where
+    F: Future<Output = ()>,
+{
+    let graceful = GracefulShutdown::new();
+    tokio::pin!(stop);
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    warn!("accepting a connection failed: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            () = &mut stop => break,
+        };
+        // Tokens are small; waiting to fill a segment would delay each one.
+        let _ = stream.set_nodelay(true);
+        let router = router.clone().map_request(|request: hyper::Request<Incoming>| request.map(axum::body::Body::new));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(config.header_timeout)
+            .max_buf_size(config.max_headers)
+            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!("connection closed: {error}");
+            }
+        });
+    }
+    drop(listener);
+    if timeout(CLOSE_TIMEOUT, graceful.shutdown()).await.is_err() {
+        debug!("some idle connections did not close in time");
+    }
+}
