Add the operator's messages and the table of refusal codes

The daemon and sardinectl need the same request, response and error types. Module operator holds them as plain serde structs with method names; module refusal_code holds one table of the codes that callers receive, with status, run state, retry advice and explanation.

--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,5 +7,7 @@
 #![deny(missing_docs)]
 
 pub mod id;
+pub mod operator;
+pub mod refusal_code;
 pub mod sheet;
 pub mod stream;
--- a/crates/sardinerelay/src/sheet.rs
+++ b/crates/sardinerelay/src/sheet.rs
@@ -9,6 +9,10 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+mod diff;
+
+pub use diff::{Change, ChangeKind};
+
 /// A whole sheet, validated.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/sardinerelay/tests/refusal_code.rs
@@ -0,0 +1,44 @@
+//! The refusal table and the operator's error codes.
+
+use sardinerelay::{
+    operator::{Digest, ErrorCode},
+    refusal_code::{Code, TABLE},
+};
+
+/// Guards against a row inserted out of order, which would describe one code as another.
+#[test]
+fn table_follows_the_order_of_the_variants() {
+    for (index, entry) in TABLE.iter().enumerate() {
+        assert_eq!(entry.code as usize, index, "{}", entry.text);
+        assert_eq!(Code::from_text(entry.text), Some(entry.code));
+        let json = serde_json::to_value(entry.code).unwrap();
+        assert_eq!(json, entry.text, "serde name and table text differ");
+    }
+}
+
+/// Guards against a code that clients receive as another one or as a protocol error.
+#[test]
+fn operator_error_numbers_are_distinct_and_outside_the_reserved_range() {
+    for code in ErrorCode::ALL {
+        assert_eq!(ErrorCode::from_number(code.number()), Some(code));
+        assert!(!(-32768..=-32000).contains(&code.number()));
+    }
+    assert_eq!(ErrorCode::from_number(-32601), None);
+}
+
+/// Guards against a digest that is accepted in two spellings, or panics on odd input.
+#[test]
+fn digest_text_is_strict() {
+    let text = "0f".repeat(32);
+    let digest: Digest = text.parse().unwrap();
+    assert_eq!(digest.to_string(), text);
+    for wrong in [
+        "",
+        "0f",
+        &"0F".repeat(32),
+        &"é".repeat(32),
+        &"0g".repeat(32),
+    ] {
+        assert!(wrong.parse::<Digest>().is_err(), "{wrong}");
+    }
+}
