--- a/crates/sardinerelayd/src/api.rs
+++ b/crates/sardinerelayd/src/api.rs
@@ -90,12 +90,19 @@
         return api.relay.respond(Err(refusal)).await;
     }
     let sheet = view.sheet.as_ref();
-    let names = sheet.into_iter().flat_map(|sheet| &sheet.models).flat_map(|model| {
-        let adapters = model.adapters.iter().map(|adapter| format!("{}:{adapter}", model.name));
-        std::iter::once(model.name.to_string()).chain(adapters)
-    });
-    let data: Vec<Value> =
-        names.map(|id| json!({ "id": id, "object": "model", "created": 0, "owned_by": "sardinerelay" })).collect();
+    let names = sheet
+        .into_iter()
+        .flat_map(|sheet| &sheet.models)
+        .flat_map(|model| {
+            let adapters = model
+                .adapters
+                .iter()
+                .map(|adapter| format!("{}:{adapter}", model.name));
+            std::iter::once(model.name.to_string()).chain(adapters)
+        });
+    let data: Vec<Value> = names
+        .map(|id| json!({ "id": id, "object": "model", "created": 0, "owned_by": "sardinerelay" }))
+        .collect();
     Json(json!({ "object": "list", "data": data })).into_response()
 }
 
@@ -108,7 +115,11 @@
         return (StatusCode::SERVICE_UNAVAILABLE, "stopping\n").into_response();
     }
     if api.view.load().sheet.is_none() {
-        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration in force\n").into_response();
+        return (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration in force\n",
+        )
+            .into_response();
     }
     "ready\n".into_response()
 }
@@ -122,14 +133,24 @@
 
 async fn unknown_path(State(api): State<Api>, request: Request) -> Response {
     let message = format!("nothing is served at {}", request.uri().path());
-    let mut response = api.relay.respond(Err(Refusal::new(Code::InvalidRequest, message))).await;
+    let mut response = api
+        .relay
+        .respond(Err(Refusal::new(Code::InvalidRequest, message)))
+        .await;
     *response.status_mut() = StatusCode::NOT_FOUND;
     response
 }
 
 async fn wrong_method(State(api): State<Api>, request: Request) -> Response {
-    let message = format!("{} is not allowed at {}", request.method(), request.uri().path());
-    let mut response = api.relay.respond(Err(Refusal::new(Code::InvalidRequest, message))).await;
+    let message = format!(
+        "{} is not allowed at {}",
+        request.method(),
+        request.uri().path()
+    );
+    let mut response = api
+        .relay
+        .respond(Err(Refusal::new(Code::InvalidRequest, message)))
+        .await;
     *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
     response
 }
--- a/crates/sardinerelayd/src/cli.rs
+++ b/crates/sardinerelayd/src/cli.rs
@@ -16,7 +16,10 @@
         .args(traffic())
         .args(stops())
         .args(output())
-        .arg(switch("dev", "Start a whole one-host system with a stand-in engine on loopback"))
+        .arg(switch(
+            "dev",
+            "Start a whole one-host system with a stand-in engine on loopback",
+        ))
 }
 
 /// Parses the arguments, or ends the process with clap's own message.
@@ -38,66 +41,166 @@
 
 fn identity() -> [Arg; 3] {
     [
-        setting("host-id", "ID", "1", "Number of this host, unique and never reused after a lost disk"),
+        setting(
+            "host-id",
+            "ID",
+            "1",
+            "Number of this host, unique and never reused after a lost disk",
+        ),
         setting("zone", "NAME", "zone-a", "Availability zone of this host"),
-        optional("data-dir", "PATH", "Directory for durable state; a voter needs one"),
+        optional(
+            "data-dir",
+            "PATH",
+            "Directory for durable state; a voter needs one",
+        ),
     ]
 }
 
 fn control() -> [Arg; 6] {
     [
-        setting("peer-listen", "ADDRESS", "127.0.0.1:7000", "Address for the other hosts"),
-        setting("operator-listen", "ADDRESS", "127.0.0.1:7001", "Address for sardinectl"),
-        list("voter", "ID,ZONE,ADDRESS", "A host that votes, with its peer address; repeat for each"),
-        list("host", "ID,ZONE,ADDRESS", "Any other host, with its peer address; repeat for each"),
-        optional("secret-file", "PATH", "File of shared secrets, one a line; the first is sent, all are accepted"),
-        optional("hosts-url", "URL", "The platform's list of live and leaving hosts"),
+        setting(
+            "peer-listen",
+            "ADDRESS",
+            "127.0.0.1:7000",
+            "Address for the other hosts",
+        ),
+        setting(
+            "operator-listen",
+            "ADDRESS",
+            "127.0.0.1:7001",
+            "Address for sardinectl",
+        ),
+        list(
+            "voter",
+            "ID,ZONE,ADDRESS",
+            "A host that votes, with its peer address; repeat for each",
+        ),
+        list(
+            "host",
+            "ID,ZONE,ADDRESS",
+            "Any other host, with its peer address; repeat for each",
+        ),
+        optional(
+            "secret-file",
+            "PATH",
+            "File of shared secrets, one a line; the first is sent, all are accepted",
+        ),
+        optional(
+            "hosts-url",
+            "URL",
+            "The platform's list of live and leaving hosts",
+        ),
     ]
 }
 
 fn traffic() -> [Arg; 10] {
     [
         setting("listen", "ADDRESS", "127.0.0.1:8080", "Address for callers"),
-        setting("traffic-threads", "COUNT", "2", "Threads that serve traffic"),
-        setting("policy", "NAME", "adaptive", "Scheduling: adaptive, round-robin or least-in-flight"),
-        setting("objective", "NAME", "stall", "What admission keeps low first: stall or preemption"),
+        setting(
+            "traffic-threads",
+            "COUNT",
+            "2",
+            "Threads that serve traffic",
+        ),
+        setting(
+            "policy",
+            "NAME",
+            "adaptive",
+            "Scheduling: adaptive, round-robin or least-in-flight",
+        ),
+        setting(
+            "objective",
+            "NAME",
+            "stall",
+            "What admission keeps low first: stall or preemption",
+        ),
         setting("max-body", "BYTES", "1048576", "Largest request body"),
         setting("max-headers", "BYTES", "16384", "Largest request head"),
-        setting("header-timeout", "DURATION", "10s", "Time a caller has to send its request head"),
-        setting("token-gap", "DURATION", "1s", "Silence on an engine's connection after which it is probed on a new one"),
-        setting("engine-loss", "DURATION", "3s", "Time without an answer to probes after which an engine's streams are lost"),
-        setting("slow-reader", "DURATION", "30s", "Time a caller may leave its stream unread before it is cancelled"),
+        setting(
+            "header-timeout",
+            "DURATION",
+            "10s",
+            "Time a caller has to send its request head",
+        ),
+        setting(
+            "token-gap",
+            "DURATION",
+            "1s",
+            "Silence on an engine's connection after which it is probed on a new one",
+        ),
+        setting(
+            "engine-loss",
+            "DURATION",
+            "3s",
+            "Time without an answer to probes after which an engine's streams are lost",
+        ),
+        setting(
+            "slow-reader",
+            "DURATION",
+            "30s",
+            "Time a caller may leave its stream unread before it is cancelled",
+        ),
     ]
 }
 
 fn stops() -> [Arg; 2] {
     [
-        setting("drain-delay", "DURATION", "2s", "Wait between not ready and refusing new requests on a planned stop"),
-        setting("drain-deadline", "DURATION", "10m", "Time that open streams have to finish on a planned stop"),
+        setting(
+            "drain-delay",
+            "DURATION",
+            "2s",
+            "Wait between not ready and refusing new requests on a planned stop",
+        ),
+        setting(
+            "drain-deadline",
+            "DURATION",
+            "10m",
+            "Time that open streams have to finish on a planned stop",
+        ),
     ]
 }
 
 fn output() -> [Arg; 2] {
     [
-        setting("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
+        setting(
+            "log-level",
+            "LEVEL",
+            "info",
+            "error, warn, info, debug or trace",
+        ),
         setting("log-format", "FORMAT", "human", "human or json"),
     ]
 }
 
-fn setting(name: &'static str, value: &'static str, default: &'static str, help: &'static str) -> Arg {
+fn setting(
+    name: &'static str,
+    value: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
     optional(name, value, help).default_value(default)
 }
 
 fn optional(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).value_name(value).env(variable(name)).help(help)
+    Arg::new(name)
+        .long(name)
+        .value_name(value)
+        .env(variable(name))
+        .help(help)
 }
 
 fn list(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    optional(name, value, help).action(ArgAction::Append).value_delimiter(';')
+    optional(name, value, help)
+        .action(ArgAction::Append)
+        .value_delimiter(';')
 }
 
 fn switch(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).action(ArgAction::SetTrue).env(variable(name)).help(help)
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .env(variable(name))
+        .help(help)
 }
 
 /// The environment variable of a flag: `--host-id` is `SARDINERELAY_HOST_ID`.
--- a/crates/sardinerelayd/src/config.rs
+++ b/crates/sardinerelayd/src/config.rs
@@ -175,20 +175,31 @@
     let secret_file: Option<PathBuf> = get.optional("secret-file", "a path")?;
     let config = Config {
         host: get.bounded("host-id", 1, u64::MAX, "a number from 1")?,
-        zone: get.text("zone", "a name of lower-case letters, digits and '-'", is_name)?,
+        zone: get.text(
+            "zone",
+            "a name of lower-case letters, digits and '-'",
+            is_name,
+        )?,
         data_dir: get.optional("data-dir", "a path")?,
         peer_listen: get.value("peer-listen", ADDRESS)?,
         operator_listen: get.value("operator-listen", ADDRESS)?,
         voters: get.peers("voter")?,
         hosts: get.peers("host")?,
-        secrets: secret_file.as_deref().map_or(Ok(Vec::new()), read_secrets)?,
+        secrets: secret_file
+            .as_deref()
+            .map_or(Ok(Vec::new()), read_secrets)?,
         hosts_url: get.optional("hosts-url", "an http URL")?,
         listen: get.value("listen", ADDRESS)?,
         traffic_threads: get.bounded("traffic-threads", 1, 256, "a number from 1 to 256")? as usize,
-        policy: get.choice("policy", POLICIES, "adaptive, round-robin or least-in-flight")?,
+        policy: get.choice(
+            "policy",
+            POLICIES,
+            "adaptive, round-robin or least-in-flight",
+        )?,
         objective: get.choice("objective", OBJECTIVES, "stall or preemption")?,
         max_body: get.bounded("max-body", 1024, 1 << 30, "bytes from 1024 to 1 GiB")? as usize,
-        max_headers: get.bounded("max-headers", 8192, 1 << 20, "bytes from 8192 to 1 MiB")? as usize,
+        max_headers: get.bounded("max-headers", 8192, 1 << 20, "bytes from 8192 to 1 MiB")?
+            as usize,
         header_timeout: get.duration("header-timeout")?,
         token_gap: get.duration("token-gap")?,
         engine_loss: get.duration("engine-loss")?,
@@ -209,8 +220,10 @@
     ("round-robin", Policy::RoundRobin),
     ("least-in-flight", Policy::LeastInFlight),
 ];
-const OBJECTIVES: &[(&str, Objective)] =
-    &[("stall", Objective::Stall), ("preemption", Objective::Preemption)];
+const OBJECTIVES: &[(&str, Objective)] = &[
+    ("stall", Objective::Stall),
+    ("preemption", Objective::Preemption),
+];
 const LOG_FORMATS: &[(&str, LogFormat)] = &[("human", LogFormat::Human), ("json", LogFormat::Json)];
 
 struct Settings<'a> {
@@ -226,7 +239,9 @@
     where
         T: FromStr,
     {
-        self.raw(flag).map(|raw| parse(flag, raw, expected)).transpose()
+        self.raw(flag)
+            .map(|raw| parse(flag, raw, expected))
+            .transpose()
     }
 
     fn value<T>(&self, flag: &'static str, expected: &'static str) -> Result<T, Error>
@@ -237,7 +252,13 @@
         parse(flag, raw, expected)
     }
 
-    fn bounded(&self, flag: &'static str, least: u64, most: u64, expected: &'static str) -> Result<u64, Error> {
+    fn bounded(
+        &self,
+        flag: &'static str,
+        least: u64,
+        most: u64,
+        expected: &'static str,
+    ) -> Result<u64, Error> {
         let value = self.value(flag, expected)?;
         if (least..=most).contains(&value) {
             return Ok(value);
@@ -245,7 +266,12 @@
         Err(invalid(flag, value, expected))
     }
 
-    fn text(&self, flag: &'static str, expected: &'static str, allowed: fn(&str) -> bool) -> Result<CompactString, Error> {
+    fn text(
+        &self,
+        flag: &'static str,
+        expected: &'static str,
+        allowed: fn(&str) -> bool,
+    ) -> Result<CompactString, Error> {
         let value: CompactString = self.value(flag, expected)?;
         if allowed(&value) {
             return Ok(value);
@@ -263,7 +289,12 @@
         }
     }
 
-    fn choice<T>(&self, flag: &'static str, choices: &[(&str, T)], expected: &'static str) -> Result<T, Error>
+    fn choice<T>(
+        &self,
+        flag: &'static str,
+        choices: &[(&str, T)],
+        expected: &'static str,
+    ) -> Result<T, Error>
     where
         T: Copy,
     {
@@ -293,7 +324,11 @@
     V: Display,
 {
     let value = value.to_string();
-    Error::Value { flag, value, expected }
+    Error::Value {
+        flag,
+        value,
+        expected,
+    }
 }
 
 fn peer(flag: &'static str, raw: &str) -> Result<Peer, Error> {
--- a/crates/sardinerelayd/src/dev.rs
+++ b/crates/sardinerelayd/src/dev.rs
@@ -24,12 +24,18 @@
 ///
 /// Returns an error if no loopback port can be bound.
 pub async fn start(zone: &str) -> Result<Sheet> {
-    let listener = TcpListener::bind("127.0.0.1:0").await.context("binding the stand-in engine")?;
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .context("binding the stand-in engine")?;
     let address = listener.local_addr()?;
     let engine = Engine::new(Config {
         name: "engine-dev".into(),
         models: vec![MODEL.into()],
-        size: Size { memory_tokens: MEMORY_TOKENS, max_running: 64, prefill_tokens_per_step: 4096 },
+        size: Size {
+            memory_tokens: MEMORY_TOKENS,
+            max_running: 64,
+            prefill_tokens_per_step: 4096,
+        },
         step: Duration::from_millis(20),
         report_lag: Duration::from_millis(500),
         orphan_window: Duration::from_secs(10),
@@ -43,7 +49,11 @@
 fn sheet(zone: &str, address: SocketAddr) -> Sheet {
     Sheet {
         number: 1,
-        classes: vec![RequestClass { name: "interactive".into(), priority: 0, max_wait_ms: 10_000 }],
+        classes: vec![RequestClass {
+            name: "interactive".into(),
+            priority: 0,
+            max_wait_ms: 10_000,
+        }],
         targets: vec![Server {
             name: "engine-dev".into(),
             zone: zone.into(),
--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -127,7 +127,10 @@
 impl Client {
     /// Builds the connections' settings; nothing is opened yet.
     pub fn new() -> Self {
-        Self { pooled: client(64), fresh: client(0) }
+        Self {
+            pooled: client(64),
+            fresh: client(0),
+        }
     }
 
     /// Starts a generation and returns its event stream.
@@ -142,10 +145,12 @@
             .header(header::CONTENT_TYPE, "application/json")
             .header("x-generation", start.generation.to_string())
             .header("x-request-id", &start.request)
-            .header("x-priority", start.priority)
+            .header("x-priority", u16::from(start.priority))
             .body(Full::new(start.body.clone()))
             .expect("the parts of the request are valid");
-        let response = timeout(wait, self.pooled.request(request)).await?.map_err(classify)?;
+        let response = timeout(wait, self.pooled.request(request))
+            .await?
+            .map_err(classify)?;
         accept(response).await
     }
 
@@ -154,13 +159,23 @@
     /// # Errors
     ///
     /// Returns why no stream came about.
-    pub async fn resume(&self, address: SocketAddr, generation: Generation, next: u64) -> Result<Incoming, Error> {
-        let mut request = Request::builder().uri(format!("http://{address}/v1/generations/{generation}"));
+    pub async fn resume(
+        &self,
+        address: SocketAddr,
+        generation: Generation,
+        next: u64,
+    ) -> Result<Incoming, Error> {
+        let mut request =
+            Request::builder().uri(format!("http://{address}/v1/generations/{generation}"));
         if let Some(last) = next.checked_sub(1) {
             request = request.header("last-event-id", format!("{generation}.{last}"));
         }
-        let request = request.body(Full::default()).expect("the parts of the request are valid");
-        let response = timeout(SHORT_CALL, self.fresh.request(request)).await?.map_err(classify)?;
+        let request = request
+            .body(Full::default())
+            .expect("the parts of the request are valid");
+        let response = timeout(SHORT_CALL, self.fresh.request(request))
+            .await?
+            .map_err(classify)?;
         accept(response).await
     }
 
@@ -174,7 +189,9 @@
         if self.short(&self.pooled, Method::DELETE, &uri).await.is_ok() {
             return Ok(());
         }
-        self.short(&self.fresh, Method::DELETE, &uri).await.map(drop)
+        self.short(&self.fresh, Method::DELETE, &uri)
+            .await
+            .map(drop)
     }
 
     /// Fetches the engine's load report.
@@ -255,7 +272,9 @@
 
 async fn collect(body: Incoming) -> Result<Bytes, Error> {
     let collected = Limited::new(body, MAX_SHORT_ANSWER).collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|_| Error::Answer)
+    collected
+        .map(|body| body.to_bytes())
+        .map_err(|_| Error::Answer)
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/sardinerelayd/src/engine/reader.rs
+++ b/crates/sardinerelayd/src/engine/reader.rs
@@ -14,7 +14,7 @@
         str,
         time::{Duration, Instant},
     },
-    thiserror::Error,
+    thiserror::Error as ThisError,
     tokio::time::{sleep, timeout},
 };
 
@@ -47,7 +47,7 @@
 }
 
 /// The generation can't be continued.
-#[derive(Debug, Error)]
+#[derive(Debug, ThisError)]
 pub enum Lost {
     /// The engine answers, but no longer has the generation.
     #[error("the engine no longer has the generation")]
@@ -117,7 +117,14 @@
     }
 
     fn detached(client: Client, address: SocketAddr, cursor: Cursor, patience: Patience) -> Self {
-        Self { client, address, cursor, patience, connection: None, ended: false }
+        Self {
+            client,
+            address,
+            cursor,
+            patience,
+            connection: None,
+            ended: false,
+        }
     }
 
     /// The generation that is read.
@@ -166,7 +173,11 @@
     /// Accepts the event by generation and index, whatever connection it came from.
     fn check(&mut self, raw: Raw) -> Result<Option<Event>, Lost> {
         match raw {
-            Raw::Token { generation, index, data } => match self.cursor.accept(generation, index) {
+            Raw::Token {
+                generation,
+                index,
+                data,
+            } => match self.cursor.accept(generation, index) {
                 Accept::Deliver => Ok(Some(Event::Token { index, data })),
                 Accept::Drop => Ok(None),
                 Accept::Gap { .. } => {
@@ -203,7 +214,11 @@
 
 /// An event as one connection delivered it.
 enum Raw {
-    Token { generation: Generation, index: u64, data: Bytes },
+    Token {
+        generation: Generation,
+        index: u64,
+        data: Bytes,
+    },
     Usage(Bytes),
     Done,
     Malformed,
@@ -214,12 +229,15 @@
 
 impl Connection {
     fn new(body: Incoming) -> Self {
-        Self { body, decoder: Decoder::default() }
+        Self {
+            body,
+            decoder: Decoder::default(),
+        }
     }
 
     async fn read(&mut self) -> Result<Raw, Broken> {
         loop {
-            match self.decoder.next() {
+            match self.decoder.decode() {
                 Ok(Some(event)) if event.data == "[DONE]" => return Ok(Raw::Done),
                 Ok(Some(event)) if event.kind == "usage" => return Ok(Raw::Usage(event.data)),
                 Ok(Some(event)) => return Ok(token(&event.id, event.data)),
@@ -241,7 +259,11 @@
         Some((generation.parse().ok()?, index.parse().ok()?))
     });
     match position {
-        Some((generation, index)) => Raw::Token { generation, index, data },
+        Some((generation, index)) => Raw::Token {
+            generation,
+            index,
+            data,
+        },
         None => Raw::Malformed,
     }
 }
--- a/crates/sardinerelayd/src/engine/sse.rs
+++ b/crates/sardinerelayd/src/engine/sse.rs
@@ -43,7 +43,7 @@
     /// # Errors
     ///
     /// Returns an error if an event exceeds the bound.
-    pub fn next(&mut self) -> Result<Option<Event>, Oversize> {
+    pub fn decode(&mut self) -> Result<Option<Event>, Oversize> {
         loop {
             let Some(end) = self.find_end() else {
                 if self.buffer.len() > MAX_EVENT {
@@ -62,7 +62,9 @@
 
     fn find_end(&mut self) -> Option<usize> {
         let from = self.scanned.saturating_sub(1);
-        let found = self.buffer[from..].windows(2).position(|pair| pair == b"\n\n");
+        let found = self.buffer[from..]
+            .windows(2)
+            .position(|pair| pair == b"\n\n");
         self.scanned = self.buffer.len();
         found.map(|position| from + position)
     }
@@ -70,7 +72,11 @@
 
 /// Parses one event's lines. Comments and unknown fields are skipped.
 fn parse(raw: &Bytes) -> Option<Event> {
-    let mut event = Event { id: Bytes::new(), kind: Bytes::new(), data: Bytes::new() };
+    let mut event = Event {
+        id: Bytes::new(),
+        kind: Bytes::new(),
+        data: Bytes::new(),
+    };
     for line in raw.split(|byte| *byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         let Some(colon) = line.iter().position(|byte| *byte == b':') else {
--- a/crates/sardinerelayd/src/filter.rs
+++ b/crates/sardinerelayd/src/filter.rs
@@ -126,7 +126,11 @@
     /// Settles what the filters reserved, and cancels the generation if it still runs.
     fn drop(&mut self) {
         let whole = self.reader.ended();
-        let end = End { tokens: self.reader.next_index(), whole, preemptions: 0 };
+        let end = End {
+            tokens: self.reader.next_index(),
+            whole,
+            preemptions: 0,
+        };
         for on_end in self.on_end.drain(..) {
             on_end(end);
         }
--- a/crates/sardinerelayd/src/filter/admit.rs
+++ b/crates/sardinerelayd/src/filter/admit.rs
@@ -39,7 +39,10 @@
 
 impl<S> Service<Call> for Admit<S>
 where
-    S: Service<Admitted, Response = Answer, Error = Refusal, Future = Reply> + Clone + Send + 'static,
+    S: Service<Admitted, Response = Answer, Error = Refusal, Future = Reply>
+        + Clone
+        + Send
+        + 'static,
 {
     type Response = Answer;
     type Error = Refusal;
--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -35,7 +35,11 @@
 impl Dispatch {
     /// Sends to the targets that the scheduler's tickets name.
     pub fn new(client: Client, scheduler: Arc<Scheduler>, patience: Patience) -> Self {
-        Self { client, scheduler, patience }
+        Self {
+            client,
+            scheduler,
+            patience,
+        }
     }
 }
 
@@ -65,7 +69,11 @@
                     let refusal = self.explain(&lost, &ticket);
                     may_have_run |= !matches!(lost, Lost::NotRun(_));
                     warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = ticket.target.as_str(); "generation did not start: {lost}");
-                    let failure = if matches!(lost, Lost::NotRun(_)) { Failure::NotRun } else { Failure::Lost };
+                    let failure = if matches!(lost, Lost::NotRun(_)) {
+                        Failure::NotRun
+                    } else {
+                        Failure::Lost
+                    };
                     ticket = match self.scheduler.readmit(&call, ticket, failure).await {
                         Some(ticket) => ticket,
                         None if may_have_run => return Err(refusal.may_have_run()),
@@ -77,7 +85,12 @@
     }
 
     /// One attempt on one target, up to the first event.
-    async fn attempt(&self, call: &Call, ticket: &Ticket, guard: &Abandon) -> Result<(Reader, Event), Lost> {
+    async fn attempt(
+        &self,
+        call: &Call,
+        ticket: &Ticket,
+        guard: &Abandon,
+    ) -> Result<(Reader, Event), Lost> {
         let start = Start {
             address: ticket.address,
             path: call.shape.path(),
@@ -91,7 +104,14 @@
         Ok((reader, first))
     }
 
-    fn answer(&self, call: Arc<Call>, ticket: Ticket, guard: Abandon, reader: Reader, first: Event) -> Answer {
+    fn answer(
+        &self,
+        call: Arc<Call>,
+        ticket: Ticket,
+        guard: Abandon,
+        reader: Reader,
+        first: Event,
+    ) -> Answer {
         ticket.first_token();
         let target = ticket.target.clone();
         info!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = target.as_str(); "generation started");
@@ -135,7 +155,12 @@
 
     /// Cancels this generation when dropped.
     pub fn of(client: Client, address: SocketAddr, generation: Generation) -> Self {
-        Self { client, address, generation, armed: true }
+        Self {
+            client,
+            address,
+            generation,
+            armed: true,
+        }
     }
 
     /// Leaves the generation alone.
--- a/crates/sardinerelayd/src/filter/identify.rs
+++ b/crates/sardinerelayd/src/filter/identify.rs
@@ -45,7 +45,11 @@
 impl<S> Identify<S> {
     /// Puts the filter before `inner`.
     pub fn new(inner: S, view: Shared, max_body: usize) -> Self {
-        Self { inner, view, max_body }
+        Self {
+            inner,
+            view,
+            max_body,
+        }
     }
 }
 
@@ -93,21 +97,35 @@
 /// Refuses a request without a key that the sheet in force names.
 pub fn authenticate(view: &View, headers: &HeaderMap) -> Result<Caller, Refusal> {
     if view.sheet.is_none() {
-        return Err(Refusal::new(Code::NotReady, "no configuration is in force on this host yet"));
+        return Err(Refusal::new(
+            Code::NotReady,
+            "no configuration is in force on this host yet",
+        ));
     }
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let (Some(value), None) = (values.next(), values.next()) else {
-        return Err(Refusal::new(Code::Unauthorized, "send one Authorization header with your API key"));
+        return Err(Refusal::new(
+            Code::Unauthorized,
+            "send one Authorization header with your API key",
+        ));
     };
     let key = value
         .to_str()
         .ok()
         .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(|| Refusal::new(Code::Unauthorized, "the Authorization header must be 'Bearer <API key>'"))?;
-    let account = view
-        .account(&digest(key.trim()))
-        .ok_or_else(|| Refusal::new(Code::Unauthorized, "the API key belongs to no organisation"))?;
-    Ok(Caller { organisation: account.name.clone(), classes: account.classes.clone() })
+        .ok_or_else(|| {
+            Refusal::new(
+                Code::Unauthorized,
+                "the Authorization header must be 'Bearer <API key>'",
+            )
+        })?;
+    let account = view.account(&digest(key.trim())).ok_or_else(|| {
+        Refusal::new(Code::Unauthorized, "the API key belongs to no organisation")
+    })?;
+    Ok(Caller {
+        organisation: account.name.clone(),
+        classes: account.classes.clone(),
+    })
 }
 
 /// The SHA-256 digest of an API key in lower-case hexadecimal, as sheets state it.
@@ -121,7 +139,9 @@
 
 /// The caller's request identifier, or a new one.
 pub fn request_id(headers: &HeaderMap) -> CompactString {
-    let given = headers.get("x-request-id").and_then(|value| value.to_str().ok());
+    let given = headers
+        .get("x-request-id")
+        .and_then(|value| value.to_str().ok());
     match given {
         Some(id) if !id.is_empty() && id.len() <= MAX_REQUEST_ID => id.into(),
         _ => format_compact!("{}", Uuid::new_v4().simple()),
@@ -142,7 +162,10 @@
             format_compact!("the body is larger than {max_body} bytes"),
         )),
         Ok(Err(_)) => Err(Refusal::new(Code::InvalidRequest, "the body broke off")),
-        Err(_) => Err(Refusal::new(Code::InvalidRequest, "the body did not arrive in time")),
+        Err(_) => Err(Refusal::new(
+            Code::InvalidRequest,
+            "the body did not arrive in time",
+        )),
     }
 }
 
@@ -174,12 +197,19 @@
     received: Instant,
 ) -> Result<Call, Refusal> {
     let fields: Fields = serde_json::from_slice(&body).map_err(|error| {
-        Refusal::new(Code::InvalidRequest, format_compact!("the body is not valid: {error}"))
+        Refusal::new(
+            Code::InvalidRequest,
+            format_compact!("the body is not valid: {error}"),
+        )
     })?;
     check(shape, &fields)?;
     let (model, adapter) = fields.model.split_once(':').unwrap_or((&fields.model, ""));
     let deployment = view.model(model).ok_or_else(|| {
-        Refusal::new(Code::UnknownModel, format_compact!("the model '{model}' does not exist")).param("model")
+        Refusal::new(
+            Code::UnknownModel,
+            format_compact!("the model '{model}' does not exist"),
+        )
+        .param("model")
     })?;
     if !adapter.is_empty() && !deployment.adapters.iter().any(|name| name == adapter) {
         let message = format_compact!("the model '{model}' has no adapter '{adapter}'");
@@ -197,8 +227,12 @@
         prompt_tokens: (body.len() as u64 / BYTES_PER_TOKEN).max(1),
         max_tokens: fields.max_completion_tokens.or(fields.max_tokens),
         stream: fields.stream,
-        include_usage: fields.stream_options.is_some_and(|options| options.include_usage),
-        resumable: headers.get("x-sardinerelay-resume").is_some_and(|value| value == "true"),
+        include_usage: fields
+            .stream_options
+            .is_some_and(|options| options.include_usage),
+        resumable: headers
+            .get("x-sardinerelay-resume")
+            .is_some_and(|value| value == "true"),
         body,
         received,
     })
@@ -217,19 +251,31 @@
         return Err(Refusal::new(Code::InvalidRequest, "only n = 1 is supported").param("n"));
     }
     if fields.max_completion_tokens.or(fields.max_tokens) == Some(0) {
-        return Err(Refusal::new(Code::InvalidRequest, "the output must allow a token").param("max_tokens"));
+        return Err(
+            Refusal::new(Code::InvalidRequest, "the output must allow a token").param("max_tokens"),
+        );
     }
     Ok(())
 }
 
 /// The class from `x-sardinerelay-class`, or the organisation's first.
-fn class(view: &View, caller: &Caller, headers: &HeaderMap) -> Result<(CompactString, u8, Duration), Refusal> {
-    let asked = headers.get("x-sardinerelay-class").map(|value| value.to_str().unwrap_or_default());
+fn class(
+    view: &View,
+    caller: &Caller,
+    headers: &HeaderMap,
+) -> Result<(CompactString, u8, Duration), Refusal> {
+    let asked = headers
+        .get("x-sardinerelay-class")
+        .map(|value| value.to_str().unwrap_or_default());
     let name = match asked {
-        Some(asked) => caller.classes.iter().find(|name| *name == asked).ok_or_else(|| {
-            let message = format_compact!("the organisation may not use the class '{asked}'");
-            Refusal::new(Code::InvalidRequest, message).param("x-sardinerelay-class")
-        })?,
+        Some(asked) => caller
+            .classes
+            .iter()
+            .find(|name| *name == asked)
+            .ok_or_else(|| {
+                let message = format_compact!("the organisation may not use the class '{asked}'");
+                Refusal::new(Code::InvalidRequest, message).param("x-sardinerelay-class")
+            })?,
         None => caller
             .classes
             .first()
@@ -238,5 +284,9 @@
     let class = view
         .class(name)
         .ok_or_else(|| Refusal::new(Code::NotReady, "the sheet in force lacks the class"))?;
-    Ok((class.name.clone(), class.priority, Duration::from_millis(class.max_wait_ms)))
+    Ok((
+        class.name.clone(),
+        class.priority,
+        Duration::from_millis(class.max_wait_ms),
+    ))
 }
--- a/crates/sardinerelayd/src/filter/limit.rs
+++ b/crates/sardinerelayd/src/filter/limit.rs
@@ -47,7 +47,9 @@
         Box::pin(async move {
             let charge = limits.charge(&call)?;
             let mut answer = inner.call(call).await?;
-            answer.on_end.push(Box::new(move |end| charge.settle(end.tokens)));
+            answer
+                .on_end
+                .push(Box::new(move |end| charge.settle(end.tokens)));
             Ok(answer)
         })
     }
--- a/crates/sardinerelayd/src/filter/relay.rs
+++ b/crates/sardinerelayd/src/filter/relay.rs
@@ -69,7 +69,10 @@
         });
         let mut response = Response::new(Body::from_stream(chunks));
         let headers = response.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("text/event-stream"),
+        );
         headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
         insert_request_id(&mut response, &request);
         response
@@ -93,9 +96,10 @@
         watch.end("whole");
         let body = whole.object(&answer).to_string();
         let mut response = Response::new(Body::from(body));
-        response
-            .headers_mut()
-            .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response.headers_mut().insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         insert_request_id(&mut response, &answer.call.id);
         Ok(response)
     }
@@ -122,7 +126,12 @@
     Lost(Lost),
 }
 
-async fn pump(mut answer: Answer, sender: mpsc::Sender<Bytes>, slow_reader: Duration, mut watch: Watch) {
+async fn pump(
+    mut answer: Answer,
+    sender: mpsc::Sender<Bytes>,
+    slow_reader: Duration,
+    mut watch: Watch,
+) {
     let stop = drive(&mut answer, &sender, slow_reader, &mut watch).await;
     let (request, organisation) = (answer.call.id.clone(), answer.call.organisation.clone());
     let tokens = answer.reader.next_index();
@@ -136,13 +145,22 @@
     if let Stop::Lost(lost) = stop {
         warn!(request = request.as_str(), organisation = organisation.as_str(), target = answer.target.as_str(); "generation lost after {tokens} tokens: {lost}");
         let error = lost_refusal(&lost, &answer).object();
-        let _ = timeout(slow_reader, sender.send(Bytes::from(format!("data: {error}\n\n")))).await;
+        let _ = timeout(
+            slow_reader,
+            sender.send(Bytes::from(format!("data: {error}\n\n"))),
+        )
+        .await;
     } else {
         info!(request = request.as_str(), organisation = organisation.as_str(), target = answer.target.as_str(); "stream ended: {outcome}, {tokens} tokens");
     }
 }
 
-async fn drive(answer: &mut Answer, sender: &mpsc::Sender<Bytes>, slow_reader: Duration, watch: &mut Watch) -> Stop {
+async fn drive(
+    answer: &mut Answer,
+    sender: &mpsc::Sender<Bytes>,
+    slow_reader: Duration,
+    watch: &mut Watch,
+) -> Stop {
     loop {
         let event = tokio::select! {
             event = next(answer) => event,
@@ -243,7 +261,8 @@
         let chunk = parse(data)?;
         for choice in chunk.choices {
             self.text.push_str(&choice.text);
-            self.text.push_str(&choice.delta.content.unwrap_or_default());
+            self.text
+                .push_str(&choice.delta.content.unwrap_or_default());
             self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
         }
         (self.id, self.created, self.model) = (chunk.id, chunk.created, chunk.model);
@@ -310,13 +329,18 @@
     fn token(&mut self) {
         let now = Instant::now();
         match self.last.replace(now) {
-            None => self.metrics.first_token(&self.organisation, &self.class, now - self.received),
-            Some(last) => self.metrics.between_tokens(&self.organisation, &self.class, now - last),
+            None => self
+                .metrics
+                .first_token(&self.organisation, &self.class, now - self.received),
+            Some(last) => self
+                .metrics
+                .between_tokens(&self.organisation, &self.class, now - last),
         }
         self.tokens += 1;
     }
 
     fn end(&self, outcome: &'static str) {
-        self.metrics.ended(&self.organisation, &self.class, self.tokens, outcome);
+        self.metrics
+            .ended(&self.organisation, &self.class, self.tokens, outcome);
     }
 }
--- a/crates/sardinerelayd/src/limits.rs
+++ b/crates/sardinerelayd/src/limits.rs
@@ -51,7 +51,10 @@
 impl Limits {
     /// Starts with full buckets.
     pub fn new(view: Shared) -> Self {
-        Self { view, buckets: Mutex::new(HashMap::new()) }
+        Self {
+            view,
+            buckets: Mutex::new(HashMap::new()),
+        }
     }
 
     /// Charges a request on the estimate.
@@ -64,16 +67,31 @@
         let account = view
             .sheet
             .as_ref()
-            .and_then(|sheet| sheet.organisations.iter().find(|account| account.name == call.organisation))
-            .ok_or_else(|| Refusal::new(Code::Unauthorized, "the organisation is no longer in force"))?;
-        let output = call.max_tokens.unwrap_or(ESTIMATED_OUTPUT).min(ESTIMATED_OUTPUT);
+            .and_then(|sheet| {
+                sheet
+                    .organisations
+                    .iter()
+                    .find(|account| account.name == call.organisation)
+            })
+            .ok_or_else(|| {
+                Refusal::new(Code::Unauthorized, "the organisation is no longer in force")
+            })?;
+        let output = call
+            .max_tokens
+            .unwrap_or(ESTIMATED_OUTPUT)
+            .min(ESTIMATED_OUTPUT);
         let charged = call.prompt_tokens + output;
         let mut buckets = self.lock();
         let now = Instant::now();
-        let (tokens, requests) = (account.tokens_per_minute as f64, account.requests_per_minute as f64);
-        let bucket = buckets
-            .entry(call.organisation.clone())
-            .or_insert(Bucket { tokens, requests, refilled: now });
+        let (tokens, requests) = (
+            account.tokens_per_minute as f64,
+            account.requests_per_minute as f64,
+        );
+        let bucket = buckets.entry(call.organisation.clone()).or_insert(Bucket {
+            tokens,
+            requests,
+            refilled: now,
+        });
         bucket.refill(tokens, requests, now);
         let wait = bucket.take(charged, tokens, requests);
         match wait {
@@ -85,14 +103,19 @@
                 settled: false,
             }),
             Some(wait) => {
-                let message = format_compact!("the limit of organisation '{}' is used up", call.organisation);
+                let message = format_compact!(
+                    "the limit of organisation '{}' is used up",
+                    call.organisation
+                );
                 Err(Refusal::new(Code::RateLimited, message).retry_after(wait))
             }
         }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<CompactString, Bucket>> {
-        self.buckets.lock().expect("no thread panics while it holds the lock")
+        self.buckets
+            .lock()
+            .expect("no thread panics while it holds the lock")
     }
 }
 
@@ -105,10 +128,16 @@
     }
 
     /// Takes a request and its tokens, or returns how long that will take.
-    fn take(&mut self, tokens: u64, tokens_per_minute: f64, requests_per_minute: f64) -> Option<Duration> {
+    fn take(
+        &mut self,
+        tokens: u64,
+        tokens_per_minute: f64,
+        requests_per_minute: f64,
+    ) -> Option<Duration> {
         // A request larger than a whole minute's limit is let through by a full bucket.
         let need = (tokens as f64).min(tokens_per_minute);
-        let minutes = ((need - self.tokens) / tokens_per_minute).max((1.0 - self.requests) / requests_per_minute);
+        let minutes = ((need - self.tokens) / tokens_per_minute)
+            .max((1.0 - self.requests) / requests_per_minute);
         if minutes > 0.0 {
             return Some(Duration::from_secs_f64((minutes * 60.0).min(3600.0)));
         }
--- a/crates/sardinerelayd/src/logging.rs
+++ b/crates/sardinerelayd/src/logging.rs
@@ -50,9 +50,13 @@
     let _ = record.key_values().visit(&mut fields);
     let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
     fields.map.insert("time".into(), json!(time));
-    fields.map.insert("level".into(), json!(record.level().as_str()));
+    fields
+        .map
+        .insert("level".into(), json!(record.level().as_str()));
     fields.map.insert("module".into(), json!(record.target()));
-    fields.map.insert("message".into(), json!(message.to_string()));
+    fields
+        .map
+        .insert("message".into(), json!(message.to_string()));
     out.finish(format_args!("{}", serde_json::Value::Object(fields.map)));
 }
 
--- a/crates/sardinerelayd/src/metrics.rs
+++ b/crates/sardinerelayd/src/metrics.rs
@@ -23,7 +23,9 @@
 ];
 
 /// Bounds of length histograms in tokens.
-const TOKENS: [f64; 10] = [8.0, 32.0, 128.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0, 65536.0];
+const TOKENS: [f64; 10] = [
+    8.0, 32.0, 128.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0, 65536.0,
+];
 
 /// All instruments.
 pub struct Metrics {
@@ -55,14 +57,20 @@
     /// Returns the exporter's error.
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("sardinerelay");
         Ok(Self {
             registry,
             first_token: seconds(&meter, "first_token", "Time from request to first token"),
             between_tokens: seconds(&meter, "between_tokens", "Time between two tokens"),
-            stall: seconds(&meter, "stall", "Time beyond 250 ms in which a stream got no token"),
+            stall: seconds(
+                &meter,
+                "stall",
+                "Time beyond 250 ms in which a stream got no token",
+            ),
             queue_wait: seconds(&meter, "queue_wait", "Time from request to dispatch"),
             output: meter
                 .f64_histogram("sardinerelay_output_tokens")
@@ -71,7 +79,11 @@
                 .build(),
             streams: counter(&meter, "answers", "Answers by outcome"),
             refusals: counter(&meter, "refusals", "Refused requests by code"),
-            retries: counter(&meter, "retries", "Generations started anew before their first token"),
+            retries: counter(
+                &meter,
+                "retries",
+                "Generations started anew before their first token",
+            ),
             preemptions: counter(&meter, "preemptions", "Preemptions that engines reported"),
             _provider: provider,
         })
@@ -79,7 +91,8 @@
 
     /// Observes the first token.
     pub fn first_token(&self, organisation: &str, class: &str, elapsed: Duration) {
-        self.first_token.record(elapsed.as_secs_f64(), &labels(organisation, class));
+        self.first_token
+            .record(elapsed.as_secs_f64(), &labels(organisation, class));
     }
 
     /// Observes the time between two tokens, and the stall within it.
@@ -93,15 +106,20 @@
 
     /// Observes the wait for a target.
     pub fn queue_wait(&self, organisation: &str, class: &str, elapsed: Duration) {
-        self.queue_wait.record(elapsed.as_secs_f64(), &labels(organisation, class));
+        self.queue_wait
+            .record(elapsed.as_secs_f64(), &labels(organisation, class));
     }
 
     /// Observes the end of an answer.
     pub fn ended(&self, organisation: &str, class: &str, tokens: u64, outcome: &'static str) {
-        self.output.record(tokens as f64, &labels(organisation, class));
+        self.output
+            .record(tokens as f64, &labels(organisation, class));
         self.streams.add(
             1,
-            &[KeyValue::new("organisation", organisation.to_owned()), KeyValue::new("outcome", outcome)],
+            &[
+                KeyValue::new("organisation", organisation.to_owned()),
+                KeyValue::new("outcome", outcome),
+            ],
         );
     }
 
@@ -112,12 +130,14 @@
 
     /// Counts a generation that was started anew.
     pub fn retried(&self, target: &str) {
-        self.retries.add(1, &[KeyValue::new("target", target.to_owned())]);
+        self.retries
+            .add(1, &[KeyValue::new("target", target.to_owned())]);
     }
 
     /// Counts preemptions that an engine reported.
     pub fn preempted(&self, target: &str, count: u64) {
-        self.preemptions.add(count, &[KeyValue::new("target", target.to_owned())]);
+        self.preemptions
+            .add(count, &[KeyValue::new("target", target.to_owned())]);
     }
 
     /// The Prometheus text.
@@ -142,7 +162,10 @@
 }
 
 fn counter(meter: &Meter, name: &str, description: &'static str) -> Counter<u64> {
-    meter.u64_counter(format!("sardinerelay_{name}")).with_description(description).build()
+    meter
+        .u64_counter(format!("sardinerelay_{name}"))
+        .with_description(description)
+        .build()
 }
 
 fn labels(organisation: &str, class: &str) -> [KeyValue; 2] {
--- a/crates/sardinerelayd/src/refusal.rs
+++ b/crates/sardinerelayd/src/refusal.rs
@@ -33,7 +33,13 @@
     where
         M: Into<CompactString>,
     {
-        Self { code, message: message.into(), param: None, retry_after: None, run: code.run() }
+        Self {
+            code,
+            message: message.into(),
+            param: None,
+            retry_after: None,
+            run: code.run(),
+        }
     }
 
     /// Names the parameter at fault.
@@ -77,7 +83,10 @@
         let mut response = Response::new(Body::from(self.object().to_string()));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         if let Some(wait) = self.retry_after {
             let seconds = wait.as_millis().div_ceil(1000) as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds.max(1)));
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -7,7 +7,9 @@
         dev,
         engine::{Client, reader::Patience},
         exit_code::ExitCode,
-        filter::{admit::Admit, dispatch::Dispatch, identify::Identify, limit::Limit, relay::Relay},
+        filter::{
+            admit::Admit, dispatch::Dispatch, identify::Identify, limit::Limit, relay::Relay,
+        },
         limits::Limits,
         metrics::Metrics,
         schedule::Scheduler,
@@ -52,7 +54,11 @@
     let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
     if config.dev {
         let sheet = dev::start(&config.zone).await?;
-        view.store(Arc::new(View::new(1, Some(Arc::new(sheet)), BTreeSet::new())));
+        view.store(Arc::new(View::new(
+            1,
+            Some(Arc::new(sheet)),
+            BTreeSet::new(),
+        )));
         info!("development mode: API key '{}'", dev::KEY);
     }
     let drain = Drain::default();
@@ -78,11 +84,23 @@
 fn api(config: &Config, view: Shared, drain: Drain) -> Result<Api> {
     let metrics = Arc::new(Metrics::new()?);
     let scheduler = Arc::new(Scheduler::new(view.clone()));
-    let patience = Patience { token_gap: config.token_gap, engine_loss: config.engine_loss };
+    let patience = Patience {
+        token_gap: config.token_gap,
+        engine_loss: config.engine_loss,
+    };
     let dispatch = Dispatch::new(Client::new(), scheduler.clone(), patience);
     let admit = Admit::new(dispatch, scheduler);
     let limit = Limit::new(admit, Arc::new(Limits::new(view.clone())));
     let chain = Identify::new(limit, view.clone(), config.max_body);
-    let relay = Relay { slow_reader: config.slow_reader, metrics: metrics.clone() };
-    Ok(Api { chain, relay, view, drain, metrics })
+    let relay = Relay {
+        slow_reader: config.slow_reader,
+        metrics: metrics.clone(),
+    };
+    Ok(Api {
+        chain,
+        relay,
+        view,
+        drain,
+        metrics,
+    })
 }
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -57,7 +57,10 @@
 impl Scheduler {
     /// Starts without knowledge of load.
     pub fn new(view: Shared) -> Self {
-        Self { view, in_flight: Mutex::new(BTreeMap::new()) }
+        Self {
+            view,
+            in_flight: Mutex::new(BTreeMap::new()),
+        }
     }
 
     /// Waits until a target has room for the request.
@@ -66,12 +69,21 @@
     ///
     /// Refuses the request as not run if no target can take it.
     pub async fn admit(self: &Arc<Self>, call: &Call) -> Result<Ticket, Refusal> {
-        self.pick(call, BTreeSet::new())
-            .ok_or_else(|| Refusal::new(Code::NoTarget, format_compact!("no target runs the model '{}'", call.model)))
+        self.pick(call, BTreeSet::new()).ok_or_else(|| {
+            Refusal::new(
+                Code::NoTarget,
+                format_compact!("no target runs the model '{}'", call.model),
+            )
+        })
     }
 
     /// Finds another target after a failed attempt, or nothing if none is left.
-    pub async fn readmit(self: &Arc<Self>, call: &Call, mut ticket: Ticket, _: Failure) -> Option<Ticket> {
+    pub async fn readmit(
+        self: &Arc<Self>,
+        call: &Call,
+        mut ticket: Ticket,
+        _: Failure,
+    ) -> Option<Ticket> {
         let mut tried = std::mem::take(&mut ticket.tried);
         tried.insert(ticket.target.clone());
         drop(ticket);
@@ -92,11 +104,18 @@
             .min_by_key(|target| in_flight.get(*target).copied().unwrap_or(0))?;
         let address = view.target(target)?.address;
         *in_flight.entry(target.clone()).or_default() += 1;
-        Some(Ticket { scheduler: self.clone(), target: target.clone(), address, tried })
+        Some(Ticket {
+            scheduler: self.clone(),
+            target: target.clone(),
+            address,
+            tried,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<CompactString, usize>> {
-        self.in_flight.lock().expect("no thread panics while it holds the lock")
+        self.in_flight
+            .lock()
+            .expect("no thread panics while it holds the lock")
     }
 }
 
--- a/crates/sardinerelayd/src/serve.rs
+++ b/crates/sardinerelayd/src/serve.rs
@@ -45,7 +45,9 @@
         };
         // Tokens are small; waiting to fill a segment would delay each one.
         let _ = stream.set_nodelay(true);
-        let router = router.clone().map_request(|request: hyper::Request<Incoming>| request.map(axum::body::Body::new));
+        let router = router
+            .clone()
+            .map_request(|request: hyper::Request<Incoming>| request.map(axum::body::Body::new));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(config.header_timeout)
--- a/crates/sardinerelayd/src/snapshot.rs
+++ b/crates/sardinerelayd/src/snapshot.rs
@@ -33,7 +33,12 @@
     /// Indexes a sheet.
     pub fn new(version: u64, sheet: Option<Arc<Sheet>>, leaving: BTreeSet<Target>) -> Self {
         let accounts = sheet.iter().flat_map(|sheet| key_index(sheet)).collect();
-        Self { version, sheet, leaving, accounts }
+        Self {
+            version,
+            sheet,
+            leaving,
+            accounts,
+        }
     }
 
     /// The organisation that owns the key with this digest.
@@ -44,22 +49,38 @@
 
     /// The class with this name.
     pub fn class(&self, name: &str) -> Option<&RequestClass> {
-        self.sheet.as_ref()?.classes.iter().find(|class| class.name == name)
+        self.sheet
+            .as_ref()?
+            .classes
+            .iter()
+            .find(|class| class.name == name)
     }
 
     /// The model with this name.
     pub fn model(&self, name: &str) -> Option<&Deployment> {
-        self.sheet.as_ref()?.models.iter().find(|model| model.name == name)
+        self.sheet
+            .as_ref()?
+            .models
+            .iter()
+            .find(|model| model.name == name)
     }
 
     /// The target with this name.
     pub fn target(&self, name: &str) -> Option<&Server> {
-        self.sheet.as_ref()?.targets.iter().find(|target| target.name == name)
+        self.sheet
+            .as_ref()?
+            .targets
+            .iter()
+            .find(|target| target.name == name)
     }
 
     /// The target with this address, if the sheet names it.
     pub fn target_at(&self, address: SocketAddr) -> Option<&Server> {
-        self.sheet.as_ref()?.targets.iter().find(|target| target.address == address)
+        self.sheet
+            .as_ref()?
+            .targets
+            .iter()
+            .find(|target| target.address == address)
     }
 
     /// The plain service whose path prefix covers this path.
--- a/crates/sardinerelayd/src/stop.rs
+++ b/crates/sardinerelayd/src/stop.rs
@@ -46,7 +46,10 @@
 
 impl Default for Drain {
     fn default() -> Self {
-        Self { phase: Arc::new(AtomicU8::new(SERVING)), open: watch::Sender::new(0) }
+        Self {
+            phase: Arc::new(AtomicU8::new(SERVING)),
+            open: watch::Sender::new(0),
+        }
     }
 }
 
@@ -55,7 +58,9 @@
     pub fn enter(&self) -> Option<Open> {
         // Counting before looking leaves no moment in which a stop misses this request.
         self.open.send_modify(|open| *open += 1);
-        let open = Open { open: self.open.clone() };
+        let open = Open {
+            open: self.open.clone(),
+        };
         (self.phase.load(Ordering::SeqCst) != CLOSED).then_some(open)
     }
 
