--- a/crates/sardinerelay/src/id.rs
+++ b/crates/sardinerelay/src/id.rs
@@ -32,3 +32,9 @@
 
 /// A position in the replicated log; the first entry has index 1.
 pub type Index = u64;
+
+/// One run of a host's daemon or of a target. A later run has a higher number.
+pub type Incarnation = u64;
+
+/// The number of accepted changes to what hosts pull.
+pub type Version = u64;
--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,5 +7,8 @@
 #![deny(missing_docs)]
 
 pub mod id;
+pub mod ledger;
+pub mod resume;
 pub mod sheet;
+pub mod state;
 pub mod stream;
