--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,7 +7,10 @@
 #![deny(missing_docs)]
 
 pub mod id;
+pub mod ledger;
 pub mod operator;
 pub mod refusal_code;
+pub mod resume;
 pub mod sheet;
+pub mod state;
 pub mod stream;
