Let callers resume a cut stream through any entry host

GET /v1/streams with the id of the last event attaches to the generation on its engine. The token inside the id is sealed and names engine and generation, so no host keeps a table of streams. A resumable stream whose caller leaves is left to the engine's orphan window instead of being cancelled.

--- a/crates/sardinerelayd/src/api.rs
+++ b/crates/sardinerelayd/src/api.rs
@@ -12,6 +12,7 @@
         },
         metrics::Metrics,
         refusal::{Code, Refusal},
+        resume::Resume,
         snapshot::Shared,
         stop::Drain,
     },
@@ -38,6 +39,8 @@
     pub chain: Chain,
     /// The end of the chain.
     pub relay: Relay,
+    /// Resuming of cut streams.
+    pub resume: Resume,
     /// Control state.
     pub view: Shared,
     /// Whether a planned stop is under way.
@@ -52,6 +55,7 @@
         Router::new()
             .route("/v1/chat/completions", post(chat))
             .route("/v1/completions", post(text))
+            .route("/v1/streams", get(streams))
             .route("/v1/models", get(models))
             .route("/livez", get(live))
             .route("/readyz", get(ready))
@@ -72,8 +76,7 @@
 
 async fn generate(mut api: Api, shape: Shape, request: Request) -> Response {
     let Some(open) = api.drain.enter() else {
-        let refusal = Refusal::new(Code::Stopping, "this host is stopping; try another");
-        return api.relay.respond(Err(refusal)).await;
+        return api.relay.respond(Err(stopping())).await;
     };
     let result = match api.chain.ready().await {
         Ok(chain) => chain.call((shape, request)).await,
@@ -84,6 +87,22 @@
     response.map(|body| open.hold(body))
 }
 
+async fn streams(State(api): State<Api>, headers: HeaderMap) -> Response {
+    let Some(open) = api.drain.enter() else {
+        return api.relay.respond(Err(stopping())).await;
+    };
+    let caller = authenticate(&api.view.load(), &headers);
+    let result = match caller {
+        Ok(caller) => api.resume.open(&caller, &headers).await,
+        Err(refusal) => Err(refusal),
+    };
+    api.relay.respond(result).await.map(|body| open.hold(body))
+}
+
+fn stopping() -> Refusal {
+    Refusal::new(Code::Stopping, "this host is stopping; try another")
+}
+
 async fn models(State(api): State<Api>, headers: HeaderMap) -> Response {
     let view = api.view.load();
     if let Err(refusal) = authenticate(&view, &headers) {
--- a/crates/sardinerelayd/src/filter.rs
+++ b/crates/sardinerelayd/src/filter.rs
@@ -134,7 +134,8 @@
         for on_end in self.on_end.drain(..) {
             on_end(end);
         }
-        if whole {
+        // A resumable generation is left to the engine's orphan window.
+        if whole || self.call.resumable {
             self.abandon.disarm();
         }
     }
--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -10,14 +10,18 @@
         refusal::{Code, Refusal},
         schedule::{Failure, Scheduler, Ticket},
     },
-    compact_str::format_compact,
+    compact_str::{CompactString, format_compact},
     http::HeaderValue,
     log::{info, warn},
-    sardinerelay::id::Generation,
+    sardinerelay::{
+        id::Generation,
+        resume::{Claim, Sealer},
+    },
     std::{
         net::SocketAddr,
         sync::Arc,
         task::{Context, Poll},
+        time::SystemTime,
     },
     tokio::runtime::Handle,
     tower::Service,
@@ -30,15 +34,22 @@
     client: Client,
     scheduler: Arc<Scheduler>,
     patience: Patience,
+    sealer: Arc<Sealer>,
 }
 
 impl Dispatch {
     /// Sends to the targets that the scheduler's tickets name.
-    pub fn new(client: Client, scheduler: Arc<Scheduler>, patience: Patience) -> Self {
+    pub fn new(
+        client: Client,
+        scheduler: Arc<Scheduler>,
+        patience: Patience,
+        sealer: Arc<Sealer>,
+    ) -> Self {
         Self {
             client,
             scheduler,
             patience,
+            sealer,
         }
     }
 }
@@ -114,6 +125,7 @@
     ) -> Answer {
         ticket.first_token();
         let target = ticket.target.clone();
+        let resume = self.seal(&call, &ticket, guard.generation);
         info!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = target.as_str(); "generation started");
         let progress = ticket.progress();
         Answer {
@@ -121,13 +133,35 @@
             target,
             first: Some(first),
             reader,
-            resume: None,
+            resume,
             on_end: vec![Box::new(move |end| ticket.finish(end))],
             on_token: Box::new(move |index| progress.token(index)),
             abandon: guard,
         }
     }
 
+    /// The resume token of a resumable stream. A stream goes on without one if sealing fails.
+    fn seal(&self, call: &Call, ticket: &Ticket, generation: Generation) -> Option<CompactString> {
+        if !call.resumable {
+            return None;
+        }
+        let claim = Claim {
+            organisation: call.organisation.clone(),
+            target: ticket.target.clone(),
+            address: ticket.address,
+            generation,
+            model: call.model.clone(),
+            issued: SystemTime::now(),
+        };
+        match self.sealer.seal(&claim, &mut rand::rng()) {
+            Ok(token) => Some(token.into()),
+            Err(error) => {
+                warn!(request = call.id.as_str(); "sealing a resume token failed: {error}");
+                None
+            }
+        }
+    }
+
     fn explain(&self, lost: &Lost, ticket: &Ticket) -> Refusal {
         let message = format_compact!("target '{}': {lost}", ticket.target);
         match lost {
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod refusal;
+pub mod resume;
 pub mod run;
 pub mod schedule;
 pub mod serve;
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -12,6 +12,7 @@
         },
         limits::Limits,
         metrics::Metrics,
+        resume::Resume,
         schedule::Scheduler,
         serve,
         snapshot::{Shared, View},
@@ -20,10 +21,14 @@
     anyhow::Result,
     arc_swap::ArcSwap,
     log::{error, info, warn},
-    std::{collections::BTreeSet, sync::Arc},
+    sardinerelay::resume::{self, Sealer},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::{net::TcpListener, runtime::Builder},
 };
 
+/// Time that a resume token is accepted. The longest answers take minutes.
+const RESUME_LIFETIME: Duration = Duration::from_secs(3600);
+
 /// Runs the daemon and returns why it ended.
 pub fn run(config: &Config) -> ExitCode {
     let runtime = Builder::new_multi_thread()
@@ -84,11 +89,13 @@
 fn api(config: &Config, view: Shared, drain: Drain) -> Result<Api> {
     let metrics = Arc::new(Metrics::new()?);
     let scheduler = Arc::new(Scheduler::new(view.clone()));
+    let client = Client::new();
+    let sealer = Arc::new(sealer(config)?);
     let patience = Patience {
         token_gap: config.token_gap,
         engine_loss: config.engine_loss,
     };
-    let dispatch = Dispatch::new(Client::new(), scheduler.clone(), patience);
+    let dispatch = Dispatch::new(client.clone(), scheduler.clone(), patience, sealer.clone());
     let admit = Admit::new(dispatch, scheduler);
     let limit = Limit::new(admit, Arc::new(Limits::new(view.clone())));
     let chain = Identify::new(limit, view.clone(), config.max_body);
@@ -96,11 +103,25 @@
         slow_reader: config.slow_reader,
         metrics: metrics.clone(),
     };
+    let resume = Resume {
+        sealer,
+        client,
+        patience,
+    };
     Ok(Api {
         chain,
+        resume,
         relay,
         view,
         drain,
         metrics,
     })
 }
+
+/// Seals with the shared secrets, or with a random one on a host that has no others beside it.
+fn sealer(config: &Config) -> Result<Sealer, resume::Error> {
+    if config.secrets.is_empty() {
+        return Sealer::new(&[rand::random::<[u8; 32]>()], RESUME_LIFETIME);
+    }
+    Sealer::new(&config.secrets, RESUME_LIFETIME)
+}
