Add length estimate, fleet, router, admission queue and scheduler

First working version of the decision modules behind Scheduler, so that the daemon can be wired against its interface. Not measured or tested yet.

--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -6,6 +6,11 @@
 //! `docs/design.md`.
 #![deny(missing_docs)]
 
+pub mod admission;
+pub mod fleet;
 pub mod id;
+pub mod length;
+pub mod router;
+pub mod scheduler;
 pub mod sheet;
 pub mod stream;
--- /dev/null
+++ b/crates/sardinerelay/src/router/growth.rs
@@ -0,0 +1,127 @@
+//! Forecast of the memory that running streams will hold.
+//!
+//! A stream holds its prompt and its output until it ends. The sum over many streams is forecast
+//! at a few horizons, as mean and variance, which is closer than a sum of per-stream quantiles:
+//! streams don't all reach their own quantile at the same time.
+
+/// Number of horizons.
+pub const HORIZONS: usize = 12;
+/// Horizons of the forecast, in tokens generated per stream from now on.
+pub const AHEAD: [u64; HORIZONS] = [
+    0, 16, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384,
+];
+
+/// The expected memory of one stream at each horizon.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Curve {
+    mean: [f32; HORIZONS],
+    variance: [f32; HORIZONS],
+    alive: [f32; HORIZONS],
+}
+
+impl Curve {
+    /// The curve of a stream that holds `held` tokens and survives each horizon with the given
+    /// probability.
+    pub fn new(held: u64, survival: [f64; HORIZONS]) -> Self {
+        let at = |horizon: usize| (held + AHEAD[horizon]) as f64;
+        Self {
+            mean: std::array::from_fn(|h| (survival[h] * at(h)) as f32),
+            variance: std::array::from_fn(|h| {
+                (survival[h] * (1.0 - survival[h]) * at(h) * at(h)) as f32
+            }),
+            alive: survival.map(|probability| probability as f32),
+        }
+    }
+}
+
+/// A sum of curves.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Sum {
+    pub(super) mean: [f64; HORIZONS],
+    pub(super) variance: [f64; HORIZONS],
+    pub(super) alive: [f64; HORIZONS],
+}
+
+impl Sum {
+    pub(super) fn add(&mut self, curve: &Curve) {
+        self.apply(curve, 1.0);
+    }
+
+    pub(super) fn remove(&mut self, curve: &Curve) {
+        self.apply(curve, -1.0);
+    }
+
+    pub(super) fn merge(&mut self, other: &Self) {
+        for h in 0..HORIZONS {
+            self.mean[h] += other.mean[h];
+            self.variance[h] += other.variance[h];
+            self.alive[h] += other.alive[h];
+        }
+    }
+
+    fn apply(&mut self, curve: &Curve, sign: f64) {
+        for h in 0..HORIZONS {
+            self.mean[h] += sign * f64::from(curve.mean[h]);
+            self.variance[h] += sign * f64::from(curve.variance[h]);
+            self.alive[h] += sign * f64::from(curve.alive[h]);
+        }
+    }
+}
+
+/// How the average stream develops. Other hosts' streams are assumed to develop like the own
+/// ones, because the load balancer spreads callers over hosts at random.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Profile {
+    held: [f64; HORIZONS],
+    alive: [f64; HORIZONS],
+    variance: [f64; HORIZONS],
+}
+
+/// Tokens after which half of the streams have ended, before anything is known.
+const ASSUMED_MEDIAN: f64 = 512.0;
+/// Weight of one tick's own streams in the profile.
+const PROFILE_WEIGHT: f64 = 0.1;
+
+impl Default for Profile {
+    fn default() -> Self {
+        let alive = AHEAD.map(|ahead| ASSUMED_MEDIAN / (ASSUMED_MEDIAN + ahead as f64));
+        Self {
+            held: alive,
+            alive,
+            variance: std::array::from_fn(|h| {
+                alive[h] * (1.0 - alive[h]) * (ASSUMED_MEDIAN + AHEAD[h] as f64).powi(2)
+            }),
+        }
+    }
+}
+
+impl Profile {
+    /// Learns from the sum of all own streams.
+    pub(super) fn learn(&mut self, own: &Sum) {
+        let streams = own.alive[0];
+        let held = own.mean[0];
+        if streams < 1.0 || held < 1.0 {
+            return;
+        }
+        // Few own streams say little about the average one.
+        let weight = PROFILE_WEIGHT * (streams / 8.0).min(1.0);
+        let mix = |old: &mut f64, new: f64| *old += weight * (new - *old);
+        for (h, ahead) in AHEAD.into_iter().enumerate() {
+            let kept = own.mean[h] - ahead as f64 * own.alive[h];
+            mix(&mut self.held[h], (kept / held).clamp(0.0, 1.0));
+            mix(&mut self.alive[h], own.alive[h] / streams);
+            mix(&mut self.variance[h], own.variance[h] / streams);
+        }
+    }
+
+    /// The forecast of `streams` unknown streams that hold `held` tokens together.
+    pub(super) fn extrapolate(&self, held: f64, streams: f64) -> Sum {
+        Sum {
+            mean: std::array::from_fn(|h| {
+                held * self.held[h] + streams * self.alive[h] * AHEAD[h] as f64
+            }),
+            variance: self.variance.map(|variance| variance * streams),
+            alive: self.alive.map(|alive| alive * streams),
+        }
+    }
+}
