--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -6,11 +6,16 @@
 //! `docs/design.md`.
 #![deny(missing_docs)]
 
+pub mod admission;
+pub mod fleet;
 pub mod id;
 pub mod ledger;
+pub mod length;
 pub mod operator;
 pub mod refusal_code;
 pub mod resume;
+pub mod router;
+pub mod scheduler;
 pub mod sheet;
 pub mod state;
 pub mod stream;
