Schedule requests by the library's scheduler

Load reports are polled from each engine of the sheet and corrected by own dispatches. A request waits in the host's queue until a target has room, and a caller that leaves while it waits gives its place back. An engine that does not answer gets no new work until it does.

--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -11,6 +11,7 @@
 
 use {
     bytes::Bytes,
+    compact_str::CompactString,
     http::{HeaderValue, Method, Request, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -18,7 +19,7 @@
         client::legacy::{self, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
-    sardinerelay::id::Generation,
+    sardinerelay::{fleet::Incarnation, id::Generation},
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
     thiserror::Error,
@@ -79,6 +80,16 @@
     pub age_ms: u64,
     /// Whether the engine takes no new work.
     pub leaving: bool,
+    /// Number of the engine's start, higher for a later one.
+    #[serde(default)]
+    incarnation: CompactString,
+}
+
+impl Load {
+    /// Number of the engine's start, or 0 for an engine that doesn't tell.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.parse().unwrap_or_default()
+    }
 }
 
 /// Why a call to an engine failed.
--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -25,7 +25,6 @@
     },
     tokio::runtime::Handle,
     tower::Service,
-    uuid::Uuid,
 };
 
 /// The end of the chain.
@@ -73,7 +72,7 @@
     async fn run(self, Admitted { call, mut ticket }: Admitted) -> Result<Answer, Refusal> {
         let mut may_have_run = false;
         loop {
-            let guard = Abandon::new(self.client.clone(), ticket.address);
+            let guard = Abandon::of(self.client.clone(), ticket.address, ticket.generation);
             match self.attempt(&call, &ticket, &guard).await {
                 Ok((reader, first)) => return Ok(self.answer(call, ticket, guard, reader, first)),
                 Err(lost) => {
@@ -183,10 +182,6 @@
 }
 
 impl Abandon {
-    fn new(client: Client, address: SocketAddr) -> Self {
-        Self::of(client, address, Uuid::new_v4())
-    }
-
     /// Cancels this generation when dropped.
     pub fn of(client: Client, address: SocketAddr, generation: Generation) -> Self {
         Self {
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod serve;
 pub mod snapshot;
 pub mod stop;
+pub mod targets;
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -17,13 +17,14 @@
         serve,
         snapshot::{Shared, View},
         stop::{self, Drain},
+        targets,
     },
     anyhow::Result,
     arc_swap::ArcSwap,
     log::{error, info, warn},
     sardinerelay::resume::{self, Sealer},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, runtime::Builder},
+    tokio::{net::TcpListener, runtime::Builder, sync::watch},
 };
 
 /// Time that a resume token is accepted. The longest answers take minutes.
@@ -67,7 +68,18 @@
         info!("development mode: API key '{}'", dev::KEY);
     }
     let drain = Drain::default();
-    let api = api(config, view, drain.clone())?;
+    let metrics = Arc::new(Metrics::new()?);
+    let scheduler = Arc::new(Scheduler::new(config, view.clone(), metrics.clone()));
+    let client = Client::new();
+    let (_changes, receiver) = watch::channel(0);
+    tokio::spawn(targets::run(
+        view.clone(),
+        receiver,
+        scheduler.clone(),
+        client.clone(),
+    ));
+    tokio::spawn(scheduler.clone().run());
+    let api = api(config, view, drain.clone(), scheduler, metrics, client)?;
     let address = listener.local_addr()?;
     info!("listening on {address}");
     println!("listening on {address}");
@@ -86,10 +98,14 @@
     Ok(code)
 }
 
-fn api(config: &Config, view: Shared, drain: Drain) -> Result<Api> {
-    let metrics = Arc::new(Metrics::new()?);
-    let scheduler = Arc::new(Scheduler::new(view.clone()));
-    let client = Client::new();
+fn api(
+    config: &Config,
+    view: Shared,
+    drain: Drain,
+    scheduler: Arc<Scheduler>,
+    metrics: Arc<Metrics>,
+    client: Client,
+) -> Result<Api> {
     let sealer = Arc::new(sealer(config)?);
     let patience = Patience {
         token_gap: config.token_gap,
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -1,22 +1,49 @@
-//! Finds a target for each request.
+//! The library's scheduler, shared by the traffic threads.
+//!
+//! Every event is one short call under the mutex. The decisions that it returns wake the requests
+//! that wait.
 
 use {
     crate::{
+        config::{self, Config},
+        engine::Load,
         filter::{Call, End},
+        metrics::Metrics,
         refusal::{Code, Refusal},
-        snapshot::Shared,
+        snapshot::{Shared, View},
+    },
+    compact_str::{CompactString, ToCompactString, format_compact},
+    log::{info, warn},
+    rand::{SeedableRng, rngs::StdRng},
+    sardinerelay::{
+        admission,
+        fleet::{Entry, Incarnation, Listed},
+        id::{Generation, Target},
+        router::{self, Description, Pick, Report},
+        scheduler::{self, Counters, Decision, Ending, Request, Settings},
     },
-    compact_str::{CompactString, format_compact},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, HashMap},
         fmt,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
     },
+    tokio::{sync::oneshot, time::interval},
+    uuid::Uuid,
 };
 
 /// Attempts that one request gets.
-const MAX_ATTEMPTS: usize = 3;
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Most requests that wait on one host.
+const QUEUE_LIMIT: usize = 10_000;
+
+/// Interval of periodic work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Bound on the output where the caller states none.
+const MAX_OUTPUT: u64 = 65_536;
 
 /// Why an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,39 +54,93 @@
     Lost,
 }
 
-/// Chooses targets.
+/// Decides which request runs where.
 pub struct Scheduler {
     view: Shared,
-    in_flight: Mutex<BTreeMap<CompactString, usize>>,
+    metrics: Arc<Metrics>,
+    inner: Mutex<Inner>,
 }
 
+struct Inner {
+    scheduler: scheduler::Scheduler,
+    random: StdRng,
+    waiters: HashMap<Generation, oneshot::Sender<Verdict>>,
+    /// Targets that did not answer lately, until they answer again.
+    silent: BTreeMap<Target, Instant>,
+    reports: BTreeMap<Target, (Load, Instant)>,
+}
+
+type Verdict = Result<Pick, scheduler::Refusal>;
+
 impl fmt::Debug for Scheduler {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("Scheduler").finish_non_exhaustive()
     }
 }
 
-/// A place on a target.
+/// A place on a target, held until it is dropped.
 #[derive(Debug)]
 pub struct Ticket {
     scheduler: Arc<Scheduler>,
+    /// The attempt.
+    pub generation: Generation,
     /// The target's name.
     pub target: CompactString,
     /// The target's address.
     pub address: SocketAddr,
-    tried: BTreeSet<CompactString>,
+    ending: Ending,
+    attempt: u32,
 }
 
 /// Reports the progress of one generation.
 #[derive(Debug)]
-pub struct Progress;
+pub struct Progress {
+    scheduler: Arc<Scheduler>,
+    generation: Generation,
+}
+
+/// Withdraws a request whose caller leaves while it waits.
+struct Waiting<'a> {
+    scheduler: &'a Scheduler,
+    generation: Generation,
+    armed: bool,
+}
 
 impl Scheduler {
-    /// Starts without knowledge of load.
-    pub fn new(view: Shared) -> Self {
+    /// Starts without targets.
+    pub fn new(config: &Config, view: Shared, metrics: Arc<Metrics>) -> Self {
+        let settings = Settings {
+            zone: config.zone.clone(),
+            hosts: (config.voters.len() + config.hosts.len()).max(1),
+            policy: policy(config.policy),
+            objective: objective(config.objective),
+            queue_limit: QUEUE_LIMIT,
+        };
+        let inner = Inner {
+            scheduler: scheduler::Scheduler::new(settings, Instant::now()),
+            random: StdRng::from_os_rng(),
+            waiters: HashMap::new(),
+            silent: BTreeMap::new(),
+            reports: BTreeMap::new(),
+        };
         Self {
             view,
-            in_flight: Mutex::new(BTreeMap::new()),
+            metrics,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Does the periodic work until the task is aborted.
+    pub async fn run(self: Arc<Self>) {
+        let mut ticks = interval(TICK);
+        loop {
+            ticks.tick().await;
+            let mut inner = self.lock();
+            let Inner {
+                scheduler, random, ..
+            } = &mut *inner;
+            let decisions = scheduler.tick(random, Instant::now());
+            inner.deliver(decisions);
         }
     }
 
@@ -67,80 +148,351 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request as not run if no target can take it.
+    /// Refuses the request as not run if no target can take it in time.
     pub async fn admit(self: &Arc<Self>, call: &Call) -> Result<Ticket, Refusal> {
-        self.pick(call, BTreeSet::new()).ok_or_else(|| {
-            Refusal::new(
-                Code::NoTarget,
-                format_compact!("no target runs the model '{}'", call.model),
-            )
-        })
+        let ticket = self.place(call, 1).await?;
+        let waited = call.received.elapsed();
+        self.metrics
+            .queue_wait(&call.organisation, &call.class, waited);
+        Ok(ticket)
     }
 
-    /// Finds another target after a failed attempt, or nothing if none is left.
+    /// Finds another target after a failed attempt, or nothing if the request gets no more.
     pub async fn readmit(
         self: &Arc<Self>,
         call: &Call,
-        mut ticket: Ticket,
-        _: Failure,
+        ticket: Ticket,
+        failure: Failure,
     ) -> Option<Ticket> {
-        let mut tried = std::mem::take(&mut ticket.tried);
-        tried.insert(ticket.target.clone());
+        if failure == Failure::NotRun {
+            self.silent(&ticket.target);
+        }
+        let attempt = ticket.attempt + 1;
+        let target = ticket.target.clone();
         drop(ticket);
-        if tried.len() >= MAX_ATTEMPTS {
+        if attempt > MAX_ATTEMPTS {
             return None;
         }
-        self.pick(call, tried)
-    }
-
-    fn pick(self: &Arc<Self>, call: &Call, tried: BTreeSet<CompactString>) -> Option<Ticket> {
-        let view = self.view.load();
-        let deployment = view.model(&call.model)?;
-        let mut in_flight = self.lock();
-        let target = deployment
-            .targets
-            .iter()
-            .filter(|target| !tried.contains(*target) && !view.leaving.contains(*target))
-            .min_by_key(|target| in_flight.get(*target).copied().unwrap_or(0))?;
-        let address = view.target(target)?.address;
-        *in_flight.entry(target.clone()).or_default() += 1;
-        Some(Ticket {
+        self.metrics.retried(&target);
+        self.place(call, attempt).await.ok()
+    }
+
+    async fn place(self: &Arc<Self>, call: &Call, attempt: u32) -> Result<Ticket, Refusal> {
+        let generation = Uuid::new_v4();
+        let (sender, verdict) = oneshot::channel();
+        let mut waiting = Waiting {
+            scheduler: self,
+            generation,
+            armed: true,
+        };
+        self.offer(call, generation, sender);
+        let pick = verdict
+            .await
+            .map_err(|_| Refusal::new(Code::NoTarget, "the request lost its place in the queue"))?
+            .map_err(|refusal| explain(refusal, call))?;
+        // From here on the ticket gives the place back.
+        waiting.armed = false;
+        let address = self
+            .view
+            .load()
+            .target(&pick.target)
+            .map(|target| target.address);
+        let mut ticket = Ticket {
             scheduler: self.clone(),
-            target: target.clone(),
-            address,
-            tried,
-        })
+            generation,
+            target: pick.target,
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            ending: Ending::Failed,
+            attempt,
+        };
+        ticket.address = address
+            .ok_or_else(|| Refusal::new(Code::NoTarget, "the target is no longer in force"))?;
+        Ok(ticket)
+    }
+
+    fn offer(&self, call: &Call, generation: Generation, sender: oneshot::Sender<Verdict>) {
+        let request = Request {
+            generation,
+            organisation: call.organisation.clone(),
+            model: call.model.clone(),
+            class: call.class.clone(),
+            priority: call.priority,
+            max_wait: call.max_wait.saturating_sub(call.received.elapsed()),
+            prompt: call.prompt_tokens,
+            max_tokens: call.max_tokens.unwrap_or(MAX_OUTPUT),
+            prefixes: Vec::new(),
+        };
+        let mut inner = self.lock();
+        inner.waiters.insert(generation, sender);
+        let Inner {
+            scheduler, random, ..
+        } = &mut *inner;
+        let decisions = scheduler.offer(request, random, Instant::now());
+        inner.deliver(decisions);
+    }
+
+    /// Takes over the targets of the view.
+    pub fn configure(&self, view: &View) {
+        let mut inner = self.lock();
+        inner.describe(view);
+    }
+
+    /// Takes over a load report.
+    pub fn report(&self, target: &Target, incarnation: Incarnation, load: Load) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let fleet = inner.scheduler.fleet_mut();
+        let known = fleet.incarnation(target);
+        if load.leaving {
+            fleet.leave(target, incarnation);
+        } else {
+            fleet.join(target, incarnation);
+        }
+        if known.is_some_and(|known| known < incarnation) {
+            inner.scheduler.restarted(target);
+        }
+        if inner.silent.remove(target).is_some() {
+            info!(target = target.as_str(); "target answers again");
+            let view = self.view.load();
+            inner.describe(&view);
+        }
+        let report = Report {
+            used_tokens: load.used_tokens,
+            running: load.running,
+            waiting: load.waiting,
+            preemptions: load.preemptions,
+            age: Duration::from_millis(load.age_ms),
+        };
+        let earlier = inner.reports.insert(target.clone(), (load.clone(), now));
+        let before = earlier.map_or(load.preemptions, |(earlier, _)| earlier.preemptions);
+        self.metrics
+            .preempted(target, load.preemptions.saturating_sub(before));
+        let Inner {
+            scheduler, random, ..
+        } = &mut *inner;
+        let decisions = scheduler.report(target, report, random, now);
+        inner.deliver(decisions);
+    }
+
+    /// Merges the platform's list or the replicated leaves.
+    pub fn observe(&self, list: &[Entry]) {
+        self.lock().scheduler.fleet_mut().observe(list);
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<CompactString, usize>> {
-        self.in_flight
+    /// Keeps new work from a target that doesn't answer, until it does.
+    pub fn silent(&self, target: &Target) {
+        let mut inner = self.lock();
+        if inner
+            .silent
+            .insert(target.clone(), Instant::now())
+            .is_none()
+        {
+            warn!(target = target.as_str(); "target does not answer, no new work until it does");
+            let view = self.view.load();
+            inner.describe(&view);
+        }
+    }
+
+    /// The last load report of each target, and its age.
+    pub fn reports(&self) -> BTreeMap<Target, (Load, Duration)> {
+        let inner = self.lock();
+        let reports = inner.reports.iter();
+        reports
+            .map(|(target, (load, taken))| (target.clone(), (load.clone(), taken.elapsed())))
+            .collect()
+    }
+
+    /// Whether new work may go to the target.
+    pub fn eligible(&self, target: &str) -> bool {
+        let inner = self.lock();
+        inner.scheduler.fleet().eligible(target) && !inner.silent.contains_key(target)
+    }
+
+    /// Requests that wait, requests in flight, and counters since the start.
+    pub fn figures(&self) -> (usize, usize, Counters) {
+        let inner = self.lock();
+        (
+            inner.scheduler.waiting(),
+            inner.scheduler.in_flight(),
+            inner.scheduler.counters(),
+        )
+    }
+
+    fn finish(&self, generation: Generation, ending: Ending) {
+        let mut inner = self.lock();
+        let Inner {
+            scheduler, random, ..
+        } = &mut *inner;
+        let decisions = scheduler.finished(generation, ending, random, Instant::now());
+        inner.deliver(decisions);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
             .lock()
             .expect("no thread panics while it holds the lock")
     }
 }
 
+impl Inner {
+    /// Wakes the requests that were decided. A request whose caller left at the same moment gives
+    /// its place back.
+    fn deliver(&mut self, decisions: Vec<Decision>) {
+        let mut decisions = decisions;
+        while let Some(decision) = decisions.pop() {
+            let (generation, verdict) = match decision {
+                Decision::Dispatch { generation, pick } => (generation, Ok(pick)),
+                Decision::Refuse {
+                    generation,
+                    refusal,
+                } => (generation, Err(refusal)),
+            };
+            let dispatched = verdict.is_ok();
+            let waiter = self.waiters.remove(&generation);
+            let woken = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+            if dispatched && !woken {
+                let now = Instant::now();
+                decisions.extend(self.scheduler.finished(
+                    generation,
+                    Ending::Failed,
+                    &mut self.random,
+                    now,
+                ));
+            }
+        }
+    }
+
+    /// Describes each target of the sheet. A target that must get no new work runs no model.
+    fn describe(&mut self, view: &View) {
+        let Some(sheet) = &view.sheet else { return };
+        let now = Instant::now();
+        for target in &sheet.targets {
+            let barred =
+                view.leaving.contains(&target.name) || self.silent.contains_key(&target.name);
+            let runs =
+                |model: &&sardinerelay::sheet::Deployment| model.targets.contains(&target.name);
+            let models = sheet
+                .models
+                .iter()
+                .filter(runs)
+                .map(|model| model.name.clone());
+            let description = Description {
+                name: target.name.clone(),
+                zone: target.zone.clone(),
+                memory_tokens: target.memory_tokens,
+                models: if barred { Vec::new() } else { models.collect() },
+            };
+            self.scheduler.describe(description, now);
+        }
+        let listed: Vec<Target> = self.reports.keys().cloned().collect();
+        for name in listed
+            .into_iter()
+            .filter(|name| view.target(name).is_none())
+        {
+            self.reports.remove(&name);
+            self.silent.remove(&name);
+            self.scheduler.fleet_mut().observe(&[Entry {
+                target: name,
+                incarnation: Incarnation::MIN,
+                listed: Listed::Leaving,
+            }]);
+        }
+    }
+}
+
 impl Ticket {
     /// Reports the first token.
-    pub fn first_token(&self) {}
+    pub fn first_token(&self) {
+        let now = Instant::now();
+        self.scheduler
+            .lock()
+            .scheduler
+            .first_token(self.generation, now);
+    }
 
     /// A reporter of further tokens.
     pub fn progress(&self) -> Progress {
-        Progress
+        Progress {
+            scheduler: self.scheduler.clone(),
+            generation: self.generation,
+        }
     }
 
     /// Reports the end.
-    pub fn finish(self, _: End) {}
+    pub fn finish(mut self, end: End) {
+        self.ending = if end.whole {
+            Ending::Complete
+        } else {
+            Ending::Cancelled
+        };
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.scheduler.finish(self.generation, self.ending);
+    }
 }
 
 impl Progress {
-    /// Reports a token.
-    pub fn token(&self, _: u64) {}
+    /// Reports that the token with this index arrived.
+    pub fn token(&self, index: u64) {
+        let now = Instant::now();
+        self.scheduler
+            .lock()
+            .scheduler
+            .token_progress(self.generation, index + 1, now);
+    }
 }
 
-impl Drop for Ticket {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        if let Some(count) = self.scheduler.lock().get_mut(&self.target) {
-            *count -= 1;
+        if !self.armed {
+            return;
         }
+        let mut inner = self.scheduler.lock();
+        inner.waiters.remove(&self.generation);
+        let withdrawn = inner.scheduler.withdraw(self.generation);
+        drop(inner);
+        if !withdrawn {
+            // The request was dispatched at the moment its caller left.
+            self.scheduler.finish(self.generation, Ending::Failed);
+        }
+    }
+}
+
+fn policy(policy: config::Policy) -> scheduler::Policy {
+    match policy {
+        config::Policy::Adaptive => scheduler::Policy::Adaptive,
+        config::Policy::RoundRobin => scheduler::Policy::RoundRobin,
+        config::Policy::LeastInFlight => scheduler::Policy::LeastInFlight,
     }
 }
+
+fn objective(objective: config::Objective) -> admission::Objective {
+    match objective {
+        config::Objective::Stall => admission::Objective::Stall,
+        config::Objective::Preemption => admission::Objective::Preemption,
+    }
+}
+
+fn explain(refusal: scheduler::Refusal, call: &Call) -> Refusal {
+    let message = refusal.to_compact_string();
+    match refusal {
+        scheduler::Refusal::Admission(refusal) => admission_refusal(refusal, message),
+        scheduler::Refusal::Router(router::Refusal::NoTarget) => Refusal::new(
+            Code::NoTarget,
+            format_compact!("no target serves the model '{}' now", call.model),
+        ),
+        scheduler::Refusal::Router(_) => Refusal::new(Code::NoTarget, message),
+    }
+}
+
+fn admission_refusal(refusal: admission::Refusal, message: CompactString) -> Refusal {
+    let (code, retry_after) = match refusal {
+        admission::Refusal::QueueFull { retry_after } => (Code::QueueFull, retry_after),
+        admission::Refusal::WaitTooLong { retry_after }
+        | admission::Refusal::Expired { retry_after } => (Code::WaitTooLong, retry_after),
+    };
+    Refusal::new(code, message).retry_after(retry_after)
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/targets.rs
@@ -0,0 +1,88 @@
+//! Controller that watches the engines: one poller for each engine of the sheet in force.
+
+use {
+    crate::{
+        engine::Client,
+        schedule::Scheduler,
+        snapshot::{Shared, View},
+    },
+    log::debug,
+    rand::Rng,
+    sardinerelay::id::Target,
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
+};
+
+/// Interval between two load reports of one engine.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Failed polls in a row after which an engine gets no new work.
+const SILENT_AFTER: u32 = 2;
+
+type Pollers = BTreeMap<(Target, SocketAddr), JoinHandle<()>>;
+
+/// Follows the view and polls the engines in it, until the sender of changes is dropped.
+pub async fn run(
+    view: Shared,
+    mut changes: watch::Receiver<u64>,
+    scheduler: Arc<Scheduler>,
+    client: Client,
+) {
+    let mut pollers = Pollers::new();
+    loop {
+        let current = view.load_full();
+        scheduler.configure(&current);
+        reconcile(&mut pollers, &current, &scheduler, &client);
+        if changes.changed().await.is_err() {
+            break;
+        }
+    }
+    for (_, poller) in pollers {
+        poller.abort();
+    }
+}
+
+fn reconcile(pollers: &mut Pollers, view: &View, scheduler: &Arc<Scheduler>, client: &Client) {
+    let engines: Vec<(Target, SocketAddr)> = view
+        .sheet
+        .iter()
+        .flat_map(|sheet| &sheet.targets)
+        .filter(|target| target.memory_tokens > 0)
+        .map(|target| (target.name.clone(), target.address))
+        .collect();
+    pollers.retain(|engine, poller| {
+        let wanted = engines.contains(engine);
+        if !wanted {
+            poller.abort();
+        }
+        wanted
+    });
+    for engine in engines {
+        pollers.entry(engine.clone()).or_insert_with(|| {
+            let (target, address) = engine;
+            tokio::spawn(poll(target, address, scheduler.clone(), client.clone()))
+        });
+    }
+}
+
+async fn poll(target: Target, address: SocketAddr, scheduler: Arc<Scheduler>, client: Client) {
+    let mut failures = 0;
+    loop {
+        match client.load(address).await {
+            Ok(load) => {
+                failures = 0;
+                scheduler.report(&target, load.incarnation(), load);
+            }
+            Err(error) => {
+                failures += 1;
+                debug!(target = target.as_str(); "load report failed: {error}");
+                if failures == SILENT_AFTER {
+                    scheduler.silent(&target);
+                }
+            }
+        }
+        // Jitter keeps the hosts from polling an engine in step.
+        let jitter = rand::rng().random_range(0.8..1.2);
+        sleep(REPORT_INTERVAL.mul_f64(jitter)).await;
+    }
+}
