Add the plain service, host list and proxy; extend the stand-in engine

Process tests need a plain service, the platform's list and a proxy that injects faults, and the engine lacked what the platform promises.

All stand-ins share one accept loop. axum::serve was ruled out: its connection tasks outlive it, so an engine could not die with its connections, and a handler can't close a connection without an answer. The loop also sets TCP_NODELAY.

A cut route keeps its port with a bound socket that does not listen, so that connections are refused. Accept-then-reset was ruled out, since a caller might have handed over bytes by then.

The batch is unchanged.

--- /dev/null
+++ b/crates/sardinerelay-standin/src/cache.rs
@@ -0,0 +1,216 @@
+//! Prefix cache of the stand-in engine, with bounded memory and lossy, late events.
+//!
+//! A prompt is cut into blocks; each block's hash covers everything before it, so that equal
+//! hashes mean equal prefixes. `docs/design.md`, section 5, states the hash.
+
+use {
+    compact_str::{CompactString, format_compact},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Tokens in one block.
+pub const BLOCK_TOKENS: u64 = 16;
+/// Prompt bytes in one block.
+const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * crate::engine::BYTES_PER_TOKEN as usize;
+/// Events kept for readers; older ones are dropped, which a reader sees as a gap.
+const EVENT_LIMIT: usize = 65_536;
+
+/// Settings of the cache.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Memory of the cache in tokens; 0 turns it off.
+    pub tokens: u64,
+    /// Time until readers see an event.
+    pub lag: Duration,
+    /// Share of events, 0 to 1, that readers never see.
+    pub loss: f64,
+}
+
+/// Change of the cache.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// Position in the engine's events, from 1 and without gaps where it is created.
+    pub sequence: u64,
+    /// What happened.
+    pub action: Action,
+    /// Hash of the block in 16 hexadecimal digits.
+    pub block: CompactString,
+}
+
+/// Kind of change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// The block is held now.
+    Stored,
+    /// The block is no longer held.
+    Evicted,
+}
+
+/// Answer of `GET /v1/cache`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Incarnation of the engine; sequence numbers of another one don't compare.
+    pub incarnation: CompactString,
+    /// Highest sequence number that is due, lost events included.
+    pub last: u64,
+    /// Events after the requested one, in order, possibly with gaps.
+    pub events: Vec<Event>,
+}
+
+/// The cache.
+#[derive(Debug)]
+pub struct Cache {
+    config: Config,
+    /// Last use of each block.
+    blocks: HashMap<u64, u64>,
+    /// Blocks by their last use; uses are unique.
+    uses: BTreeMap<u64, u64>,
+    clock: u64,
+    sequence: u64,
+    events: VecDeque<(Instant, Event)>,
+    random: StdRng,
+    /// Prompt tokens that were found in the cache.
+    pub hit_tokens: u64,
+}
+
+impl Cache {
+    /// An empty cache.
+    pub fn new(config: Config, seed: u64) -> Self {
+        Self {
+            config,
+            blocks: HashMap::new(),
+            uses: BTreeMap::new(),
+            clock: 0,
+            sequence: 0,
+            events: VecDeque::new(),
+            random: StdRng::seed_from_u64(seed),
+            hit_tokens: 0,
+        }
+    }
+
+    /// Prompt tokens at the beginning that are held and need no prefill.
+    pub fn hit(&mut self, blocks: &[u64]) -> u64 {
+        let held = blocks
+            .iter()
+            .take_while(|block| self.blocks.contains_key(block))
+            .count();
+        // The last block is touched first, so that eviction shortens a prefix from its end.
+        for block in blocks[..held].iter().rev() {
+            self.touch(*block);
+        }
+        let tokens = held as u64 * BLOCK_TOKENS;
+        self.hit_tokens += tokens;
+        tokens
+    }
+
+    /// Holds the blocks of a prompt whose prefill is complete.
+    pub fn store(&mut self, blocks: &[u64], now: Instant) {
+        let capacity = (self.config.tokens / BLOCK_TOKENS) as usize;
+        let kept = &blocks[..blocks.len().min(capacity)];
+        for block in kept.iter().rev() {
+            if !self.touch(*block) {
+                self.announce(Action::Stored, *block, now);
+            }
+        }
+        while self.blocks.len() > capacity {
+            let (_, block) = self.uses.pop_first().expect("each block has a last use");
+            self.blocks.remove(&block);
+            self.announce(Action::Evicted, block, now);
+        }
+    }
+
+    /// Tokens held now.
+    pub fn held_tokens(&self) -> u64 {
+        self.blocks.len() as u64 * BLOCK_TOKENS
+    }
+
+    /// Events after `since` that are due.
+    pub fn events(&self, incarnation: CompactString, since: u64, now: Instant) -> Answer {
+        let due = self
+            .events
+            .partition_point(|(made, _)| now.duration_since(*made) >= self.config.lag);
+        let read = self
+            .events
+            .partition_point(|(_, event)| event.sequence <= since)
+            .min(due);
+        let visible = |event: &&Event| !event.block.is_empty();
+        let last = due
+            .checked_sub(1)
+            .map_or(0, |last| self.events[last].1.sequence);
+        Answer {
+            incarnation,
+            last,
+            events: self
+                .events
+                .range(read..due)
+                .map(|(_, event)| event)
+                .filter(visible)
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Marks the block as used now. Returns whether it was held before.
+    fn touch(&mut self, block: u64) -> bool {
+        self.clock += 1;
+        self.uses.insert(self.clock, block);
+        let before = self.blocks.insert(block, self.clock);
+        if let Some(before) = before {
+            self.uses.remove(&before);
+        }
+        before.is_some()
+    }
+
+    fn announce(&mut self, action: Action, block: u64, now: Instant) {
+        self.sequence += 1;
+        let lost = self.random.random_bool(self.config.loss);
+        // A lost event keeps its place without a block, so that `last` moves past it when due.
+        let block = if lost {
+            CompactString::default()
+        } else {
+            format_compact!("{block:016x}")
+        };
+        let event = Event {
+            sequence: self.sequence,
+            action,
+            block,
+        };
+        self.events.push_back((now, event));
+        if self.events.len() > EVENT_LIMIT {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// Hashes of the full blocks of a prompt: the first 8 bytes, as a big-endian number, of SHA-256
+/// over the hash before it (8 bytes, big-endian) and the block's bytes. The hash before the first
+/// block is that of the model's name alone.
+pub fn blocks(model: &str, prompt: &str) -> Vec<u64> {
+    let mut before = short_hash(&[model.as_bytes()]);
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            before = short_hash(&[&before.to_be_bytes(), block]);
+            before
+        })
+        .collect()
+}
+
+fn short_hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(first)
+}
--- a/crates/sardinerelay-standin/src/lib.rs
+++ b/crates/sardinerelay-standin/src/lib.rs
@@ -3,4 +3,15 @@
 //! daemon's development mode.
 
 pub mod batch;
+pub mod cache;
 pub mod engine;
+pub mod hosts;
+pub mod orders;
+pub mod pipe;
+pub mod proxy;
+pub mod record;
+pub mod server;
+pub mod service;
+
+mod decoder;
+mod reader;
--- /dev/null
+++ b/crates/sardinerelay-standin/src/pipe.rs
@@ -0,0 +1,326 @@
+//! One proxied connection and the faults that act on it.
+//!
+//! Bytes that a fault holds back stay queued and travel on when it heals, as TCP would resend
+//! them. Only a silent connection never carries another byte. The end of a connection and a reset
+//! pass the same faults as data, so that a cut-off peer doesn't learn of them.
+
+use {
+    bytes::{Bytes, BytesMut},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    serde::{Deserialize, Serialize},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpStream,
+            tcp::{ReadHalf, WriteHalf},
+        },
+        sync::{mpsc, watch},
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Most bytes that are read at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Chunks that wait in each direction of a connection before its sender is held back.
+const QUEUED_CHUNKS: usize = 64;
+/// Bytes written at once under a bandwidth limit, so that connections share the limit evenly.
+const LIMITED_BYTES: usize = 1024;
+
+/// Direction of a byte.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Direction {
+    /// From the caller to the target.
+    Up,
+    /// From the target to the caller.
+    Down,
+}
+
+/// What a route lets through.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Everything.
+    #[default]
+    Pass,
+    /// New connections are refused and open ones are reset.
+    Cut,
+    /// Connections are accepted and stay open, but nothing is forwarded.
+    BlackHole,
+    /// Only the stated direction is forwarded.
+    HalfOpen(Direction),
+}
+
+/// State of a route's faults.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Fault {
+    /// What the route lets through.
+    pub mode: Mode,
+    /// Delay of each chunk.
+    pub delay: Duration,
+    /// Upper bound of the random addition to the delay.
+    pub jitter: Duration,
+    /// Limit in each direction of the route.
+    pub bytes_per_second: Option<u64>,
+    /// Connections with a lower number carry nothing any more.
+    pub silent_before: u64,
+    /// Number of cuts so far; a connection ends when it rises.
+    pub cuts: u64,
+}
+
+/// Counters of a route.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Bytes forwarded to the target.
+    pub up: AtomicU64,
+    /// Bytes forwarded to the caller.
+    pub down: AtomicU64,
+    /// Connections accepted; also the number of the next connection.
+    pub accepted: AtomicU64,
+    /// Connections open now, silent ones included.
+    pub open: AtomicU64,
+    /// When the bandwidth limit lets the next byte through, per direction.
+    free: [Mutex<Option<Instant>>; 2],
+}
+
+/// What a connection needs to know about its route.
+#[derive(Debug, Clone)]
+pub struct Link {
+    /// The connection's number on its route.
+    pub number: u64,
+    /// Cuts of the route when the connection was accepted.
+    pub cuts: u64,
+    /// The route's faults.
+    pub fault: watch::Receiver<Fault>,
+    /// The route's counters.
+    pub counters: Arc<Counters>,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+enum Piece {
+    Data(Bytes),
+    End,
+    Reset,
+}
+
+struct Queued {
+    due: Instant,
+    piece: Piece,
+}
+
+/// Forwards a caller's connection to the target until both directions end, one fails or the route
+/// is cut. A failure or a cut resets both sides.
+pub async fn carry(mut caller: TcpStream, target: SocketAddr, mut link: Link) {
+    let mut fault = link.fault.clone();
+    let cuts = link.cuts;
+    let cut = async move {
+        let is_cut = |fault: &Fault| fault.cuts != cuts || fault.mode == Mode::Cut;
+        let _ = fault.wait_for(is_cut).await;
+    };
+    tokio::pin!(cut);
+    let connected = tokio::select! {
+        biased;
+        () = &mut cut => Err(io::ErrorKind::ConnectionReset.into()),
+        connected = link.connect(target) => connected,
+    };
+    let mut server = match connected {
+        Ok(server) => server,
+        Err(_) => return reset(&caller),
+    };
+    let forwarded = tokio::select! {
+        biased;
+        () = &mut cut => Err(io::ErrorKind::ConnectionReset.into()),
+        forwarded = link.forward(&mut caller, &mut server) => forwarded,
+    };
+    if forwarded.is_err() {
+        reset(&caller);
+        reset(&server);
+    }
+}
+
+/// Makes the close of the socket a reset.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::debug!("set_zero_linger failed: {error}");
+    }
+}
+
+impl Link {
+    async fn connect(&mut self, target: SocketAddr) -> io::Result<TcpStream> {
+        let number = self.number;
+        self.fault
+            .wait_for(|fault| fault.mode != Mode::BlackHole && number >= fault.silent_before)
+            .await
+            .map_err(io::Error::other)?;
+        let server = TcpStream::connect(target).await?;
+        server.set_nodelay(true)?;
+        Ok(server)
+    }
+
+    async fn forward(&self, caller: &mut TcpStream, server: &mut TcpStream) -> io::Result<()> {
+        caller.set_nodelay(true)?;
+        let (from_caller, to_caller) = caller.split();
+        let (from_server, to_server) = server.split();
+        tokio::try_join!(
+            self.transfer(Direction::Up, from_caller, to_server),
+            self.transfer(Direction::Down, from_server, to_caller),
+        )?;
+        Ok(())
+    }
+
+    async fn transfer(
+        &self,
+        direction: Direction,
+        from: ReadHalf<'_>,
+        to: WriteHalf<'_>,
+    ) -> io::Result<()> {
+        let (sender, receiver) = mpsc::channel(QUEUED_CHUNKS);
+        tokio::try_join!(
+            self.read(direction, from, sender),
+            self.write(direction, receiver, to),
+        )?;
+        Ok(())
+    }
+
+    async fn read(
+        &self,
+        direction: Direction,
+        mut from: ReadHalf<'_>,
+        queue: mpsc::Sender<Queued>,
+    ) -> io::Result<()> {
+        let salt = self.number * 2 + direction as u64;
+        let mut random = StdRng::seed_from_u64(self.seed ^ salt);
+        let mut due = Instant::now();
+        loop {
+            let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
+            let piece = match from.read_buf(&mut buffer).await {
+                Ok(0) => Piece::End,
+                Ok(_) => Piece::Data(buffer.freeze()),
+                Err(_) => Piece::Reset,
+            };
+            let last = !matches!(piece, Piece::Data(_));
+            // A later chunk never overtakes an earlier one.
+            due = due.max(Instant::now() + self.delay(&mut random));
+            if queue.send(Queued { due, piece }).await.is_err() || last {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        direction: Direction,
+        mut queue: mpsc::Receiver<Queued>,
+        mut to: WriteHalf<'_>,
+    ) -> io::Result<()> {
+        while let Some(Queued { due, piece }) = queue.recv().await {
+            sleep_until(due).await;
+            match piece {
+                Piece::Data(data) => self.write_data(direction, data, &mut to).await?,
+                Piece::End => {
+                    self.open(direction).await;
+                    let _ = to.shutdown().await;
+                }
+                Piece::Reset => {
+                    self.open(direction).await;
+                    return Err(io::ErrorKind::ConnectionReset.into());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn write_data(
+        &self,
+        direction: Direction,
+        mut data: Bytes,
+        to: &mut WriteHalf<'_>,
+    ) -> io::Result<()> {
+        while !data.is_empty() {
+            let limit = self.fault.borrow().bytes_per_second;
+            let part = match limit {
+                Some(limit) => {
+                    let part = data.split_to(data.len().min(LIMITED_BYTES));
+                    let free = self.counters.reserve(direction, part.len(), limit);
+                    sleep_until(free).await;
+                    part
+                }
+                None => data.split_to(data.len()),
+            };
+            self.open(direction).await;
+            if let Err(error) = to.write_all(&part).await {
+                // The receiver is gone; its sender learns of it only if that direction is open.
+                self.open(direction.opposite()).await;
+                return Err(error);
+            }
+            self.counters
+                .bytes(direction)
+                .fetch_add(part.len() as u64, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    /// Waits until the route carries bytes of this connection in the direction.
+    async fn open(&self, direction: Direction) {
+        let number = self.number;
+        let mut fault = self.fault.clone();
+        let carries = |fault: &Fault| {
+            number >= fault.silent_before
+                && match fault.mode {
+                    Mode::Pass => true,
+                    Mode::Cut | Mode::BlackHole => false,
+                    Mode::HalfOpen(open) => open == direction,
+                }
+        };
+        // The sender lives as long as the route, so an error only means that the proxy stops.
+        let _ = fault.wait_for(carries).await;
+    }
+
+    fn delay(&self, random: &mut StdRng) -> Duration {
+        let fault = self.fault.borrow();
+        let share: f64 = random.random();
+        fault.delay + fault.jitter.mul_f64(share)
+    }
+}
+
+impl Counters {
+    /// Counter of the bytes forwarded in the direction.
+    pub fn bytes(&self, direction: Direction) -> &AtomicU64 {
+        match direction {
+            Direction::Up => &self.up,
+            Direction::Down => &self.down,
+        }
+    }
+
+    /// Reserves a share of the bandwidth and returns when it may be used.
+    fn reserve(&self, direction: Direction, bytes: usize, per_second: u64) -> Instant {
+        let now = Instant::now();
+        let mut free = self.free[direction as usize]
+            .lock()
+            .expect("no thread panics while it holds the lock");
+        let start = free.map_or(now, |free| free.max(now));
+        let end = start + Duration::from_secs_f64(bytes as f64 / per_second.max(1) as f64);
+        *free = Some(end);
+        end
+    }
+}
+
+impl Direction {
+    /// The other direction.
+    pub fn opposite(self) -> Self {
+        match self {
+            Self::Up => Self::Down,
+            Self::Down => Self::Up,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-standin/src/server.rs
@@ -0,0 +1,105 @@
+//! HTTP serving shared by the stand-ins.
+//!
+//! The accept loop owns every connection, so that a stand-in can die with all of them, and it lets
+//! a handler close a connection without an answer, which a framework's own loop does not offer.
+
+use {
+    axum::{
+        Json, Router,
+        http::{HeaderMap, StatusCode},
+        response::{IntoResponse, Response},
+    },
+    hyper::{
+        body::Incoming,
+        server::conn::http1,
+        service::{Service as _, service_fn},
+    },
+    hyper_util::{rt::TokioIo, service::TowerToHyperService},
+    serde_json::json,
+    std::{
+        io,
+        str::FromStr,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::JoinSet,
+        time::sleep,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Pause after a failed accept, for example while file descriptors are used up.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Marks a response that must not be sent: the connection is closed without an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Lost;
+
+/// Serves the router until `stop` is cancelled, then drops the listener and every connection.
+pub async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(connection(stream, router.clone()));
+                }
+                Err(error) => {
+                    log::warn!("accept failed: {error}");
+                    sleep(ACCEPT_RETRY).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, router: Router) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("set_nodelay failed: {error}");
+    }
+    let router = TowerToHyperService::new(router);
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let answer = router.call(request);
+        async move {
+            let response = answer.await.unwrap_or_else(|never| match never {});
+            match response.extensions().get::<Lost>() {
+                Some(Lost) => Err(io::Error::other("the answer is withheld")),
+                None => Ok(response),
+            }
+        }
+    });
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = served.await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// A refusal in the form of `docs/design.md`, section 5; the request was not run.
+pub fn refuse(status: StatusCode, code: &str, message: &str) -> Response {
+    let error = json!({
+        "message": message,
+        "type": "target_error",
+        "code": code,
+        "param": null,
+        "run": "not_run",
+    });
+    (status, Json(json!({ "error": error }))).into_response()
+}
+
+/// The value of a header, if it is present and parses.
+pub fn header<T>(headers: &HeaderMap, name: &str) -> Option<T>
+where
+    T: FromStr,
+{
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/sardinerelay-standin/src/service.rs
@@ -0,0 +1,303 @@
+//! A stand-in plain service that counts how often each idempotency key truly ran.
+//!
+//! A call runs to its end once its body has arrived, even if the caller disconnects. That is the
+//! hardest case for guarantee G4 in `docs/design.md`: a call without an answer may have run.
+
+use {
+    crate::server::{self, Lost, header, refuse, unix_ms},
+    axum::{
+        Json, Router,
+        body::Bytes,
+        extract::State,
+        http::{HeaderMap, Method, StatusCode, Uri},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    compact_str::{CompactString, ToCompactString},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::{
+        collections::{HashMap, VecDeque},
+        fmt::Write as _,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Settings of one stand-in service.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Name that the answers carry.
+    pub name: CompactString,
+    /// Wait between the arrival of a call and its run.
+    pub delay_before: Duration,
+    /// Wait between the run and the answer.
+    pub delay_after: Duration,
+    /// Share of calls, 0 to 1, that run and then lose their answer.
+    pub lose_answers: f64,
+    /// Seed of the choice which answers are lost.
+    pub seed: u64,
+    /// Number of keys that the record holds; older ones are dropped.
+    pub record_limit: usize,
+}
+
+/// How often one key ran.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// `Idempotency-Key`, or `x-request-id` of an unkeyed call.
+    pub key: CompactString,
+    /// Whether `key` is an idempotency key.
+    pub keyed: bool,
+    /// Organisation, from `x-organisation`; empty if the header is missing.
+    pub organisation: CompactString,
+    /// Number of runs.
+    pub count: u64,
+    /// Runs whose method, path or body differs from the first run.
+    pub differing: u64,
+    /// Method of the first run.
+    pub method: CompactString,
+    /// Path and query of the first run.
+    pub path: CompactString,
+    /// SHA-256 of the first run's body, in lower-case hexadecimal.
+    pub digest: CompactString,
+    /// Time of the first run, in milliseconds since the Unix epoch.
+    pub first_ms: u64,
+    /// Time of the last run, in milliseconds since the Unix epoch.
+    pub last_ms: u64,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Name of the service.
+    pub service: CompactString,
+    /// Key or request id of the call.
+    pub key: CompactString,
+    /// How often the key has run, this run included.
+    pub count: u64,
+    /// Method of the call.
+    pub method: CompactString,
+    /// Path and query of the call.
+    pub path: CompactString,
+    /// SHA-256 of the call's body, in lower-case hexadecimal.
+    pub digest: CompactString,
+}
+
+/// Change of the faults at run time; fields left out stay as they are.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Wait before the run in milliseconds.
+    pub delay_before_ms: Option<u64>,
+    /// Wait after the run in milliseconds.
+    pub delay_after_ms: Option<u64>,
+    /// Share of answers that are lost, 0 to 1.
+    pub lose_answers: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Core {
+    config: Config,
+    records: HashMap<Id, Record>,
+    order: VecDeque<Id>,
+    random: StdRng,
+    leaving: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Id {
+    organisation: CompactString,
+    key: CompactString,
+    keyed: bool,
+}
+
+#[derive(Debug)]
+struct Call {
+    id: Id,
+    method: CompactString,
+    path: CompactString,
+    digest: CompactString,
+}
+
+#[derive(Debug, Clone)]
+struct Shared(Arc<Mutex<Core>>);
+
+/// Serves the service on the listener until `stop` is cancelled.
+pub async fn serve(config: Config, listener: TcpListener, stop: CancellationToken) {
+    let core = Core {
+        random: StdRng::seed_from_u64(config.seed),
+        config,
+        records: HashMap::new(),
+        order: VecDeque::new(),
+        leaving: false,
+    };
+    let router = Router::new()
+        .route("/v1/record", get(record))
+        .route("/record", get(record))
+        .route("/v1/faults", post(faults))
+        .route("/v1/leave", post(leave))
+        .fallback(call)
+        .with_state(Shared(Arc::new(Mutex::new(core))));
+    server::serve(listener, router, stop).await;
+}
+
+/// SHA-256 of a body in lower-case hexadecimal.
+pub fn digest(body: &[u8]) -> CompactString {
+    let mut text = CompactString::default();
+    for byte in Sha256::digest(body) {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+async fn call(
+    State(shared): State<Shared>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let call = Call::new(&method, &uri, &headers, &body);
+    if shared.lock().leaving {
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "leaving",
+            "the service is leaving",
+        );
+    }
+    // A task of its own, because the server drops this future when the caller disconnects.
+    match tokio::spawn(run(shared, call)).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::error!("a call failed: {error}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
+
+async fn run(shared: Shared, call: Call) -> Response {
+    let before = shared.lock().config.delay_before;
+    sleep(before).await;
+    let (answer, after, lost) = {
+        let mut core = shared.lock();
+        let share = core.config.lose_answers;
+        let lost = core.random.random_bool(share);
+        (core.count(call), core.config.delay_after, lost)
+    };
+    sleep(after).await;
+    let mut response = Json(answer).into_response();
+    if lost {
+        response.extensions_mut().insert(Lost);
+    }
+    response
+}
+
+async fn record(State(shared): State<Shared>) -> Json<Vec<Record>> {
+    let core = shared.lock();
+    let records = core.order.iter().map(|id| core.records[id].clone());
+    Json(records.collect())
+}
+
+async fn faults(State(shared): State<Shared>, Json(faults): Json<Faults>) -> Response {
+    if faults
+        .lose_answers
+        .is_some_and(|share| !(0.0..=1.0).contains(&share))
+    {
+        return refuse(
+            StatusCode::BAD_REQUEST,
+            "invalid_share",
+            "lose_answers must lie between 0 and 1",
+        );
+    }
+    let mut core = shared.lock();
+    let config = &mut core.config;
+    if let Some(delay) = faults.delay_before_ms {
+        config.delay_before = Duration::from_millis(delay);
+    }
+    if let Some(delay) = faults.delay_after_ms {
+        config.delay_after = Duration::from_millis(delay);
+    }
+    if let Some(share) = faults.lose_answers {
+        config.lose_answers = share;
+    }
+    StatusCode::NO_CONTENT.into_response()
+}
+
+async fn leave(State(shared): State<Shared>) -> StatusCode {
+    shared.lock().leaving = true;
+    StatusCode::NO_CONTENT
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Core> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds the lock")
+    }
+}
+
+impl Core {
+    fn count(&mut self, call: Call) -> Answer {
+        let now = unix_ms();
+        let record = self.records.entry(call.id.clone()).or_insert_with(|| {
+            self.order.push_back(call.id.clone());
+            Record {
+                key: call.id.key.clone(),
+                keyed: call.id.keyed,
+                organisation: call.id.organisation.clone(),
+                count: 0,
+                differing: 0,
+                method: call.method.clone(),
+                path: call.path.clone(),
+                digest: call.digest.clone(),
+                first_ms: now,
+                last_ms: now,
+            }
+        });
+        record.count += 1;
+        record.last_ms = now;
+        let same = record.method == call.method
+            && record.path == call.path
+            && record.digest == call.digest;
+        record.differing += u64::from(!same);
+        let count = record.count;
+        while self.order.len() > self.config.record_limit {
+            let oldest = self.order.pop_front().expect("the order is not empty");
+            self.records.remove(&oldest);
+        }
+        Answer {
+            service: self.config.name.clone(),
+            key: call.id.key,
+            count,
+            method: call.method,
+            path: call.path,
+            digest: call.digest,
+        }
+    }
+}
+
+impl Call {
+    fn new(method: &Method, uri: &Uri, headers: &HeaderMap, body: &[u8]) -> Self {
+        let key: Option<CompactString> = header(headers, "idempotency-key");
+        let keyed = key.is_some();
+        let key = key
+            .or_else(|| header(headers, "x-request-id"))
+            .unwrap_or_default();
+        let path = uri
+            .path_and_query()
+            .map_or_else(|| uri.path().into(), ToCompactString::to_compact_string);
+        Self {
+            id: Id {
+                organisation: header(headers, "x-organisation").unwrap_or_default(),
+                key,
+                keyed,
+            },
+            method: method.as_str().into(),
+            path,
+            digest: digest(body),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-standin/tests/standin/main.rs
@@ -0,0 +1,111 @@
+//! Tests of the stand-ins over their real sockets.
+
+mod batch;
+mod engine;
+mod hosts;
+mod program;
+mod proxy;
+mod service;
+
+use {
+    axum::{
+        body::Body,
+        http::{Request, StatusCode},
+    },
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::{sleep, timeout},
+    },
+};
+
+/// Upper bound for things that must happen; generous, because the machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// How long a test watches that something does not happen.
+const WATCH: Duration = Duration::from_millis(300);
+
+async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    (listener, address)
+}
+
+/// Sends a request over a new connection.
+async fn send(
+    address: SocketAddr,
+    request: Request<Body>,
+) -> Result<hyper::Response<Incoming>, ()> {
+    let stream = TcpStream::connect(address).await.map_err(drop)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(drop)?;
+    tokio::spawn(connection);
+    sender.send_request(request).await.map_err(drop)
+}
+
+fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Request<Body> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "standin")
+        .header("content-type", "application/json");
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Body::from(body.to_owned())).expect("request")
+}
+
+async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (StatusCode, Bytes) {
+    let response = send(address, request(method, path, &[], body))
+        .await
+        .expect("answer");
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("body");
+    (status, body.to_bytes())
+}
+
+async fn get<T>(address: SocketAddr, path: &str) -> T
+where
+    T: DeserializeOwned,
+{
+    let (_, body) = call(address, "GET", path, "").await;
+    serde_json::from_slice(&body).unwrap_or_else(|error| panic!("{path}: {error}: {body:?}"))
+}
+
+/// Repeats a check until it succeeds.
+async fn eventually<F>(mut check: impl FnMut() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let attempt = async {
+        while !check().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(PATIENCE, attempt)
+        .await
+        .expect("it happens in time");
+}
+
+/// Reads the next bytes of a body, or nothing within the watch time.
+async fn next(body: &mut Incoming) -> Option<Bytes> {
+    let frame = timeout(WATCH, body.frame()).await.ok()??;
+    frame.ok()?.into_data().ok()
+}
+
+/// Reads a body to its end as text. Returns false if it broke off.
+async fn rest(mut body: Incoming) -> (String, bool) {
+    let mut text = String::new();
+    while let Some(frame) = timeout(PATIENCE, body.frame()).await.expect("progress") {
+        match frame {
+            Ok(frame) => text.push_str(&String::from_utf8_lossy(
+                &frame.into_data().unwrap_or_default(),
+            )),
+            Err(_) => return (text, false),
+        }
+    }
+    (text, true)
+}
--- /dev/null
+++ b/crates/sardinerelay-standin/tests/standin/proxy.rs
@@ -0,0 +1,214 @@
+use {
+    super::{PATIENCE, WATCH, bind, call, eventually, get},
+    axum::http::StatusCode,
+    rstest::rstest,
+    sardinerelay_standin::proxy::{Spec, Status, serve},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Echoes every byte.
+async fn echo() -> SocketAddr {
+    let (listener, address) = bind().await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    address
+}
+
+/// Starts a proxy with routes `a` and `b` in group `zone`, and `c` outside of it.
+async fn start() -> (SocketAddr, [SocketAddr; 3]) {
+    let target = echo().await;
+    let (listener, control) = bind().await;
+    let specs = [("a", ",group=zone"), ("b", ",group=zone"), ("c", "")].map(|(name, group)| {
+        let text = format!("127.0.0.1:0={target},name={name}{group}");
+        text.parse::<Spec>().expect("route")
+    });
+    tokio::spawn(serve(specs.to_vec(), 1, listener, CancellationToken::new()));
+    let routes = get::<Vec<Status>>(control, "/v1/routes").await;
+    (control, [0, 1, 2].map(|route| routes[route].listen))
+}
+
+async fn fault(control: SocketAddr, name: &str, order: &str) {
+    let (status, body) = call(control, "PUT", &format!("/v1/faults/{name}"), order).await;
+    assert_eq!(status, StatusCode::NO_CONTENT, "{body:?}");
+}
+
+async fn heal(control: SocketAddr) {
+    assert_eq!(
+        call(control, "DELETE", "/v1/faults", "").await.0,
+        StatusCode::NO_CONTENT
+    );
+}
+
+async fn connect(route: SocketAddr) -> TcpStream {
+    TcpStream::connect(route).await.expect("connection")
+}
+
+/// Sends a byte and waits until it comes back.
+async fn answers(stream: &mut TcpStream, wait: Duration) -> bool {
+    let mut byte = [0];
+    if stream.write_all(b"x").await.is_err() {
+        return false;
+    }
+    matches!(timeout(wait, stream.read_exact(&mut byte)).await, Ok(Ok(_)))
+}
+
+/// Whether the stream neither delivers a byte nor ends.
+async fn is_quiet(stream: &mut TcpStream) -> bool {
+    timeout(WATCH, stream.read(&mut [0])).await.is_err()
+}
+
+/// Guards against a cut that spares established connections, hits routes outside the group, or
+/// leaves the address unusable after it heals.
+#[tokio::test]
+async fn cut_resets_and_refuses_the_group() {
+    let (control, [a, b, c]) = start().await;
+    let mut streams = [connect(a).await, connect(b).await, connect(c).await];
+    for stream in &mut streams {
+        assert!(answers(stream, PATIENCE).await);
+    }
+    fault(control, "zone", r#"{"mode":"cut"}"#).await;
+    for stream in &mut streams[..2] {
+        let ended = timeout(PATIENCE, stream.read(&mut [0])).await.expect("end");
+        assert!(ended.is_err(), "a reset, not an orderly end");
+    }
+    assert!(answers(&mut streams[2], PATIENCE).await);
+    for route in [a, b] {
+        assert!(TcpStream::connect(route).await.is_err());
+    }
+    heal(control).await;
+    for route in [a, b] {
+        assert!(answers(&mut connect(route).await, PATIENCE).await);
+    }
+}
+
+/// Guards against a cut that reaches the caller but leaves the target's side open.
+#[tokio::test]
+async fn cut_resets_the_target_side() {
+    let (listener, target) = bind().await;
+    let (control_listener, control) = bind().await;
+    let spec: Spec = format!("127.0.0.1:0={target},name=a")
+        .parse()
+        .expect("route");
+    tokio::spawn(serve(
+        vec![spec],
+        1,
+        control_listener,
+        CancellationToken::new(),
+    ));
+    let route = get::<Vec<Status>>(control, "/v1/routes").await[0].listen;
+    let _caller = connect(route).await;
+    let (mut server, _) = listener.accept().await.expect("connection");
+    fault(control, "a", r#"{"mode":"cut"}"#).await;
+    let ended = timeout(PATIENCE, server.read(&mut [0])).await.expect("end");
+    assert!(ended.is_err(), "a reset, not an orderly end");
+}
+
+/// Guards against a silent fault that closes the old connection, lets it deliver again after the
+/// route heals, or hits new connections.
+#[tokio::test]
+async fn silent_spares_new_connections() {
+    let (control, [a, ..]) = start().await;
+    let mut old = connect(a).await;
+    assert!(answers(&mut old, PATIENCE).await);
+    fault(control, "a", r#"{"mode":"silent"}"#).await;
+    assert!(answers(&mut connect(a).await, PATIENCE).await);
+    assert!(!answers(&mut old, WATCH).await);
+    heal(control).await;
+    assert!(is_quiet(&mut old).await);
+}
+
+/// Guards against a black hole that refuses, closes or forwards, or that loses bytes which a
+/// healed link would have resent.
+#[tokio::test]
+async fn black_hole_holds_and_heals() {
+    let (control, [a, ..]) = start().await;
+    let mut old = connect(a).await;
+    assert!(answers(&mut old, PATIENCE).await);
+    fault(control, "a", r#"{"mode":"black_hole"}"#).await;
+    let mut new = connect(a).await;
+    assert!(!answers(&mut old, WATCH).await);
+    assert!(!answers(&mut new, WATCH).await);
+    heal(control).await;
+    for stream in [&mut old, &mut new] {
+        let held = timeout(PATIENCE, stream.read_exact(&mut [0])).await;
+        assert!(matches!(held, Ok(Ok(_))), "the held byte arrives");
+    }
+}
+
+/// Guards against a half-open link that carries both directions or the wrong one.
+#[rstest]
+#[case("up", 1, 0)]
+#[case("down", 0, 0)]
+#[tokio::test]
+async fn half_open_carries_one_direction(
+    #[case] carries: &str,
+    #[case] up: u64,
+    #[case] down: u64,
+) {
+    let (control, [a, ..]) = start().await;
+    let mut stream = connect(a).await;
+    assert!(answers(&mut stream, PATIENCE).await);
+    let order = format!(r#"{{"mode":"half_open","carries":"{carries}"}}"#);
+    fault(control, "a", &order).await;
+    assert!(!answers(&mut stream, WATCH).await);
+    let route = get::<Vec<Status>>(control, "/v1/routes").await.remove(0);
+    assert_eq!((route.bytes_up, route.bytes_down), (1 + up, 1 + down));
+}
+
+/// Guards against a delay or a bandwidth limit without effect. Only lower bounds are checked, so
+/// that a busy machine can't break it.
+#[tokio::test]
+async fn delay_and_bandwidth_slow_the_link() {
+    let (control, [a, ..]) = start().await;
+    let mut stream = connect(a).await;
+    fault(control, "a", r#"{"delay_ms":100,"jitter_ms":20}"#).await;
+    let start = Instant::now();
+    assert!(answers(&mut stream, PATIENCE).await);
+    assert!(
+        start.elapsed() >= Duration::from_millis(200),
+        "once in each direction"
+    );
+    fault(control, "a", r#"{"bytes_per_second":20000}"#).await;
+    let sent = vec![7; 10_000];
+    let start = Instant::now();
+    stream.write_all(&sent).await.expect("write");
+    let mut received = vec![0; 10_000];
+    timeout(PATIENCE, stream.read_exact(&mut received))
+        .await
+        .expect("bytes")
+        .expect("read");
+    assert_eq!(received, sent);
+    assert!(start.elapsed() >= Duration::from_millis(500));
+}
+
+/// Guards against an end of stream that the proxy swallows, and against a count of open
+/// connections that never falls.
+#[tokio::test]
+async fn end_of_stream_passes() {
+    let (control, [a, ..]) = start().await;
+    let mut stream = connect(a).await;
+    stream.write_all(b"abc").await.expect("write");
+    stream.shutdown().await.expect("shutdown");
+    let mut text = String::new();
+    timeout(PATIENCE, stream.read_to_string(&mut text))
+        .await
+        .expect("end")
+        .expect("read");
+    assert_eq!(text, "abc");
+    eventually(|| async { get::<Vec<Status>>(control, "/v1/routes").await[0].open == 0 }).await;
+}
