Validate the whole sheet and compare sheets by meaning

sheet::parse reports every error with line, column and field path instead of the first one that serde meets; sheet::warnings lists doubtful entries of a valid sheet; Sheet::digest, Sheet::to_toml and sheet::diff share one canonical list of entries. Optional fields at their default are left out of the digest, so that a field added later does not change the digest of older sheets.

Ruled out: deriving the digest from serde's binary encoding or from the TOML writer, because both can change with a library release and hosts of different releases would then disagree.

Files are bounded by bytes and by separators.

--- a/crates/sardinerelay/src/operator.rs
+++ b/crates/sardinerelay/src/operator.rs
@@ -8,21 +8,24 @@
 use {
     crate::{
         id::{Class, Host, Organisation, Target, Term, Zone},
-        sheet::Change,
+        sheet::{self, Change, Sheet},
     },
     compact_str::CompactString,
-    serde::{Deserialize, Deserializer, Serialize, Serializer, de},
+    serde::{Deserialize, Serialize},
     std::{
         fmt::{self, Display, Formatter},
         net::SocketAddr,
-        str::FromStr,
     },
     uuid::Uuid,
 };
 
+mod digest;
 mod error_code;
 
-pub use error_code::{ErrorCode, ErrorData};
+pub use {
+    digest::{Digest, DigestError},
+    error_code::{ErrorCode, ErrorData},
+};
 
 /// Checks a sheet against the one in force: [`CheckRequest`] to [`CheckReport`].
 pub const SHEET_CHECK: &str = "sheet.check";
@@ -57,67 +60,6 @@
 /// A number that the operator's tool picks per change and repeats in a resend.
 pub type Proposal = Uuid;
 
-/// Digest of a sheet's meaning, written as 64 lower-case hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Digest(pub [u8; 32]);
-
-impl Display for Digest {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
-    }
-}
-
-/// The text is not 64 lower-case hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("expected 64 lower-case hexadecimal digits")]
-pub struct DigestError;
-
-impl FromStr for Digest {
-    type Err = DigestError;
-
-    fn from_str(text: &str) -> Result<Self, DigestError> {
-        let digits = text.as_bytes();
-        if digits.len() != 64 {
-            return Err(DigestError);
-        }
-        let mut digest = [0; 32];
-        for (byte, pair) in digest.iter_mut().zip(digits.chunks_exact(2)) {
-            *byte = hex_value(pair[0])? << 4 | hex_value(pair[1])?;
-        }
-        Ok(Self(digest))
-    }
-}
-
-fn hex_value(digit: u8) -> Result<u8, DigestError> {
-    match digit {
-        b'0'..=b'9' => Ok(digit - b'0'),
-        b'a'..=b'f' => Ok(digit - b'a' + 10),
-        _ => Err(DigestError),
-    }
-}
-
-impl Serialize for Digest {
-    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
-    where
-        S: Serializer,
-    {
-        serializer.collect_str(self)
-    }
-}
-
-impl<'de> Deserialize<'de> for Digest {
-    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
-    where
-        D: Deserializer<'de>,
-    {
-        CompactString::deserialize(deserializer)?
-            .parse()
-            .map_err(de::Error::custom)
-    }
-}
-
 /// An accepted sheet's identity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Version {
@@ -150,6 +92,27 @@
     pub changes: Vec<Change>,
 }
 
+impl CheckReport {
+    /// Checks a sheet against the last accepted one.
+    pub fn new(toml: &str, current: Option<(Version, &Sheet)>) -> Self {
+        let mut report = Self {
+            current: current.map(|(version, _)| version),
+            faults: Vec::new(),
+            warnings: sheet::warnings(toml).iter().map(FaultRow::from).collect(),
+            changes: Vec::new(),
+        };
+        match sheet::parse(toml) {
+            Ok(new) => {
+                let empty = Sheet::default();
+                let old = current.map_or(&empty, |(_, old)| old);
+                report.changes = sheet::diff(old, &new);
+            }
+            Err(faults) => report.faults = faults.iter().map(FaultRow::from).collect(),
+        }
+        report
+    }
+}
+
 /// One finding in a sheet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FaultRow {
@@ -163,6 +126,38 @@
     pub message: String,
 }
 
+impl From<&sheet::Fault> for FaultRow {
+    fn from(fault: &sheet::Fault) -> Self {
+        Self {
+            line: fault.line,
+            column: fault.column,
+            field: fault.field.clone(),
+            message: fault.problem.to_string(),
+        }
+    }
+}
+
+impl From<&sheet::Warning> for FaultRow {
+    fn from(warning: &sheet::Warning) -> Self {
+        Self {
+            line: warning.line,
+            column: warning.column,
+            field: warning.field.clone(),
+            message: warning.concern.to_string(),
+        }
+    }
+}
+
+impl Display for FaultRow {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "line {}, column {}: ", self.line, self.column)?;
+        if !self.field.is_empty() {
+            write!(formatter, "{}: ", self.field)?;
+        }
+        formatter.write_str(&self.message)
+    }
+}
+
 /// A sheet to put in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
--- a/crates/sardinerelay/src/sheet.rs
+++ b/crates/sardinerelay/src/sheet.rs
@@ -1,6 +1,7 @@
 //! The morning sheet: what runs where, who comes first and how much each organisation may ask for.
 //!
-//! The format is TOML and described in `docs/SHEET.md`.
+//! The format is TOML and described in `docs/SHEET.md`. [`parse`] validates a whole file and
+//! reports every error, so that a planner corrects the morning's export in one round.
 
 use {
     crate::id::{Class, Model, Organisation, Service, Target, Zone},
@@ -9,12 +10,33 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+mod canonical;
+mod check;
 mod diff;
+mod fault;
+mod findings;
+pub mod limit;
+mod parse;
+mod read;
+mod text;
 
-pub use diff::{Change, ChangeKind};
+pub use {
+    diff::{Change, ChangeKind, diff},
+    fault::{Concern, Fault, PathProblem, Problem, Quote, Warning},
+    parse::{parse, warnings},
+};
+
+/// The daemon's own paths, which no plain service may cover or lie below.
+pub const RESERVED_PATHS: [&str; 4] = ["/v1", "/livez", "/readyz", "/metrics"];
+
+/// HTTP methods that `repeatable` may list.
+pub const METHODS: [&str; 7] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"];
+
+/// HTTP methods that change nothing, so that repeating them is harmless.
+pub const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 
 /// A whole sheet, validated.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Sheet {
     /// The planner's number; a higher number replaces a lower one.
@@ -61,7 +83,7 @@
     /// Key-value memory in tokens, for engines; 0 for servers of plain services.
     #[serde(default)]
     pub memory_tokens: u64,
-    /// Whether it refuses an order that carries an old fencing number.
+    /// Whether it rejects an order that carries an old fencing token.
     #[serde(default)]
     pub checks_fencing: bool,
 }
@@ -113,6 +135,18 @@
 }
 
 impl Sheet {
+    /// SHA-256 digest of the sheet's meaning. Formatting, comments, fields stated with their
+    /// default, and the order of tables and lists make no difference, except for the order of
+    /// an organisation's classes, the first of which is its default.
+    pub fn digest(&self) -> [u8; 32] {
+        canonical::digest(self)
+    }
+
+    /// The sheet as TOML, with tables and lists in canonical order.
+    pub fn to_toml(&self) -> String {
+        canonical::to_toml(self)
+    }
+
     /// Indexes the targets by name.
     pub fn targets_by_name(&self) -> BTreeMap<&str, &Server> {
         self.targets
