Follow cache events and the platform's list; number the engine's starts

A reader that had every token but not the closing events waited for ever on the stand-in engine: the wait was for a token beyond the last one. Seen by reading the resume path; it now gets the closing events at once. An engine's incarnation is the time of its start, since a random name can't tell a later start from an earlier one.

--- a/crates/sardinerelay-standin/src/cli.rs
+++ b/crates/sardinerelay-standin/src/cli.rs
@@ -142,7 +142,7 @@
         .arg(
             Arg::new("incarnation")
                 .long("incarnation")
-                .help("Name of this start; drawn at random by default")
+                .help("Number of this start, higher for a later one; the time of the start by default")
                 .value_parser(value_parser!(CompactString)),
         )
         .arg(number(
--- a/crates/sardinerelay-standin/src/decoder.rs
+++ b/crates/sardinerelay-standin/src/decoder.rs
@@ -8,6 +8,7 @@
         orders::Inventory,
         reader::Live,
         record::{Book, Outcome, Record},
+        server::unix_ms,
     },
     compact_str::{CompactString, ToCompactString},
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -63,7 +64,7 @@
         let incarnation = config
             .incarnation
             .clone()
-            .unwrap_or_else(|| Uuid::new_v4().to_compact_string());
+            .unwrap_or_else(|| unix_ms().to_compact_string());
         let core = Core {
             batch: Batch::new(config.size.clone()),
             live: HashMap::new(),
--- a/crates/sardinerelay-standin/src/engine.rs
+++ b/crates/sardinerelay-standin/src/engine.rs
@@ -70,7 +70,8 @@
     pub load_time: Duration,
     /// Number of generations that the record holds.
     pub record_limit: usize,
-    /// Name of this start of the engine; drawn at random if not stated.
+    /// Number of this start of the engine, higher for a later one; the time of the start if not
+    /// stated.
     pub incarnation: Option<CompactString>,
     /// Seed of the output lengths and of lost cache events.
     pub seed: u64,
--- a/crates/sardinerelay-standin/src/reader.rs
+++ b/crates/sardinerelay-standin/src/reader.rs
@@ -50,6 +50,7 @@
     id: Uuid,
     number: u64,
     next: u64,
+    target: u64,
     generated: watch::Receiver<u64>,
     ended: bool,
 }
@@ -71,6 +72,7 @@
             id,
             number: live.reader,
             next,
+            target: live.target,
             generated: live.generated.subscribe(),
             ended: false,
         })
@@ -97,7 +99,8 @@
         if self.ended {
             return None;
         }
-        let next = self.next;
+        // A reader that has every token still gets the last events.
+        let next = self.next.min(self.target - 1);
         // The wait fails once the generation is gone; the stream then ends without its last events.
         let _ = self.generated.wait_for(|generated| *generated > next).await;
         if self.is_silent() {
--- a/crates/sardinerelayd/src/cli.rs
+++ b/crates/sardinerelayd/src/cli.rs
@@ -16,6 +16,14 @@
         .args(traffic())
         .args(stops())
         .args(output())
+        .arg(switch(
+            "bootstrap",
+            "Found a new group on an empty data directory; only for the very first start of the voters",
+        ))
+        .arg(switch(
+            "learner",
+            "Join as a replica that catches up and may be made a voter",
+        ))
         .arg(switch(
             "dev",
             "Start a whole one-host system with a stand-in engine on loopback",
--- a/crates/sardinerelayd/src/config.rs
+++ b/crates/sardinerelayd/src/config.rs
@@ -67,6 +67,10 @@
     pub log_level: log::LevelFilter,
     /// Format of log lines.
     pub log_format: LogFormat,
+    /// Whether an empty data directory founds a new group.
+    pub bootstrap: bool,
+    /// Whether this host holds a replica although it is no founding voter.
+    pub learner: bool,
     /// Whether to start the stand-in engine and a sheet for it.
     pub dev: bool,
 }
@@ -208,6 +212,8 @@
         drain_deadline: get.duration("drain-deadline")?,
         log_level: get.value("log-level", "error, warn, info, debug or trace")?,
         log_format: get.choice("log-format", LOG_FORMATS, "human or json")?,
+        bootstrap: matches.get_flag("bootstrap"),
+        learner: matches.get_flag("learner"),
         dev: matches.get_flag("dev"),
     };
     check(&config).map_err(Error::Conflict)?;
--- a/crates/sardinerelayd/src/dev.rs
+++ b/crates/sardinerelayd/src/dev.rs
@@ -8,7 +8,7 @@
         batch::Size,
         engine::{Config, Engine},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::net::SocketAddr,
     tokio::net::TcpListener,
 };
 
@@ -33,14 +33,9 @@
         models: vec![MODEL.into()],
         size: Size {
             memory_tokens: MEMORY_TOKENS,
-            max_running: 64,
-            prefill_tokens_per_step: 4096,
+            ..Config::default().size
         },
-        step: Duration::from_millis(20),
-        report_lag: Duration::from_millis(500),
-        orphan_window: Duration::from_secs(10),
-        seed: 1,
-        mean_tokens: 60,
+        ..Config::default()
     });
     tokio::spawn(engine.run(listener));
     Ok(sheet(zone, address))
--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -20,7 +20,7 @@
         rt::{TokioExecutor, TokioTimer},
     },
     sardinerelay::{fleet::Incarnation, id::Generation},
-    serde::Deserialize,
+    serde::{Deserialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
     thiserror::Error,
     tokio::time::{error::Elapsed, timeout},
@@ -92,6 +92,36 @@
     }
 }
 
+/// Changes of an engine's prefix cache.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cache {
+    /// The engine's start; sequence numbers of another one don't compare.
+    pub incarnation: CompactString,
+    /// Events in order, possibly with gaps.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of a prefix cache.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CacheEvent {
+    /// Position in the engine's events, from 1.
+    pub sequence: u64,
+    /// What happened.
+    pub action: CacheAction,
+    /// Hash of the block in hexadecimal digits.
+    pub block: CompactString,
+}
+
+/// Kind of change.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheAction {
+    /// The block is held now.
+    Stored,
+    /// The block is no longer held.
+    Evicted,
+}
+
 /// Why a call to an engine failed.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -211,8 +241,29 @@
     ///
     /// Returns why no report could be read.
     pub async fn load(&self, address: SocketAddr) -> Result<Load, Error> {
-        let uri = format!("http://{address}/load");
-        let body = self.short(&self.pooled, Method::GET, &uri).await?;
+        self.json(&format!("http://{address}/v1/load")).await
+    }
+
+    /// Fetches the engine's cache events after a sequence number.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no events could be read.
+    pub async fn cache(&self, address: SocketAddr, since: u64) -> Result<Cache, Error> {
+        self.json(&format!("http://{address}/v1/cache?since={since}"))
+            .await
+    }
+
+    /// Fetches a short JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be read.
+    pub async fn json<T>(&self, uri: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let body = self.short(&self.pooled, Method::GET, uri).await?;
         serde_json::from_slice(&body).map_err(|_| Error::Answer)
     }
 
--- a/crates/sardinerelayd/src/filter.rs
+++ b/crates/sardinerelayd/src/filter.rs
@@ -43,6 +43,8 @@
     pub prompt_tokens: u64,
     /// The caller's bound on the output in tokens.
     pub max_tokens: Option<u64>,
+    /// Hashes of the prompt's blocks, by which engines name what their caches hold.
+    pub prefixes: Vec<u64>,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// Whether the caller wants the usage chunk at the end of the stream.
--- a/crates/sardinerelayd/src/filter/identify.rs
+++ b/crates/sardinerelayd/src/filter/identify.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         filter::{Answer, Call, Reply, Shape},
+        prefix,
         refusal::{Code, Refusal},
         snapshot::{Shared, View},
     },
@@ -13,6 +14,7 @@
     http::{HeaderMap, Request, header},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     serde::Deserialize,
+    serde_json::Value,
     sha2::{Digest, Sha256},
     std::{
         fmt::Write as _,
@@ -178,8 +180,8 @@
     max_tokens: Option<u64>,
     max_completion_tokens: Option<u64>,
     n: Option<u64>,
-    messages: Option<serde_json::Value>,
-    prompt: Option<serde_json::Value>,
+    messages: Option<Value>,
+    prompt: Option<Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -216,6 +218,11 @@
         return Err(Refusal::new(Code::UnknownModel, message).param("model"));
     }
     let class = class(view, caller, headers)?;
+    let input = match shape {
+        Shape::Chat => &fields.messages,
+        Shape::Text => &fields.prompt,
+    };
+    let prompt = input.as_ref().map(Value::to_string).unwrap_or_default();
     Ok(Call {
         id: request_id(headers),
         organisation: caller.organisation.clone(),
@@ -224,7 +231,8 @@
         max_wait: class.2,
         model: model.into(),
         shape,
-        prompt_tokens: (body.len() as u64 / BYTES_PER_TOKEN).max(1),
+        prompt_tokens: (prompt.len() as u64 / BYTES_PER_TOKEN).max(1),
+        prefixes: prefix::blocks(&fields.model, &prompt),
         max_tokens: fields.max_completion_tokens.or(fields.max_tokens),
         stream: fields.stream,
         include_usage: fields
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod limits;
 pub mod logging;
 pub mod metrics;
+pub mod platform;
+pub mod prefix;
 pub mod refusal;
 pub mod resume;
 pub mod run;
--- a/crates/sardinerelayd/src/resume.rs
+++ b/crates/sardinerelayd/src/resume.rs
@@ -102,6 +102,7 @@
         model: position.claim.model.clone(),
         shape: Shape::Text,
         prompt_tokens: 0,
+        prefixes: Vec::new(),
         max_tokens: None,
         stream: true,
         include_usage: true,
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         config::{self, Config},
-        engine::Load,
+        engine::{CacheAction, CacheEvent, Load},
         filter::{Call, End},
         metrics::Metrics,
         refusal::{Code, Refusal},
@@ -220,7 +220,7 @@
             max_wait: call.max_wait.saturating_sub(call.received.elapsed()),
             prompt: call.prompt_tokens,
             max_tokens: call.max_tokens.unwrap_or(MAX_OUTPUT),
-            prefixes: Vec::new(),
+            prefixes: call.prefixes.clone(),
         };
         let mut inner = self.lock();
         inner.waiters.insert(generation, sender);
@@ -274,6 +274,26 @@
         inner.deliver(decisions);
     }
 
+    /// Takes over changes of a target's prefix cache.
+    pub fn cache_events(&self, target: &Target, events: &[CacheEvent]) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        for event in events {
+            let Ok(block) = u64::from_str_radix(&event.block, 16) else {
+                continue;
+            };
+            let change = match event.action {
+                CacheAction::Stored => router::Change::Stored(block),
+                CacheAction::Evicted => router::Change::Removed(block),
+            };
+            // The library counts from 0, engines from 1.
+            let sequence = event.sequence.saturating_sub(1);
+            inner
+                .scheduler
+                .cache_event(target, router::CacheEvent { sequence, change }, now);
+        }
+    }
+
     /// Merges the platform's list or the replicated leaves.
     pub fn observe(&self, list: &[Entry]) {
         self.lock().scheduler.fleet_mut().observe(list);
--- a/crates/sardinerelayd/src/targets.rs
+++ b/crates/sardinerelayd/src/targets.rs
@@ -6,6 +6,7 @@
         schedule::Scheduler,
         snapshot::{Shared, View},
     },
+    compact_str::CompactString,
     log::debug,
     rand::Rng,
     sardinerelay::id::Target,
@@ -19,6 +20,48 @@
 /// Failed polls in a row after which an engine gets no new work.
 const SILENT_AFTER: u32 = 2;
 
+/// How far an engine's cache events were read.
+#[derive(Debug, Default)]
+struct Position {
+    incarnation: CompactString,
+    since: u64,
+}
+
+impl Position {
+    /// Reads the events that have come since. The scheduler notices gaps by their numbers.
+    async fn follow(
+        &mut self,
+        target: &Target,
+        address: SocketAddr,
+        scheduler: &Scheduler,
+        client: &Client,
+    ) {
+        let cache = match client.cache(address, self.since).await {
+            Ok(cache) => cache,
+            Err(error) => {
+                debug!(target = target.as_str(); "cache events can't be read: {error}");
+                return;
+            }
+        };
+        if cache.incarnation != self.incarnation {
+            // Numbers start again with each incarnation, so this answer may have skipped events.
+            let first = self.incarnation.is_empty();
+            *self = Self {
+                incarnation: cache.incarnation,
+                since: 0,
+            };
+            if !first {
+                return;
+            }
+        }
+        self.since = cache
+            .events
+            .last()
+            .map_or(self.since, |event| event.sequence);
+        scheduler.cache_events(target, &cache.events);
+    }
+}
+
 type Pollers = BTreeMap<(Target, SocketAddr), JoinHandle<()>>;
 
 /// Follows the view and polls the engines in it, until the sender of changes is dropped.
@@ -67,11 +110,13 @@
 
 async fn poll(target: Target, address: SocketAddr, scheduler: Arc<Scheduler>, client: Client) {
     let mut failures = 0;
+    let mut cache = Position::default();
     loop {
         match client.load(address).await {
             Ok(load) => {
                 failures = 0;
                 scheduler.report(&target, load.incarnation(), load);
+                cache.follow(&target, address, &scheduler, &client).await;
             }
             Err(error) => {
                 failures += 1;
