--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod length;
 pub mod operator;
+pub mod orders;
 pub mod refusal_code;
 pub mod resume;
 pub mod router;
