--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,5 +7,8 @@
 #![deny(missing_docs)]
 
 pub mod id;
+pub mod lease;
+pub mod raft;
 pub mod sheet;
 pub mod stream;
+pub mod wal;
--- /dev/null
+++ b/crates/sardinerelay/src/raft/config.rs
@@ -0,0 +1,137 @@
+//! Settings of a replica.
+
+use {crate::id::Host, std::time::Duration, thiserror::Error};
+
+/// Settings of a replica. All replicas of a group must use the same timeouts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// This replica's id.
+    pub id: Host,
+    /// Seed of the randomised election timeouts. Replicas of one group need different seeds.
+    pub seed: u64,
+    /// Interval between heartbeat rounds.
+    pub heartbeat: Duration,
+    /// Minimum election timeout. A voter that heard a leader within this time refuses to elect
+    /// another one, a leader that heard no quorum within it steps down, and timeouts are drawn
+    /// between it and its double.
+    pub election: Duration,
+    /// Largest difference that may build up between two hosts' clocks within `election`. The
+    /// leader's lease ends earlier by this much.
+    pub drift: Duration,
+    /// Time after which an unanswered append or snapshot chunk is sent again.
+    pub retransmit: Duration,
+    /// Most bytes of entries in one append. A single larger entry is sent alone.
+    pub append_bytes: usize,
+    /// Most bytes of entries sent to one follower and not answered yet.
+    pub inflight_bytes: usize,
+    /// Most bytes of entries proposed and not committed yet; more are refused as busy.
+    pub uncommitted_bytes: usize,
+    /// Most bytes in one proposal.
+    pub proposal_bytes: usize,
+    /// Bytes in one snapshot chunk.
+    pub chunk_bytes: usize,
+    /// Most bytes of snapshot chunks sent to one follower and not answered yet. It bounds how
+    /// long a heartbeat waits behind a snapshot on the same connection.
+    pub chunk_inflight_bytes: usize,
+    /// Largest snapshot that is accepted, in bytes.
+    pub snapshot_bytes: u64,
+    /// Bytes of entries below the snapshot that stay in memory for slow followers.
+    pub trailing_bytes: usize,
+    /// Most entries that a learner may lack when it is promoted to voter.
+    pub promote_lag: u64,
+}
+
+/// Why settings were refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ConfigError {
+    /// Followers would time out between two heartbeats of a healthy leader.
+    #[error(
+        "election timeout {election:?} must be at least three heartbeat intervals of {heartbeat:?}"
+    )]
+    Heartbeat {
+        /// The minimum election timeout.
+        election: Duration,
+        /// The heartbeat interval.
+        heartbeat: Duration,
+    },
+    /// The lease would never be held.
+    #[error("clock drift {drift:?} must be below half of the election timeout {election:?}")]
+    Drift {
+        /// The clock drift.
+        drift: Duration,
+        /// The minimum election timeout.
+        election: Duration,
+    },
+    /// A size limit is zero or larger than the limit that contains it.
+    #[error("{name} must be above zero and at most {most}, but is {value}")]
+    Size {
+        /// The setting's name.
+        name: &'static str,
+        /// The refused value in bytes.
+        value: usize,
+        /// The largest value allowed, in bytes.
+        most: usize,
+    },
+    /// Entries do not follow the snapshot without a gap.
+    #[error("log entry {found} does not follow entry {previous}")]
+    Gap {
+        /// Index of the entry found.
+        found: u64,
+        /// Index of the snapshot or entry before it.
+        previous: u64,
+    },
+}
+
+impl Config {
+    /// Default settings for replica `id`. A leader that is killed is replaced within one
+    /// election timeout of 500 to 1000 ms plus one round of votes.
+    pub fn new(id: Host, seed: u64) -> Self {
+        Self {
+            id,
+            seed,
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(500),
+            drift: Duration::from_millis(50),
+            retransmit: Duration::from_millis(250),
+            append_bytes: 256 << 10,
+            inflight_bytes: 2 << 20,
+            uncommitted_bytes: 16 << 20,
+            proposal_bytes: 4 << 20,
+            chunk_bytes: 64 << 10,
+            chunk_inflight_bytes: 256 << 10,
+            snapshot_bytes: 1 << 30,
+            trailing_bytes: 1 << 20,
+            promote_lag: 256,
+        }
+    }
+
+    /// Checks that the settings fit together.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        if self.heartbeat.is_zero() || self.election < self.heartbeat * 3 {
+            return Err(ConfigError::Heartbeat {
+                election: self.election,
+                heartbeat: self.heartbeat,
+            });
+        }
+        if self.drift * 2 >= self.election {
+            return Err(ConfigError::Drift {
+                drift: self.drift,
+                election: self.election,
+            });
+        }
+        check_size("append_bytes", self.append_bytes, self.inflight_bytes)?;
+        check_size(
+            "proposal_bytes",
+            self.proposal_bytes,
+            self.uncommitted_bytes,
+        )?;
+        check_size("chunk_bytes", self.chunk_bytes, self.chunk_inflight_bytes)
+    }
+}
+
+fn check_size(name: &'static str, value: usize, most: usize) -> Result<(), ConfigError> {
+    if value == 0 || value > most {
+        return Err(ConfigError::Size { name, value, most });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardinerelay/src/raft/membership.rs
@@ -0,0 +1,80 @@
+//! Members of a group and single-server changes.
+
+use {
+    crate::id::Host,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeSet,
+};
+
+/// Members of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Membership {
+    /// Replicas that vote and count for commits.
+    pub voters: BTreeSet<Host>,
+    /// Replicas that receive the log only.
+    pub learners: BTreeSet<Host>,
+}
+
+/// A change of one member. Two memberships that differ by one voter share a member in any two
+/// quorums, so no joint phase is needed (thesis, 4.1).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Adds a replica that does not vote.
+    AddLearner(Host),
+    /// Makes a learner a voter.
+    Promote(Host),
+    /// Removes a voter or learner. The leader cannot remove itself; it transfers first.
+    Remove(Host),
+}
+
+impl Membership {
+    /// A group of voters without learners.
+    pub fn new<Hosts>(voters: Hosts) -> Self
+    where
+        Hosts: IntoIterator<Item = Host>,
+    {
+        Self {
+            voters: voters.into_iter().collect(),
+            learners: BTreeSet::new(),
+        }
+    }
+
+    /// Number of voters in a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// All members.
+    pub fn hosts(&self) -> impl Iterator<Item = Host> + '_ {
+        self.voters.union(&self.learners).copied()
+    }
+
+    /// Whether the replica is a member.
+    pub fn contains(&self, host: Host) -> bool {
+        self.voters.contains(&host) || self.learners.contains(&host)
+    }
+
+    /// The membership after a change, or `None` if the change does not apply.
+    pub fn changed(&self, change: Change) -> Option<Self> {
+        let mut next = self.clone();
+        let applies = match change {
+            Change::AddLearner(host) => !self.contains(host) && next.learners.insert(host),
+            Change::Promote(host) => next.learners.remove(&host) && next.voters.insert(host),
+            Change::Remove(host) => next.learners.remove(&host) || next.voters.remove(&host),
+        };
+        (applies && !next.voters.is_empty()).then_some(next)
+    }
+
+    #[expect(dead_code, reason = "used by the replica, which follows")]
+    /// The highest value that a quorum of voters has reached; the lowest value without voters.
+    pub(super) fn agreed<Value, Get>(&self, get: Get) -> Value
+    where
+        Value: Ord + Default + Copy,
+        Get: Fn(Host) -> Value,
+    {
+        let mut values: Vec<Value> = self.voters.iter().map(|&host| get(host)).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        let place = self.quorum() - 1;
+        values.get(place).copied().unwrap_or_default()
+    }
+}
