--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,8 +7,11 @@
 #![deny(missing_docs)]
 
 pub mod id;
+pub mod lease;
 pub mod ledger;
+pub mod raft;
 pub mod resume;
 pub mod sheet;
 pub mod state;
 pub mod stream;
+pub mod wal;
