Add JSON-RPC between hosts

A call that misses its deadline drops the connection, so the next call opens a new one. The library's own pings close connections on which nothing arrives, which ends long polls on a silent link early.

The state machine keeps 2048 answers per session instead of 256: a proposal that is repeated must not be forgotten because a few hundred later ones were answered meanwhile.

--- a/crates/sardinerelay/src/state.rs
+++ b/crates/sardinerelay/src/state.rs
@@ -13,7 +13,8 @@
     lease::{Claim, Lease, Leases},
     session::{Proposal, Session, Sessions},
     view::{
-        Accepted, Change, Digest, History, Leaves, Planned, Recorded, Stop, Subject, Update, View,
+        Accepted, Change, Digest, History, Leaves, Mismatch, Planned, Recorded, Stop, Subject,
+        Update, View,
     },
 };
 
--- a/crates/sardinerelay/src/state/session.rs
+++ b/crates/sardinerelay/src/state/session.rs
@@ -20,8 +20,9 @@
 /// Sessions that stay open.
 const SESSIONS: usize = 1024;
 
-/// Answers that a session keeps.
-const ANSWERS: usize = 256;
+/// Answers that a session keeps. While one proposal is repeated, this many later ones can be
+/// answered before it is forgotten.
+const ANSWERS: usize = 2048;
 
 /// A session's number: the log index of its opening.
 pub type Session = Index;
--- a/crates/sardinerelay/tests/state.rs
+++ b/crates/sardinerelay/tests/state.rs
@@ -148,21 +148,21 @@
     machine.apply(2, &first);
     machine.apply(3, &numbered(1, 2, 1, submit(2, 1)));
     assert_eq!(Reply::Forgotten, machine.apply(4, &first));
-    for sequence in 3..2000 {
+    for sequence in 3..4000 {
         machine.apply(2 + sequence, &numbered(1, sequence, 1, submit(sequence, 1)));
     }
-    let reply = machine.apply(3000, &numbered(1, 3, 1, submit(9000, 1)));
+    let reply = machine.apply(5000, &numbered(1, 3, 1, submit(9000, 1)));
     assert_eq!(Reply::Forgotten, reply);
-    assert_eq!(Reply::Opened(3001), machine.apply(3001, &open(4, 2)));
-    let reply = machine.apply(3002, &numbered(1, 5000, 1, submit(9000, 1)));
+    assert_eq!(Reply::Opened(5001), machine.apply(5001, &open(4, 2)));
+    let reply = machine.apply(5002, &numbered(1, 5000, 1, submit(9000, 1)));
     assert_eq!(Reply::Forgotten, reply);
     for host in 0..2000 {
-        machine.apply(4000 + host, &open(100 + host, 0));
+        machine.apply(6000 + host, &open(100 + host, 0));
     }
-    let reply = machine.apply(9000, &numbered(3001, 1, 0, submit(9000, 1)));
+    let reply = machine.apply(9000, &numbered(5001, 1, 0, submit(9000, 1)));
     assert_eq!(Reply::Forgotten, reply);
     assert_eq!(
-        Some(1999),
+        Some(3999),
         machine.view().accepted.as_ref().map(|sheet| sheet.number)
     );
 }
--- /dev/null
+++ b/crates/sardinerelayd/src/lib.rs
@@ -0,0 +1,3 @@
+//! Parts of the daemon, as a library for its tests and measurements.
+
+pub mod peer;
--- /dev/null
+++ b/crates/sardinerelayd/src/peer/client.rs
@@ -0,0 +1,201 @@
+//! A client for one other host.
+
+use {
+    super::{Error, Limits, REQUEST_BYTES, RESPONSE_BYTES, Reason, Secrets, SharedCounters, io},
+    jsonrpsee::{
+        core::{
+            client::{ClientT as _, Error as RpcError},
+            traits::ToRpcParams,
+        },
+        ws_client::{PingConfig, WsClient, WsClientBuilder},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::value::{RawValue, to_raw_value},
+    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpStream, sync::Mutex, time::timeout},
+};
+
+/// A client for one other host. It opens a connection when it needs one.
+pub struct Client {
+    address: SocketAddr,
+    secrets: Secrets,
+    limits: Limits,
+    counters: SharedCounters,
+    connection: Mutex<Option<Arc<WsClient>>>,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Client")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// A client for the host at `address`.
+    pub fn new(
+        address: SocketAddr,
+        secrets: Secrets,
+        limits: Limits,
+        counters: SharedCounters,
+    ) -> Self {
+        Self {
+            address,
+            secrets,
+            limits,
+            counters,
+            connection: Mutex::new(None),
+        }
+    }
+
+    /// The other host's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls a method with one parameter.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]. The connection is dropped unless the other host answered.
+    pub async fn call<P, R>(
+        &self,
+        method: &'static str,
+        parameter: &P,
+        deadline: Duration,
+    ) -> Result<R, Error>
+    where
+        P: Serialize,
+        R: DeserializeOwned,
+    {
+        let parameters = Parameters::new(parameter)?;
+        let connection = self.connection(deadline).await?;
+        self.counters.count_sent();
+        let answer = timeout(deadline, connection.request(method, parameters)).await;
+        match answer {
+            Ok(Ok(result)) => {
+                self.counters.count_received();
+                Ok(result)
+            }
+            Ok(Err(error)) => Err(self.fail(&connection, error).await),
+            Err(_) => {
+                self.drop_connection(&connection).await;
+                Err(Error::Deadline {
+                    address: self.address,
+                    deadline,
+                })
+            }
+        }
+    }
+
+    /// Sends a notification, which is not answered and may be lost.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it can't be handed to the connection within the deadline.
+    pub async fn notify<P>(
+        &self,
+        method: &'static str,
+        parameter: &P,
+        deadline: Duration,
+    ) -> Result<(), Error>
+    where
+        P: Serialize,
+    {
+        let parameters = Parameters::new(parameter)?;
+        let connection = self.connection(deadline).await?;
+        self.counters.count_sent();
+        match timeout(deadline, connection.notification(method, parameters)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(self.fail(&connection, error).await),
+            Err(_) => {
+                self.drop_connection(&connection).await;
+                Err(Error::Deadline {
+                    address: self.address,
+                    deadline,
+                })
+            }
+        }
+    }
+
+    async fn connection(&self, deadline: Duration) -> Result<Arc<WsClient>, Error> {
+        let limit = deadline.min(self.limits.connect);
+        let opened = timeout(limit, async {
+            let mut slot = self.connection.lock().await;
+            match &*slot {
+                Some(connection) if connection.is_connected() => Ok(Arc::clone(connection)),
+                _ => Ok(Arc::clone(slot.insert(Arc::new(self.open().await?)))),
+            }
+        });
+        opened
+            .await
+            .unwrap_or(Err(Reason::Deadline))
+            .map_err(|reason| Error::Connect {
+                address: self.address,
+                reason,
+            })
+    }
+
+    async fn open(&self) -> Result<WsClient, Reason> {
+        let stream = TcpStream::connect(self.address).await?;
+        let stream = io::Counted::new(stream, Arc::clone(&self.counters))?;
+        let ping = PingConfig::new()
+            .ping_interval(self.limits.silence / 3)
+            .inactive_limit(self.limits.silence)
+            .max_failures(1);
+        let client = WsClientBuilder::new()
+            .set_headers(self.secrets.headers())
+            .max_request_size(REQUEST_BYTES)
+            .max_response_size(RESPONSE_BYTES)
+            .enable_ws_ping(ping)
+            // Each call brings its own deadline, which is always shorter.
+            .request_timeout(Duration::from_secs(3600))
+            .build_with_stream(format!("ws://{}", self.address), stream)
+            .await?;
+        Ok(client)
+    }
+
+    async fn fail(&self, connection: &Arc<WsClient>, source: RpcError) -> Error {
+        let address = self.address;
+        if let RpcError::Call(error) = source {
+            self.counters.count_received();
+            return Error::Remote {
+                address,
+                code: error.code(),
+                message: error.message().to_owned(),
+            };
+        }
+        self.drop_connection(connection).await;
+        Error::Broken { address, source }
+    }
+
+    /// Drops the connection unless another call has replaced it already.
+    async fn drop_connection(&self, connection: &Arc<WsClient>) {
+        let mut slot = self.connection.lock().await;
+        if slot
+            .as_ref()
+            .is_some_and(|current| Arc::ptr_eq(current, connection))
+        {
+            *slot = None;
+        }
+    }
+}
+
+struct Parameters(Box<RawValue>);
+
+impl Parameters {
+    fn new<P>(parameter: &P) -> Result<Self, serde_json::Error>
+    where
+        P: Serialize,
+    {
+        to_raw_value(&(parameter,)).map(Self)
+    }
+}
+
+impl ToRpcParams for Parameters {
+    fn to_rpc_params(self) -> Result<Option<Box<RawValue>>, serde_json::Error> {
+        Ok(Some(self.0))
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/peer/server.rs
@@ -0,0 +1,126 @@
+//! The server for other hosts.
+
+use {
+    super::{REQUEST_BYTES, RESPONSE_BYTES, Secrets, SharedCounters, io, secret::Check},
+    hyper::body::Incoming,
+    jsonrpsee::server::{
+        BatchRequestConfig, HttpRequest, Methods, Server as RpcServer, ServerConfig, ServerHandle,
+        StopHandle, TowerServiceBuilder, serve_with_graceful_shutdown, stop_channel,
+    },
+    log::{debug, warn},
+    std::{io::Error, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+    tower::{
+        Service as _, ServiceBuilder,
+        layer::util::{Identity, Stack},
+        service_fn,
+    },
+};
+
+/// Connections from other hosts.
+const CONNECTIONS: u32 = 2048;
+
+/// Time to wait after a failed accept, which happens when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+type Builder = TowerServiceBuilder<Identity, Stack<Check, Identity>>;
+
+/// A running server. It stops when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    _stop: ServerHandle,
+}
+
+impl Server {
+    /// Listens on `address` and serves `methods`.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub async fn start<M>(
+        address: SocketAddr,
+        secrets: Secrets,
+        methods: M,
+        counters: SharedCounters,
+    ) -> Result<Self, Error>
+    where
+        M: Into<Methods>,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let config = ServerConfig::builder()
+            .max_request_body_size(REQUEST_BYTES)
+            .max_response_body_size(RESPONSE_BYTES)
+            .max_connections(CONNECTIONS)
+            .set_batch_request_config(BatchRequestConfig::Disabled)
+            .ws_only()
+            .build();
+        let builder = RpcServer::builder()
+            .set_config(config)
+            .set_http_middleware(ServiceBuilder::new().layer(Check(secrets)))
+            .to_service_builder();
+        let (stopped, stop) = stop_channel();
+        let methods = methods.into();
+        tokio::spawn(accept(listener, builder, methods, counters, stopped));
+        Ok(Self {
+            address,
+            _stop: stop,
+        })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    builder: Builder,
+    methods: Methods,
+    counters: SharedCounters,
+    stopped: StopHandle,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped.clone().shutdown() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream, &builder, &methods, &counters, &stopped),
+            Err(error) => {
+                warn!("a peer connection was not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    builder: &Builder,
+    methods: &Methods,
+    counters: &SharedCounters,
+    stopped: &StopHandle,
+) {
+    let stream = match io::Counted::new(stream, Arc::clone(counters)) {
+        Ok(stream) => stream,
+        Err(error) => {
+            debug!("a peer connection broke: {error}");
+            return;
+        }
+    };
+    let builder = builder.clone();
+    let methods = methods.clone();
+    let stop = stopped.clone();
+    let service = service_fn(move |request: HttpRequest<Incoming>| {
+        let mut service = builder.clone().build(methods.clone(), stop.clone());
+        service.call(request)
+    });
+    let stopped = stopped.clone().shutdown();
+    tokio::spawn(serve_with_graceful_shutdown(stream, service, stopped));
+}
