Implement the consensus replica

The replica does no I/O: time is an argument and randomness is seeded.

Messages that depend on a write are held back until the write is acknowledged, so a caller that handles Ready in any order cannot acknowledge state that is not on disk. Handing out messages together with the write and relying on the caller's order was ruled out, because it also forces heartbeats to wait for a slow disk.

--- a/crates/sardinerelay/src/raft.rs
+++ b/crates/sardinerelay/src/raft.rs
@@ -23,10 +23,18 @@
 //! may have voted and acknowledged entries that it no longer knows of.
 
 mod config;
+mod disk;
+mod election;
+mod inbound;
+mod leader;
+mod log;
 mod membership;
 mod message;
+mod progress;
 mod ready;
 mod replica;
+mod replication;
+mod transfer;
 
 pub use self::{
     config::{Config, ConfigError},
--- /dev/null
+++ b/crates/sardinerelay/src/raft/inbound.rs
@@ -0,0 +1,163 @@
+//! Messages: checks of the term, and what a follower does with its leader's messages.
+
+use {
+    super::{
+        message::{Append, Body, Chunk, Message},
+        replica::{Replica, State},
+        transfer::{Incoming, Received},
+    },
+    crate::id::{Host, Index},
+    std::time::Instant,
+};
+
+impl Replica {
+    /// Handles a message from another replica. The sender is the one that the connection was
+    /// authenticated for.
+    pub fn step(&mut self, from: Host, message: Message, now: Instant) {
+        self.now = self.now.max(now);
+        let term = message.term;
+        match message.body {
+            Body::PreVote { last } => return self.on_pre_vote(from, term, last),
+            Body::Vote { .. } => return self.on_vote(from, message),
+            _ if term > self.hard.term => self.become_follower(term, None),
+            _ if term < self.hard.term => return self.on_old_term(from, message),
+            _ => {}
+        }
+        match message.body {
+            Body::PreVote { .. } | Body::Vote { .. } => {}
+            Body::PreVoteReply { campaign, granted } => {
+                self.on_pre_vote_reply(from, campaign, granted);
+            }
+            Body::VoteReply { granted } => self.on_vote_reply(from, granted),
+            Body::Append(append) => self.on_append(from, append),
+            Body::Appended { matched } => self.on_appended(from, matched),
+            Body::Rejected(conflict) => self.on_rejected(from, conflict),
+            Body::Heartbeat { round, commit } => self.on_heartbeat(from, round, commit),
+            Body::HeartbeatReply { round } => self.on_heartbeat_reply(from, round),
+            Body::Chunk(chunk) => self.on_chunk(from, chunk),
+            Body::ChunkReply {
+                last,
+                received,
+                rewind,
+            } => self.on_chunk_reply(from, last, received, rewind),
+            Body::TimeoutNow => self.on_timeout_now(),
+        }
+    }
+
+    /// Handles a message of an earlier term. An old leader learns the current term from the
+    /// answer. A pre-vote reply counts although the voter's term is lower, because a pre-vote
+    /// changes no term.
+    fn on_old_term(&mut self, from: Host, message: Message) {
+        match message.body {
+            Body::PreVoteReply { campaign, granted } => {
+                self.on_pre_vote_reply(from, campaign, granted);
+            }
+            Body::Append(_) | Body::Heartbeat { .. } | Body::Chunk(_) => {
+                self.send_in_term(from, Body::HeartbeatReply { round: 0 });
+            }
+            _ => {}
+        }
+    }
+
+    /// Follows the sender, which leads the current term.
+    fn follow(&mut self, from: Host) {
+        assert!(
+            !matches!(self.state, State::Leader(_)),
+            "replicas {from} and {} both lead term {}",
+            self.config.id,
+            self.hard.term
+        );
+        self.become_follower(self.hard.term, Some(from));
+        self.heard = Some(self.now);
+        self.reset_election();
+    }
+
+    fn on_heartbeat(&mut self, from: Host, round: u64, commit: Index) {
+        self.follow(from);
+        self.commit_to(commit);
+        self.send_in_term(from, Body::HeartbeatReply { round });
+    }
+
+    fn on_append(&mut self, from: Host, append: Append) {
+        self.follow(from);
+        if !is_contiguous(&append) {
+            return;
+        }
+        if append.previous.index < self.commit {
+            let matched = self.commit;
+            return self.send_persisted(from, Body::Appended { matched });
+        }
+        if !self.log.matches(append.previous) {
+            let conflict = self.log.conflict(append.previous);
+            return self.send_in_term(from, Body::Rejected(conflict));
+        }
+        let matched = append.previous.index + append.entries.len() as u64;
+        for entry in append.entries {
+            self.accept(entry);
+        }
+        self.commit_to(append.commit.min(matched));
+        self.send_persisted(from, Body::Appended { matched });
+    }
+
+    /// Adds an entry unless the log holds it already.
+    fn accept(&mut self, entry: super::message::Entry) {
+        let place = entry.position;
+        if self.log.matches(place) {
+            return;
+        }
+        if place.index <= self.log.last().index {
+            assert!(
+                place.index > self.commit,
+                "entry {place:?} contradicts a committed entry of replica {}",
+                self.config.id
+            );
+            self.log.truncate(place.index);
+            self.disk.truncated(place.index);
+        }
+        self.log.append(entry);
+    }
+
+    fn on_chunk(&mut self, from: Host, chunk: Chunk) {
+        self.follow(from);
+        let last = chunk.meta.last;
+        if self.log.matches(last) {
+            self.commit_to(last.index);
+        }
+        if last.index <= self.commit {
+            self.incoming = None;
+            let matched = self.commit;
+            return self.send_persisted(from, Body::Appended { matched });
+        }
+        if chunk.total > self.config.snapshot_bytes {
+            return;
+        }
+        let term = self.hard.term;
+        let current = self.incoming.take();
+        let continued = current.filter(|incoming| incoming.continues(from, term, &chunk));
+        let mut incoming = continued.unwrap_or_else(|| Incoming::new(from, term, &chunk));
+        match incoming.receive(&chunk) {
+            Received::Reply(reply) => {
+                self.incoming = Some(incoming);
+                self.send_in_term(from, reply);
+            }
+            Received::Complete(snapshot) => self.install(from, snapshot),
+        }
+    }
+
+    fn install(&mut self, from: Host, snapshot: super::message::Snapshot) {
+        self.commit = snapshot.meta.last.index;
+        self.log.install(snapshot.clone());
+        self.disk.installed(snapshot.clone());
+        self.restore = Some(snapshot);
+        let matched = self.commit;
+        self.send_persisted(from, Body::Appended { matched });
+    }
+}
+
+fn is_contiguous(append: &Append) -> bool {
+    let mut indexes = append.previous.index + 1..;
+    append
+        .entries
+        .iter()
+        .all(|entry| indexes.next() == Some(entry.position.index))
+}
--- /dev/null
+++ b/crates/sardinerelay/src/raft/log.rs
@@ -0,0 +1,206 @@
+//! The log in memory: the latest snapshot and the entries that follow.
+
+use {
+    super::{
+        membership::Membership,
+        message::{Conflict, Durable, Entry, Payload, Position, Snapshot},
+    },
+    crate::id::{Index, Term},
+    std::collections::VecDeque,
+};
+
+/// Bytes that an entry counts in addition to its data, so that limits in bytes also bound the
+/// number of entries.
+const ENTRY_OVERHEAD_BYTES: usize = 64;
+
+#[derive(Debug)]
+pub(super) struct Log {
+    pub(super) snapshot: Snapshot,
+    /// Place before the first entry in memory; at or below the snapshot.
+    base: Position,
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    /// Memberships by the index from which they hold. The first one holds at `snapshot`.
+    memberships: VecDeque<(Index, Membership)>,
+}
+
+impl Entry {
+    /// Bytes that the entry counts against limits.
+    pub(super) fn size(&self) -> usize {
+        let content = match &self.payload {
+            Payload::Empty => 0,
+            Payload::Data(data) => data.len(),
+            Payload::Membership(membership) => membership.hosts().count() * size_of::<u64>(),
+        };
+        ENTRY_OVERHEAD_BYTES + content
+    }
+}
+
+impl Log {
+    /// Takes over recovered state whose entries follow the snapshot without a gap.
+    pub(super) fn new(durable: Durable) -> Self {
+        let meta = &durable.snapshot.meta;
+        let mut log = Self {
+            base: meta.last,
+            entries: VecDeque::new(),
+            bytes: 0,
+            memberships: VecDeque::from([(meta.last.index, meta.membership.clone())]),
+            snapshot: durable.snapshot,
+        };
+        durable
+            .entries
+            .into_iter()
+            .for_each(|entry| log.append(entry));
+        log
+    }
+
+    pub(super) fn last(&self) -> Position {
+        self.entries
+            .back()
+            .map_or(self.base, |entry| entry.position)
+    }
+
+    /// Lowest index whose term is known. Entries after it can be read.
+    pub(super) fn base(&self) -> Index {
+        self.base.index
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Term of the entry at `index`, if the log still knows it.
+    pub(super) fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        Some(self.entry(index)?.position.term)
+    }
+
+    pub(super) fn matches(&self, position: Position) -> bool {
+        self.term_at(position.index) == Some(position.term)
+    }
+
+    /// The membership that holds, committed or not.
+    pub(super) fn membership(&self) -> &Membership {
+        &self.memberships[self.memberships.len() - 1].1
+    }
+
+    /// Index from which [`Log::membership`] holds.
+    pub(super) fn membership_index(&self) -> Index {
+        self.memberships[self.memberships.len() - 1].0
+    }
+
+    /// The membership that holds at `index`, which is at or above the snapshot.
+    pub(super) fn membership_at(&self, index: Index) -> &Membership {
+        let later = self.memberships.iter().rev();
+        let mut holding = later.skip_while(|(from, _)| *from > index);
+        holding
+            .next()
+            .map_or(&self.memberships[0].1, |(_, membership)| membership)
+    }
+
+    pub(super) fn append(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.position.index, self.last().index + 1);
+        if let Payload::Membership(membership) = &entry.payload {
+            let from = entry.position.index;
+            self.memberships.push_back((from, membership.clone()));
+        }
+        self.bytes += entry.size();
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `from` on.
+    pub(super) fn truncate(&mut self, from: Index) {
+        let keep = from.saturating_sub(self.base.index + 1) as usize;
+        let dropped = self.entries.split_off(keep.min(self.entries.len()));
+        self.bytes -= dropped.iter().map(Entry::size).sum::<usize>();
+        while self.memberships.len() > 1 && self.membership_index() >= from {
+            self.memberships.pop_back();
+        }
+    }
+
+    /// Entries from `from` to `to` inclusive, up to `most` bytes but at least one.
+    pub(super) fn slice(&self, from: Index, to: Index, most: usize) -> Vec<Entry> {
+        let skipped = from.saturating_sub(self.base.index + 1) as usize;
+        let wanted = (to + 1).saturating_sub(from) as usize;
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let first = bytes == 0;
+            bytes += entry.size();
+            first || bytes <= most
+        };
+        let entries = self.entries.iter().skip(skipped).take(wanted);
+        entries.take_while(fits).cloned().collect()
+    }
+
+    /// Bytes of the entries from `from` to `to` inclusive.
+    pub(super) fn size_of(&self, from: Index, to: Index) -> usize {
+        let skipped = from.saturating_sub(self.base.index + 1) as usize;
+        let wanted = (to + 1).saturating_sub(from) as usize;
+        let entries = self.entries.iter().skip(skipped).take(wanted);
+        entries.map(Entry::size).sum()
+    }
+
+    /// The hint for a refused append; skips every term above the leader's.
+    pub(super) fn conflict(&self, refused: Position) -> Conflict {
+        Conflict {
+            rejected: refused.index,
+            hint: self.at_or_below(Position {
+                term: refused.term,
+                index: refused.index.min(self.last().index),
+            }),
+        }
+    }
+
+    /// The highest place at or below the given one whose term is not above its term. The term
+    /// is 0 if the place lies below the entries in memory.
+    pub(super) fn at_or_below(&self, place: Position) -> Position {
+        let mut index = place.index.min(self.last().index);
+        loop {
+            match self.term_at(index) {
+                Some(term) if term > place.term && index > 0 => index -= 1,
+                Some(term) => return Position { term, index },
+                None => return Position { term: 0, index },
+            }
+        }
+    }
+
+    /// Takes over a snapshot of the own state machine. Entries below it stay while their bytes
+    /// are within `trailing`.
+    pub(super) fn compact(&mut self, snapshot: Snapshot, trailing: usize) {
+        let last = snapshot.meta.last;
+        let mut bytes = self.size_of(self.base.index + 1, last.index);
+        while bytes > trailing {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            bytes -= entry.size();
+            self.bytes -= entry.size();
+            self.base = entry.position;
+        }
+        while self
+            .memberships
+            .get(1)
+            .is_some_and(|(from, _)| *from <= last.index)
+        {
+            self.memberships.pop_front();
+        }
+        self.snapshot = snapshot;
+    }
+
+    /// Replaces the whole log by a leader's snapshot.
+    pub(super) fn install(&mut self, snapshot: Snapshot) {
+        let meta = snapshot.meta.clone();
+        self.entries.clear();
+        self.bytes = 0;
+        self.base = meta.last;
+        self.memberships = VecDeque::from([(meta.last.index, meta.membership)]);
+        self.snapshot = snapshot;
+    }
+
+    fn entry(&self, index: Index) -> Option<&Entry> {
+        let place = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(place as usize)
+    }
+}
--- a/crates/sardinerelay/src/raft/membership.rs
+++ b/crates/sardinerelay/src/raft/membership.rs
@@ -65,7 +65,6 @@
         (applies && !next.voters.is_empty()).then_some(next)
     }
 
-    #[expect(dead_code, reason = "used by the replica, which follows")]
     /// The highest value that a quorum of voters has reached; the lowest value without voters.
     pub(super) fn agreed<Value, Get>(&self, get: Get) -> Value
     where
