Refuse to promote or hand leadership to a silent replica

A learner that had never answered could be promoted while the log was shorter than the allowed lag, which raised the quorum by a replica that was not there. A transfer could pick a voter that was down. Both are refused now with a typed reason.

--- a/crates/sardinerelay/src/raft/leader.rs
+++ b/crates/sardinerelay/src/raft/leader.rs
@@ -209,9 +209,12 @@
         let progress = leader.progress.iter();
         let to = progress
             .filter(|(host, _)| voters.contains(host) && to.is_none_or(|to| to == **host))
-            .max_by_key(|(_, progress)| progress.matched)
+            .max_by_key(|(_, progress)| (self.is_recent(progress), progress.matched))
             .map(|(&host, _)| host)
             .ok_or(Refusal::NotApplicable)?;
+        if !self.is_recent(&leader.progress[&to]) {
+            return Err(Refusal::Silent { host: to });
+        }
         let deadline = self.now + self.config.election;
         if let State::Leader(leader) = &mut self.state {
             leader.lease.revoke();
@@ -316,15 +319,25 @@
         let State::Leader(leader) = &self.state else {
             return Err(self.not_leader());
         };
-        let progress = leader.progress.get(&host);
-        let matched = progress.map_or(0, |progress| progress.matched);
-        let entries = self.log.last().index - matched;
-        if entries > self.config.promote_lag {
+        let Some(progress) = leader.progress.get(&host) else {
+            return Err(Refusal::NotApplicable);
+        };
+        let entries = self.log.last().index - progress.matched;
+        if progress.matched == 0 || entries > self.config.promote_lag {
             return Err(Refusal::Behind { host, entries });
         }
+        if !self.is_recent(progress) {
+            return Err(Refusal::Silent { host });
+        }
         Ok(())
     }
 
+    fn is_recent(&self, progress: &Progress) -> bool {
+        progress
+            .heard
+            .is_some_and(|heard| self.now < heard + self.config.election)
+    }
+
     /// Lets a new membership take effect on the leader. The lease starts again, because it must
     /// rest on a quorum that overlaps with every quorum that could elect another leader.
     fn adopt(&mut self, membership: &Membership) {
--- a/crates/sardinerelay/src/raft/replica.rs
+++ b/crates/sardinerelay/src/raft/replica.rs
@@ -77,7 +77,7 @@
     /// The leader cannot remove itself; it has to transfer leadership first.
     #[error("the leader cannot remove itself; transfer leadership first")]
     RemovesLeader,
-    /// The learner lacks too many entries to become a voter, or the voter to become leader.
+    /// The learner lacks too many entries to become a voter.
     #[error("replica {host} lacks {entries} entries")]
     Behind {
         /// The replica.
@@ -85,6 +85,12 @@
         /// Number of entries it is not known to have.
         entries: u64,
     },
+    /// The replica that would become a voter or the leader has not answered lately.
+    #[error("replica {host} has not answered within the election timeout")]
+    Silent {
+        /// The replica.
+        host: Host,
+    },
 }
 
 /// State of a replica for health checks and metrics.
@@ -255,7 +261,8 @@
 
     /// Transfers leadership, for a planned stop. The lease is given up and proposals are refused
     /// from here on. If `to` has not taken over within an election timeout, this replica steps
-    /// down. `None` picks the voter with the most entries.
+    /// down. `None` picks the voter with the most entries among those that have answered
+    /// lately.
     pub fn transfer(&mut self, to: Option<Host>) -> Result<Host, Refusal> {
         self.start_transfer(to)
     }
--- a/crates/sardinerelay/tests/raft.rs
+++ b/crates/sardinerelay/tests/raft.rs
@@ -276,10 +276,9 @@
         replica.change(Change::Remove(leader)),
         Err(Refusal::RemovesLeader)
     );
-    assert!(matches!(
-        replica.change(Change::Promote(7)),
-        Ok(_) | Err(Refusal::Behind { .. })
-    ));
+    // Host 7 was never started.
+    let refusal = replica.change(Change::Promote(7)).unwrap_err();
+    assert!(matches!(refusal, Refusal::Behind { host: 7, .. }));
 }
 
 /// Guards against a change by a leader that doesn't know yet which earlier change is committed
