--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod admission;
 pub mod fleet;
 pub mod id;
+pub mod lease;
 pub mod ledger;
 pub mod length;
 pub mod operator;
 pub mod orders;
+pub mod raft;
 pub mod refusal_code;
 pub mod resume;
 pub mod router;
@@ -20,3 +22,4 @@
 pub mod sheet;
 pub mod state;
 pub mod stream;
+pub mod wal;
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -1,4 +1,4 @@
-//! The daemon's parts, as a library so that its own tests can reach them.
+//! The daemon's parts, as a library for its tests and measurements.
 
 pub mod api;
 pub mod cli;
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod logging;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
 pub mod prefix;
 pub mod refusal;
