--- a/crates/sardinerelay/src/wal.rs
+++ b/crates/sardinerelay/src/wal.rs
@@ -17,7 +17,11 @@
 //! exit.
 
 mod error;
+mod file;
+mod frame;
 mod identity;
+mod recover;
+mod snapshot;
 mod store;
 
 pub use self::{
--- a/crates/sardinerelay/src/wal/error.rs
+++ b/crates/sardinerelay/src/wal/error.rs
@@ -60,8 +60,11 @@
         #[source]
         source: io::Error,
     },
-    /// A record cannot be stored because it exceeds the limit. The store stays usable.
-    #[error("a record of {bytes} bytes exceeds the limit of {most}")]
+    /// A record cannot be encoded.
+    #[error("encoding a record failed")]
+    Encoding(#[from] postcard::Error),
+    /// A record or snapshot exceeds the limit. After a refused snapshot the store stays usable.
+    #[error("a record or snapshot of {bytes} bytes exceeds the limit of {most}")]
     TooLarge {
         /// Size in bytes.
         bytes: usize,
--- /dev/null
+++ b/crates/sardinerelay/tests/wal.rs
@@ -0,0 +1,381 @@
+//! The store under truncation, damage, failed writes and crashes between its steps.
+
+use {
+    bytes::Bytes,
+    proptest::{collection::vec, prelude::*},
+    sardinerelay::{
+        raft::{Durable, Entry, HardState, Payload, Persist, Position, Snapshot},
+        wal::{Error, Identity, Limits, Recovered, Store},
+    },
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+    tempfile::TempDir,
+    uuid::Uuid,
+};
+
+/// Small, so that a few batches fill several segments.
+const LIMITS: Limits = Limits {
+    segment_bytes: 400,
+    frame_bytes: 4096,
+    snapshot_bytes: 4096,
+};
+
+const IDENTITY: Identity = Identity {
+    cluster: Uuid::from_u128(7),
+    replica: 3,
+};
+
+/// One call of the store.
+#[derive(Debug, Clone)]
+enum Step {
+    Append { entries: u64, bytes: usize },
+    Truncate { back: u64 },
+    Vote(u64),
+    Compact { back: u64 },
+    Install { ahead: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let append = (1..5u64, 0..80usize).prop_map(|(entries, bytes)| Step::Append { entries, bytes });
+    let step = prop_oneof![
+        6 => append,
+        2 => (0..4u64).prop_map(|back| Step::Truncate { back }),
+        2 => (1..9u64).prop_map(Step::Vote),
+        1 => (0..6u64).prop_map(|back| Step::Compact { back }),
+        1 => (1..20u64).prop_map(|ahead| Step::Install { ahead }),
+    ];
+    vec(step, 1..30)
+}
+
+/// A store with the state that each synced batch left, oldest first.
+struct Trial {
+    directory: TempDir,
+    states: Vec<Durable>,
+    /// Size of the newest segment before the last batch, and its path.
+    before: (PathBuf, u64),
+}
+
+impl Trial {
+    fn new(steps: &[Step]) -> Self {
+        let directory = TempDir::new().unwrap();
+        let founding = Durable::founding([1, 2, 3]);
+        Store::create(directory.path(), IDENTITY, &founding).unwrap();
+        let (mut store, recovered) = open(directory.path()).unwrap();
+        let mut states = vec![recovered.durable];
+        let mut before = newest(directory.path());
+        // The last call appends, so that there is a last frame to damage.
+        let last = Step::Append {
+            entries: 1,
+            bytes: 9,
+        };
+        for (term, step) in (1..).zip(steps.iter().chain([&last])) {
+            before = newest(directory.path());
+            let mut state = states[states.len() - 1].clone();
+            run(&mut store, &mut state, term, step);
+            states.push(state);
+        }
+        Self {
+            directory,
+            states,
+            before,
+        }
+    }
+
+    fn path(&self) -> &Path {
+        self.directory.path()
+    }
+
+    fn last(&self) -> &Durable {
+        &self.states[self.states.len() - 1]
+    }
+}
+
+fn open(path: &Path) -> Result<(Store, Recovered), Error> {
+    Store::open_with(path, LIMITS)
+}
+
+fn last_index(state: &Durable) -> u64 {
+    let last = state.entries.last();
+    last.map_or(state.snapshot.meta.last.index, |entry| entry.position.index)
+}
+
+/// Runs one step on the store and on the expected state.
+fn run(store: &mut Store, state: &mut Durable, term: u64, step: &Step) {
+    let base = state.snapshot.meta.last.index;
+    let last = last_index(state);
+    let mut persist = Persist::default();
+    match *step {
+        Step::Append { entries, bytes } => {
+            let entry = |index| Entry {
+                position: Position { term, index },
+                payload: Payload::Data(Bytes::from(vec![term as u8; bytes])),
+            };
+            persist.entries = (last + 1..=last + entries).map(entry).collect();
+            state.entries.extend(persist.entries.clone());
+        }
+        Step::Truncate { back } => {
+            let from = (last + 1).saturating_sub(back).max(base + 1);
+            persist.truncate = Some(from);
+            state.entries.retain(|entry| entry.position.index < from);
+        }
+        Step::Vote(vote) => {
+            state.hard_state = HardState {
+                term,
+                vote: Some(vote),
+            };
+            persist.hard_state = Some(state.hard_state);
+        }
+        Step::Compact { back } => {
+            let index = last.saturating_sub(back);
+            let at = state
+                .entries
+                .iter()
+                .map(|entry| entry.position)
+                .find(|at| at.index == index);
+            let Some(at) = at else { return };
+            state.snapshot.meta.last = at;
+            state.entries.retain(|entry| entry.position.index > index);
+            store.save_snapshot(&state.snapshot).unwrap();
+            return store.compact(index).unwrap();
+        }
+        Step::Install { ahead } => {
+            state.snapshot.meta.last = Position {
+                term,
+                index: last + ahead,
+            };
+            state.snapshot.data = Bytes::from(vec![1; ahead as usize]);
+            state.entries.clear();
+            persist.snapshot = Some(state.snapshot.clone());
+        }
+    }
+    store.persist(&persist).unwrap();
+}
+
+fn files(path: &Path, prefix: &str) -> Vec<PathBuf> {
+    let paths = fs::read_dir(path)
+        .unwrap()
+        .map(|entry| entry.unwrap().path());
+    let mut paths: Vec<PathBuf> = paths
+        .filter(|path| {
+            path.file_name()
+                .unwrap()
+                .to_str()
+                .unwrap()
+                .starts_with(prefix)
+        })
+        .collect();
+    paths.sort();
+    paths
+}
+
+fn newest(path: &Path) -> (PathBuf, u64) {
+    let path = files(path, "segment-").pop().unwrap();
+    let bytes = fs::metadata(&path).unwrap().len();
+    (path, bytes)
+}
+
+/// Opens a store, appends to it and opens it again, to show that it can be continued.
+fn reopen(path: &Path) -> Durable {
+    let (mut store, recovered) = open(path).unwrap();
+    let mut state = recovered.durable.clone();
+    run(
+        &mut store,
+        &mut state,
+        99,
+        &Step::Append {
+            entries: 2,
+            bytes: 5,
+        },
+    );
+    drop(store);
+    assert_eq!(open(path).unwrap().1.durable, state);
+    recovered.durable
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against records that are lost, reordered or changed by a clean restart.
+    #[test]
+    fn restart_recovers_everything(steps in steps()) {
+        let trial = Trial::new(&steps);
+        prop_assert_eq!(&reopen(trial.path()), trial.last());
+    }
+
+    /// Guards against a torn tail that is refused, or read as something that never was.
+    #[test]
+    fn truncated_tail_recovers_a_prefix(steps in steps(), share in 0.0..1.0f64) {
+        let trial = Trial::new(&steps);
+        let (path, bytes) = newest(trial.path());
+        let start = if path == trial.before.0 { trial.before.1 } else { 0 };
+        let cut = start + ((bytes - start) as f64 * share) as u64;
+        fs::File::options().write(true).open(&path).unwrap().set_len(cut).unwrap();
+        prop_assert_eq!(&reopen(trial.path()), &trial.states[trial.states.len() - 2]);
+    }
+
+    /// Guards against damage that is silently read. Before the last frame it must be refused,
+    /// because the records were acknowledged; in the last frame it looks like a torn write.
+    #[test]
+    fn bit_flip_is_never_read(steps in steps(), place in any::<prop::sample::Index>(), bit in 0..8u8) {
+        let trial = Trial::new(&steps);
+        let mut paths = files(trial.path(), "segment-");
+        paths.extend(files(trial.path(), "snapshot-"));
+        paths.extend(files(trial.path(), "identity"));
+        let sizes: Vec<usize> = paths.iter().map(|path| fs::read(path).unwrap().len()).collect();
+        let mut offset = place.index(sizes.iter().sum());
+        let mut file = 0;
+        while offset >= sizes[file] {
+            offset -= sizes[file];
+            file += 1;
+        }
+        let mut content = fs::read(&paths[file]).unwrap();
+        content[offset] ^= 1 << bit;
+        fs::write(&paths[file], content).unwrap();
+        let (path, _) = newest(trial.path());
+        let in_tail = paths[file] == path
+            && (path != trial.before.0 || offset as u64 >= trial.before.1);
+        match open(trial.path()) {
+            Ok((_, recovered)) => {
+                prop_assert!(in_tail, "{:?} at {offset} was accepted", paths[file]);
+                prop_assert!(recovered.torn.is_some());
+                prop_assert_eq!(&recovered.durable, &trial.states[trial.states.len() - 2]);
+            }
+            Err(error) => {
+                prop_assert!(matches!(error, Error::Damaged { .. }), "{error:?}");
+                prop_assert!(error.to_string().contains("new replica id"));
+            }
+        }
+    }
+
+    /// Guards against a missing segment that is skipped.
+    #[test]
+    fn missing_segment_is_refused(steps in steps(), place in any::<prop::sample::Index>()) {
+        let trial = Trial::new(&steps);
+        let mut paths = files(trial.path(), "segment-");
+        paths.pop();
+        if paths.is_empty() {
+            return Ok(());
+        }
+        let removed = place.index(paths.len());
+        fs::remove_file(&paths[removed]).unwrap();
+        let opened = open(trial.path());
+        let whole = opened.as_ref().is_ok_and(|(_, found)| found.durable == *trial.last());
+        let refused = matches!(opened, Err(Error::Damaged { .. }));
+        prop_assert!(whole || refused);
+    }
+}
+
+/// Guards against two processes that write to one directory.
+#[test]
+fn second_process_is_refused() {
+    let trial = Trial::new(&[]);
+    let first = open(trial.path()).unwrap();
+    assert!(matches!(open(trial.path()), Err(Error::Locked { .. })));
+    drop(first);
+    open(trial.path()).unwrap();
+}
+
+/// Guards against a directory that is initialised twice, and thereby forgets its votes.
+#[test]
+fn create_never_overwrites() {
+    let trial = Trial::new(&[]);
+    let again = Store::create(trial.path(), IDENTITY, &Durable::default());
+    assert!(matches!(again, Err(Error::AlreadyInitialised { .. })));
+    fs::remove_file(trial.path().join("identity")).unwrap();
+    let again = Store::create(trial.path(), IDENTITY, &Durable::default());
+    assert!(matches!(again, Err(Error::AlreadyInitialised { .. })));
+    assert!(matches!(open(trial.path()), Err(Error::Damaged { .. })));
+    let empty = TempDir::new().unwrap();
+    assert!(matches!(
+        open(empty.path()),
+        Err(Error::NotInitialised { .. })
+    ));
+}
+
+/// Guards against reading a directory that a newer version wrote.
+#[test]
+fn future_format_is_refused() {
+    let trial = Trial::new(&[]);
+    let text = r#"{"format":2,"replicas":[3]}"#;
+    let checksum = crc32fast::hash(text.as_bytes());
+    let content = format!("{text}\n{checksum:08x}\n");
+    fs::write(trial.path().join("identity"), content).unwrap();
+    assert!(matches!(
+        open(trial.path()),
+        Err(Error::UnknownFormat { found: 2, .. })
+    ));
+}
+
+/// Guards against files of another replica that were copied into the directory.
+#[test]
+fn foreign_segment_is_refused() {
+    let trial = Trial::new(&[]);
+    let other = TempDir::new().unwrap();
+    let identity = Identity {
+        replica: 4,
+        ..IDENTITY
+    };
+    Store::create(other.path(), identity, &Durable::default()).unwrap();
+    fs::copy(other.path().join("identity"), trial.path().join("identity")).unwrap();
+    assert!(matches!(open(trial.path()), Err(Error::Damaged { .. })));
+}
+
+/// Guards against a sync that succeeds after an earlier write failed, when the kernel has
+/// already dropped the data.
+#[test]
+fn failed_write_poisons_the_store() {
+    let trial = Trial::new(&[]);
+    let (mut store, _) = open(trial.path()).unwrap();
+    fs::remove_dir_all(trial.path()).unwrap();
+    let mut snapshot = Snapshot::default();
+    snapshot.meta.last.index = 1;
+    assert!(matches!(
+        store.save_snapshot(&snapshot),
+        Err(Error::Io { .. })
+    ));
+    let results = [
+        store.persist(&Persist::default()),
+        store.append(&Persist::default()),
+        store.sync(),
+        store.save_snapshot(&snapshot),
+        store.compact(1),
+    ];
+    for result in results {
+        assert!(matches!(result, Err(Error::Poisoned { .. })));
+    }
+}
+
+/// Guards against a log that contradicts the snapshot after a crash between saving a leader's
+/// snapshot and resetting the log.
+#[test]
+fn crash_between_snapshot_and_reset_drops_the_log() {
+    let trial = Trial::new(&[Step::Append {
+        entries: 4,
+        bytes: 3,
+    }]);
+    let (mut store, _) = open(trial.path()).unwrap();
+    for last in [
+        Position { term: 9, index: 3 },
+        Position { term: 9, index: 50 },
+    ] {
+        let mut snapshot = trial.last().snapshot.clone();
+        snapshot.meta.last = last;
+        store.save_snapshot(&snapshot).unwrap();
+        drop(store);
+        let state = reopen(trial.path());
+        assert_eq!(
+            state,
+            Durable {
+                snapshot,
+                entries: Vec::new(),
+                ..trial.last().clone()
+            }
+        );
+        store = open(trial.path()).unwrap().0;
+    }
+}
