Remove the timer's rounding from the service and the proxy

Cause: tokio's timer rounds every sleep up to the next millisecond, also one of zero.

Zero delays and due times in the past no longer sleep. Left in, the error would exceed the relay's own latency target of 1 ms.

--- a/crates/sardinerelay-standin/src/pipe.rs
+++ b/crates/sardinerelay-standin/src/pipe.rs
@@ -148,6 +148,14 @@
     }
 }
 
+/// Sleeps until the time, if it is in the future; the runtime's timer would round a time that has
+/// come up to the next millisecond.
+async fn wait_until(time: Instant) {
+    if time > Instant::now() {
+        sleep_until(time).await;
+    }
+}
+
 /// Makes the close of the socket a reset.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
@@ -224,7 +232,7 @@
         mut to: WriteHalf<'_>,
     ) -> io::Result<()> {
         while let Some(Queued { due, piece }) = queue.recv().await {
-            sleep_until(due).await;
+            wait_until(due).await;
             match piece {
                 Piece::Data(data) => self.write_data(direction, data, &mut to).await?,
                 Piece::End => {
@@ -252,7 +260,7 @@
                 Some(limit) => {
                     let part = data.split_to(data.len().min(LIMITED_BYTES));
                     let free = self.counters.reserve(direction, part.len(), limit);
-                    sleep_until(free).await;
+                    wait_until(free).await;
                     part
                 }
                 None => data.split_to(data.len()),
--- a/crates/sardinerelay-standin/src/service.rs
+++ b/crates/sardinerelay-standin/src/service.rs
@@ -180,14 +180,14 @@
 
 async fn run(shared: Shared, call: Call) -> Response {
     let before = shared.lock().config.delay_before;
-    sleep(before).await;
+    pause(before).await;
     let (answer, after, lost) = {
         let mut core = shared.lock();
         let share = core.config.lose_answers;
         let lost = core.random.random_bool(share);
         (core.count(call), core.config.delay_after, lost)
     };
-    sleep(after).await;
+    pause(after).await;
     let mut response = Json(answer).into_response();
     if lost {
         response.extensions_mut().insert(Lost);
@@ -195,6 +195,13 @@
     response
 }
 
+/// Sleeps, except for zero, which the runtime's timer would round up to a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 async fn record(State(shared): State<Shared>) -> Json<Vec<Record>> {
     let core = shared.lock();
     let records = core.order.iter().map(|id| core.records[id].clone());
