Add the load tool

It uses the stand-in library for the fingerprint, so that there is one definition of it.

Arrivals sleep on a thread of their own, because the runtime's timer rounds up to a millisecond, which would show in every latency.

Goodput counts tokens that arrive within the arrival window.

Fault found on the way: all latencies were reported as 0, because saturating_record of hdrhistogram clamps to the initial range instead of growing. The histograms now use record; the run tests check that the median of whole answers is above 2 ms.

--- /dev/null
+++ b/crates/sardineload/src/call.rs
@@ -0,0 +1,339 @@
+//! One request from its arrival to its end.
+
+use {
+    crate::{
+        check::{Checker, End, Failure, Kind as Breach, Violation},
+        client::Client,
+        config::Config,
+        measure::{Knowledge, Outcome, Pace, Sample, Stage},
+        plan::{Arrival, Reading},
+        workload::{Call, Prompt, Work},
+    },
+    bytes::Bytes,
+    compact_str::{CompactString, ToCompactString, format_compact},
+    http::{Request, Response, StatusCode, header, request},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    sardinerelay_standin::service::{Answer, digest},
+    serde::Deserialize,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::time::{sleep, timeout_at},
+    uuid::{Builder, Uuid},
+};
+
+/// How often a keyed call is sent whose answer is lost.
+const MAX_ATTEMPTS: u32 = 3;
+/// Pause before a keyed call is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(200);
+
+/// What all requests of a run share.
+#[derive(Debug)]
+pub struct Runner {
+    /// Settings.
+    pub config: Config,
+    /// Client.
+    pub client: Client,
+    /// Unique name of the run, which all request ids begin with.
+    pub run: CompactString,
+    /// Start of the run.
+    pub start: Instant,
+}
+
+/// Progress of one stream; survives the timeout that cuts it off.
+struct Stream {
+    checker: Checker,
+    pace: Pace,
+    done: Option<Instant>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ErrorBody {
+    error: Failure,
+}
+
+impl Runner {
+    /// Sends the request and follows it to its end.
+    pub async fn arrive(&self, arrival: Arrival) -> Sample {
+        let intended = self.start + arrival.at;
+        let sample = Sample {
+            kind: arrival.kind,
+            organisation: arrival.organisation,
+            id: format_compact!("{}-{}", self.run, arrival.number),
+            intended,
+            lateness: Instant::now().saturating_duration_since(intended),
+            outcome: Outcome::TimedOut,
+            ended: intended,
+            pace: Pace::default(),
+            tokens: 0,
+            demanded: 0,
+            preemptions: 0,
+            slow: arrival.reading == Reading::Slow,
+            attempts: 0,
+            knowledge: Knowledge::Unknown,
+            violations: Vec::new(),
+        };
+        match &arrival.work {
+            Work::Generate(prompt) => self.generate(&arrival, prompt, sample).await,
+            Work::Call(call) => self.call(&arrival, call, sample).await,
+        }
+    }
+
+    async fn generate(&self, arrival: &Arrival, prompt: &Prompt, mut sample: Sample) -> Sample {
+        let mut stream = Stream {
+            checker: Checker::new(sample.id.clone(), prompt.fingerprint, prompt.tokens),
+            pace: Pace::default(),
+            done: None,
+        };
+        let deadline = (sample.intended + self.config.timeout).into();
+        let read = self.read_stream(arrival, prompt, &sample.id, &mut stream);
+        let outcome = match timeout_at(deadline, read).await {
+            Ok(outcome) => outcome,
+            Err(_) if stream.done.is_some() => Outcome::Whole,
+            Err(_) => Outcome::TimedOut,
+        };
+        sample.attempts = 1;
+        sample.ended = stream.done.unwrap_or_else(Instant::now);
+        if !matches!(outcome, Outcome::Whole | Outcome::Left) {
+            stream.pace.give_up(sample.ended);
+        }
+        sample.demanded = match arrival.reading {
+            Reading::Leaves(tokens) => tokens,
+            Reading::Whole | Reading::Slow => prompt.tokens,
+        };
+        sample.knowledge = knowledge(&outcome);
+        sample.outcome = outcome;
+        sample.tokens = stream.checker.tokens();
+        sample.preemptions = stream.checker.preemptions;
+        sample.violations = stream.checker.violations;
+        sample.pace = stream.pace;
+        sample
+    }
+
+    async fn read_stream(
+        &self,
+        arrival: &Arrival,
+        prompt: &Prompt,
+        id: &str,
+        stream: &mut Stream,
+    ) -> Outcome {
+        let server = rotate(&self.config.servers, arrival.number);
+        let request = self
+            .request(arrival, "POST", server, prompt.path)
+            .header("x-request-id", id)
+            .header(header::ACCEPT, "text/event-stream")
+            .body(Full::from(prompt.body.clone()))
+            .expect("the headers are valid");
+        let slow = arrival.reading == Reading::Slow;
+        let response = match self.client.send(request, slow).await {
+            Ok(response) => response,
+            Err(error) => return broken(&error),
+        };
+        if response.status() != StatusCode::OK {
+            return refusal(response).await;
+        }
+        let pause = match arrival.reading {
+            Reading::Slow => self.config.slow_pause,
+            Reading::Leaves(_) | Reading::Whole => Duration::ZERO,
+        };
+        let body = response.into_body();
+        stream.read(body, arrival.reading, pause).await
+    }
+
+    async fn call(&self, arrival: &Arrival, call: &Call, mut sample: Sample) -> Sample {
+        if let Some(random) = &call.key {
+            sample.id = key(random);
+        }
+        let deadline = (sample.intended + self.config.timeout).into();
+        let request_id = format_compact!("{}-{}", self.run, arrival.number);
+        let mut all_not_run = true;
+        loop {
+            let attempt = self.attempt(arrival, call, &request_id, &mut sample);
+            sample.outcome = match timeout_at(deadline, attempt).await {
+                Ok(outcome) => outcome,
+                Err(_) => Outcome::TimedOut,
+            };
+            all_not_run &= knowledge(&sample.outcome) == Knowledge::NotRun;
+            let lost = matches!(sample.outcome, Outcome::Broken(_));
+            if !lost || call.key.is_none() || sample.attempts >= MAX_ATTEMPTS {
+                break;
+            }
+            sleep(RESEND_PAUSE).await;
+        }
+        sample.ended = Instant::now();
+        sample.knowledge = match knowledge(&sample.outcome) {
+            Knowledge::NotRun if !all_not_run => Knowledge::Unknown,
+            knowledge => knowledge,
+        };
+        sample
+    }
+
+    async fn attempt(
+        &self,
+        arrival: &Arrival,
+        call: &Call,
+        request_id: &str,
+        sample: &mut Sample,
+    ) -> Outcome {
+        let servers = match self.config.plain_servers.is_empty() {
+            true => &self.config.servers,
+            false => &self.config.plain_servers,
+        };
+        let server = rotate(servers, arrival.number + u64::from(sample.attempts));
+        sample.attempts += 1;
+        let mut request = self
+            .request(arrival, call.method, server, &call.path)
+            .header("x-request-id", request_id);
+        if call.key.is_some() {
+            request = request.header("idempotency-key", sample.id.as_str());
+        }
+        let request = request
+            .body(Full::from(call.body.clone()))
+            .expect("the headers are valid");
+        let response = match self.client.send(request, false).await {
+            Ok(response) => response,
+            Err(error) => return broken(&error),
+        };
+        if !response.status().is_success() {
+            return refusal(response).await;
+        }
+        match response.into_body().collect().await {
+            Ok(body) => {
+                let found = check_answer(call, &sample.id, &body.to_bytes());
+                sample.violations.extend(found);
+                Outcome::Whole
+            }
+            Err(_) => Outcome::Broken(Stage::Body),
+        }
+    }
+
+    fn request(
+        &self,
+        arrival: &Arrival,
+        method: &str,
+        server: SocketAddr,
+        path: &str,
+    ) -> request::Builder {
+        let organisation = &self.config.organisations[arrival.organisation];
+        let builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{server}{path}"))
+            .header(header::CONTENT_TYPE, "application/json");
+        match &organisation.key {
+            Some(key) => builder.header(header::AUTHORIZATION, format!("Bearer {key}")),
+            None => builder.header("x-organisation", organisation.name.as_str()),
+        }
+    }
+}
+
+impl Stream {
+    async fn read(&mut self, mut body: Incoming, reading: Reading, pause: Duration) -> Outcome {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return match self.checker.end.clone() {
+                    End::Done => Outcome::Whole,
+                    End::Failed(failure) => Outcome::Failed(failure),
+                    End::Open => Outcome::Broken(Stage::Body),
+                };
+            };
+            if let Ok(data) = frame.into_data() {
+                self.take(&data);
+            }
+            if let Reading::Leaves(tokens) = reading
+                && self.checker.tokens() >= tokens
+            {
+                return Outcome::Left;
+            }
+            if !pause.is_zero() {
+                sleep(pause).await;
+            }
+        }
+        self.checker.finish();
+        match self.checker.end.clone() {
+            End::Done => Outcome::Whole,
+            End::Failed(failure) => Outcome::Failed(failure),
+            End::Open => Outcome::Broken(Stage::Body),
+        }
+    }
+
+    fn take(&mut self, data: &Bytes) {
+        let now = Instant::now();
+        let tokens = self.checker.push(data);
+        if tokens > 0 {
+            self.pace.arrive(tokens, now);
+        }
+        if self.checker.end == End::Done {
+            self.done.get_or_insert(now);
+        }
+    }
+}
+
+/// Checks that a plain answer belongs to its call, and that the call ran once.
+fn check_answer(call: &Call, id: &CompactString, body: &[u8]) -> Vec<Violation> {
+    let violation = |kind, detail| Violation {
+        kind,
+        request: id.clone(),
+        detail,
+    };
+    let Ok(answer) = serde_json::from_slice::<Answer>(body) else {
+        let text = String::from_utf8_lossy(body);
+        let excerpt = text.chars().take(80).collect();
+        return vec![violation(Breach::Malformed, excerpt)];
+    };
+    let mut violations = Vec::new();
+    let foreign_key = call.key.is_some() && answer.key != *id;
+    if foreign_key || answer.method != call.method || answer.digest != digest(call.body.as_bytes())
+    {
+        let detail = format_compact!("answer to {} {}", answer.method, answer.path);
+        violations.push(violation(Breach::Crossed, detail));
+    }
+    if call.key.is_some() && answer.count > 1 {
+        let detail = format_compact!("the answer states {} runs", answer.count);
+        violations.push(violation(Breach::RanTwice, detail));
+    }
+    violations
+}
+
+async fn refusal(response: Response<Incoming>) -> Outcome {
+    let status = response.status().as_u16();
+    let Ok(body) = response.into_body().collect().await else {
+        return Outcome::Broken(Stage::Body);
+    };
+    let body: ErrorBody = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+    Outcome::Refused(status, body.error)
+}
+
+fn broken(error: &hyper_util::client::legacy::Error) -> Outcome {
+    match error.is_connect() {
+        true => Outcome::Broken(Stage::Connect),
+        false => Outcome::Broken(Stage::Head),
+    }
+}
+
+fn knowledge(outcome: &Outcome) -> Knowledge {
+    match outcome {
+        Outcome::Whole | Outcome::Left => Knowledge::Ran,
+        Outcome::Refused(_, failure) | Outcome::Failed(failure) if failure.run == "not_run" => {
+            Knowledge::NotRun
+        }
+        // Without a connection, no byte was handed over.
+        Outcome::Broken(Stage::Connect) => Knowledge::NotRun,
+        _ => Knowledge::Unknown,
+    }
+}
+
+/// A UUIDv7 whose time is now and whose rest is from the seed.
+fn key(random: &[u8; 10]) -> CompactString {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let key: Uuid = Builder::from_unix_timestamp_millis(now, random).into_uuid();
+    key.to_compact_string()
+}
+
+fn rotate(servers: &[SocketAddr], number: u64) -> SocketAddr {
+    servers[(number % servers.len() as u64) as usize]
+}
--- /dev/null
+++ b/crates/sardineload/src/check.rs
@@ -0,0 +1,301 @@
+//! Check of one answer stream against guarantees G1 and G2 of `docs/design.md`.
+
+use {
+    crate::events::{Event, Parser},
+    compact_str::{CompactString, format_compact},
+    serde::{Deserialize, Serialize},
+};
+
+/// Kind of violation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A token index arrived again or out of order.
+    Duplicate,
+    /// Token indices are missing between two tokens.
+    Gap,
+    /// A token, or a plain answer, belongs to another request.
+    Crossed,
+    /// Tokens come from more than one generation.
+    MixedGenerations,
+    /// The event's id and its text disagree about the index.
+    Misnumbered,
+    /// An event can't be read.
+    Malformed,
+    /// The answer ended as if complete, with tokens missing.
+    Truncated,
+    /// The answer has more tokens than it should have.
+    Overlong,
+    /// Something arrived after the end of the answer.
+    AfterEnd,
+    /// A call with an idempotency key ran more than once.
+    RanTwice,
+    /// A request refused as "not run" was run.
+    RefusedButRan,
+    /// A call that was answered with success never ran.
+    AcknowledgedNotRun,
+}
+
+/// One violation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// Kind of violation.
+    pub kind: Kind,
+    /// Request id or idempotency key.
+    pub request: CompactString,
+    /// What was expected and what was seen.
+    pub detail: CompactString,
+}
+
+/// The typed error that ended a stream, or a refusal.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Failure {
+    /// The error's code.
+    pub code: CompactString,
+    /// Whether the request ran: `not_run` or `unknown`.
+    pub run: CompactString,
+}
+
+/// How a stream ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// It has not ended yet.
+    Open,
+    /// With `[DONE]`.
+    Done,
+    /// With a typed error.
+    Failed(Failure),
+}
+
+/// Check of one stream.
+#[derive(Debug)]
+pub struct Checker {
+    request: CompactString,
+    fingerprint: u32,
+    expected: u64,
+    parser: Parser,
+    generation: Option<CompactString>,
+    next: u64,
+    /// How the stream ended so far.
+    pub end: End,
+    /// Preemptions that the usage event states.
+    pub preemptions: u64,
+    /// What was found.
+    pub violations: Vec<Violation>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    id: CompactString,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+    #[serde(default)]
+    preemptions: u64,
+    error: Option<Failure>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    delta: Delta,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Usage {
+    completion_tokens: u64,
+}
+
+impl Checker {
+    /// Expects `tokens` tokens that carry the fingerprint.
+    pub fn new(request: CompactString, fingerprint: u32, tokens: u64) -> Self {
+        Self {
+            request,
+            fingerprint,
+            expected: tokens,
+            parser: Parser::default(),
+            generation: None,
+            next: 0,
+            end: End::Open,
+            preemptions: 0,
+            violations: Vec::new(),
+        }
+    }
+
+    /// Takes the next bytes and returns how many tokens they carry.
+    pub fn push(&mut self, bytes: &[u8]) -> u64 {
+        let events = self.parser.push(bytes);
+        events.iter().map(|event| self.event(event)).sum()
+    }
+
+    /// Notes that the stream ended in an orderly way.
+    pub fn finish(&mut self) {
+        if matches!(self.end, End::Failed(_)) {
+            return;
+        }
+        if self.end == End::Open || self.parser.is_partial() {
+            let next = self.next;
+            self.report(
+                Kind::Truncated,
+                format_compact!("ended after {next} tokens without [DONE]"),
+            );
+        }
+    }
+
+    /// Tokens received, counted by the highest index.
+    pub fn tokens(&self) -> u64 {
+        self.next
+    }
+
+    fn event(&mut self, event: &Event) -> u64 {
+        if self.end != End::Open {
+            self.report(Kind::AfterEnd, excerpt(&event.data));
+            return 0;
+        }
+        if event.data == "[DONE]" {
+            self.done();
+            return 0;
+        }
+        let chunk: Chunk = match serde_json::from_str(&event.data) {
+            Ok(chunk) => chunk,
+            Err(_) => {
+                self.report(Kind::Malformed, excerpt(&event.data));
+                return 0;
+            }
+        };
+        if let Some(failure) = chunk.error {
+            self.end = End::Failed(failure);
+            return 0;
+        }
+        self.check_generation(&chunk.id);
+        if let Some(usage) = chunk.usage {
+            self.preemptions = chunk.preemptions;
+            self.check_usage(&usage);
+        }
+        let texts = chunk.choices.iter().map(Choice::text);
+        texts.map(|text| self.text(text, &event.id)).sum()
+    }
+
+    fn text(&mut self, text: &str, event_id: &str) -> u64 {
+        let mut tokens = 0;
+        for word in text.split_ascii_whitespace() {
+            tokens += 1;
+            self.token(word);
+        }
+        let stated = event_id.rsplit_once('.').map(|(_, index)| index.parse());
+        if tokens > 0
+            && let Some(Ok(stated)) = stated
+            && text
+                .rsplit_once('.')
+                .and_then(|(_, index)| index.trim().parse::<u64>().ok())
+                != Some(stated)
+        {
+            self.report(
+                Kind::Misnumbered,
+                format_compact!("id states {stated}, text is {}", excerpt(text)),
+            );
+        }
+        tokens
+    }
+
+    fn token(&mut self, word: &str) {
+        let parsed = word.split_once('.').and_then(|(fingerprint, index)| {
+            let fingerprint = u32::from_str_radix(fingerprint, 16).ok()?;
+            Some((fingerprint, index.parse::<u64>().ok()?))
+        });
+        let Some((fingerprint, index)) = parsed else {
+            return self.report(Kind::Malformed, excerpt(word));
+        };
+        if fingerprint != self.fingerprint {
+            let own = self.fingerprint;
+            return self.report(
+                Kind::Crossed,
+                format_compact!("expected fingerprint {own:08x}, got {word}"),
+            );
+        }
+        let next = self.next;
+        if index < next {
+            let detail = format_compact!("expected index {next}, got {index}");
+            return self.report(Kind::Duplicate, detail);
+        }
+        if index > next {
+            self.report(
+                Kind::Gap,
+                format_compact!("expected index {next}, got {index}"),
+            );
+        }
+        if index >= self.expected && next <= self.expected {
+            let expected = self.expected;
+            self.report(
+                Kind::Overlong,
+                format_compact!("expected {expected} tokens, got index {index}"),
+            );
+        }
+        self.next = index + 1;
+    }
+
+    fn check_generation(&mut self, id: &CompactString) {
+        if id.is_empty() {
+            return;
+        }
+        match &self.generation {
+            None => self.generation = Some(id.clone()),
+            Some(first) if first == id => {}
+            Some(first) => {
+                let detail = format_compact!("began with {first}, then {id}");
+                self.report(Kind::MixedGenerations, detail);
+                self.generation = Some(id.clone());
+            }
+        }
+    }
+
+    fn check_usage(&mut self, usage: &Usage) {
+        if usage.completion_tokens != self.next {
+            let (next, stated) = (self.next, usage.completion_tokens);
+            self.report(
+                Kind::Truncated,
+                format_compact!("usage states {stated} tokens, {next} arrived"),
+            );
+        }
+    }
+
+    fn done(&mut self) {
+        self.end = End::Done;
+        let (next, expected) = (self.next, self.expected);
+        if next < expected {
+            self.report(
+                Kind::Truncated,
+                format_compact!("[DONE] after {next} of {expected} tokens"),
+            );
+        }
+    }
+
+    fn report(&mut self, kind: Kind, detail: CompactString) {
+        let request = self.request.clone();
+        self.violations.push(Violation {
+            kind,
+            request,
+            detail,
+        });
+    }
+}
+
+impl Choice {
+    fn text(&self) -> &str {
+        self.delta.content.as_deref().unwrap_or(&self.text)
+    }
+}
+
+fn excerpt(text: &str) -> CompactString {
+    text.chars().take(80).collect()
+}
--- /dev/null
+++ b/crates/sardineload/src/report.rs
@@ -0,0 +1,445 @@
+//! The report of a run, as data for JSON and as text.
+
+use {
+    crate::{
+        check::{Kind as Breach, Violation},
+        config::Config,
+        measure::{Second, Stats, Totals, jain},
+        verify::Records,
+        workload::Workload,
+    },
+    compact_str::CompactString,
+    hdrhistogram::Histogram,
+    serde::Serialize,
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Display, Formatter},
+    },
+};
+
+/// Violations that are listed one by one; all are counted.
+const LISTED_VIOLATIONS: usize = 100;
+/// Steps of the curves per factor of ten in `1 / (1 - quantile)`.
+const CURVE_STEPS: u32 = 8;
+/// Factors of ten in the curves; 4 ends at the 99.99th percentile.
+const CURVE_DECADES: u32 = 4;
+
+/// The report of a run.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Mix of requests.
+    pub workload: Workload,
+    /// Seed.
+    pub seed: u64,
+    /// Mean arrivals per second that were asked for.
+    pub rate: f64,
+    /// Time in seconds during which requests arrived.
+    pub duration_s: f64,
+    /// Time in seconds until the last request ended.
+    pub elapsed_s: f64,
+    /// Tokens per second of `duration_s` that arrived within it and belong to whole and correct
+    /// answers, whenever those ended.
+    pub goodput_tokens_per_s: f64,
+    /// Whole and correct generations per second of `duration_s` that ended within it.
+    pub goodput_answers_per_s: f64,
+    /// All tokens that arrived.
+    pub tokens: u64,
+    /// Jain's index over the organisations' ratio of tokens served to tokens demanded.
+    pub jain: f64,
+    /// Preemptions that the usage events of whole answers state.
+    pub preemptions_usage: u64,
+    /// Preemptions that the engines recorded for this run, if they were asked.
+    pub preemptions_recorded: Option<u64>,
+    /// All generations together.
+    pub generations: Row,
+    /// By kind of request.
+    pub kinds: BTreeMap<&'static str, Row>,
+    /// Refusals and errors by status, code and whether the request ran.
+    pub refusals: BTreeMap<CompactString, u64>,
+    /// Violations by kind.
+    pub violations: BTreeMap<Breach, u64>,
+    /// The first violations.
+    pub violation_list: Vec<Violation>,
+    /// By organisation.
+    pub organisations: Vec<OrganisationRow>,
+    /// How late the load tool sent requests; part of every latency.
+    pub lateness_ms: Quantiles,
+    /// Latency curves of all generations.
+    pub curves: Curves,
+    /// By second from the start.
+    pub seconds: Vec<SecondRow>,
+}
+
+/// Figures of one kind of request.
+#[derive(Debug, Serialize)]
+pub struct Row {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests with a first token, or plain calls with an answer.
+    pub started: u64,
+    /// Requests with a whole and correct answer.
+    pub good: u64,
+    /// Requests whose caller left as planned.
+    pub left: u64,
+    /// Refused requests.
+    pub refused: u64,
+    /// Requests whose stream ended with a typed error.
+    pub failed: u64,
+    /// Requests whose connection failed.
+    pub broken: u64,
+    /// Requests that were given up.
+    pub timed_out: u64,
+    /// Attempts beyond the first.
+    pub resent: u64,
+    /// Time to the first token.
+    pub first_ms: Quantiles,
+    /// Time between tokens.
+    pub between_ms: Quantiles,
+    /// Time to the whole answer.
+    pub whole_ms: Quantiles,
+    /// Stall time in seconds.
+    pub stall_s: f64,
+    /// Streams with any stall time.
+    pub stalled: u64,
+}
+
+/// Quantiles of a latency in milliseconds.
+#[derive(Debug, Serialize)]
+pub struct Quantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Mean.
+    pub mean: f64,
+    /// Median.
+    pub p50: f64,
+    /// 90th percentile.
+    pub p90: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+    /// Maximum.
+    pub max: f64,
+}
+
+/// Figures of one organisation.
+#[derive(Debug, Serialize)]
+pub struct OrganisationRow {
+    /// Name.
+    pub name: CompactString,
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests that were served.
+    pub served: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Tokens that its callers wanted to read.
+    pub demanded_tokens: u64,
+    /// Tokens of served requests.
+    pub served_tokens: u64,
+}
+
+/// Latency curves as pairs of quantile and milliseconds.
+#[derive(Debug, Serialize)]
+pub struct Curves {
+    /// Time to the first token.
+    pub first: Vec<(f64, f64)>,
+    /// Time between tokens.
+    pub between: Vec<(f64, f64)>,
+    /// Time to the whole answer.
+    pub whole: Vec<(f64, f64)>,
+}
+
+/// One second of the run.
+#[derive(Debug, Serialize)]
+pub struct SecondRow {
+    /// Tokens that arrived.
+    pub tokens: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests that failed, broke or were given up.
+    pub lost: u64,
+}
+
+impl Report {
+    /// Sums up a run.
+    pub fn new(config: &Config, totals: &Totals, records: &Records) -> Self {
+        let mut found = totals.violations.clone();
+        found.extend(records.check(totals));
+        let mut violations = BTreeMap::new();
+        for violation in &found {
+            *violations.entry(violation.kind).or_default() += 1;
+        }
+        found.truncate(LISTED_VIOLATIONS);
+        let duration = config.duration.as_secs_f64();
+        let generations = &totals.generations;
+        Self {
+            workload: config.workload,
+            seed: config.seed,
+            rate: config.rate,
+            duration_s: duration,
+            elapsed_s: totals.elapsed().as_secs_f64(),
+            goodput_tokens_per_s: totals.good_tokens as f64 / duration,
+            goodput_answers_per_s: totals.good_answers as f64 / duration,
+            tokens: totals.tokens,
+            jain: fairness(totals),
+            preemptions_usage: totals.preemptions,
+            preemptions_recorded: records.read.0.then_some(records.preemptions),
+            generations: Row::new(generations),
+            kinds: totals
+                .kinds
+                .iter()
+                .map(|(kind, stats)| (kind.name(), Row::new(stats)))
+                .collect(),
+            refusals: totals.refusals.clone(),
+            violations,
+            violation_list: found,
+            organisations: organisations(config, totals),
+            lateness_ms: Quantiles::new(&totals.lateness),
+            curves: Curves {
+                first: curve(&generations.first),
+                between: curve(&generations.between),
+                whole: curve(&generations.whole),
+            },
+            seconds: totals.seconds.iter().map(SecondRow::new).collect(),
+        }
+    }
+
+    /// Number of violations.
+    pub fn violations(&self) -> u64 {
+        self.violations.values().sum()
+    }
+}
+
+impl Row {
+    fn new(stats: &Stats) -> Self {
+        Self {
+            arrived: stats.arrived,
+            started: stats.started,
+            good: stats.good,
+            left: stats.left,
+            refused: stats.refused,
+            failed: stats.failed,
+            broken: stats.broken,
+            timed_out: stats.timed_out,
+            resent: stats.resent,
+            first_ms: Quantiles::new(&stats.first),
+            between_ms: Quantiles::new(&stats.between),
+            whole_ms: Quantiles::new(&stats.whole),
+            stall_s: stats.stall.as_secs_f64(),
+            stalled: stats.stalled,
+        }
+    }
+}
+
+impl Quantiles {
+    fn new(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile| milliseconds(histogram.value_at_quantile(quantile));
+        Self {
+            count: histogram.len(),
+            mean: histogram.mean() / 1000.0,
+            p50: at(0.5),
+            p90: at(0.9),
+            p95: at(0.95),
+            p99: at(0.99),
+            p999: at(0.999),
+            max: milliseconds(histogram.max()),
+        }
+    }
+}
+
+impl SecondRow {
+    fn new(second: &Second) -> Self {
+        Self {
+            tokens: second.tokens,
+            refused: second.refused,
+            lost: second.lost,
+        }
+    }
+}
+
+fn milliseconds(microseconds: u64) -> f64 {
+    microseconds as f64 / 1000.0
+}
+
+fn curve(histogram: &Histogram<u64>) -> Vec<(f64, f64)> {
+    if histogram.is_empty() {
+        return Vec::new();
+    }
+    (0..=CURVE_STEPS * CURVE_DECADES)
+        .map(|step| 1.0 - 10_f64.powf(-f64::from(step) / f64::from(CURVE_STEPS)))
+        .map(|quantile| {
+            (
+                quantile,
+                milliseconds(histogram.value_at_quantile(quantile)),
+            )
+        })
+        .collect()
+}
+
+fn fairness(totals: &Totals) -> f64 {
+    let shares: Vec<f64> = totals
+        .organisations
+        .iter()
+        .filter(|account| account.demanded > 0)
+        .map(|account| account.tokens as f64 / account.demanded as f64)
+        .collect();
+    jain(&shares)
+}
+
+fn organisations(config: &Config, totals: &Totals) -> Vec<OrganisationRow> {
+    config
+        .organisations
+        .iter()
+        .zip(&totals.organisations)
+        .map(|(organisation, account)| OrganisationRow {
+            name: organisation.name.clone(),
+            arrived: account.arrived,
+            served: account.served,
+            refused: account.refused,
+            demanded_tokens: account.demanded,
+            served_tokens: account.tokens,
+        })
+        .collect()
+}
+
+impl Display for Report {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            out,
+            "{:?}, seed {}, {} requests/s for {:.1} s, ended after {:.1} s",
+            self.workload, self.seed, self.rate, self.duration_s, self.elapsed_s
+        )?;
+        writeln!(
+            out,
+            "goodput {:.1} tokens/s and {:.2} answers/s, Jain {:.4}",
+            self.goodput_tokens_per_s, self.goodput_answers_per_s, self.jain
+        )?;
+        writeln!(
+            out,
+            "stall time {:.3} s in {} of {} started streams",
+            self.generations.stall_s, self.generations.stalled, self.generations.started
+        )?;
+        write!(out, "preemptions {} by usage", self.preemptions_usage)?;
+        match self.preemptions_recorded {
+            Some(recorded) => writeln!(out, ", {recorded} recorded by the engines")?,
+            None => writeln!(out)?,
+        }
+        self.write_counts(out)?;
+        self.write_latencies(out)?;
+        self.write_organisations(out)?;
+        self.write_errors(out)
+    }
+}
+
+impl Report {
+    fn write_counts(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            out,
+            "\n{:<12}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
+            "kind",
+            "arrived",
+            "started",
+            "good",
+            "left",
+            "refused",
+            "failed",
+            "broken",
+            "given up",
+            "resent"
+        )?;
+        for (name, row) in &self.kinds {
+            writeln!(
+                out,
+                "{name:<12}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
+                row.arrived,
+                row.started,
+                row.good,
+                row.left,
+                row.refused,
+                row.failed,
+                row.broken,
+                row.timed_out,
+                row.resent
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_latencies(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            out,
+            "\n{:<26}{:>9}{:>11}{:>11}{:>11}{:>11}{:>11}{:>11}",
+            "latency in ms", "count", "mean", "p50", "p95", "p99", "p99.9", "max"
+        )?;
+        let generations = &self.generations;
+        write_quantiles(out, "first token", &generations.first_ms)?;
+        write_quantiles(out, "between tokens", &generations.between_ms)?;
+        write_quantiles(out, "whole generation", &generations.whole_ms)?;
+        for (name, row) in &self.kinds {
+            if row.first_ms.count > 0 {
+                write_quantiles(out, &format!("{name}, first token"), &row.first_ms)?;
+            }
+            write_quantiles(out, &format!("{name}, whole"), &row.whole_ms)?;
+        }
+        write_quantiles(out, "lateness of the load tool", &self.lateness_ms)
+    }
+
+    fn write_organisations(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            out,
+            "\n{:<18}{:>9}{:>9}{:>9}{:>12}{:>12}",
+            "organisation", "arrived", "served", "refused", "demanded", "tokens"
+        )?;
+        for row in &self.organisations {
+            writeln!(
+                out,
+                "{:<18}{:>9}{:>9}{:>9}{:>12}{:>12}",
+                row.name,
+                row.arrived,
+                row.served,
+                row.refused,
+                row.demanded_tokens,
+                row.served_tokens
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_errors(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        if !self.refusals.is_empty() {
+            writeln!(out, "\nrefusals and errors")?;
+        }
+        for (name, count) in &self.refusals {
+            writeln!(out, "{count:>9}  {name}")?;
+        }
+        writeln!(out, "\nviolations {}", self.violations())?;
+        for (kind, count) in &self.violations {
+            writeln!(out, "{count:>9}  {kind:?}")?;
+        }
+        for violation in &self.violation_list {
+            writeln!(
+                out,
+                "{:?} {}: {}",
+                violation.kind, violation.request, violation.detail
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn write_quantiles(out: &mut Formatter<'_>, name: &str, quantiles: &Quantiles) -> fmt::Result {
+    writeln!(
+        out,
+        "{name:<26}{:>9}{:>11.2}{:>11.2}{:>11.2}{:>11.2}{:>11.2}{:>11.2}",
+        quantiles.count,
+        quantiles.mean,
+        quantiles.p50,
+        quantiles.p95,
+        quantiles.p99,
+        quantiles.p999,
+        quantiles.max
+    )
+}
--- /dev/null
+++ b/crates/sardineload/src/run.rs
@@ -0,0 +1,109 @@
+//! A whole run: arrivals, measurement, the check of records, and the report.
+
+use {
+    crate::{
+        call::Runner,
+        client::{Client, ReadError},
+        config::Config,
+        measure::Totals,
+        plan::{Arrival, Plan},
+        report::Report,
+        verify::Records,
+    },
+    compact_str::CompactString,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+    thiserror::Error,
+    tokio::{sync::mpsc, task::JoinSet, time::sleep},
+    uuid::Uuid,
+};
+
+/// Time before the first arrival, so that threads are up.
+const LEAD: Duration = Duration::from_millis(50);
+/// Wait before records are read, so that calls whose caller gave up can still run.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Why a run has no report.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A stand-in's record can't be read.
+    #[error("reading the record of {0}")]
+    Record(SocketAddr, #[source] ReadError),
+}
+
+/// Runs the load and returns its report.
+///
+/// # Errors
+///
+/// Returns an error if a record can't be read at the end.
+pub async fn run(config: Config) -> Result<Report, Error> {
+    let start = Instant::now() + LEAD;
+    let id = Uuid::new_v4().simple().to_string();
+    let runner = Arc::new(Runner {
+        client: Client::new(),
+        run: CompactString::new(&id[..12]),
+        start,
+        config,
+    });
+    log::info!("run {} with seed {}", runner.run, runner.config.seed);
+    let totals = drive(&runner).await;
+    let config = &runner.config;
+    if !config.engines.is_empty() || !config.services.is_empty() {
+        sleep(SETTLE).await;
+    }
+    let records = Records::read(
+        &runner.client,
+        &runner.run,
+        &config.engines,
+        &config.services,
+    )
+    .await
+    .map_err(|(address, error)| Error::Record(address, error))?;
+    Ok(Report::new(config, &totals, &records))
+}
+
+/// Sends every request at its time and adds up the samples.
+async fn drive(runner: &Arc<Runner>) -> Totals {
+    let (sender, mut arrivals) = mpsc::unbounded_channel();
+    let schedule = runner.clone();
+    let scheduler = thread::spawn(move || schedule_arrivals(&schedule, &sender));
+    let config = &runner.config;
+    let mut totals = Totals::new(config.organisations.len(), runner.start, config.duration);
+    let mut requests = JoinSet::new();
+    let mut open = true;
+    while open || !requests.is_empty() {
+        tokio::select! {
+            arrival = arrivals.recv(), if open => match arrival {
+                Some(arrival) => {
+                    let runner = runner.clone();
+                    requests.spawn(async move { runner.arrive(arrival).await });
+                }
+                None => open = false,
+            },
+            Some(ended) = requests.join_next() => match ended {
+                Ok(sample) => totals.add(sample),
+                Err(error) => log::error!("a request failed within the load tool: {error}"),
+            },
+        }
+    }
+    if scheduler.join().is_err() {
+        log::error!("the arrivals ended early");
+    }
+    totals
+}
+
+/// Sleeps on a thread of its own, because the runtime's timer rounds up to a millisecond, which
+/// would show in every latency.
+fn schedule_arrivals(runner: &Runner, sender: &mpsc::UnboundedSender<Arrival>) {
+    for arrival in Plan::new(&runner.config) {
+        let due = runner.start + arrival.at;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if sender.send(arrival).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineload/tests/load/check.rs
@@ -0,0 +1,82 @@
+use {
+    rstest::rstest,
+    sardineload::check::{Checker, End, Kind},
+};
+
+const FINGERPRINT: u32 = 0x00ab_cdef;
+const DONE: &str = "data: [DONE]\n\n";
+
+fn token(generation: &str, fingerprint: u32, id: u64, index: u64) -> String {
+    format!(
+        "id: {generation}.{id}\ndata: {{\"id\":\"chatcmpl-{generation}\",\"choices\":[{{\"delta\":{{\"content\":\"{fingerprint:08x}.{index} \"}}}}]}}\n\n"
+    )
+}
+
+fn tokens(indices: &[u64]) -> String {
+    let own = |index: &u64| token("g", FINGERPRINT, *index, *index);
+    indices.iter().map(own).collect()
+}
+
+fn usage(tokens: u64) -> String {
+    format!(
+        "event: usage\ndata: {{\"id\":\"chatcmpl-g\",\"choices\":[],\"usage\":{{\"completion_tokens\":{tokens}}},\"preemptions\":2}}\n\n"
+    )
+}
+
+fn check(stream: &str, chunk: usize) -> Checker {
+    let mut checker = Checker::new("r".into(), FINGERPRINT, 4);
+    for part in stream.as_bytes().chunks(chunk) {
+        checker.push(part);
+    }
+    checker.finish();
+    checker
+}
+
+/// Guards against a checker that reports a correct answer, whatever the chunks, or misses its
+/// usage event.
+#[rstest]
+fn intact_answer_passes(#[values(1, 7, 100_000)] chunk: usize) {
+    let stream = format!(
+        ": keep-alive\n\n{}{}{DONE}",
+        tokens(&[0, 1, 2, 3]),
+        usage(4)
+    );
+    for text in [stream.clone(), stream.replace('\n', "\r\n")] {
+        let checker = check(&text, chunk);
+        assert_eq!(checker.violations, []);
+        assert_eq!((checker.tokens(), checker.preemptions), (4, 2));
+        assert_eq!(checker.end, End::Done);
+    }
+}
+
+/// Guards against a checker that misses a planted fault or takes it for another one.
+#[rstest]
+#[case::duplicate(tokens(&[0, 1, 1, 2, 3]) + DONE, Kind::Duplicate)]
+#[case::reordered(tokens(&[0, 1, 2, 3, 2]) + DONE, Kind::Duplicate)]
+#[case::gap(tokens(&[0, 1, 3]) + DONE, Kind::Gap)]
+#[case::missing_start(tokens(&[1, 2, 3]) + DONE, Kind::Gap)]
+#[case::crossed(tokens(&[0, 1, 2, 3]) + &token("g", 7, 4, 4) + DONE, Kind::Crossed)]
+#[case::spliced(tokens(&[0, 1, 2]) + &token("h", FINGERPRINT, 3, 3) + DONE, Kind::MixedGenerations)]
+#[case::misnumbered(tokens(&[0, 1, 2]) + &token("g", FINGERPRINT, 9, 3) + DONE, Kind::Misnumbered)]
+#[case::malformed(tokens(&[0, 1, 2, 3]) + "data: {\n\n" + DONE, Kind::Malformed)]
+#[case::truncated_with_end(tokens(&[0, 1, 2]) + DONE, Kind::Truncated)]
+#[case::truncated_without_end(tokens(&[0, 1, 2, 3]), Kind::Truncated)]
+#[case::empty(String::new(), Kind::Truncated)]
+#[case::cut_within_an_event(tokens(&[0, 1, 2, 3]) + "data: [DO", Kind::Truncated)]
+#[case::usage_differs(tokens(&[0, 1, 2, 3]) + &usage(5) + DONE, Kind::Truncated)]
+#[case::overlong(tokens(&[0, 1, 2, 3, 4, 5]) + DONE, Kind::Overlong)]
+#[case::after_end(tokens(&[0, 1, 2, 3]) + DONE + &tokens(&[4]), Kind::AfterEnd)]
+fn planted_fault_is_found(#[case] stream: String, #[case] expected: Kind) {
+    let checker = check(&stream, 64);
+    let kinds: Vec<Kind> = checker.violations.iter().map(|found| found.kind).collect();
+    assert_eq!(kinds, [expected], "{:?}", checker.violations);
+}
+
+/// Guards against a typed error that counts as a violation; it is an honest failure.
+#[test]
+fn typed_error_is_no_violation() {
+    let error = "data: {\"error\":{\"code\":\"generation_lost\",\"run\":\"unknown\"}}\n\n";
+    let checker = check(&(tokens(&[0, 1]) + error), 64);
+    assert_eq!(checker.violations, []);
+    assert!(matches!(checker.end, End::Failed(failure) if failure.code == "generation_lost"));
+}
--- /dev/null
+++ b/crates/sardineload/tests/load/run.rs
@@ -0,0 +1,209 @@
+use {
+    super::measure::config,
+    sardineload::{
+        chart, check::Kind as Breach, client::Client, config::Config, run::run, workload::Workload,
+    },
+    sardinerelay_standin::{
+        engine::{self, Record},
+        service,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    (listener, address)
+}
+
+async fn engine(step: Duration) -> SocketAddr {
+    let (listener, address) = bind().await;
+    let config = engine::Config {
+        models: vec!["bend-planner".into()],
+        step,
+        ..engine::Config::default()
+    };
+    tokio::spawn(engine::Engine::new(config).run(listener));
+    address
+}
+
+async fn service(lose_answers: f64) -> SocketAddr {
+    let (listener, address) = bind().await;
+    let config = service::Config {
+        name: "shop".into(),
+        delay_before: Duration::ZERO,
+        delay_after: Duration::ZERO,
+        lose_answers,
+        seed: 1,
+        record_limit: 65_536,
+    };
+    tokio::spawn(service::serve(config, listener, CancellationToken::new()));
+    address
+}
+
+async fn short(workload: Workload, lose_answers: f64) -> Config {
+    let engines = vec![
+        engine(Duration::from_millis(1)).await,
+        engine(Duration::from_millis(1)).await,
+    ];
+    let services = vec![service(lose_answers).await];
+    Config {
+        servers: engines.clone(),
+        engines,
+        plain_servers: services.clone(),
+        services,
+        rate: 40.0,
+        duration: Duration::from_secs(2),
+        ..config(workload)
+    }
+}
+
+/// Guards against false alarms, lost requests and empty figures in a run without faults; the
+/// fingerprints of both endpoints, early leavers and slow readers are part of it.
+#[rstest::rstest]
+#[case(Workload::Brakeline)]
+#[case(Workload::Harakeke)]
+#[tokio::test]
+async fn sound_servers_give_a_clean_report(#[case] workload: Workload) {
+    let report = run(short(workload, 0.0).await).await.expect("report");
+    assert_eq!(report.violations(), 0, "{report}");
+    assert!(report.refusals.is_empty(), "{report}");
+    let rows = report.kinds.values();
+    let ended: u64 = rows.map(|row| row.good + row.left).sum();
+    let arrived: u64 = report.kinds.values().map(|row| row.arrived).sum();
+    assert_eq!(ended, arrived, "{report}");
+    assert!(
+        report.goodput_tokens_per_s > 0.0 && report.jain > 0.99,
+        "{report}"
+    );
+    let generations = &report.generations;
+    assert!(
+        generations.left > 0 && generations.whole_ms.p50 > 2.0,
+        "{report}"
+    );
+    assert_eq!(report.preemptions_recorded, Some(0));
+    let json = serde_json::to_value(&report).expect("json");
+    assert_eq!(json["violation_list"], serde_json::json!([]));
+    let svg = chart::draw(&report).expect("drawing");
+    for label in ["percentile", "first token", "refused", "</svg>"] {
+        assert!(svg.contains(label), "{label}");
+    }
+}
+
+/// Guards against resent orders that run twice without being noticed.
+#[tokio::test]
+async fn lost_answers_show_doubled_orders() {
+    let config = Config {
+        plain_share: Some(1.0),
+        ..short(Workload::Brakeline, 0.5).await
+    };
+    let report = run(config).await.expect("report");
+    assert!(report.violations[&Breach::RanTwice] > 0, "{report}");
+    assert!(report.kinds["order"].resent > 0);
+    assert_eq!(
+        report.kinds["stock"].resent, 0,
+        "only keyed calls are sent again"
+    );
+}
+
+/// Guards against coordinated omission: every request that arrives while the engine stalls must
+/// show its wait. The bounds follow from when the run really starts, so that a busy machine can't
+/// break them.
+#[tokio::test]
+async fn stall_shows_in_latency_from_the_intended_arrival() {
+    let config = Config {
+        plain_share: Some(0.0),
+        slow_share: 0.0,
+        ..short(Workload::Harakeke, 0.0).await
+    };
+    let arrivals = config.duration;
+    let stalled = Duration::from_secs(4);
+    for engine in &config.engines {
+        stall(*engine, stalled).await;
+    }
+    let end = Instant::now() + stalled - Duration::from_millis(200);
+    let left = end.saturating_duration_since(Instant::now());
+    let report = run(config).await.expect("report");
+    assert_eq!(report.violations(), 0, "{report}");
+    // The median request arrives about half-way, the first one at once; both wait for the end.
+    let first = &report.generations.first_ms;
+    let slack = Duration::from_millis(400);
+    let milliseconds = |time: Duration| time.as_secs_f64() * 1000.0;
+    assert!(
+        first.p50 >= milliseconds(left.saturating_sub(arrivals / 2 + slack)),
+        "{report}"
+    );
+    assert!(
+        first.max >= milliseconds(left.saturating_sub(slack)),
+        "{report}"
+    );
+}
+
+/// Guards against a stall of started streams that the report doesn't show.
+#[tokio::test]
+async fn stall_shows_in_started_streams() {
+    let config = Config {
+        plain_share: Some(0.0),
+        slow_share: 0.0,
+        leave_share: 0.0,
+        ..short(Workload::Harakeke, 0.0).await
+    };
+    let client = Client::new();
+    let engine = config.engines[0];
+    let watch = tokio::spawn(async move {
+        loop {
+            let records: Vec<Record> = client.read(engine, "/v1/record").await.expect("record");
+            let is_midway = |r: &Record| r.generated > 0 && r.target > r.generated + 300;
+            if records.iter().any(is_midway) {
+                return stall(engine, Duration::from_millis(1_500)).await;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    let report = run(config).await.expect("report");
+    watch.await.expect("stall");
+    assert!(report.generations.stall_s > 1.0, "{report}");
+    assert!(report.generations.stalled > 0, "{report}");
+}
+
+async fn stall(engine: SocketAddr, time: Duration) {
+    let milliseconds = time.as_millis();
+    let body = format!("{{\"stall_ms\":{milliseconds}}}");
+    let request = format!(
+        "POST /v1/faults HTTP/1.1\r\nhost: engine\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(engine).await.expect("connection");
+    stream.write_all(request.as_bytes()).await.expect("write");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("read");
+    assert!(answer.starts_with("HTTP/1.1 204"), "{answer}");
+}
+
+/// Guards against a dead server that ends the run, or whose requests vanish from the counts.
+#[tokio::test]
+async fn dead_server_is_counted() {
+    let (listener, dead) = bind().await;
+    drop(listener);
+    let config = Config {
+        servers: vec![dead],
+        engines: Vec::new(),
+        plain_share: Some(0.0),
+        ..short(Workload::Brakeline, 0.0).await
+    };
+    let report = run(config).await.expect("report");
+    assert_eq!(report.generations.broken, report.generations.arrived);
+    assert_eq!(
+        report.refusals["broken while connecting"],
+        report.generations.broken
+    );
+}
