Test that a late request counts from its intended arrival

A planted fault that measured from the time of sending passed all tests: the load tool sends on time there, so both times agree. The new test hands a request over 5 s late and fails with that fault.

--- a/crates/sardineload/tests/load/run.rs
+++ b/crates/sardineload/tests/load/run.rs
@@ -1,7 +1,8 @@
 use {
     super::measure::config,
     sardineload::{
-        chart, check::Kind as Breach, client::Client, config::Config, run::run, workload::Workload,
+        call::Runner, chart, check::Kind as Breach, client::Client, config::Config,
+        measure::Totals, plan::Plan, run::run, workload::Workload,
     },
     sardinerelay_standin::{
         engine::{self, Record},
@@ -156,6 +157,34 @@
     );
 }
 
+/// Guards against latencies that begin when a request is sent: a request that the load tool sends
+/// late must count from its intended arrival.
+#[tokio::test]
+async fn late_request_counts_from_its_intended_arrival() {
+    let config = Config {
+        plain_share: Some(0.0),
+        ..short(Workload::Harakeke, 0.0).await
+    };
+    let arrival = Plan::new(&config).next().expect("arrival");
+    let late = Duration::from_secs(5);
+    let start = Instant::now() - late - arrival.at;
+    let mut totals = Totals::new(3, start, config.duration);
+    let runner = Runner {
+        config,
+        client: Client::new(),
+        run: "late".into(),
+        start,
+    };
+    let sample = runner.arrive(arrival).await;
+    assert!(sample.lateness >= late);
+    totals.add(sample);
+    let first = totals.generations.first.min();
+    assert!(
+        u128::from(first) >= late.as_micros() * 99 / 100,
+        "{first} us"
+    );
+}
+
 /// Guards against a stall of started streams that the report doesn't show.
 #[tokio::test]
 async fn stall_shows_in_started_streams() {
