--- a/crates/sardinerelay/src/raft/log.rs
+++ b/crates/sardinerelay/src/raft/log.rs
@@ -122,24 +122,18 @@
 
     /// Entries from `from` to `to` inclusive, up to `most` bytes but at least one.
     pub(super) fn slice(&self, from: Index, to: Index, most: usize) -> Vec<Entry> {
-        let skipped = from.saturating_sub(self.base.index + 1) as usize;
-        let wanted = (to + 1).saturating_sub(from) as usize;
         let mut bytes = 0;
         let fits = |entry: &&Entry| {
             let first = bytes == 0;
             bytes += entry.size();
             first || bytes <= most
         };
-        let entries = self.entries.iter().skip(skipped).take(wanted);
-        entries.take_while(fits).cloned().collect()
+        self.range(from, to).take_while(fits).cloned().collect()
     }
 
     /// Bytes of the entries from `from` to `to` inclusive.
     pub(super) fn size_of(&self, from: Index, to: Index) -> usize {
-        let skipped = from.saturating_sub(self.base.index + 1) as usize;
-        let wanted = (to + 1).saturating_sub(from) as usize;
-        let entries = self.entries.iter().skip(skipped).take(wanted);
-        entries.map(Entry::size).sum()
+        self.range(from, to).map(Entry::size).sum()
     }
 
     /// The hint for a refused append; skips every term above the leader's.
@@ -199,6 +193,13 @@
         self.snapshot = snapshot;
     }
 
+    fn range(&self, from: Index, to: Index) -> impl Iterator<Item = &Entry> {
+        let length = self.entries.len();
+        let place = |index: Index| (index.saturating_sub(self.base.index + 1) as usize).min(length);
+        let end = place(to + 1);
+        self.entries.range(place(from).min(end)..end)
+    }
+
     fn entry(&self, index: Index) -> Option<&Entry> {
         let place = index.checked_sub(self.base.index + 1)?;
         self.entries.get(place as usize)
--- a/crates/sardinerelay/src/raft/ready.rs
+++ b/crates/sardinerelay/src/raft/ready.rs
@@ -15,7 +15,8 @@
 /// acknowledgement, is only handed out in a `Ready` that follows the
 /// [`persisted`](super::Replica::persisted) call for that write. The leader's appends and
 /// heartbeats depend on no write of their own and are handed out at once; the leader's copy
-/// counts for a commit after `persisted`. An entry is handed out for applying once it is
+/// counts for a commit after `persisted`. Messages may therefore be sent while the write is
+/// under way, so that leader and followers sync at the same time. An entry is handed out for applying once it is
 /// committed and on the local disk.
 #[derive(Debug, Default)]
 pub struct Ready {
--- a/crates/sardinerelay/tests/raft.rs
+++ b/crates/sardinerelay/tests/raft.rs
@@ -243,6 +243,25 @@
     }
 }
 
+/// Guards against a voter that forgets, by its restart, that a leader relies on it for its
+/// lease, and elects a replica that has not heard the leader for a while.
+#[test]
+fn restarted_voter_keeps_to_the_lease() {
+    for seed in 0..30 {
+        let (mut group, leader) = settled(seed, 3, CALM);
+        let (cut, voter) = (leader % 3 + 1, (leader + 1) % 3 + 1);
+        group.cut.extend([(leader, cut), (cut, leader)]);
+        group.run(1500);
+        assert_eq!(group.leader(), Some(leader), "seed {seed}");
+        group.crash(voter);
+        group.start(voter);
+        group.isolate(leader);
+        group.run_until(2000, "successor", |group| {
+            group.leader().is_some_and(|new| new != leader)
+        });
+    }
+}
+
 /// Guards against a replica that was cut off and disturbs a healthy leader when it returns.
 #[test]
 fn returning_replica_does_not_disturb_the_leader() {
--- a/crates/sardinerelay/tests/raft/group.rs
+++ b/crates/sardinerelay/tests/raft/group.rs
@@ -398,6 +398,9 @@
             let bytes: usize = append.entries.iter().map(data).sum();
             assert!(append.entries.len() <= 1 || bytes <= APPEND_BYTES);
         }
+        // Every message takes the way over the wire format.
+        let wire = postcard::to_stdvec(&message).unwrap();
+        let message: Message = postcard::from_bytes(&wire).unwrap();
         let copies = 1 + usize::from(self.random.random_bool(self.faults.duplicate));
         for _ in 0..copies {
             if !self.random.random_bool(self.faults.loss) {
--- /dev/null
+++ b/crates/sardinerelay/tests/replica.rs
@@ -0,0 +1,158 @@
+//! Single replicas that are driven message by message.
+
+use {
+    sardinerelay::{
+        id::{Host, Term},
+        raft::{Body, Config, Durable, Envelope, Message, Position, Ready, Replica, Role},
+    },
+    std::time::{Duration, Instant},
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn replica(now: Instant) -> Replica {
+    Replica::new(Config::new(1, 1), Durable::founding([1, 2, 3]), now).unwrap()
+}
+
+fn message(term: Term, body: Body) -> Message {
+    Message { term, body }
+}
+
+fn vote(term: Term) -> Message {
+    let last = Position { term, index: 100 };
+    message(
+        term,
+        Body::Vote {
+            last,
+            transfer: false,
+        },
+    )
+}
+
+/// Takes all work, acknowledges all writes, and returns the messages.
+fn settle(replica: &mut Replica) -> Vec<Envelope> {
+    let mut messages = Vec::new();
+    loop {
+        let ready = replica.ready();
+        if ready.is_empty() {
+            return messages;
+        }
+        messages.extend(ready.messages);
+        if let Some(persist) = ready.persist {
+            replica.persisted(persist.sequence);
+        }
+    }
+}
+
+fn is_granted(envelopes: &[Envelope], to: Host) -> bool {
+    let granted = Body::VoteReply { granted: true };
+    envelopes
+        .iter()
+        .any(|envelope| envelope.to == to && envelope.message.body == granted)
+}
+
+/// Elects replica 1 in term 1 with the help of replica 2, which answers the first round.
+fn elect(now: Instant) -> (Replica, Instant) {
+    let mut replica = replica(now);
+    let now = replica.deadline();
+    replica.tick(now);
+    settle(&mut replica);
+    replica.step(
+        2,
+        message(
+            0,
+            Body::PreVoteReply {
+                campaign: 1,
+                granted: true,
+            },
+        ),
+        now,
+    );
+    settle(&mut replica);
+    replica.step(2, message(1, Body::VoteReply { granted: true }), now);
+    settle(&mut replica);
+    replica.step(2, message(1, Body::Appended { matched: 1 }), now);
+    replica.step(2, message(1, Body::HeartbeatReply { round: 1 }), now);
+    settle(&mut replica);
+    assert!(replica.lease().is_some_and(|lease| lease.held(now)));
+    (replica, now)
+}
+
+/// Guards against a vote, or an acknowledgement of an entry, that a crash can take back.
+#[test]
+fn replies_wait_for_the_disk() {
+    let now = Instant::now();
+    let mut replica = replica(now);
+    replica.step(2, vote(1), now);
+    let first: Ready = replica.ready();
+    let sequence = first.persist.unwrap().sequence;
+    assert!(first.messages.is_empty());
+    assert!(replica.ready().is_empty());
+    replica.persisted(sequence);
+    assert!(is_granted(&replica.ready().messages, 2));
+}
+
+/// Guards against a second vote in one term after a restart.
+#[test]
+fn restart_remembers_the_vote() {
+    let now = Instant::now();
+    let mut replica = replica(now);
+    replica.step(2, vote(1), now);
+    let mut durable = Durable::founding([1, 2, 3]);
+    durable.hard_state = replica.ready().persist.unwrap().hard_state.unwrap();
+    let mut replica = Replica::new(Config::new(1, 1), durable, now).unwrap();
+    let later = now + 600 * MS;
+    replica.step(3, vote(1), later);
+    assert!(!is_granted(&settle(&mut replica), 3));
+    replica.step(2, vote(1), later);
+    assert!(
+        is_granted(&settle(&mut replica), 2),
+        "the same vote may be repeated"
+    );
+}
+
+/// Guards against a leader that helps to elect its successor while its own orders, covered by
+/// its lease, may still run.
+#[test]
+fn former_leader_refuses_votes_until_its_lease_is_over() {
+    let (mut replica, elected) = elect(Instant::now());
+    let soon = elected + 10 * MS;
+    replica.step(3, message(2, Body::HeartbeatReply { round: 0 }), soon);
+    assert_eq!(replica.status().role, Role::Follower);
+    replica.step(3, vote(3), soon);
+    assert!(!is_granted(&settle(&mut replica), 3));
+    assert_eq!(replica.status().term, 2, "the refused term is not adopted");
+    replica.step(3, vote(3), elected + 500 * MS);
+    assert!(is_granted(&settle(&mut replica), 3));
+}
+
+/// Guards against a lease that is measured from the arrival of an answer.
+#[test]
+fn lease_starts_when_the_round_is_sent() {
+    let (mut replica, elected) = elect(Instant::now());
+    let before = replica.lease().unwrap().until();
+    assert_eq!(before, Some(elected + 450 * MS));
+    let sent = replica.deadline();
+    replica.tick(sent);
+    settle(&mut replica);
+    replica.step(
+        2,
+        message(1, Body::HeartbeatReply { round: 2 }),
+        sent + 90 * MS,
+    );
+    assert_eq!(replica.lease().unwrap().until(), Some(sent + 450 * MS));
+}
+
+/// Guards against a read that is answered by the answer to a round sent before it.
+#[test]
+fn read_needs_a_round_of_its_own() {
+    let (mut replica, elected) = elect(Instant::now());
+    replica.read(5).unwrap();
+    replica.ready();
+    replica.step(2, message(1, Body::HeartbeatReply { round: 1 }), elected);
+    assert!(replica.ready().reads.is_empty());
+    replica.step(2, message(1, Body::HeartbeatReply { round: 2 }), elected);
+    let reads = replica.ready().reads;
+    assert_eq!(reads.len(), 1);
+    assert_eq!(reads[0].outcome, Ok(1));
+}
