--- a/crates/sardinerelay/tests/replica.rs
+++ b/crates/sardinerelay/tests/replica.rs
@@ -1,9 +1,13 @@
 //! Single replicas that are driven message by message.
 
 use {
+    rstest::rstest,
     sardinerelay::{
         id::{Host, Term},
-        raft::{Body, Config, Durable, Envelope, Message, Position, Ready, Replica, Role},
+        raft::{
+            Append, Body, Config, Durable, Entry, Envelope, Message, Payload, Position, Ready,
+            Replica, Role,
+        },
     },
     std::time::{Duration, Instant},
 };
@@ -156,3 +160,116 @@
     assert_eq!(reads.len(), 1);
     assert_eq!(reads[0].outcome, Ok(1));
 }
+
+/// Guards against a commit that rests on a copy which a crash of the leader takes back.
+#[test]
+fn own_copy_counts_once_it_is_on_disk() {
+    let (mut replica, now) = elect(Instant::now());
+    replica.propose("x".into()).unwrap();
+    let persist = replica.ready().persist.unwrap();
+    replica.step(2, message(1, Body::Appended { matched: 2 }), now);
+    assert_eq!(replica.status().commit, 1);
+    replica.persisted(persist.sequence);
+    assert_eq!(replica.status().commit, 2);
+}
+
+/// Guards against a commit by counting copies of an entry of an earlier term, which a leader
+/// with a later entry may still overwrite (Raft, figure 8).
+#[test]
+fn entries_of_earlier_terms_are_committed_by_a_later_one() {
+    let mut replica =
+        Replica::new(Config::new(1, 1), with_entries(&[1, 1]), Instant::now()).unwrap();
+    let now = replica.deadline();
+    replica.tick(now);
+    settle(&mut replica);
+    replica.step(
+        2,
+        message(
+            1,
+            Body::PreVoteReply {
+                campaign: 2,
+                granted: true,
+            },
+        ),
+        now,
+    );
+    settle(&mut replica);
+    replica.step(2, message(2, Body::VoteReply { granted: true }), now);
+    settle(&mut replica);
+    replica.step(2, message(2, Body::Appended { matched: 2 }), now);
+    assert_eq!(replica.status().commit, 0);
+    replica.step(2, message(2, Body::Appended { matched: 3 }), now);
+    assert_eq!(replica.status().commit, 3);
+}
+
+/// Guards against a write that is acknowledged late and counts for other entries that have
+/// replaced the written ones.
+#[test]
+fn late_write_does_not_count_for_replaced_entries() {
+    let now = Instant::now();
+    let mut replica = replica(now);
+    replica.step(2, append(&[1, 1, 1], Position::default()), now);
+    let old = replica.ready().persist.unwrap().sequence;
+    replica.step(3, append(&[2, 2], Position { term: 1, index: 1 }), now);
+    let new = replica.ready().persist.unwrap();
+    assert_eq!(new.truncate, Some(2));
+    replica.persisted(old);
+    assert_eq!(replica.status().persisted, 1);
+    replica.persisted(new.sequence);
+    assert_eq!(replica.status().persisted, 3);
+}
+
+/// Guards against a leader that lacks committed entries.
+#[rstest]
+#[case(Position { term: 1, index: 9 }, false)]
+#[case(Position { term: 2, index: 2 }, false)]
+#[case(Position { term: 2, index: 3 }, true)]
+#[case(Position { term: 3, index: 1 }, true)]
+fn votes_for_logs_that_are_up_to_date(#[case] last: Position, #[case] expected: bool) {
+    let now = Instant::now();
+    let mut replica = Replica::new(Config::new(1, 1), with_entries(&[1, 2, 2]), now).unwrap();
+    let later = now + 600 * MS;
+    replica.step(2, message(9, Body::PreVote { last }), later);
+    let campaign = 9;
+    let granted = expected;
+    let reply = message(2, Body::PreVoteReply { campaign, granted });
+    assert_eq!(settle(&mut replica)[0].message, reply);
+    replica.step(
+        2,
+        message(
+            9,
+            Body::Vote {
+                last,
+                transfer: false,
+            },
+        ),
+        later,
+    );
+    assert_eq!(is_granted(&settle(&mut replica), 2), expected);
+}
+
+/// Entries with the given terms after a place.
+fn entries(terms: &[Term], previous: Position) -> Vec<Entry> {
+    let entry = |(index, &term)| Entry {
+        position: Position { term, index },
+        payload: Payload::Empty,
+    };
+    (previous.index + 1..).zip(terms).map(entry).collect()
+}
+
+fn append(terms: &[Term], previous: Position) -> Message {
+    let append = Append {
+        previous,
+        entries: entries(terms, previous),
+        commit: 0,
+    };
+    message(terms[0], Body::Append(append))
+}
+
+/// Durable state of a voter whose log has entries of the given terms.
+fn with_entries(terms: &[Term]) -> Durable {
+    let mut durable = Durable::founding([1, 2, 3]);
+    durable.entries = entries(terms, Position::default());
+    durable.hard_state.term = terms[terms.len() - 1];
+    durable
+}
