Write the term before the entries of the same write

A write that is split into several frames could leave an entry on disk whose term was not. No failure was seen; a restarted replica would have started below its last entry's term.

--- a/crates/sardinerelay/src/raft/disk.rs
+++ b/crates/sardinerelay/src/raft/disk.rs
@@ -116,10 +116,10 @@
         });
         Some(Persist {
             sequence: self.issued,
+            hard_state: self.hard_state.take(),
             snapshot: self.snapshot.take(),
             truncate: self.truncate.take(),
             entries,
-            hard_state: self.hard_state.take(),
         })
     }
 
--- a/crates/sardinerelay/src/raft/inbound.rs
+++ b/crates/sardinerelay/src/raft/inbound.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        message::{Append, Body, Chunk, Message},
+        message::{Append, Body, Chunk, Entry, Message, Snapshot},
         replica::{Replica, State},
         transfer::{Incoming, Received},
     },
@@ -100,7 +100,7 @@
     }
 
     /// Adds an entry unless the log holds it already.
-    fn accept(&mut self, entry: super::message::Entry) {
+    fn accept(&mut self, entry: Entry) {
         let place = entry.position;
         if self.log.matches(place) {
             return;
@@ -144,7 +144,7 @@
         }
     }
 
-    fn install(&mut self, from: Host, snapshot: super::message::Snapshot) {
+    fn install(&mut self, from: Host, snapshot: Snapshot) {
         self.commit = snapshot.meta.last.index;
         self.log.install(snapshot.clone());
         self.disk.installed(snapshot.clone());
--- a/crates/sardinerelay/src/raft/ready.rs
+++ b/crates/sardinerelay/src/raft/ready.rs
@@ -54,6 +54,8 @@
     /// Number for [`persisted`](super::Replica::persisted). Acknowledging a number
     /// acknowledges all lower ones.
     pub sequence: u64,
+    /// Term and vote, if changed. They come first, so that no entry is on disk without its term.
+    pub hard_state: Option<HardState>,
     /// A snapshot from the leader. The log on disk is to be dropped and continues after it,
     /// with `entries`.
     pub snapshot: Option<Snapshot>,
@@ -61,8 +63,6 @@
     pub truncate: Option<Index>,
     /// Entries to append after truncation.
     pub entries: Vec<Entry>,
-    /// Term and vote, if changed.
-    pub hard_state: Option<HardState>,
 }
 
 /// Outcome of a read.
--- a/crates/sardinerelay/src/wal/store.rs
+++ b/crates/sardinerelay/src/wal/store.rs
@@ -248,6 +248,10 @@
     }
 
     fn collect(&mut self, persist: &Persist) -> Result<(), Error> {
+        if let Some(hard_state) = persist.hard_state {
+            self.push(&Record::HardState(hard_state))?;
+            self.hard_state = hard_state;
+        }
         if let Some(snapshot) = &persist.snapshot {
             self.save_snapshot(snapshot)?;
             let last = snapshot.meta.last;
@@ -260,10 +264,6 @@
             self.push(&Record::Entry(entry))?;
             self.batch.highest = self.batch.highest.max(entry.position.index);
         }
-        if let Some(hard_state) = persist.hard_state {
-            self.push(&Record::HardState(hard_state))?;
-            self.hard_state = hard_state;
-        }
         Ok(())
     }
 
