--- a/crates/sardinerelay/src/raft/ready.rs
+++ b/crates/sardinerelay/src/raft/ready.rs
@@ -15,7 +15,8 @@
 /// acknowledgement, is only handed out in a `Ready` that follows the
 /// [`persisted`](super::Replica::persisted) call for that write. The leader's appends and
 /// heartbeats depend on no write of their own and are handed out at once; the leader's copy
-/// counts for a commit after `persisted`. An entry is handed out for applying once it is
+/// counts for a commit after `persisted`. Messages may therefore be sent while the write is
+/// under way, so that leader and followers sync at the same time. An entry is handed out for applying once it is
 /// committed and on the local disk.
 #[derive(Debug, Default)]
 pub struct Ready {
@@ -53,6 +54,8 @@
     /// Number for [`persisted`](super::Replica::persisted). Acknowledging a number
     /// acknowledges all lower ones.
     pub sequence: u64,
+    /// Term and vote, if changed. They come first, so that no entry is on disk without its term.
+    pub hard_state: Option<HardState>,
     /// A snapshot from the leader. The log on disk is to be dropped and continues after it,
     /// with `entries`.
     pub snapshot: Option<Snapshot>,
@@ -60,8 +63,6 @@
     pub truncate: Option<Index>,
     /// Entries to append after truncation.
     pub entries: Vec<Entry>,
-    /// Term and vote, if changed.
-    pub hard_state: Option<HardState>,
 }
 
 /// Outcome of a read.
