Add sardinectl

The tool checks, submits and shows sheets, lists hosts, targets, organisations and queues, plans stops, explains refusal codes and hashes keys. Servers are tried in order, each with its own deadline. A change carries a proposal id, so that a resend to the next server after a lost answer gets the recorded verdict; if no server answers a change that was sent, the exit code says that its outcome is unknown instead of claiming that it was refused.

Names are resolved before the client is built, because the client resolves them in a blocking call that neither the deadline nor an interrupt can end.

--- /dev/null
+++ b/crates/sardinectl/src/key.rs
@@ -0,0 +1,37 @@
+//! `key hash`: prints the digest of an API key for the sheet.
+
+use {
+    crate::{error::Error, exit_code::ExitCode, output},
+    sardinerelay::operator::Digest,
+    serde::Serialize,
+    sha2::{Digest as _, Sha256},
+    std::io::{self, Read},
+};
+
+/// Longest key in bytes; longer ones don't fit into a header.
+const KEY_BYTES: u64 = 4096;
+
+/// The output of `--json`.
+#[derive(Debug, Serialize)]
+struct KeyDigest {
+    key_sha256: Digest,
+}
+
+/// Reads a key from standard input and prints its SHA-256 digest. The line end is not part of
+/// the key.
+pub fn hash(json: bool) -> Result<ExitCode, Error> {
+    let mut key = String::new();
+    let read = io::stdin().take(KEY_BYTES + 1).read_to_string(&mut key);
+    read.map_err(|_| Error::Key)?;
+    let key = key.trim_end_matches(['\r', '\n']);
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() as u64 > KEY_BYTES || !printable {
+        return Err(Error::Key);
+    }
+    let key_sha256 = Digest(Sha256::digest(key).into());
+    match json {
+        true => output::print_json(&KeyDigest { key_sha256 })?,
+        false => output::print(&format!("{key_sha256}\n"))?,
+    }
+    Ok(ExitCode::Success)
+}
--- a/crates/sardinectl/src/main.rs
+++ b/crates/sardinectl/src/main.rs
@@ -1,1 +1,104 @@
-fn main() {}
+//! Command-line tool for operators of sardinerelay, described in `docs/SARDINECTL.md`.
+
+mod cli;
+mod client;
+mod completions;
+mod config;
+mod error;
+mod exit_code;
+mod explain;
+mod health;
+mod key;
+mod list;
+mod output;
+mod sheet;
+mod stop;
+
+use {
+    anyhow::{Context, Result},
+    client::Client,
+    config::{Config, Task},
+    error::Error,
+    exit_code::ExitCode,
+    std::process,
+};
+
+fn main() -> process::ExitCode {
+    let matches = cli::command().get_matches();
+    let json = matches.get_flag("json");
+    let outcome = Config::resolve(&matches)
+        .map_err(anyhow::Error::from)
+        .and_then(start);
+    match outcome {
+        Ok(code) => code.into(),
+        Err(error) => report(&error, json).into(),
+    }
+}
+
+fn start(config: Config) -> Result<ExitCode> {
+    if config.verbose {
+        log_to_stderr().context("starting the log")?;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    let outcome = runtime.block_on(async {
+        tokio::select! {
+            // The command goes first, so that the signal keeps its default effect while a
+            // command reads standard input before its first call.
+            biased;
+            outcome = run(config) => Ok(outcome?),
+            interrupt = tokio::signal::ctrl_c() => {
+                interrupt.context("waiting for the interrupt signal")?;
+                output::note("sardinectl: interrupted; a change that was sent may still be made");
+                Ok(ExitCode::Interrupted)
+            }
+        }
+    });
+    // A name that is still being resolved must not hold up the exit.
+    runtime.shutdown_background();
+    outcome
+}
+
+async fn run(config: Config) -> Result<ExitCode, Error> {
+    let json = config.json;
+    let mut client = Client::new(config.access.clone());
+    match config.task {
+        Task::SheetCheck { file, against } => sheet::check(&mut client, &file, against, json).await,
+        Task::SheetSubmit { file, change } => sheet::submit(&mut client, &file, change, json).await,
+        Task::SheetShow => sheet::show(&mut client, json).await,
+        Task::Hosts => list::hosts(&mut client, json).await,
+        Task::Targets => list::targets(&mut client, json).await,
+        Task::Organisations => list::organisations(&mut client, json).await,
+        Task::Queues => list::queues(&mut client, json).await,
+        Task::Stop { subject, change } => stop::run(&mut client, subject, change, json).await,
+        Task::Explain(code) => explain::run(code, json),
+        Task::KeyHash => key::hash(json),
+        Task::Health => health::run(&config.access, json).await,
+        Task::Completions(shell) => completions::run(shell),
+    }
+}
+
+fn report(error: &anyhow::Error, json: bool) -> ExitCode {
+    match error.downcast_ref::<Error>() {
+        Some(error) if error.is_broken_pipe() => ExitCode::Success,
+        Some(error) => output::report(error, json),
+        None => {
+            output::note(&format!("sardinectl: {error:#}"));
+            ExitCode::General
+        }
+    }
+}
+
+fn log_to_stderr() -> Result<()> {
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for(env!("CARGO_PKG_NAME"), log::LevelFilter::Info)
+        .format(|out, message, record| {
+            out.finish(format_args!("{}: {message}", record.level()));
+        })
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardinectl/tests/operator.rs
@@ -0,0 +1,422 @@
+//! The real tool against a fake operator server.
+
+#[path = "operator/fake.rs"]
+mod fake;
+
+use {
+    fake::{closed, digest, group, json, lock, run, sardinectl, start, stderr, stdout},
+    rstest::rstest,
+    sardinerelay::operator::ErrorCode,
+    serde_json::json,
+    std::{
+        fs,
+        io::{Read, Write},
+        net::TcpListener,
+        path::PathBuf,
+        process::{Command, Output, Stdio},
+        thread,
+        time::Duration,
+    },
+    tempfile::TempDir,
+    uuid::Uuid,
+};
+
+const BRAKELINE: &str = include_str!("../../../examples/brakeline.toml");
+
+/// A proposal id that tests resend.
+const PROPOSAL: &str = "01990000-0000-7000-8000-000000000001";
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+/// A directory with the sheet of Brakeline.
+fn sheet(toml: &str) -> (TempDir, PathBuf) {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("morning.toml");
+    fs::write(&file, toml).unwrap();
+    (directory, file)
+}
+
+/// Guards against a tool that gives up at the first server: one that refuses connections, and
+/// one that accepts them and stays silent.
+#[rstest]
+fn next_server_answers(#[values(false, true)] silent: bool) {
+    let group = group();
+    let fake = start(&group);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = match silent {
+        true => listener.local_addr().unwrap(),
+        false => closed(),
+    };
+    let output = run(
+        &[first, fake.address],
+        &["hosts", "--timeout", "500ms", "-v"],
+    );
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert!(stdout(&output).contains("lakes-a"));
+    assert!(stderr(&output).contains(&first.to_string()));
+}
+
+/// Guards against an unreachable group that is reported as another failure.
+#[test]
+fn no_server_answers() {
+    let servers = [closed(), closed()];
+    let output = run(&servers, &["--json", "targets"]);
+    assert_eq!(code(&output), 5);
+    assert_eq!(json(&output)["error"]["exit_code"], 5);
+    let message = stderr(&output);
+    assert!(
+        servers
+            .iter()
+            .all(|server| message.contains(&server.to_string()))
+    );
+    assert_eq!(code(&run(&servers, &["health"])), 5);
+}
+
+/// Guards against a sheet that is submitted under a new id after a lost answer, which would
+/// conflict with itself.
+#[test]
+fn lost_answer_is_resent_to_the_next_server() {
+    let group = group();
+    let servers = [start(&group), start(&group)].map(|fake| (fake.address, fake));
+    let addresses = servers.each_ref().map(|(address, _)| *address);
+    lock(&group).lost_answers = 1;
+    let (_directory, file) = sheet(BRAKELINE);
+    let arguments = [
+        "sheet",
+        "submit",
+        "--timeout",
+        "500ms",
+        file.to_str().unwrap(),
+    ];
+    let output = run(&addresses, &arguments);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let group = lock(&group);
+    let proposals: Vec<_> = group.submissions.iter().map(|sent| sent.proposal).collect();
+    assert_eq!(proposals.len(), 2);
+    assert_eq!(proposals[0], proposals[1]);
+    assert_eq!(group.published.len(), 1);
+}
+
+/// Guards against a lost answer that is reported as refused, and a resend that is not accepted.
+#[test]
+fn lost_answer_of_the_only_server_is_unknown_until_resent() {
+    let group = group();
+    let fake = start(&group);
+    lock(&group).lost_answers = 1;
+    let (_directory, file) = sheet(BRAKELINE);
+    let file = file.to_str().unwrap();
+    let submit = ["sheet", "submit", "--no-wait", "--timeout", "500ms"];
+    let first = [&submit[..], &[file]].concat();
+    let output = run(&[fake.address], &first);
+    assert_eq!(code(&output), 7);
+    let sent: Uuid = lock(&group).submissions[0].proposal;
+    assert!(stderr(&output).contains(&format!("--proposal {sent}")));
+    let id = sent.to_string();
+    let resend = [&submit[..], &["--proposal", &id, file]].concat();
+    let output = run(&[fake.address], &resend);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let accepted = format!(
+        "accepted: number 2026120401, digest {}, version 1\n",
+        digest(BRAKELINE)
+    );
+    assert_eq!(stdout(&output), accepted);
+}
+
+/// Guards against another sheet under the same number, or an older number, that looks accepted.
+#[test]
+fn conflicts_have_their_own_exit_code() {
+    let group = group();
+    let fake = start(&group);
+    let submit = |toml: &str| {
+        let (_directory, file) = sheet(toml);
+        run(
+            &[fake.address],
+            &["sheet", "submit", "--no-wait", file.to_str().unwrap()],
+        )
+    };
+    assert_eq!(code(&submit(BRAKELINE)), 0);
+    let output = submit(&BRAKELINE.replace("2026.11.2", "2026.11.3"));
+    assert_eq!(code(&output), 4);
+    assert!(stdout(&output).starts_with("conflict: number 2026120401 belongs to another sheet"));
+    let output = submit(&BRAKELINE.replace("number = 2026120401", "number = 2026120301"));
+    assert_eq!(code(&output), 4);
+    assert!(stdout(&output).starts_with("outdated: "));
+}
+
+/// Guards against a sheet with errors that reaches a server, or a report of only the first.
+#[test]
+fn invalid_sheet_is_reported_whole_and_not_sent() {
+    let group = group();
+    let fake = start(&group);
+    let toml = BRAKELINE
+        .replace("priority = 0", "priority = 700")
+        .replace("\"/shop\"", "\"/v1/shop\"")
+        .replace("\"engine-a1\",", "\"engine-x9\",");
+    let (_directory, file) = sheet(&toml);
+    let file = file.to_str().unwrap();
+    let output = sardinectl(&["sheet", "check", file]).output().unwrap();
+    assert_eq!(code(&output), 3);
+    let text = stdout(&output);
+    for expected in [
+        "error: line 8, column 12: class[0].priority: \"700\" is outside the range 0 to 255",
+        "model[0].targets[0]: no target is named \"engine-x9\"",
+        "service[0].path: \"/v1/shop\" overlaps the daemon's own path /v1",
+        "has 3 errors",
+    ] {
+        assert!(text.contains(expected), "{text}");
+    }
+    let output = run(&[fake.address], &["--json", "sheet", "submit", file]);
+    assert_eq!(code(&output), 3);
+    assert_eq!(
+        json(&output)["error"]["faults"].as_array().unwrap().len(),
+        3
+    );
+    assert_eq!(
+        json(&output)["error"]["faults"][0]["field"],
+        "class[0].priority"
+    );
+    assert!(lock(&group).submissions.is_empty());
+}
+
+/// Guards against programs that break because the output's form changed.
+#[test]
+fn json_output_is_stable() {
+    let group = group();
+    lock(&group).reachable_hosts = 2;
+    let fake = start(&group);
+    let (_directory, file) = sheet(BRAKELINE);
+    let submit = [
+        "--json",
+        "sheet",
+        "submit",
+        "--proposal",
+        PROPOSAL,
+        file.to_str().unwrap(),
+    ];
+    let output = run(&[fake.address], &submit);
+    let digest = digest(BRAKELINE);
+    assert_eq!(
+        json(&output),
+        json!({
+            "proposal": PROPOSAL,
+            "verdict": "accepted", "number": 2026120401, "digest": digest, "version": 1,
+            "hosts": { "in_force": 2, "reachable": 2, "listed": 3 },
+        })
+    );
+    let output = run(&[fake.address], &["--json", "hosts"]);
+    assert_eq!(
+        json(&output)[0],
+        json!({
+            "host": 1, "zone": "lakes-a", "address": "10.20.1.1:7000", "role": "leader",
+            "state": "ready", "streams": 12, "queued": 0, "age_ms": 250,
+            "in_force": { "number": 2026120401, "digest": digest, "version": 1 },
+        })
+    );
+    let output = run(&[fake.address], &["--json", "sheet", "show"]);
+    assert_eq!(json(&output)["toml"], BRAKELINE);
+    assert_eq!(json(&output)["accepted_at_ms"], 1_764_820_800_000_u64);
+}
+
+/// Guards against a table that an operator can't read or a script can't rely on.
+#[test]
+fn tables_are_aligned() {
+    let fake = start(&group());
+    let output = run(&[fake.address], &["hosts"]);
+    let expected = "\
+HOST  ZONE     ADDRESS         ROLE    STATE  SHEET  STREAMS  QUEUED    AGE
+   1  lakes-a  10.20.1.1:7000  leader  ready  -           12       0  250ms
+   2  lakes-a  10.20.1.2:7000  entry   ready  -           12       0  250ms
+   3  lakes-a  10.20.1.3:7000  entry   ready  -           12       0  250ms
+";
+    assert_eq!(stdout(&output), expected);
+}
+
+/// Guards against a list that puts figures under the wrong title.
+#[rstest]
+#[case(
+    "targets",
+    "engine-a1  lakes-a  10.20.1.11:8000  engine  active        9        1  81000  240000  400ms  bend-planner@2026.11.2"
+)]
+#[case(
+    "organisations",
+    "erie-fabrication       41000  600000            30   1200        4       2            0"
+)]
+#[case(
+    "queues",
+    "   1  plan          0       2  1s 500ms       20s        4     52000"
+)]
+fn lists_show_each_figure(#[case] command: &str, #[case] row: &str) {
+    let fake = start(&group());
+    let output = run(&[fake.address], &[command]);
+    assert_eq!(
+        stdout(&output).lines().nth(1),
+        Some(row),
+        "{}",
+        stdout(&output)
+    );
+    assert_eq!(
+        json(&run(&[fake.address], &["--json", command]))
+            .as_array()
+            .unwrap()
+            .len(),
+        1
+    );
+}
+
+/// Guards against a host that is not ready or does not answer and looks healthy.
+#[test]
+fn health_asks_every_server() {
+    let group = group();
+    let fake = start(&group);
+    let output = run(&[fake.address], &["health"]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let output = run(&[closed(), fake.address], &["--json", "health"]);
+    assert_eq!(code(&output), 1);
+    assert!(json(&output)[0]["error"].is_string());
+    assert_eq!(json(&output)[1]["health"]["state"], "ready");
+    lock(&group).reachable_hosts = 0;
+    let output = run(&[fake.address], &["health"]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("no confirmed sheet"));
+}
+
+/// Guards against a submission that is reported as done before all reachable hosts have it, and
+/// one that waits for an unreachable host for ever.
+#[rstest]
+#[case(3, 0, "in force on 3 of 3 reachable hosts\n")]
+#[case(2, 0, "in force on 2 of 2 reachable hosts (1 unreachable)\n")]
+#[case(0, 8, "")]
+fn submission_is_watched(#[case] reachable: u64, #[case] expected: i32, #[case] last: &str) {
+    let group = group();
+    lock(&group).reachable_hosts = reachable;
+    let fake = start(&group);
+    let (_directory, file) = sheet(BRAKELINE);
+    let wait = if expected == 0 { "60s" } else { "1s" };
+    let arguments = ["sheet", "submit", "--wait", wait, file.to_str().unwrap()];
+    let output = run(&[fake.address], &arguments);
+    assert_eq!(code(&output), expected, "{}", stderr(&output));
+    assert!(stdout(&output).starts_with("accepted: number 2026120401"));
+    assert!(stdout(&output).ends_with(last));
+    assert!(stderr(&output).contains(&format!("in force on 0 of {reachable}")));
+}
+
+/// Guards against a check that hides what the sheet would change.
+#[test]
+fn check_against_the_server_lists_changes() {
+    let group = group();
+    let fake = start(&group);
+    let (_directory, file) = sheet(BRAKELINE);
+    let submit = ["sheet", "submit", "--no-wait", file.to_str().unwrap()];
+    assert_eq!(code(&run(&[fake.address], &submit)), 0);
+    let new = BRAKELINE
+        .replace("number = 2026120401", "number = 2026120501")
+        .replace("2026.11.2", "2026.12.0");
+    fs::write(&file, new).unwrap();
+    let check = ["sheet", "check", "--against", file.to_str().unwrap()];
+    let output = run(&[fake.address], &check);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let expected = "2 changes from sheet 2026120401:\n\
+                    ~ number: 2026120401 -> 2026120501\n\
+                    ~ model \"bend-planner\".version: \"2026.11.2\" -> \"2026.12.0\"\n";
+    assert!(stdout(&output).ends_with(expected), "{}", stdout(&output));
+    assert_eq!(lock(&group).published.len(), 1);
+}
+
+/// Guards against a stop that returns before the target is drained.
+#[test]
+fn stop_is_watched_until_drained() {
+    let group = group();
+    lock(&group).stop_steps = 3;
+    let fake = start(&group);
+    let output = run(&[fake.address], &["stop", "target", "engine-a1"]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert_eq!(stdout(&output), "target engine-a1: drained\n");
+    let progress = stderr(&output);
+    assert!(progress.contains("planned, 3 entry hosts have not confirmed yet"));
+    assert!(progress.contains("draining, 1 streams"));
+}
+
+/// Guards against refusals that look like an unknown outcome, or the other way round.
+#[rstest]
+#[case(ErrorCode::NoQuorum, 6)]
+#[case(ErrorCode::UnknownName, 6)]
+#[case(ErrorCode::Unauthorized, 6)]
+#[case(ErrorCode::ProposalReused, 4)]
+#[case(ErrorCode::OutcomeUnknown, 7)]
+#[case(ErrorCode::Internal, 7)]
+fn errors_have_exit_codes(#[case] error: ErrorCode, #[case] expected: i32) {
+    let group = group();
+    lock(&group).error = Some(error);
+    let fake = start(&group);
+    let output = run(&[fake.address], &["stop", "host", "3"]);
+    assert_eq!(code(&output), expected, "{}", stderr(&output));
+    assert!(stderr(&output).contains("on request"));
+}
+
+/// Guards against a secret that is not sent, and a refused one that looks unreachable.
+#[test]
+fn secret_is_sent_as_bearer_token() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut connection, _) = listener.accept().unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            connection.read_exact(&mut byte).unwrap();
+            request.push(byte[0]);
+        }
+        let refusal = "HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\n\r\n";
+        connection.write_all(refusal.as_bytes()).unwrap();
+        String::from_utf8(request).unwrap()
+    });
+    let directory = tempfile::tempdir().unwrap();
+    let secret = directory.path().join("secret");
+    fs::write(&secret, "hunter2\n").unwrap();
+    let output = run(
+        &[address],
+        &["hosts", "--secret-file", secret.to_str().unwrap()],
+    );
+    assert_eq!(code(&output), 6, "{}", stderr(&output));
+    assert!(
+        server
+            .join()
+            .unwrap()
+            .contains("authorization: Bearer hunter2\r\n")
+    );
+    assert!(!stderr(&output).contains("hunter2"));
+}
+
+/// Guards against an interrupt that looks like success or failure.
+#[test]
+fn interrupt_has_its_own_exit_code() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = silent.local_addr().unwrap().to_string();
+    let mut child = sardinectl(&["--timeout", "60s", "hosts"])
+        .env("SARDINECTL_SERVER", server)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    silent.set_nonblocking(true).unwrap();
+    let (mut connection, _) = loop {
+        match silent.accept() {
+            Ok(connection) => break connection,
+            Err(_) => assert_eq!(child.try_wait().unwrap(), None, "the tool gave up"),
+        }
+        thread::sleep(Duration::from_millis(10));
+    };
+    // The tool listens for the signal before it sends its first byte.
+    connection.set_nonblocking(false).unwrap();
+    connection.read_exact(&mut [0]).unwrap();
+    let kill = format!("kill -INT {}", child.id());
+    assert!(
+        Command::new("/bin/sh")
+            .args(["-c", &kill])
+            .status()
+            .unwrap()
+            .success()
+    );
+    assert_eq!(child.wait().unwrap().code(), Some(130));
+}
--- /dev/null
+++ b/crates/sardinectl/tests/operator/fake.rs
@@ -0,0 +1,341 @@
+//! A small operator server, and the tool run against it.
+
+use {
+    jsonrpsee::{
+        RpcModule,
+        server::{Server, ServerHandle},
+        types::ErrorObjectOwned,
+    },
+    sardinerelay::{
+        operator::{
+            self, CheckReport, CheckRequest, Digest, ErrorCode, ErrorData, Health, HostRow,
+            HostState, OrganisationRow, Proposal, Published, QueueRow, Role, Stage, StopProgress,
+            StopRequest, StopWatch, Submission, TargetKind, TargetRow, TargetState, Verdict,
+            Version,
+        },
+        sheet,
+    },
+    std::{
+        collections::HashMap,
+        net::{SocketAddr, TcpListener},
+        process::{Command, Output},
+        sync::{Arc, Mutex, MutexGuard},
+    },
+    tokio::runtime::Runtime,
+};
+
+/// What the fake servers of one test share, as the real ones share the replicated state.
+#[derive(Debug, Default)]
+pub struct Group {
+    /// Accepted sheets.
+    pub published: Vec<Published>,
+    /// Verdicts by proposal.
+    pub verdicts: HashMap<Proposal, Verdict>,
+    /// Submissions in the order of arrival.
+    pub submissions: Vec<Submission>,
+    /// Answers to submissions that are still to be lost.
+    pub lost_answers: u32,
+    /// Answers every change with this error.
+    pub error: Option<ErrorCode>,
+    /// Hosts that have the last sheet in force; one more with each look.
+    pub hosts_in_force: u64,
+    /// Hosts that are reachable.
+    pub reachable_hosts: u64,
+    /// Steps that a planned stop still takes.
+    pub stop_steps: u64,
+}
+
+pub type Shared = Arc<Mutex<Group>>;
+
+/// One fake server.
+#[derive(Debug)]
+pub struct Fake {
+    pub address: SocketAddr,
+    _runtime: Runtime,
+    _handle: ServerHandle,
+}
+
+pub fn group() -> Shared {
+    Arc::new(Mutex::new(Group {
+        reachable_hosts: 3,
+        ..Group::default()
+    }))
+}
+
+pub fn lock(group: &Shared) -> MutexGuard<'_, Group> {
+    group.lock().unwrap()
+}
+
+/// Starts a server of the group.
+pub fn start(group: &Shared) -> Fake {
+    let runtime = Runtime::new().unwrap();
+    let server = runtime
+        .block_on(Server::builder().build("127.0.0.1:0"))
+        .unwrap();
+    let address = server.local_addr().unwrap();
+    let _guard = runtime.enter();
+    let handle = server.start(methods(group.clone()));
+    drop(_guard);
+    Fake {
+        address,
+        _runtime: runtime,
+        _handle: handle,
+    }
+}
+
+fn methods(group: Shared) -> RpcModule<Shared> {
+    let mut module = RpcModule::new(group);
+    module
+        .register_async_method(operator::SHEET_SUBMIT, |params, group, _| async move {
+            let submission: Submission = params.parse()?;
+            let (verdict, lose) = submit(&mut lock(&group), submission)?;
+            if lose {
+                std::future::pending::<()>().await;
+            }
+            Ok::<_, ErrorObjectOwned>(verdict)
+        })
+        .unwrap();
+    module
+        .register_method(operator::SHEET_CHECK, |params, group, _| {
+            let request: CheckRequest = params.parse()?;
+            let group = lock(group);
+            let current = group.published.last();
+            let sheet = current.map(|published| sheet::parse(&published.toml).unwrap());
+            let pair = current.zip(sheet.as_ref());
+            let pair = pair.map(|(published, sheet)| (published.version, sheet));
+            Ok::<_, ErrorObjectOwned>(CheckReport::new(&request.toml, pair))
+        })
+        .unwrap();
+    module
+        .register_method(operator::SHEET_SHOW, |_, group, _| {
+            Ok::<_, ErrorObjectOwned>(lock(group).published.last().cloned())
+        })
+        .unwrap();
+    module
+        .register_method(operator::HOSTS, |_, group, _| {
+            Ok::<_, ErrorObjectOwned>(hosts(&mut lock(group)))
+        })
+        .unwrap();
+    module
+        .register_method(operator::STOP_PLAN, |params, group, _| {
+            let request: StopRequest = params.parse()?;
+            let group = lock(group);
+            refuse(&group)?;
+            Ok::<_, ErrorObjectOwned>(progress(&group, request.subject))
+        })
+        .unwrap();
+    module
+        .register_method(operator::STOP_WATCH, |params, group, _| {
+            let request: StopWatch = params.parse()?;
+            let mut group = lock(group);
+            group.stop_steps = group.stop_steps.saturating_sub(1);
+            Ok::<_, ErrorObjectOwned>(progress(&group, request.subject))
+        })
+        .unwrap();
+    lists(&mut module);
+    module
+}
+
+/// Methods whose answer does not depend on the group.
+fn lists(module: &mut RpcModule<Shared>) {
+    module
+        .register_method(operator::TARGETS, |_, _, _| {
+            Ok::<_, ErrorObjectOwned>(vec![TargetRow {
+                target: "engine-a1".into(),
+                zone: "lakes-a".into(),
+                address: ([10, 20, 1, 11], 8000).into(),
+                kind: TargetKind::Engine,
+                state: TargetState::Active,
+                serves: vec!["bend-planner@2026.11.2".into()],
+                memory_tokens: 240_000,
+                used_tokens: 81_000,
+                running: 9,
+                waiting: 1,
+                report_age_ms: Some(400),
+            }])
+        })
+        .unwrap();
+    module
+        .register_method(operator::ORGANISATIONS, |_, _, _| {
+            Ok::<_, ErrorObjectOwned>(vec![OrganisationRow {
+                organisation: "erie-fabrication".into(),
+                tokens_per_minute: 600_000,
+                tokens_used: 41_000,
+                requests_per_minute: 1200,
+                requests_used: 30,
+                running: 4,
+                queued: 2,
+                refused: 0,
+            }])
+        })
+        .unwrap();
+    module
+        .register_method(operator::QUEUES, |_, _, _| {
+            Ok::<_, ErrorObjectOwned>(vec![QueueRow {
+                host: 1,
+                class: "plan".into(),
+                priority: 0,
+                queued: 2,
+                oldest_wait_ms: 1500,
+                max_wait_ms: 20_000,
+                running: 4,
+                reserved_tokens: 52_000,
+            }])
+        })
+        .unwrap();
+    module
+        .register_method(operator::HEALTH, |_, group, _| {
+            Ok::<_, ErrorObjectOwned>(health(&lock(group)))
+        })
+        .unwrap();
+}
+
+fn health(group: &Group) -> Health {
+    let ready = group.reachable_hosts > 0;
+    Health {
+        host: 1,
+        zone: "lakes-a".into(),
+        release: "0.1.0".into(),
+        role: Role::Leader,
+        state: if ready {
+            HostState::Ready
+        } else {
+            HostState::NotReady
+        },
+        leader: Some(1),
+        term: 4,
+        quorum: true,
+        in_force: None,
+        problems: if ready {
+            vec![]
+        } else {
+            vec!["no confirmed sheet".into()]
+        },
+    }
+}
+
+fn refuse(group: &Group) -> Result<(), ErrorObjectOwned> {
+    match group.error {
+        Some(code) => Err(ErrorObjectOwned::owned(
+            code.number(),
+            format!("{code:?} on request"),
+            Some(ErrorData::default()),
+        )),
+        None => Ok(()),
+    }
+}
+
+fn submit(group: &mut Group, submission: Submission) -> Result<(Verdict, bool), ErrorObjectOwned> {
+    refuse(group)?;
+    group.submissions.push(submission.clone());
+    let lose = group.lost_answers > 0;
+    group.lost_answers = group.lost_answers.saturating_sub(1);
+    if let Some(verdict) = group.verdicts.get(&submission.proposal) {
+        return Ok((verdict.clone(), lose));
+    }
+    let held = group
+        .published
+        .iter()
+        .find(|published| published.version.number == submission.number);
+    let newest = group.published.last().map(|published| published.version);
+    let verdict = match (held, newest) {
+        (Some(held), _) => Verdict::Conflict { held: held.version },
+        (None, Some(newest)) if newest.number > submission.number => Verdict::Outdated { newest },
+        _ => accept(group, &submission),
+    };
+    group.verdicts.insert(submission.proposal, verdict.clone());
+    Ok((verdict, lose))
+}
+
+fn accept(group: &mut Group, submission: &Submission) -> Verdict {
+    let version = Version {
+        number: submission.number,
+        digest: submission.digest,
+        version: group.published.len() as u64 + 1,
+    };
+    group.published.push(Published {
+        version,
+        accepted_at_ms: 1_764_820_800_000,
+        toml: submission.toml.clone(),
+    });
+    Verdict::Accepted(version)
+}
+
+fn hosts(group: &mut Group) -> Vec<HostRow> {
+    let version = group.published.last().map(|published| published.version);
+    let in_force = group.hosts_in_force;
+    group.hosts_in_force += 1;
+    let row = |host: u64| HostRow {
+        host,
+        zone: "lakes-a".into(),
+        address: ([10, 20, 1, host as u8], 7000).into(),
+        role: if host == 1 { Role::Leader } else { Role::Entry },
+        state: match host <= group.reachable_hosts {
+            true => HostState::Ready,
+            false => HostState::Unreachable,
+        },
+        in_force: version.filter(|_| host <= in_force),
+        streams: 12,
+        queued: 0,
+        age_ms: 250,
+    };
+    (1..=3).map(row).collect()
+}
+
+fn progress(group: &Group, subject: operator::Subject) -> StopProgress {
+    StopProgress {
+        subject,
+        stage: match group.stop_steps {
+            0 => Stage::Drained,
+            1 => Stage::Draining,
+            _ => Stage::Planned,
+        },
+        revision: 100 - group.stop_steps,
+        unconfirmed_hosts: group.stop_steps,
+        streams: group.stop_steps,
+        calls: 0,
+        queued: 0,
+        planned_at_ms: 1_764_820_800_000,
+    }
+}
+
+/// An address that refuses connections.
+pub fn closed() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// The tool in an empty environment.
+pub fn sardinectl(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sardinectl"));
+    command.env_clear().args(arguments);
+    command
+}
+
+/// Runs the tool against servers.
+pub fn run(servers: &[SocketAddr], arguments: &[&str]) -> Output {
+    let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
+    sardinectl(arguments)
+        .env("SARDINECTL_SERVER", servers.join(","))
+        .output()
+        .unwrap()
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+pub fn json(output: &Output) -> serde_json::Value {
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+/// The digest of a sheet as text.
+pub fn digest(toml: &str) -> String {
+    Digest(sheet::parse(toml).unwrap().digest()).to_string()
+}
