Document the sheet, sardinectl and the refusal codes

docs/REFUSALS.md is written from the table of refusal codes, and a test compares code, status, run state, retry advice and texts with it.

--- a/crates/sardinectl/tests/local.rs
+++ b/crates/sardinectl/tests/local.rs
@@ -116,5 +116,13 @@
     let help = stdout(&run(&["--help"], ""));
     assert!(help.contains("Exit codes:") && help.contains("130  interrupted"));
     assert!(help.contains("Examples:"));
+    let page = include_str!("../../../docs/SARDINECTL.md");
+    for code in [0, 1, 2, 3, 4, 5, 6, 7, 8, 130] {
+        assert!(help.contains(&format!("\n  {code:<5}")), "{code} in {help}");
+        assert!(
+            page.contains(&format!("\n| {code} | ")),
+            "{code} on the page"
+        );
+    }
     assert!(stdout(&run(&["sheet", "submit", "--help"], "")).contains("--proposal"));
 }
--- a/crates/sardinerelay/tests/refusal_code.rs
+++ b/crates/sardinerelay/tests/refusal_code.rs
@@ -16,6 +16,26 @@
     }
 }
 
+/// Guards against a page that lacks a code or contradicts the table.
+#[test]
+fn page_agrees_with_the_table() {
+    let page = include_str!("../../../docs/REFUSALS.md");
+    let words = |text: &str| text.split_whitespace().collect::<Vec<_>>().join(" ");
+    let page_words = words(page);
+    for entry in TABLE {
+        let code = entry.text;
+        let retry = entry.retry.text().replace('_', " ");
+        let row = format!(
+            "| [`{code}`](#{code}) | {} | {} | {retry} |",
+            entry.status, entry.run
+        );
+        assert!(page.contains(&row), "{row}");
+        let section = format!("### {code} {} To do: {}", entry.meaning, entry.advice);
+        assert!(page_words.contains(&words(&section)), "{section}");
+    }
+    assert_eq!(page.matches("\n### ").count(), TABLE.len());
+}
+
 /// Guards against a code that clients receive as another one or as a protocol error.
 #[test]
 fn operator_error_numbers_are_distinct_and_outside_the_reserved_range() {
