Add the control thread: consensus, sheet distribution and proposals

One task drives the replica and owns the machine; a writer thread syncs, with one sync for all queued writes, so a slow disk delays no heartbeat. An error says whether the command certainly was not committed.

The first runs elected no leader. Cause: the RPC server answers calls but drops notifications unread, so no vote request arrived. Ruled out: the secret check and the addresses, as calls worked.

--- /dev/null
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -0,0 +1,316 @@
+//! Drives the replica: persist, then send, then apply.
+//!
+//! One task owns the replica, the state machine and the thread that writes the log. The replica
+//! itself holds back whatever depends on a write that is not synced yet, so the task never waits
+//! for the disk.
+
+use {
+    super::{
+        Failure,
+        board::Board,
+        message::{Input, Outcome},
+        writer::{Job, Writer, Written},
+    },
+    crate::peer::Outbox,
+    bytes::Bytes,
+    log::{debug, info},
+    sardinerelay::{
+        id::{Host, Index, Term, Version},
+        ledger::Quota,
+        raft::{self, Durable, Payload, Position, Read, Ready, Refusal, Replica, Snapshot},
+        state::{self, Machine, Reply},
+        wal::Store,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::{Instant, SystemTime},
+    },
+    tokio::{
+        sync::{
+            mpsc::{Receiver, UnboundedReceiver},
+            oneshot::Sender,
+        },
+        time::{Instant as Deadline, sleep_until},
+    },
+};
+
+/// Inputs that are handled before the replica's work is done, so that one sync covers many
+/// proposals.
+const GROUP: usize = 256;
+
+/// When a snapshot is taken.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Compaction {
+    pub(super) entries: u64,
+    pub(super) bytes: usize,
+}
+
+struct Pending {
+    term: Term,
+    reply: Sender<Outcome<Reply>>,
+}
+
+pub(super) struct Consensus {
+    replica: Replica,
+    machine: Machine,
+    applied: Index,
+    board: Arc<Board>,
+    outboxes: BTreeMap<Host, Arc<Outbox>>,
+    writer: Writer,
+    written: UnboundedReceiver<Written>,
+    pending: BTreeMap<Index, Pending>,
+    reads: HashMap<u64, Sender<Outcome<Version>>>,
+    next_read: u64,
+    compaction: Compaction,
+    /// Entries and bytes applied since the last snapshot.
+    uncompacted: (u64, usize),
+    saving: bool,
+}
+
+impl Consensus {
+    pub(super) fn new(
+        config: raft::Config,
+        (store, durable): (Store, Durable),
+        quota: Quota,
+        compaction: Compaction,
+        (board, outboxes): (Arc<Board>, BTreeMap<Host, Arc<Outbox>>),
+    ) -> Result<Self, Failure> {
+        let machine = match &durable.snapshot.data {
+            data if data.is_empty() => Machine::new(quota),
+            data => Machine::restore(data)?,
+        };
+        let applied = durable.snapshot.meta.last.index;
+        let replica = Replica::new(config, durable, Instant::now())?;
+        let (writer, written) = Writer::start(store)?;
+        Ok(Self {
+            replica,
+            machine,
+            applied,
+            board,
+            outboxes,
+            writer,
+            written,
+            pending: BTreeMap::new(),
+            reads: HashMap::new(),
+            next_read: 0,
+            compaction,
+            uncompacted: (0, 0),
+            saving: false,
+        })
+    }
+
+    /// Runs until the input ends or a write fails.
+    pub(super) async fn run(mut self, mut inputs: Receiver<Input>) -> Result<(), Failure> {
+        loop {
+            let deadline = Deadline::from_std(self.replica.deadline());
+            tokio::select! {
+                biased;
+                Some(written) = self.written.recv() => self.written(written)?,
+                input = inputs.recv() => match input {
+                    Some(input) => self.inputs(input, &mut inputs),
+                    None => return Ok(()),
+                },
+                () = sleep_until(deadline) => {}
+            }
+            self.replica.tick(Instant::now());
+            self.work()?;
+        }
+    }
+
+    fn inputs(&mut self, first: Input, inputs: &mut Receiver<Input>) {
+        self.input(first);
+        for _ in 1..GROUP {
+            match inputs.try_recv() {
+                Ok(input) => self.input(input),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Step(from, messages) => {
+                let now = Instant::now();
+                for message in messages {
+                    self.replica.step(from, message, now);
+                }
+            }
+            Input::Propose(entry, reply) => self.propose(*entry, reply),
+            Input::Confirm(reply) => self.confirm(reply),
+            // Whoever asked may have given up meanwhile, here and below.
+            Input::Change(change, reply) => {
+                let _ = reply.send(self.replica.change(change).map(|_| ()));
+            }
+            Input::Transfer(reply) => {
+                let _ = reply.send(self.replica.transfer(None));
+            }
+            Input::Status(reply) => {
+                let _ = reply.send(self.replica.status());
+            }
+        }
+    }
+
+    /// Proposes an entry with the leader's time, so that the clocks of voters alone move the
+    /// machine's clock.
+    fn propose(&mut self, mut entry: state::Entry, reply: Sender<Outcome<Reply>>) {
+        entry.at = SystemTime::now();
+        let Ok(data) = postcard::to_stdvec(&entry) else {
+            let _ = reply.send(Outcome::Busy);
+            return;
+        };
+        match self.replica.propose(Bytes::from(data)) {
+            Ok(Position { term, index }) => {
+                let replaced = self.pending.insert(index, Pending { term, reply });
+                if let Some(lost) = replaced {
+                    let _ = lost.reply.send(Outcome::Lost);
+                }
+            }
+            Err(refusal) => {
+                let _ = reply.send(refusal.into());
+            }
+        }
+    }
+
+    fn confirm(&mut self, reply: Sender<Outcome<Version>>) {
+        self.next_read += 1;
+        match self.replica.read(self.next_read) {
+            Ok(()) => {
+                self.reads.insert(self.next_read, reply);
+            }
+            Err(refusal) => {
+                let _ = reply.send(refusal.into());
+            }
+        }
+    }
+
+    fn written(&mut self, written: Written) -> Result<(), Failure> {
+        match written {
+            Written::Persisted(sequence) => self.replica.persisted(sequence),
+            Written::Saved(snapshot) => {
+                self.saving = false;
+                let last = snapshot.meta.last.index;
+                debug!("took a snapshot at {last}");
+                self.replica.compact(snapshot);
+                self.writer.queue(Job::Compact(last));
+            }
+            Written::Failed(error) => return Err(error.into()),
+        }
+        Ok(())
+    }
+
+    fn work(&mut self) -> Result<(), Failure> {
+        loop {
+            let ready = self.replica.ready();
+            if ready.is_empty() {
+                break;
+            }
+            self.handle(ready)?;
+        }
+        self.publish();
+        self.compact()
+    }
+
+    fn handle(&mut self, ready: Ready) -> Result<(), Failure> {
+        if let Some(persist) = ready.persist {
+            self.writer.queue(Job::Persist(persist));
+        }
+        for envelope in ready.messages {
+            match self.outboxes.get(&envelope.to) {
+                Some(outbox) => outbox.push(envelope.message),
+                None => debug!("no address of host {} is known", envelope.to),
+            }
+        }
+        if let Some(snapshot) = ready.snapshot {
+            self.restore(&snapshot)?;
+        }
+        for entry in ready.committed {
+            self.apply(entry)?;
+        }
+        for read in ready.reads {
+            self.answer(read);
+        }
+        if let Some(soft) = ready.soft {
+            info!(
+                "term {}: {:?}, leader {:?}",
+                soft.term, soft.role, soft.leader
+            );
+            self.board.set_cut_off(soft.leader.is_none());
+            self.pending.retain(|_, pending| !pending.reply.is_closed());
+        }
+        Ok(())
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Failure> {
+        self.machine = Machine::restore(&snapshot.data)?;
+        self.applied = snapshot.meta.last.index;
+        self.uncompacted = (0, 0);
+        let later = self.pending.split_off(&(self.applied + 1));
+        for (_, pending) in std::mem::replace(&mut self.pending, later) {
+            let _ = pending.reply.send(Outcome::Unknown);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: raft::Entry) -> Result<(), Failure> {
+        let Position { term, index } = entry.position;
+        let mut reply = None;
+        self.uncompacted.0 += 1;
+        if let Payload::Data(data) = entry.payload {
+            self.uncompacted.1 += data.len();
+            let entry = postcard::from_bytes(&data).map_err(state::Error::from)?;
+            reply = Some(self.machine.apply(index, &entry));
+        }
+        self.applied = index;
+        if let Some(pending) = self.pending.remove(&index) {
+            let outcome = match reply {
+                Some(reply) if pending.term == term => Outcome::Done(reply),
+                _ => Outcome::Lost,
+            };
+            let _ = pending.reply.send(outcome);
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, read: Read) {
+        let Some(reply) = self.reads.remove(&read.token) else {
+            return;
+        };
+        let _ = reply.send(match read.outcome {
+            Ok(_) => Outcome::Done(self.machine.view().version),
+            Err(Refusal::NotLeader { leader }) => Outcome::NotLeader(leader),
+            Err(_) => Outcome::Busy,
+        });
+    }
+
+    /// Shows the machine's view to the rest of the host, unless what was read from disk at the
+    /// start is newer.
+    fn publish(&mut self) {
+        let shown = self.board.view();
+        if self.machine.view().version <= shown.version {
+            return;
+        }
+        let update = self.machine.delta(shown.version, &shown.digest);
+        if let Err(mismatch) = self.board.update(update) {
+            debug!("{mismatch}");
+            let whole = self.machine.view().clone();
+            let _ = self.board.update(state::Update::Whole(Box::new(whole)));
+        }
+    }
+
+    fn compact(&mut self) -> Result<(), Failure> {
+        let (entries, bytes) = self.uncompacted;
+        let due = entries >= self.compaction.entries || bytes >= self.compaction.bytes;
+        if self.saving || !due {
+            return Ok(());
+        }
+        let Some(meta) = self.replica.snapshot_meta(self.applied) else {
+            return Ok(());
+        };
+        let data = Bytes::from(self.machine.snapshot()?);
+        self.writer.queue(Job::Save(Snapshot { meta, data }));
+        self.uncompacted = (0, 0);
+        self.saving = true;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/control/view_file.rs
@@ -0,0 +1,103 @@
+//! The synced copy of the view, and the lock of the data directory.
+
+use {
+    super::Failure,
+    log::error,
+    sardinerelay::state::View,
+    sha2::{Digest as _, Sha256},
+    std::{
+        fs::{self, File, TryLockError},
+        io::{self, Write as _},
+        path::{Path, PathBuf},
+    },
+};
+
+const FORMAT: u16 = 1;
+const HEADER_BYTES: usize = 2 + 32;
+
+/// The file in a locked data directory.
+#[derive(Debug)]
+pub(super) struct ViewFile {
+    directory: PathBuf,
+    _lock: File,
+}
+
+impl ViewFile {
+    /// Locks the directory and reads the view. `None` if there is none or it is damaged; the host
+    /// then shows nothing until a leader confirms a version, like one without a disk.
+    pub(super) fn open(directory: &Path) -> Result<(Self, Option<View>), Failure> {
+        fs::create_dir_all(directory).map_err(failed("creating", directory))?;
+        let path = directory.join("lock");
+        let lock = File::create(&path).map_err(failed("creating", &path))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => {
+                return Err(Failure::Locked {
+                    path: directory.to_owned(),
+                });
+            }
+            Err(TryLockError::Error(source)) => return Err(failed("locking", &path)(source)),
+        }
+        let file = Self {
+            directory: directory.to_owned(),
+            _lock: lock,
+        };
+        let view = file.read()?;
+        Ok((file, view))
+    }
+
+    /// Replaces the view and syncs it.
+    pub(super) fn save(&self, view: &View) -> Result<(), Failure> {
+        let new = self.directory.join("view.new");
+        let path = self.path();
+        let bytes = encode(view).map_err(failed("encoding", &path))?;
+        let mut file = File::create(&new).map_err(failed("creating", &new))?;
+        file.write_all(&bytes).map_err(failed("writing", &new))?;
+        file.sync_all().map_err(failed("syncing", &new))?;
+        fs::rename(&new, &path).map_err(failed("replacing", &path))?;
+        let directory = File::open(&self.directory).and_then(|directory| directory.sync_all());
+        directory.map_err(failed("syncing", &self.directory))
+    }
+
+    fn read(&self) -> Result<Option<View>, Failure> {
+        let path = self.path();
+        let bytes = match fs::read(&path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(failed("reading", &path)(error)),
+        };
+        let view = decode(&bytes);
+        if view.is_none() {
+            error!(
+                "{} is damaged or of another format; nothing is shown until a leader confirms",
+                path.display()
+            );
+        }
+        Ok(view)
+    }
+
+    fn path(&self) -> PathBuf {
+        self.directory.join("view")
+    }
+}
+
+fn encode(view: &View) -> io::Result<Vec<u8>> {
+    let body = postcard::to_stdvec(view).map_err(io::Error::other)?;
+    Ok([&FORMAT.to_le_bytes()[..], &Sha256::digest(&body), &body].concat())
+}
+
+fn decode(bytes: &[u8]) -> Option<View> {
+    let (header, body) = bytes.split_at_checked(HEADER_BYTES)?;
+    let (format, digest) = header.split_at(2);
+    let intact = format == FORMAT.to_le_bytes() && digest == Sha256::digest(body).as_slice();
+    intact.then(|| postcard::from_bytes(body).ok())?
+}
+
+fn failed(action: &'static str, path: &Path) -> impl FnOnce(io::Error) -> Failure {
+    let path = path.to_owned();
+    move |source| Failure::View {
+        action,
+        path,
+        source,
+    }
+}
--- a/crates/sardinerelayd/src/peer.rs
+++ b/crates/sardinerelayd/src/peer.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod io;
+mod notice;
 mod outbox;
 mod packed;
 mod secret;
@@ -14,6 +15,7 @@
 
 pub use self::{
     client::Client,
+    notice::Receiver,
     outbox::{Outbox, STEP, Step},
     packed::Packed,
     secret::{Error as SecretError, Secret, Secrets},
--- /dev/null
+++ b/crates/sardinerelayd/src/peer/notice.rs
@@ -0,0 +1,83 @@
+//! Delivers notifications, which the RPC server by itself drops unread.
+
+use {
+    jsonrpsee::{
+        core::middleware::{Batch, Notification, RpcServiceT},
+        types::Request,
+    },
+    std::{fmt, sync::Arc},
+    tower::Layer,
+};
+
+type Receive = dyn Fn(&str, &str) + Send + Sync;
+
+/// Receives the method and the JSON parameters of each notification.
+#[derive(Clone)]
+pub struct Receiver(Arc<Receive>);
+
+impl Receiver {
+    /// Has `receive` called for each notification. It must not block.
+    pub fn new<Receive>(receive: Receive) -> Self
+    where
+        Receive: Fn(&str, &str) + Send + Sync + 'static,
+    {
+        Self(Arc::new(receive))
+    }
+}
+
+impl fmt::Debug for Receiver {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Receiver(..)")
+    }
+}
+
+impl<Inner> Layer<Inner> for Receiver {
+    type Service = Receiving<Inner>;
+
+    fn layer(&self, inner: Inner) -> Self::Service {
+        Receiving {
+            receiver: self.clone(),
+            inner,
+        }
+    }
+}
+
+/// A service with a [`Receiver`].
+#[derive(Debug, Clone)]
+pub struct Receiving<Inner> {
+    receiver: Receiver,
+    inner: Inner,
+}
+
+impl<Inner> RpcServiceT for Receiving<Inner>
+where
+    Inner: RpcServiceT,
+{
+    type MethodResponse = Inner::MethodResponse;
+    type NotificationResponse = Inner::NotificationResponse;
+    type BatchResponse = Inner::BatchResponse;
+
+    fn call<'a>(
+        &self,
+        request: Request<'a>,
+    ) -> impl Future<Output = Self::MethodResponse> + Send + 'a {
+        self.inner.call(request)
+    }
+
+    fn batch<'a>(
+        &self,
+        requests: Batch<'a>,
+    ) -> impl Future<Output = Self::BatchResponse> + Send + 'a {
+        self.inner.batch(requests)
+    }
+
+    fn notification<'a>(
+        &self,
+        notification: Notification<'a>,
+    ) -> impl Future<Output = Self::NotificationResponse> + Send + 'a {
+        if let Some(parameters) = &notification.params {
+            (self.receiver.0)(&notification.method, parameters.get());
+        }
+        self.inner.notification(notification)
+    }
+}
--- a/crates/sardinerelayd/src/peer/server.rs
+++ b/crates/sardinerelayd/src/peer/server.rs
@@ -1,11 +1,15 @@
 //! The server for other hosts.
 
 use {
-    super::{REQUEST_BYTES, RESPONSE_BYTES, Secrets, SharedCounters, io, secret::Check},
+    super::{REQUEST_BYTES, RESPONSE_BYTES, Receiver, Secrets, SharedCounters, io, secret::Check},
     hyper::body::Incoming,
-    jsonrpsee::server::{
-        BatchRequestConfig, HttpRequest, Methods, Server as RpcServer, ServerConfig, ServerHandle,
-        StopHandle, TowerServiceBuilder, serve_with_graceful_shutdown, stop_channel,
+    jsonrpsee::{
+        core::middleware::RpcServiceBuilder,
+        server::{
+            BatchRequestConfig, HttpRequest, Methods, Server as RpcServer, ServerConfig,
+            ServerHandle, StopHandle, TowerServiceBuilder, serve_with_graceful_shutdown,
+            stop_channel,
+        },
     },
     log::{debug, warn},
     std::{io::Error, net::SocketAddr, sync::Arc, time::Duration},
@@ -26,7 +30,7 @@
 /// Time to wait after a failed accept, which happens when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-type Builder = TowerServiceBuilder<Identity, Stack<Check, Identity>>;
+type Builder = TowerServiceBuilder<Stack<Receiver, Identity>, Stack<Check, Identity>>;
 
 /// A running server. It stops when it is dropped.
 #[derive(Debug)]
@@ -36,7 +40,7 @@
 }
 
 impl Server {
-    /// Listens on `address` and serves `methods`.
+    /// Listens on `address`, serves `methods` and hands notifications to `receiver`.
     ///
     /// # Errors
     ///
@@ -44,7 +48,7 @@
     pub async fn start<M>(
         address: SocketAddr,
         secrets: Secrets,
-        methods: M,
+        (methods, receiver): (M, Receiver),
         counters: SharedCounters,
     ) -> Result<Self, Error>
     where
@@ -61,6 +65,7 @@
             .build();
         let builder = RpcServer::builder()
             .set_config(config)
+            .set_rpc_middleware(RpcServiceBuilder::new().layer(receiver))
             .set_http_middleware(ServiceBuilder::new().layer(Check(secrets)))
             .to_service_builder();
         let (stopped, stop) = stop_channel();
