--- a/crates/sardinerelay/src/state.rs
+++ b/crates/sardinerelay/src/state.rs
@@ -295,6 +295,7 @@
             number,
             digest: *digest,
             version: self.core.view.version + 1,
+            at: self.core.ledger.clock(),
         };
         if self.core.submissions.len() == SUBMISSIONS {
             self.core.submissions.pop_front();
--- a/crates/sardinerelay/src/state/view.rs
+++ b/crates/sardinerelay/src/state/view.rs
@@ -33,6 +33,8 @@
     pub digest: Digest,
     /// The version at which it came into force.
     pub version: Version,
+    /// When it was accepted, by the clock of the state machine.
+    pub at: SystemTime,
 }
 
 /// What stops or leaves.
--- a/crates/sardinerelayd/src/api.rs
+++ b/crates/sardinerelayd/src/api.rs
@@ -13,6 +13,7 @@
         metrics::Metrics,
         refusal::{Code, Refusal},
         resume::Resume,
+        service::Proxy,
         snapshot::Shared,
         stop::Drain,
     },
@@ -39,6 +40,8 @@
     pub chain: Chain,
     /// The end of the chain.
     pub relay: Relay,
+    /// Plain services.
+    pub proxy: Proxy,
     /// Resuming of cut streams.
     pub resume: Resume,
     /// Control state.
@@ -60,7 +63,7 @@
             .route("/livez", get(live))
             .route("/readyz", get(ready))
             .route("/metrics", get(metrics))
-            .fallback(unknown_path)
+            .fallback(service)
             .method_not_allowed_fallback(wrong_method)
             .with_state(self)
     }
@@ -150,14 +153,22 @@
     }
 }
 
-async fn unknown_path(State(api): State<Api>, request: Request) -> Response {
-    let message = format!("nothing is served at {}", request.uri().path());
-    let mut response = api
-        .relay
-        .respond(Err(Refusal::new(Code::InvalidRequest, message)))
-        .await;
-    *response.status_mut() = StatusCode::NOT_FOUND;
-    response
+/// Calls to plain services, whose paths come from the sheet.
+async fn service(State(api): State<Api>, request: Request) -> Response {
+    if !api.proxy.covers(request.uri().path()) {
+        let message = format!("nothing is served at {}", request.uri().path());
+        let refusal = Refusal::new(Code::InvalidRequest, message);
+        let mut response = api.relay.respond(Err(refusal)).await;
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let Some(open) = api.drain.enter() else {
+        return api.relay.respond(Err(stopping())).await;
+    };
+    match api.proxy.call(request).await {
+        Ok(response) => response.map(|body| open.hold(body)),
+        Err(refusal) => api.relay.respond(Err(refusal)).await,
+    }
 }
 
 async fn wrong_method(State(api): State<Api>, request: Request) -> Response {
--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod message;
 mod propose;
+mod report;
 mod rpc;
 mod settings;
 mod sheet;
@@ -18,6 +19,7 @@
 
 pub use self::{
     handle::{Handle, spawn},
+    report::Reporter,
     settings::{Fault, Member, Settings},
 };
 
--- a/crates/sardinerelayd/src/control/handle.rs
+++ b/crates/sardinerelayd/src/control/handle.rs
@@ -248,7 +248,12 @@
         result.unwrap_or_else(|| Arc::new(Err(Failure::Panic)))
     }
 
-    async fn on_thread<T, Make, Made>(&self, make: Make) -> Result<T, Error>
+    /// What the control thread's tasks share.
+    pub(super) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    pub(super) async fn on_thread<T, Make, Made>(&self, make: Make) -> Result<T, Error>
     where
         Make: FnOnce(Arc<Shared>) -> Made,
         Made: Future<Output = Result<T, Error>> + Send + 'static,
--- a/crates/sardinerelayd/src/control/rpc.rs
+++ b/crates/sardinerelayd/src/control/rpc.rs
@@ -5,6 +5,7 @@
         board::Board,
         leader::{confirm_here, propose_here},
         message::{CONFIRM, Confirm, HEALTH, Health, Input, PROPOSE, PULL, Propose, Pull},
+        report::{REPORT, Slot},
         sheet,
     },
     crate::peer::{Packed, Receiver, STEP, SharedCounters, Step},
@@ -31,6 +32,7 @@
     pub(super) board: Arc<Board>,
     pub(super) poll: Duration,
     pub(super) counters: SharedCounters,
+    pub(super) reporter: Slot,
 }
 
 type Answer<T> = Result<T, ErrorObjectOwned>;
@@ -65,6 +67,12 @@
             cut_off: context.board.is_cut_off(),
         })
     })?;
+    module.register_async_method(REPORT, |_, context, _| async move {
+        context.counters.count_received();
+        let report = context.reporter.report().await;
+        context.counters.count_sent();
+        Answer::Ok(report)
+    })?;
     Ok(module)
 }
 
--- a/crates/sardinerelayd/src/control/start.rs
+++ b/crates/sardinerelayd/src/control/start.rs
@@ -8,6 +8,7 @@
         leader::Leader,
         message::Input,
         propose::Proposer,
+        report::Slot,
         rpc,
         settings::Fault,
         sheet::{self, Publisher, Puller},
@@ -51,6 +52,8 @@
     pub(super) published: watch::Receiver<Arc<Published>>,
     pub(super) counters: SharedCounters,
     pub(super) upstream: Arc<AtomicU64>,
+    pub(super) clients: BTreeMap<Host, Arc<Client>>,
+    pub(super) reporter: Slot,
 }
 
 /// The running tasks. The first one that ends, ends the control thread.
@@ -74,7 +77,9 @@
         false => None,
     };
     let clients = clients(&settings, secrets.as_ref(), &counters);
+    let all_clients = clients.clone();
     let local = start_replica(&settings, &clients, &board, &mut tasks)?;
+    let reporter = Slot::default();
     let server = match secrets {
         Some(secrets) => {
             let context = rpc::Context {
@@ -83,6 +88,7 @@
                 board: Arc::clone(&board),
                 poll: settings.poll,
                 counters: Arc::clone(&counters),
+                reporter: reporter.clone(),
             };
             Some(listen(&settings, secrets, context).await?)
         }
@@ -123,6 +129,8 @@
         published,
         counters,
         upstream,
+        clients: all_clients,
+        reporter,
         settings,
     });
     Ok(Running {
@@ -174,7 +182,7 @@
     let counters = Arc::clone(&context.counters);
     let receiver = rpc::receiver(context.local.clone(), Arc::clone(&counters));
     let methods = rpc::methods(context).map_err(|error| failed(std::io::Error::other(error)))?;
-    let server = Server::start(address, secrets, (methods, receiver), counters)
+    let server = Server::start(address, Some(secrets), (methods, receiver), counters)
         .await
         .map_err(failed)?;
     info!("peers are served on {}", server.address());
--- a/crates/sardinerelayd/src/dev.rs
+++ b/crates/sardinerelayd/src/dev.rs
@@ -18,12 +18,13 @@
 const MODEL: &str = "bend-planner";
 const MEMORY_TOKENS: u64 = 60_000;
 
-/// Starts the stand-in engine and returns the sheet for it.
+/// Starts the stand-in engine and returns the sheet for it, under a number above that of any
+/// earlier run.
 ///
 /// # Errors
 ///
 /// Returns an error if no loopback port can be bound.
-pub async fn start(zone: &str) -> Result<Sheet> {
+pub async fn start(zone: &str, number: u64) -> Result<Sheet> {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .context("binding the stand-in engine")?;
@@ -38,12 +39,12 @@
         ..Config::default()
     });
     tokio::spawn(engine.run(listener));
-    Ok(sheet(zone, address))
+    Ok(sheet(zone, number, address))
 }
 
-fn sheet(zone: &str, address: SocketAddr) -> Sheet {
+fn sheet(zone: &str, number: u64, address: SocketAddr) -> Sheet {
     Sheet {
-        number: 1,
+        number,
         classes: vec![RequestClass {
             name: "interactive".into(),
             priority: 0,
--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -5,13 +5,13 @@
 
 use {
     crate::{
-        engine::{Client, Event, Lost, Reader, Start, reader::Patience},
+        engine::{Client, Error, Event, Lost, Reader, Start, reader::Patience},
         filter::{Answer, Call, Reply, admit::Admitted},
         refusal::{Code, Refusal},
         schedule::{Failure, Scheduler, Ticket},
     },
     compact_str::{CompactString, format_compact},
-    http::HeaderValue,
+    http::{HeaderValue, StatusCode},
     log::{info, warn},
     sardinerelay::{
         id::Generation,
@@ -76,18 +76,17 @@
             match self.attempt(&call, &ticket, &guard).await {
                 Ok((reader, first)) => return Ok(self.answer(call, ticket, guard, reader, first)),
                 Err(lost) => {
-                    let refusal = self.explain(&lost, &ticket);
-                    may_have_run |= !matches!(lost, Lost::NotRun(_));
+                    if let Some(refusal) = invalid(&lost) {
+                        return Err(refusal);
+                    }
+                    let failure = failure(&lost);
+                    may_have_run |= failure == Failure::Lost;
                     warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = ticket.target.as_str(); "generation did not start: {lost}");
-                    let failure = if matches!(lost, Lost::NotRun(_)) {
-                        Failure::NotRun
-                    } else {
-                        Failure::Lost
-                    };
+                    let refusal = self.explain(&lost, &ticket);
                     ticket = match self.scheduler.readmit(&call, ticket, failure).await {
-                        Some(ticket) => ticket,
-                        None if may_have_run => return Err(refusal.may_have_run()),
-                        None => return Err(refusal),
+                        Ok(ticket) => ticket,
+                        Err(_) if may_have_run => return Err(refusal.may_have_run()),
+                        Err(last) => return Err(last.unwrap_or(refusal)),
                     };
                 }
             }
@@ -170,6 +169,27 @@
     }
 }
 
+/// The refusal of a request that no engine can run, for example one longer than its memory.
+fn invalid(lost: &Lost) -> Option<Refusal> {
+    match lost {
+        Lost::NotRun(Error::Refused {
+            status, message, ..
+        }) if *status == StatusCode::BAD_REQUEST => {
+            Some(Refusal::new(Code::InvalidRequest, message.as_str()))
+        }
+        _ => None,
+    }
+}
+
+fn failure(lost: &Lost) -> Failure {
+    match lost {
+        Lost::NotRun(Error::Refused { code, .. }) if code == "leaving" => Failure::Leaving,
+        Lost::NotRun(Error::Refused { .. }) => Failure::Refused,
+        Lost::NotRun(_) => Failure::Unreachable,
+        Lost::Gone | Lost::Unreachable(_) | Lost::Protocol => Failure::Lost,
+    }
+}
+
 /// Cancels the generation on the engine when dropped, so that an attempt whose caller left, or
 /// that was given up, doesn't go on holding memory there.
 #[derive(Debug)]
--- a/crates/sardinerelayd/src/filter/limit.rs
+++ b/crates/sardinerelayd/src/filter/limit.rs
@@ -5,6 +5,7 @@
         filter::{Answer, Call, Reply},
         limits::Limits,
         refusal::Refusal,
+        tally::Tally,
     },
     std::{
         mem,
@@ -19,12 +20,17 @@
 pub struct Limit<S> {
     inner: S,
     limits: Arc<Limits>,
+    tally: Arc<Tally>,
 }
 
 impl<S> Limit<S> {
     /// Puts the filter before `inner`.
-    pub fn new(inner: S, limits: Arc<Limits>) -> Self {
-        Self { inner, limits }
+    pub fn new(inner: S, limits: Arc<Limits>, tally: Arc<Tally>) -> Self {
+        Self {
+            inner,
+            limits,
+            tally,
+        }
     }
 }
 
@@ -44,13 +50,22 @@
         let ready = self.inner.clone();
         let mut inner = mem::replace(&mut self.inner, ready);
         let limits = self.limits.clone();
+        let tally = self.tally.clone();
         Box::pin(async move {
-            let charge = limits.charge(&call)?;
-            let mut answer = inner.call(call).await?;
-            answer
-                .on_end
-                .push(Box::new(move |end| charge.settle(end.tokens)));
-            Ok(answer)
+            let organisation = call.organisation.clone();
+            let charged = async {
+                let charge = limits.charge(&call)?;
+                let mut answer = inner.call(call).await?;
+                answer
+                    .on_end
+                    .push(Box::new(move |end| charge.settle(end.tokens)));
+                Ok(answer)
+            };
+            let result = charged.await;
+            if result.is_err() {
+                tally.refuse(&organisation);
+            }
+            result
         })
     }
 }
--- /dev/null
+++ b/crates/sardinerelayd/src/intent.rs
@@ -0,0 +1,170 @@
+//! The ledger of keyed calls, as the service path uses it.
+
+use {
+    crate::{
+        control::{Error, Handle},
+        refusal::{Code, Refusal},
+        service::CALL_TIMEOUT,
+    },
+    compact_str::{CompactString, format_compact},
+    log::warn,
+    sardinerelay::{
+        id::Organisation,
+        ledger::{Answer, Begin, Conclusion, Intent, Key, Outcome, Owner},
+        state::{Command, Reply},
+    },
+    sha2::{Digest, Sha256},
+    std::time::{Duration, SystemTime},
+    uuid::Uuid,
+};
+
+/// Time to commit an intent. A call is refused as not run when it takes longer.
+const BEGIN_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time to commit a conclusion. The caller waits for it, so that a resend finds the answer.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time beyond the call's own bound after which nobody can know its outcome any more.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(30);
+
+/// The way to the replicated ledger.
+#[derive(Debug, Clone)]
+pub struct Intents {
+    control: Handle,
+    owner: Owner,
+}
+
+/// An attempt that may run.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    key: Key,
+    id: Uuid,
+}
+
+/// What to do with a keyed call.
+#[derive(Debug)]
+pub enum Start {
+    /// Run it; its intent is committed.
+    Run(Attempt),
+    /// Give the stored answer.
+    Replay(Answer),
+}
+
+impl Intents {
+    /// Proposes as this process.
+    pub fn new(control: Handle, owner: Owner) -> Self {
+        Self { control, owner }
+    }
+
+    /// Commits the intent to run a call.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a call that must not run, and one whose intent could not be committed: this host
+    /// then never sends it, so it is not run.
+    pub async fn begin(
+        &self,
+        organisation: &Organisation,
+        key: &CompactString,
+        parts: &[&[u8]],
+    ) -> Result<Start, Refusal> {
+        let key = Key {
+            organisation: organisation.clone(),
+            key: key.clone(),
+        };
+        let attempt = Attempt {
+            key: key.clone(),
+            id: Uuid::new_v4(),
+        };
+        let intent = Intent {
+            key,
+            body: fingerprint(parts),
+            owner: self.owner,
+            attempt: attempt.id,
+            deadline: SystemTime::now() + CALL_TIMEOUT + DEADLINE_MARGIN,
+        };
+        match self
+            .control
+            .propose(Command::Begin(intent), BEGIN_TIMEOUT)
+            .await
+        {
+            Ok(Reply::Begun(begin)) => verdict(begin, attempt),
+            Ok(reply) => {
+                warn!("unexpected reply to an intent: {reply:?}");
+                Err(Refusal::new(Code::NoQuorum, "the intent was not recorded"))
+            }
+            Err(error) => {
+                self.release(&error, attempt);
+                Err(Refusal::new(
+                    Code::NoQuorum,
+                    format_compact!("the intent could not be committed: {error}"),
+                ))
+            }
+        }
+    }
+
+    /// Commits the conclusion. A conclusion that can't be committed leaves the call as "outcome
+    /// unknown" for later resends, which is true for them.
+    pub async fn finish(&self, attempt: Attempt, outcome: Outcome) {
+        let conclusion = Conclusion {
+            key: attempt.key,
+            attempt: attempt.id,
+            outcome,
+        };
+        if let Err(error) = self
+            .control
+            .propose(Command::Finish(conclusion), FINISH_TIMEOUT)
+            .await
+        {
+            warn!("the conclusion of a keyed call could not be committed: {error}");
+        }
+    }
+
+    /// Frees the key of an intent that may have been committed although no reply came. The call
+    /// was not sent, so the key may run later.
+    fn release(&self, error: &Error, attempt: Attempt) {
+        if error.is_not_committed() {
+            return;
+        }
+        let intents = self.clone();
+        tokio::spawn(async move { intents.finish(attempt, Outcome::NotRun).await });
+    }
+}
+
+fn verdict(begin: Begin, attempt: Attempt) -> Result<Start, Refusal> {
+    match begin {
+        Begin::New => Ok(Start::Run(attempt)),
+        Begin::Done(answer) => Ok(Start::Replay(answer)),
+        Begin::InProgress(_) => Err(Refusal::new(
+            Code::KeyInProgress,
+            "a call with this key is running",
+        )
+        .retry_after(Duration::from_secs(1))),
+        Begin::Conflict => Err(Refusal::new(
+            Code::KeyConflict,
+            "another call was made with this key",
+        )),
+        Begin::Unknown => Err(Refusal::new(
+            Code::OutcomeUnknown,
+            "a call with this key was begun and nobody knows whether it ran",
+        )),
+        Begin::Expired => Err(Refusal::new(
+            Code::KeyExpired,
+            "the key is too old to tell whether its call ran",
+        )),
+        Begin::QuotaExceeded => Err(Refusal::new(
+            Code::KeyQuota,
+            "the organisation keeps too many keys; use UUIDv7 keys, which expire",
+        )),
+    }
+}
+
+/// SHA-256 over length-prefixed parts, so that no two calls share a digest by shifting bytes.
+fn fingerprint(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
--- a/crates/sardinerelayd/src/limits.rs
+++ b/crates/sardinerelayd/src/limits.rs
@@ -38,6 +38,15 @@
     refilled: Instant,
 }
 
+/// What an organisation used of a minute's limit on this host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Tokens.
+    pub tokens: u64,
+    /// Requests.
+    pub requests: u64,
+}
+
 /// What one request was charged.
 #[derive(Debug)]
 pub struct Charge {
@@ -112,6 +121,31 @@
         }
     }
 
+    /// What an organisation used and that has not been refilled yet.
+    pub fn used(&self, organisation: &str) -> Used {
+        let view = self.view.load();
+        let accounts = view.sheet.iter().flat_map(|sheet| &sheet.organisations);
+        let Some(account) = accounts
+            .into_iter()
+            .find(|account| account.name == organisation)
+        else {
+            return Used::default();
+        };
+        let (tokens, requests) = (
+            account.tokens_per_minute as f64,
+            account.requests_per_minute as f64,
+        );
+        let mut buckets = self.lock();
+        let Some(bucket) = buckets.get_mut(organisation) else {
+            return Used::default();
+        };
+        bucket.refill(tokens, requests, Instant::now());
+        Used {
+            tokens: (tokens - bucket.tokens).max(0.0).round() as u64,
+            requests: (requests - bucket.requests).max(0.0).round() as u64,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<CompactString, Bucket>> {
         self.buckets
             .lock()
--- /dev/null
+++ b/crates/sardinerelayd/src/operator/rows.rs
@@ -0,0 +1,157 @@
+//! Tables for operators.
+
+use {
+    super::{Desk, REPORT},
+    crate::{limits::Used, report::Report},
+    sardinerelay::{
+        id::Target,
+        operator::{
+            HostRow, HostState, OrganisationRow, QueueRow, Role, TargetKind, TargetRow, TargetState,
+        },
+        sheet::{Server, Sheet},
+    },
+    std::time::Duration,
+};
+
+impl Desk {
+    /// All hosts, each with its own account or marked as unreachable.
+    pub(super) async fn hosts(&self) -> Vec<HostRow> {
+        let own = self.source.report().await;
+        let others = self.control.reports(REPORT).await;
+        let mut rows = Vec::new();
+        for (member, report) in self.control.members().into_iter().map(|member| {
+            let report = if member.id == own.host {
+                Some(&own)
+            } else {
+                others.get(&member.id)
+            };
+            (member, report)
+        }) {
+            rows.push(HostRow {
+                host: member.id,
+                zone: member.zone.clone(),
+                address: member.address,
+                role: report.map_or(Role::Entry, |report| report.role),
+                state: report.map_or(HostState::Unreachable, |report| report.state),
+                in_force: report.and_then(|report| report.in_force),
+                streams: report.map_or(0, |report| report.streams),
+                queued: report.map_or(0, |report| report.queued),
+                age_ms: 0,
+            });
+        }
+        rows
+    }
+
+    /// The reports of all hosts that answer, this one included.
+    pub(super) async fn reports(&self) -> Vec<Report> {
+        let mut reports = vec![self.source.report().await];
+        reports.extend(self.control.reports(REPORT).await.into_values());
+        reports
+    }
+
+    pub(super) fn targets(&self) -> Vec<TargetRow> {
+        let view = self.view.load();
+        let Some(sheet) = &view.sheet else {
+            return Vec::new();
+        };
+        let reports = self.scheduler.reports();
+        let rows = sheet.targets.iter().map(|target| {
+            let report = reports.get(&target.name);
+            let load = report.map(|(load, _)| load);
+            TargetRow {
+                target: target.name.clone(),
+                zone: target.zone.clone(),
+                address: target.address,
+                kind: kind(target),
+                state: self.target_state(target, load.is_some()),
+                serves: serves(sheet, &target.name),
+                memory_tokens: target.memory_tokens,
+                used_tokens: load.map_or(0, |load| load.used_tokens),
+                running: load.map_or(0, |load| load.running as u64),
+                waiting: load.map_or(0, |load| load.waiting as u64),
+                report_age_ms: report.map(|(load, since)| load.age_ms + millis(*since)),
+            }
+        });
+        rows.collect()
+    }
+
+    fn target_state(&self, target: &Server, reported: bool) -> TargetState {
+        if self.view.load().leaving.contains(&target.name) {
+            return TargetState::Leaving;
+        }
+        match kind(target) {
+            TargetKind::Service => TargetState::Active,
+            TargetKind::Engine if !reported => TargetState::Unknown,
+            TargetKind::Engine if self.scheduler.is_silent(&target.name) => TargetState::Ejected,
+            TargetKind::Engine if self.scheduler.eligible(&target.name) => TargetState::Active,
+            TargetKind::Engine => TargetState::Leaving,
+        }
+    }
+
+    pub(super) fn organisations(&self) -> Vec<OrganisationRow> {
+        let view = self.view.load();
+        let tally = self.tally.organisations();
+        let accounts = view.sheet.iter().flat_map(|sheet| &sheet.organisations);
+        let rows = accounts.map(|account| {
+            let usage = tally.get(&account.name).copied().unwrap_or_default();
+            let Used { tokens, requests } = self.limits.used(&account.name);
+            OrganisationRow {
+                organisation: account.name.clone(),
+                tokens_per_minute: account.tokens_per_minute,
+                tokens_used: tokens,
+                requests_per_minute: account.requests_per_minute,
+                requests_used: requests,
+                running: usage.running,
+                queued: usage.queued,
+                refused: usage.refused,
+            }
+        });
+        rows.collect()
+    }
+
+    pub(super) fn queues(&self) -> Vec<QueueRow> {
+        let view = self.view.load();
+        let loads = self.tally.classes();
+        let classes = view.sheet.iter().flat_map(|sheet| &sheet.classes);
+        let rows = classes.map(|class| {
+            let load = loads.get(&class.name).copied().unwrap_or_default();
+            QueueRow {
+                host: self.source.host,
+                class: class.name.clone(),
+                priority: class.priority,
+                queued: load.queued,
+                oldest_wait_ms: millis(load.oldest),
+                max_wait_ms: class.max_wait_ms,
+                running: load.running,
+                reserved_tokens: load.reserved,
+            }
+        });
+        rows.collect()
+    }
+}
+
+fn kind(target: &Server) -> TargetKind {
+    match target.memory_tokens {
+        0 => TargetKind::Service,
+        _ => TargetKind::Engine,
+    }
+}
+
+fn serves(sheet: &Sheet, target: &Target) -> Vec<compact_str::CompactString> {
+    let models = sheet
+        .models
+        .iter()
+        .filter(|model| model.targets.contains(target));
+    let services = sheet
+        .services
+        .iter()
+        .filter(|service| service.targets.contains(target));
+    models
+        .map(|model| model.name.clone())
+        .chain(services.map(|service| service.name.clone()))
+        .collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/crates/sardinerelayd/src/peer/secret.rs
+++ b/crates/sardinerelayd/src/peer/secret.rs
@@ -122,7 +122,7 @@
 
 /// Refuses requests without an accepted secret.
 #[derive(Debug, Clone)]
-pub(super) struct Check(pub(super) Secrets);
+pub(super) struct Check(pub(super) Option<Secrets>);
 
 impl<Inner> Layer<Inner> for Check {
     type Service = Checked<Inner>;
@@ -138,7 +138,7 @@
 /// A service behind [`Check`].
 #[derive(Debug, Clone)]
 pub(super) struct Checked<Inner> {
-    secrets: Secrets,
+    secrets: Option<Secrets>,
     inner: Inner,
 }
 
@@ -158,7 +158,11 @@
     }
 
     fn call(&mut self, request: HttpRequest<Body>) -> Self::Future {
-        if self.secrets.accept(request.headers()) {
+        let accepted = match &self.secrets {
+            Some(secrets) => secrets.accept(request.headers()),
+            None => true,
+        };
+        if accepted {
             return Box::pin(self.inner.call(request));
         }
         Box::pin(refuse())
--- a/crates/sardinerelayd/src/peer/server.rs
+++ b/crates/sardinerelayd/src/peer/server.rs
@@ -40,14 +40,16 @@
 }
 
 impl Server {
-    /// Listens on `address`, serves `methods` and hands notifications to `receiver`.
+    /// Listens on `address`, serves `methods` and hands notifications to `receiver`. Without
+    /// secrets, everybody who can connect is served, which is meant for a system of one host on
+    /// loopback.
     ///
     /// # Errors
     ///
     /// The error of binding the address.
     pub async fn start<M>(
         address: SocketAddr,
-        secrets: Secrets,
+        secrets: Option<Secrets>,
         (methods, receiver): (M, Receiver),
         counters: SharedCounters,
     ) -> Result<Self, Error>
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -1,35 +1,77 @@
-//! Builds the parts from the settings and runs them until a planned stop.
+//! Builds the parts from the settings and runs them until a stop.
 
 use {
     crate::{
         api::Api,
-        config::Config,
+        config::{Config, Peer},
+        control::{self, Failure, Handle, Member},
         dev,
         engine::{Client, reader::Patience},
         exit_code::ExitCode,
         filter::{
             admit::Admit, dispatch::Dispatch, identify::Identify, limit::Limit, relay::Relay,
         },
+        intent::Intents,
         limits::Limits,
         metrics::Metrics,
+        operator::{self, Desk},
+        peer::{Limits as PeerLimits, Receiver, Secret, Secrets, Server, SharedCounters},
+        platform, publish,
+        report::Source,
         resume::Resume,
         schedule::Scheduler,
         serve,
+        service::Proxy,
         snapshot::{Shared, View},
         stop::{self, Drain},
+        tally::Tally,
         targets,
     },
-    anyhow::Result,
+    anyhow::{Context as _, Result},
     arc_swap::ArcSwap,
-    log::{error, info, warn},
-    sardinerelay::resume::{self, Sealer},
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, runtime::Builder, sync::watch},
+    log::{debug, error, info, warn},
+    sardinerelay::{
+        id::Incarnation,
+        ledger::{Owner, Quota},
+        resume::{self, Sealer},
+        state::Command,
+        wal,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tempfile::TempDir,
+    tokio::{net::TcpListener, runtime::Builder, sync::watch, time::sleep},
 };
 
 /// Time that a resume token is accepted. The longest answers take minutes.
 const RESUME_LIFETIME: Duration = Duration::from_secs(3600);
 
+/// Interval between a leader's heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// Least election timeout. With the random part on top, a leader is replaced in under 2 s.
+const ELECTION: Duration = Duration::from_millis(600);
+
+/// The longest time that an upstream host holds a pull open.
+const POLL: Duration = Duration::from_secs(5);
+
+/// Log entries after which a snapshot is taken.
+const SNAPSHOT_ENTRIES: u64 = 10_000;
+
+/// Bytes of log entries after which a snapshot is taken.
+const SNAPSHOT_BYTES: usize = 8 << 20;
+
+/// Time that leaving the group may take on a planned stop.
+const LEAVE: Duration = Duration::from_secs(3);
+
+/// Time to commit a command of this process itself.
+const COMMIT: Duration = Duration::from_secs(10);
+
+/// Pause before such a command is proposed again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Runs the daemon and returns why it ended.
 pub fn run(config: &Config) -> ExitCode {
     let runtime = Builder::new_multi_thread()
@@ -37,19 +79,38 @@
         .thread_name("traffic")
         .enable_all()
         .build();
-    match runtime {
-        Ok(runtime) => runtime.block_on(traffic(config)).unwrap_or_else(|failure| {
-            error!("{failure:#}");
-            ExitCode::General
-        }),
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
         Err(failure) => {
             error!("starting the traffic threads failed: {failure}");
-            ExitCode::General
+            return ExitCode::General;
         }
-    }
+    };
+    let incarnation = unix_ms();
+    // Kept until the end, because it deletes the directory of a system without one.
+    let (settings, _directory) = match settings(config, incarnation) {
+        Ok(settings) => settings,
+        Err(failure) => {
+            error!("{failure:#}");
+            return ExitCode::General;
+        }
+    };
+    let control = match control::spawn(settings) {
+        Ok(control) => control,
+        Err(failure) => return failed(&failure),
+    };
+    let code = runtime.block_on(traffic(config, &control, incarnation));
+    let code = code.unwrap_or_else(|failure| {
+        error!("{failure:#}");
+        ExitCode::General
+    });
+    runtime.block_on(control.stop(LEAVE));
+    info!("stopped");
+    code
 }
 
-async fn traffic(config: &Config) -> Result<ExitCode> {
+/// Serves traffic until a stop.
+async fn traffic(config: &Config, control: &Handle, incarnation: Incarnation) -> Result<ExitCode> {
     let listener = match TcpListener::bind(config.listen).await {
         Ok(listener) => listener,
         Err(failure) => {
@@ -57,81 +118,241 @@
             return Ok(ExitCode::Bind);
         }
     };
-    let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
+    let parts = Parts::new(config, control, incarnation)?;
+    let _operators = match parts.operators(config).await? {
+        Ok(server) => server,
+        Err(failure) => {
+            error!("--operator-listen {}: {failure}", config.operator_listen);
+            return Ok(ExitCode::Bind);
+        }
+    };
+    parts.start_controllers(config);
+    tokio::spawn(end_earlier_runs(control.clone(), parts.owner));
     if config.dev {
-        let sheet = dev::start(&config.zone).await?;
-        view.store(Arc::new(View::new(
-            1,
-            Some(Arc::new(sheet)),
-            BTreeSet::new(),
-        )));
-        info!("development mode: API key '{}'", dev::KEY);
+        develop(config, control).await?;
     }
-    let drain = Drain::default();
-    let metrics = Arc::new(Metrics::new()?);
-    let scheduler = Arc::new(Scheduler::new(config, view.clone(), metrics.clone()));
-    let client = Client::new();
-    let (_changes, receiver) = watch::channel(0);
-    tokio::spawn(targets::run(
-        view.clone(),
-        receiver,
-        scheduler.clone(),
-        client.clone(),
-    ));
-    tokio::spawn(scheduler.clone().run());
-    let api = api(config, view, drain.clone(), scheduler, metrics, client)?;
     let address = listener.local_addr()?;
     info!("listening on {address}");
     println!("listening on {address}");
     let mut code = ExitCode::Success;
     let stop = async {
-        if let Err(failure) = stop::signalled().await {
-            error!("listening for signals failed: {failure}");
-        }
-        if let Err(unfinished) = drain.run(config.drain_delay, config.drain_deadline).await {
-            warn!("{unfinished}");
-            code = ExitCode::Forced;
-        }
+        code = parts.stop(config).await;
     };
-    serve::run(listener, api.router(), config, stop).await;
-    info!("stopped");
+    serve::run(listener, parts.api(config)?.router(), config, stop).await;
     Ok(code)
 }
 
-fn api(
-    config: &Config,
+/// The parts that several others share.
+struct Parts {
+    control: Handle,
     view: Shared,
-    drain: Drain,
-    scheduler: Arc<Scheduler>,
+    changes: watch::Sender<u64>,
     metrics: Arc<Metrics>,
+    tally: Arc<Tally>,
+    scheduler: Arc<Scheduler>,
+    limits: Arc<Limits>,
     client: Client,
-) -> Result<Api> {
-    let sealer = Arc::new(sealer(config)?);
-    let patience = Patience {
-        token_gap: config.token_gap,
-        engine_loss: config.engine_loss,
-    };
-    let dispatch = Dispatch::new(client.clone(), scheduler.clone(), patience, sealer.clone());
-    let admit = Admit::new(dispatch, scheduler);
-    let limit = Limit::new(admit, Arc::new(Limits::new(view.clone())));
-    let chain = Identify::new(limit, view.clone(), config.max_body);
-    let relay = Relay {
-        slow_reader: config.slow_reader,
-        metrics: metrics.clone(),
+    proxy: Proxy,
+    drain: Drain,
+    owner: Owner,
+}
+
+impl Parts {
+    fn new(config: &Config, control: &Handle, incarnation: Incarnation) -> Result<Self> {
+        let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
+        let metrics = Arc::new(Metrics::new()?);
+        let tally = Arc::new(Tally::default());
+        let owner = Owner {
+            host: config.host,
+            incarnation,
+        };
+        let intents = Intents::new(control.clone(), owner);
+        Ok(Self {
+            scheduler: Arc::new(Scheduler::new(
+                config,
+                view.clone(),
+                metrics.clone(),
+                tally.clone(),
+            )),
+            limits: Arc::new(Limits::new(view.clone())),
+            proxy: Proxy::new(view.clone(), intents, config.zone.clone(), config.max_body),
+            client: Client::new(),
+            changes: watch::Sender::new(0),
+            drain: Drain::default(),
+            control: control.clone(),
+            view,
+            metrics,
+            tally,
+            owner,
+        })
+    }
+
+    fn start_controllers(&self, config: &Config) {
+        let publisher = publish::run(
+            self.control.published(),
+            self.view.clone(),
+            self.changes.clone(),
+            self.scheduler.clone(),
+        );
+        tokio::spawn(publisher);
+        let changes = self.changes.subscribe();
+        tokio::spawn(targets::run(
+            self.view.clone(),
+            changes,
+            self.scheduler.clone(),
+            self.client.clone(),
+        ));
+        tokio::spawn(self.scheduler.clone().run());
+        if let Some(url) = &config.hosts_url {
+            tokio::spawn(platform::run(
+                url.clone(),
+                self.scheduler.clone(),
+                self.client.clone(),
+            ));
+        }
+    }
+
+    fn source(&self) -> Source {
+        Source {
+            control: self.control.clone(),
+            scheduler: self.scheduler.clone(),
+            proxy: self.proxy.clone(),
+            drain: self.drain.clone(),
+            host: self.owner.host,
+            incarnation: self.owner.incarnation,
+        }
+    }
+
+    /// Serves operators. The inner error is that of binding the address.
+    async fn operators(&self, config: &Config) -> Result<Result<Server, std::io::Error>> {
+        let source = self.source();
+        let reported = source.clone();
+        self.control.serve_reports(Arc::new(move || {
+            let source = reported.clone();
+            Box::pin(async move { source.report().await })
+        }));
+        let desk = Desk {
+            control: self.control.clone(),
+            source,
+            view: self.view.clone(),
+            scheduler: self.scheduler.clone(),
+            limits: self.limits.clone(),
+            tally: self.tally.clone(),
+            zone: config.zone.clone(),
+            stops: operator::Seen::default(),
+        };
+        let methods = operator::methods(desk)?;
+        let secrets = secrets(config);
+        let secrets = match secrets.is_empty() {
+            true => None,
+            false => Some(Secrets::new(&secrets).context("--secret-file")?),
+        };
+        // Operators' tools send no notifications.
+        let receiver = Receiver::new(|_, _| ());
+        let counters = SharedCounters::default();
+        Ok(Server::start(
+            config.operator_listen,
+            secrets,
+            (methods, receiver),
+            counters,
+        )
+        .await)
+    }
+
+    fn api(&self, config: &Config) -> Result<Api> {
+        let sealer = Arc::new(sealer(config)?);
+        let patience = Patience {
+            token_gap: config.token_gap,
+            engine_loss: config.engine_loss,
+        };
+        let dispatch = Dispatch::new(
+            self.client.clone(),
+            self.scheduler.clone(),
+            patience,
+            sealer.clone(),
+        );
+        let admit = Admit::new(dispatch, self.scheduler.clone());
+        let limit = Limit::new(admit, self.limits.clone(), self.tally.clone());
+        let chain = Identify::new(limit, self.view.clone(), config.max_body);
+        let relay = Relay {
+            slow_reader: config.slow_reader,
+            metrics: self.metrics.clone(),
+        };
+        let resume = Resume {
+            sealer,
+            client: self.client.clone(),
+            patience,
+        };
+        Ok(Api {
+            chain,
+            relay,
+            resume,
+            proxy: self.proxy.clone(),
+            view: self.view.clone(),
+            drain: self.drain.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+
+    /// Waits for a reason to stop, and drains.
+    async fn stop(&self, config: &Config) -> ExitCode {
+        tokio::select! {
+            signalled = stop::signalled() => {
+                if let Err(failure) = signalled {
+                    error!("listening for signals failed: {failure}");
+                }
+            }
+            () = publish::planned(self.control.published(), self.owner) => {
+                info!("an operator planned a stop of this host");
+            }
+            ended = self.control.ended() => {
+                return match &*ended {
+                    Ok(()) => ExitCode::General,
+                    Err(failure) => failed(failure),
+                };
+            }
+        }
+        match self
+            .drain
+            .run(config.drain_delay, config.drain_deadline)
+            .await
+        {
+            Ok(()) => ExitCode::Success,
+            Err(unfinished) => {
+                warn!("{unfinished}");
+                ExitCode::Forced
+            }
+        }
+    }
+}
+
+/// Records that earlier processes of this host have ended, so that the calls they had begun count
+/// as "outcome unknown" at once and not only after their deadline.
+async fn end_earlier_runs(control: Handle, owner: Owner) {
+    let leave = Command::LeaveHost {
+        host: owner.host,
+        incarnation: owner.incarnation - 1,
     };
-    let resume = Resume {
-        sealer,
-        client,
-        patience,
+    while let Err(failure) = control.propose(leave.clone(), COMMIT).await {
+        debug!("the end of earlier runs is not recorded yet: {failure}");
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Starts the stand-in engine and submits a sheet for it, unless an earlier run left one.
+async fn develop(config: &Config, control: &Handle) -> Result<()> {
+    let sheet = dev::start(&config.zone, unix_ms()).await?;
+    let digest = sheet.digest();
+    let submit = Command::Submit {
+        digest,
+        sheet: Arc::new(sheet),
     };
-    Ok(Api {
-        chain,
-        resume,
-        relay,
-        view,
-        drain,
-        metrics,
-    })
+    control
+        .propose(submit, COMMIT)
+        .await
+        .context("submitting the sheet")?;
+    info!("development mode: API key '{}'", dev::KEY);
+    Ok(())
 }
 
 /// Seals with the shared secrets, or with a random one on a host that has no others beside it.
@@ -141,3 +362,104 @@
     }
     Sealer::new(&config.secrets, RESUME_LIFETIME)
 }
+
+fn secrets(config: &Config) -> Vec<Secret> {
+    config
+        .secrets
+        .iter()
+        .map(|secret| Secret::from(secret.clone()))
+        .collect()
+}
+
+/// The control thread's settings. A system of one host without a data directory gets one that is
+/// deleted at its end.
+fn settings(
+    config: &Config,
+    incarnation: Incarnation,
+) -> Result<(control::Settings, Option<TempDir>)> {
+    let alone = config.voters.is_empty();
+    let directory = match (&config.data_dir, alone) {
+        (None, true) => {
+            warn!("no --data-dir: nothing that is accepted here survives this process");
+            Some(TempDir::new().context("making a temporary data directory")?)
+        }
+        _ => None,
+    };
+    let temporary = directory
+        .as_ref()
+        .map(|directory| directory.path().to_owned());
+    let own = Member {
+        id: config.host,
+        zone: config.zone.clone(),
+        address: config.peer_listen,
+    };
+    let settings = control::Settings {
+        host: config.host,
+        incarnation,
+        zone: config.zone.clone(),
+        listen: config.peer_listen,
+        voters: if alone {
+            vec![own]
+        } else {
+            members(&config.voters)
+        },
+        hosts: members(&config.hosts),
+        data: config.data_dir.clone().or(temporary),
+        found: config.bootstrap,
+        learner: config.learner,
+        secrets: secrets(config),
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
+        poll: POLL,
+        limits: PeerLimits::default(),
+        quota: Quota::default(),
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        snapshot_bytes: SNAPSHOT_BYTES,
+    };
+    Ok((settings, directory))
+}
+
+fn members(peers: &[Peer]) -> Vec<Member> {
+    let member = |peer: &Peer| Member {
+        id: peer.host,
+        zone: peer.zone.clone(),
+        address: peer.address,
+    };
+    peers.iter().map(member).collect()
+}
+
+/// Logs why the control thread failed, and returns the exit code for it.
+fn failed(failure: &Failure) -> ExitCode {
+    error!("{:#}", anyhow::Error::msg(chain(failure)));
+    match failure {
+        Failure::Settings(_) | Failure::Replica(_) => ExitCode::Settings,
+        Failure::Listen { .. } => ExitCode::Bind,
+        Failure::Storage(wal::Error::Io { .. } | wal::Error::Poisoned { .. })
+        | Failure::View { .. } => ExitCode::Sync,
+        Failure::Storage(_)
+        | Failure::Locked { .. }
+        | Failure::NoReplica { .. }
+        | Failure::Foreign { .. }
+        | Failure::State(_) => ExitCode::Data,
+        Failure::Thread(_) | Failure::Panic => ExitCode::General,
+    }
+}
+
+/// An error with its causes.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
+fn unix_ms() -> Incarnation {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    elapsed.as_millis() as Incarnation
+}
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -11,6 +11,7 @@
         metrics::Metrics,
         refusal::{Code, Refusal},
         snapshot::{Shared, View},
+        tally::{Counted, Tally},
     },
     compact_str::{CompactString, ToCompactString, format_compact},
     log::{info, warn},
@@ -45,12 +46,16 @@
 /// Bound on the output where the caller states none.
 const MAX_OUTPUT: u64 = 65_536;
 
-/// Why an attempt failed.
+/// Why an attempt failed before its first token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
-    /// The target certainly did not run it.
-    NotRun,
-    /// The target may have run it, but no token was delivered.
+    /// The target can't be reached, so it certainly did not run the request.
+    Unreachable,
+    /// The target said that it is leaving and did not run the request.
+    Leaving,
+    /// The target said for another reason that it did not run the request.
+    Refused,
+    /// The target may have run the request.
     Lost,
 }
 
@@ -58,6 +63,7 @@
 pub struct Scheduler {
     view: Shared,
     metrics: Arc<Metrics>,
+    tally: Arc<Tally>,
     inner: Mutex<Inner>,
 }
 
@@ -68,6 +74,8 @@
     /// Targets that did not answer lately, until they answer again.
     silent: BTreeMap<Target, Instant>,
     reports: BTreeMap<Target, (Load, Instant)>,
+    /// Where the open tickets are.
+    tickets: HashMap<Generation, Target>,
 }
 
 type Verdict = Result<Pick, scheduler::Refusal>;
@@ -90,6 +98,7 @@
     pub address: SocketAddr,
     ending: Ending,
     attempt: u32,
+    _counted: Counted,
 }
 
 /// Reports the progress of one generation.
@@ -108,7 +117,7 @@
 
 impl Scheduler {
     /// Starts without targets.
-    pub fn new(config: &Config, view: Shared, metrics: Arc<Metrics>) -> Self {
+    pub fn new(config: &Config, view: Shared, metrics: Arc<Metrics>, tally: Arc<Tally>) -> Self {
         let settings = Settings {
             zone: config.zone.clone(),
             hosts: (config.voters.len() + config.hosts.len()).max(1),
@@ -122,10 +131,12 @@
             waiters: HashMap::new(),
             silent: BTreeMap::new(),
             reports: BTreeMap::new(),
+            tickets: HashMap::new(),
         };
         Self {
             view,
             metrics,
+            tally,
             inner: Mutex::new(inner),
         }
     }
@@ -157,24 +168,40 @@
         Ok(ticket)
     }
 
-    /// Finds another target after a failed attempt, or nothing if the request gets no more.
+    /// Finds another target after a failed attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request gets no further attempt, or nothing if it has used them up.
     pub async fn readmit(
         self: &Arc<Self>,
         call: &Call,
         ticket: Ticket,
         failure: Failure,
-    ) -> Option<Ticket> {
-        if failure == Failure::NotRun {
-            self.silent(&ticket.target);
+    ) -> Result<Ticket, Option<Refusal>> {
+        match failure {
+            Failure::Leaving => self.left(&ticket.target),
+            Failure::Unreachable => self.silent(&ticket.target),
+            Failure::Refused | Failure::Lost => {}
         }
         let attempt = ticket.attempt + 1;
         let target = ticket.target.clone();
         drop(ticket);
         if attempt > MAX_ATTEMPTS {
-            return None;
+            return Err(None);
         }
         self.metrics.retried(&target);
-        self.place(call, attempt).await.ok()
+        self.place(call, attempt).await.map_err(Some)
+    }
+
+    /// Records that the known run of the target said that it leaves.
+    fn left(&self, target: &Target) {
+        let mut inner = self.lock();
+        let fleet = inner.scheduler.fleet_mut();
+        if let Some(incarnation) = fleet.incarnation(target) {
+            info!(target = target.as_str(); "target is leaving");
+            fleet.leave(target, incarnation);
+        }
     }
 
     async fn place(self: &Arc<Self>, call: &Call, attempt: u32) -> Result<Ticket, Refusal> {
@@ -185,6 +212,7 @@
             generation,
             armed: true,
         };
+        let counted = self.tally.wait(call);
         self.offer(call, generation, sender);
         let pick = verdict
             .await
@@ -192,6 +220,7 @@
             .map_err(|refusal| explain(refusal, call))?;
         // From here on the ticket gives the place back.
         waiting.armed = false;
+        counted.run(pick.reserved);
         let address = self
             .view
             .load()
@@ -204,6 +233,7 @@
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             ending: Ending::Failed,
             attempt,
+            _counted: counted,
         };
         ticket.address = address
             .ok_or_else(|| Refusal::new(Code::NoTarget, "the target is no longer in force"))?;
@@ -322,6 +352,26 @@
             .collect()
     }
 
+    /// The last known run of the target.
+    pub fn incarnation(&self, target: &str) -> Option<Incarnation> {
+        self.lock().scheduler.fleet().incarnation(target)
+    }
+
+    /// Whether the target did not answer lately.
+    pub fn is_silent(&self, target: &str) -> bool {
+        self.lock().silent.contains_key(target)
+    }
+
+    /// This host's requests in flight on each target.
+    pub fn in_flight(&self) -> BTreeMap<Target, u64> {
+        let inner = self.lock();
+        let mut in_flight = BTreeMap::new();
+        for target in inner.tickets.values() {
+            *in_flight.entry(target.clone()).or_default() += 1;
+        }
+        in_flight
+    }
+
     /// Whether new work may go to the target.
     pub fn eligible(&self, target: &str) -> bool {
         let inner = self.lock();
@@ -340,6 +390,7 @@
 
     fn finish(&self, generation: Generation, ending: Ending) {
         let mut inner = self.lock();
+        inner.tickets.remove(&generation);
         let Inner {
             scheduler, random, ..
         } = &mut *inner;
@@ -367,10 +418,13 @@
                     refusal,
                 } => (generation, Err(refusal)),
             };
-            let dispatched = verdict.is_ok();
+            let target = verdict.as_ref().ok().map(|pick| pick.target.clone());
             let waiter = self.waiters.remove(&generation);
             let woken = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
-            if dispatched && !woken {
+            let Some(target) = target else { continue };
+            if woken {
+                self.tickets.insert(generation, target);
+            } else {
                 let now = Instant::now();
                 decisions.extend(self.scheduler.finished(
                     generation,
--- /dev/null
+++ b/crates/sardinerelayd/src/tally.rs
@@ -0,0 +1,168 @@
+//! What waits and runs on this host, for operators.
+
+use {
+    crate::filter::Call,
+    sardinerelay::id::{Class, Organisation},
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+};
+
+/// Span over which refusals are counted.
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Refusals kept for each organisation; more within a minute count as this many.
+const MAX_REFUSALS: usize = 100_000;
+
+/// Requests of this host, by organisation and class.
+#[derive(Debug, Default)]
+pub struct Tally {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    next: u64,
+    open: HashMap<u64, Entry>,
+    refused: BTreeMap<Organisation, VecDeque<Instant>>,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    organisation: Organisation,
+    class: Class,
+    since: Instant,
+    running: bool,
+    reserved: u64,
+}
+
+/// One request; it leaves the tally when this is dropped.
+#[derive(Debug)]
+pub struct Counted {
+    tally: Arc<Tally>,
+    number: u64,
+}
+
+/// Figures of one organisation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Open streams.
+    pub running: u64,
+    /// Requests that wait.
+    pub queued: u64,
+    /// Requests refused within the last minute.
+    pub refused: u64,
+}
+
+/// Figures of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Open streams.
+    pub running: u64,
+    /// Tokens of memory reserved for them.
+    pub reserved: u64,
+    /// Requests that wait.
+    pub queued: u64,
+    /// The longest wait among them.
+    pub oldest: Duration,
+}
+
+impl Tally {
+    /// Counts a request as waiting.
+    pub fn wait(self: &Arc<Self>, call: &Call) -> Counted {
+        let entry = Entry {
+            organisation: call.organisation.clone(),
+            class: call.class.clone(),
+            since: Instant::now(),
+            running: false,
+            reserved: 0,
+        };
+        let mut inner = self.lock();
+        inner.next += 1;
+        let number = inner.next;
+        inner.open.insert(number, entry);
+        Counted {
+            tally: self.clone(),
+            number,
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&self, organisation: &Organisation) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let refused = inner.refused.entry(organisation.clone()).or_default();
+        expire(refused, now);
+        if refused.len() < MAX_REFUSALS {
+            refused.push_back(now);
+        }
+    }
+
+    /// Figures by organisation.
+    pub fn organisations(&self) -> BTreeMap<Organisation, Usage> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let mut usage: BTreeMap<Organisation, Usage> = BTreeMap::new();
+        for (organisation, refused) in &mut inner.refused {
+            expire(refused, now);
+            usage.entry(organisation.clone()).or_default().refused = refused.len() as u64;
+        }
+        for entry in inner.open.values() {
+            let usage = usage.entry(entry.organisation.clone()).or_default();
+            match entry.running {
+                true => usage.running += 1,
+                false => usage.queued += 1,
+            }
+        }
+        usage
+    }
+
+    /// Figures by class.
+    pub fn classes(&self) -> BTreeMap<Class, Load> {
+        let mut classes: BTreeMap<Class, Load> = BTreeMap::new();
+        for entry in self.lock().open.values() {
+            let load = classes.entry(entry.class.clone()).or_default();
+            if entry.running {
+                load.running += 1;
+                load.reserved += entry.reserved;
+            } else {
+                load.queued += 1;
+                load.oldest = load.oldest.max(entry.since.elapsed());
+            }
+        }
+        classes
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .expect("no thread panics while it holds the lock")
+    }
+}
+
+impl Counted {
+    /// Counts the request as running with this reservation.
+    pub fn run(&self, reserved: u64) {
+        if let Some(entry) = self.tally.lock().open.get_mut(&self.number) {
+            entry.running = true;
+            entry.reserved = reserved;
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.tally.lock().open.remove(&self.number);
+    }
+}
+
+fn expire(refused: &mut VecDeque<Instant>, now: Instant) {
+    while refused
+        .front()
+        .is_some_and(|at| now.duration_since(*at) > MINUTE)
+    {
+        refused.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/calls.rs
@@ -0,0 +1,193 @@
+//! Calls to plain services: what must not be repeated runs at most once (G3, G4).
+
+use {
+    crate::{
+        client,
+        harness::{Process, System, eventually, key, sheet, standin},
+    },
+    http::Method,
+    serde_json::Value,
+    std::net::SocketAddr,
+    uuid::Uuid,
+};
+
+async fn system(hosts: u64, service: &Process) -> System {
+    let mut system = System::new(hosts, 3, &["--bootstrap"]);
+    system.start();
+    system
+        .put_in_force(&sheet(1, &[], &[service.address]))
+        .await;
+    system
+}
+
+fn service(more: &[&str]) -> Process {
+    standin(&[&["service"], more].concat())
+}
+
+/// Places a keyed order and returns status, error code and body.
+async fn order(
+    address: SocketAddr,
+    organisation: &str,
+    idempotency_key: &str,
+    body: &str,
+) -> (u16, String, String) {
+    let authorization = format!("Bearer {}", key(organisation));
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("idempotency-key", idempotency_key),
+    ];
+    let (status, text) = client::send(address, Method::POST, "/shop/orders", &headers, body).await;
+    let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+    let code = answer["error"]["code"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    (status, code, text)
+}
+
+/// How often a key ran, from the service's own record.
+async fn runs(service: &Process, idempotency_key: &str) -> u64 {
+    let (_, text) = client::get(service.address, "/record").await;
+    let records: Vec<Value> = serde_json::from_str(&text).expect("the record is JSON");
+    let matching = records
+        .iter()
+        .filter(|record| record["key"] == idempotency_key);
+    matching
+        .map(|record| record["count"].as_u64().unwrap_or(0))
+        .sum()
+}
+
+/// Guards against a second run when a caller resends through another host.
+#[tokio::test]
+async fn a_resend_through_another_host_gets_the_stored_answer() {
+    let service = service(&[]);
+    let system = system(3, &service).await;
+    let id = Uuid::now_v7().to_string();
+    let (status, _, first) = order(system.address(0), "brakeline", &id, "punch 7").await;
+    assert_eq!(status, 200, "{first}");
+    for position in [1, 2, 0] {
+        let (status, _, again) = order(system.address(position), "brakeline", &id, "punch 7").await;
+        assert_eq!((status, &again), (200, &first));
+    }
+    assert_eq!(runs(&service, &id).await, 1);
+}
+
+/// Guards against organisations meeting under one key, and against two calls under one key.
+#[tokio::test]
+async fn keys_belong_to_one_organisation_and_one_call() {
+    let service = service(&[]);
+    let system = system(3, &service).await;
+    let id = Uuid::now_v7().to_string();
+    assert_eq!(
+        order(system.address(0), "brakeline", &id, "punch 7")
+            .await
+            .0,
+        200
+    );
+    let (status, code, _) = order(system.address(1), "brakeline", &id, "punch 8").await;
+    assert_eq!((status, code.as_str()), (422, "key_conflict"));
+    assert_eq!(
+        order(system.address(2), "harakeke", &id, "load 3").await.0,
+        200
+    );
+    assert_eq!(
+        runs(&service, &id).await,
+        2,
+        "one run for each organisation"
+    );
+}
+
+/// Guards against a second run after the service ran the call and its answer was lost.
+#[tokio::test]
+async fn a_call_whose_answer_was_lost_is_never_run_again() {
+    let service = service(&["--lose-answers", "1"]);
+    let system = system(3, &service).await;
+    let id = Uuid::now_v7().to_string();
+    for position in [0, 1, 2] {
+        let (_, code, text) = order(system.address(position), "brakeline", &id, "punch 7").await;
+        assert_eq!(code, "outcome_unknown", "{text}");
+    }
+    assert_eq!(runs(&service, &id).await, 1);
+}
+
+/// Guards against a second run when the entry host dies between intent and answer.
+#[tokio::test]
+async fn a_host_killed_during_the_call_leaves_it_at_one_run() {
+    let service = service(&["--delay-after", "1s"]);
+    let mut system = system(5, &service).await;
+    let id = Uuid::now_v7().to_string();
+    // Host 5 doesn't vote, so that killing it leaves the quorum alone.
+    let (address, sent) = (system.address(4), id.clone());
+    let call = tokio::spawn(async move { order(address, "brakeline", &sent, "punch 7").await });
+    eventually("the service runs the call", async || {
+        runs(&service, &id).await == 1
+    })
+    .await;
+    system.kill(4);
+    assert_eq!(
+        call.await.expect("the task ends").0,
+        0,
+        "the caller's connection breaks"
+    );
+    let (_, code, text) = order(system.address(0), "brakeline", &id, "punch 7").await;
+    assert!(
+        code == "key_in_progress" || code == "outcome_unknown",
+        "{text}"
+    );
+    system.start_host(4);
+    let unknown = async || {
+        order(system.address(1), "brakeline", &id, "punch 7")
+            .await
+            .1
+            == "outcome_unknown"
+    };
+    eventually(
+        "the restarted host's earlier calls count as unknown",
+        unknown,
+    )
+    .await;
+    assert_eq!(runs(&service, &id).await, 1);
+}
+
+/// Guards against "not run" that is false, and against a call that runs without a quorum.
+#[tokio::test]
+async fn without_a_quorum_a_keyed_call_is_refused_as_not_run() {
+    let service = service(&[]);
+    let mut system = system(3, &service).await;
+    system.kill(0);
+    system.kill(1);
+    let id = Uuid::now_v7().to_string();
+    let (status, code, text) = order(system.address(2), "brakeline", &id, "punch 7").await;
+    assert_eq!((status, code.as_str()), (503, "no_quorum"), "{text}");
+    assert_eq!(runs(&service, &id).await, 0);
+    system.start_host(0);
+    let runs_now = async || {
+        order(system.address(2), "brakeline", &id, "punch 7")
+            .await
+            .0
+            == 200
+    };
+    eventually("the key runs once the quorum is back", runs_now).await;
+    assert_eq!(runs(&service, &id).await, 1);
+}
+
+/// Guards against a key that stays blocked although its call certainly did not run.
+#[tokio::test]
+async fn a_refused_connection_leaves_the_key_free() {
+    let mut service_process = service(&[]);
+    let system = system(3, &service_process).await;
+    let address = service_process.address;
+    service_process.kill();
+    let id = Uuid::now_v7().to_string();
+    let (_, code, text) = order(system.address(0), "brakeline", &id, "punch 7").await;
+    assert_eq!(code, "no_target", "{text}");
+    assert!(text.contains("not_run"));
+    let again = service(&["--listen", &address.to_string()]);
+    assert_eq!(
+        order(system.address(1), "brakeline", &id, "punch 7")
+            .await
+            .0,
+        200
+    );
+    assert_eq!(runs(&again, &id).await, 1);
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/client.rs
@@ -0,0 +1,238 @@
+//! A caller: plain HTTP over one connection, and event streams with their positions.
+
+use {
+    bytes::Bytes,
+    http::{Method, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde_json::{Value, json},
+    std::net::SocketAddr,
+};
+
+/// A connected client.
+pub type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// A client that never retries on its own.
+pub fn http() -> Http {
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_max_idle_per_host(0)
+        .build_http()
+}
+
+/// Fetches a path without a key.
+pub async fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    send(address, Method::GET, path, &[], "").await
+}
+
+/// Sends one request and reads the whole answer. A failed connection counts as status 0.
+pub async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> (u16, String) {
+    let Ok(response) = http()
+        .request(request(address, method, path, headers, body))
+        .await
+    else {
+        return (0, String::new());
+    };
+    let status = response.status().as_u16();
+    match response.into_body().collect().await {
+        Ok(body) => (
+            status,
+            String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        ),
+        Err(_) => (0, String::new()),
+    }
+}
+
+fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("the request is valid")
+}
+
+/// An open event stream.
+#[derive(Debug)]
+pub struct Stream {
+    body: Incoming,
+    text: String,
+    /// The id of the last event.
+    pub last_id: Option<String>,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The text of a token.
+    Token(String),
+    /// The usage chunk.
+    Usage(Value),
+    /// A typed error.
+    Error(String),
+    /// The end of a whole answer.
+    Done,
+    /// The connection ended.
+    Closed,
+}
+
+/// Asks for a stream of `tokens` tokens.
+pub async fn stream(
+    address: SocketAddr,
+    key: &str,
+    prompt: &str,
+    tokens: u64,
+    headers: &[(&str, &str)],
+) -> Result<Stream, (StatusCode, Value)> {
+    let body = json!({
+        "model": "bend-planner",
+        "prompt": prompt,
+        "stream": true,
+        "stream_options": { "include_usage": true },
+        "metadata": { "standin_tokens": tokens },
+    });
+    let authorization = format!("Bearer {key}");
+    let headers = [&[("authorization", authorization.as_str())], headers].concat();
+    open(request(
+        address,
+        Method::POST,
+        "/v1/completions",
+        &headers,
+        &body.to_string(),
+    ))
+    .await
+}
+
+/// Continues a stream after the event with this id.
+pub async fn resume(
+    address: SocketAddr,
+    key: &str,
+    last_id: &str,
+) -> Result<Stream, (StatusCode, Value)> {
+    let authorization = format!("Bearer {key}");
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("last-event-id", last_id),
+    ];
+    open(request(address, Method::GET, "/v1/streams", &headers, "")).await
+}
+
+async fn open(request: Request<Full<Bytes>>) -> Result<Stream, (StatusCode, Value)> {
+    let unreachable = |_| (StatusCode::SERVICE_UNAVAILABLE, Value::Null);
+    let response = http().request(request).await.map_err(unreachable)?;
+    let status = response.status();
+    if status.is_success() {
+        return Ok(Stream {
+            body: response.into_body(),
+            text: String::new(),
+            last_id: None,
+        });
+    }
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map(|body| body.to_bytes())
+        .unwrap_or_default();
+    Err((status, serde_json::from_slice(&body).unwrap_or_default()))
+}
+
+impl Stream {
+    /// Waits for the next event.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            if let Some(end) = self.text.find("\n\n") {
+                let raw: String = self.text.drain(..end + 2).collect();
+                return self.parse(&raw);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    self.text.push_str(&String::from_utf8_lossy(&data));
+                }
+                _ => return Event::Closed,
+            }
+        }
+    }
+
+    /// Reads up to the end and returns all events.
+    pub async fn rest(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        loop {
+            let event = self.next().await;
+            let last = matches!(event, Event::Done | Event::Closed | Event::Error(_));
+            events.push(event);
+            if last {
+                return events;
+            }
+        }
+    }
+
+    fn parse(&mut self, raw: &str) -> Event {
+        let mut data = "";
+        for line in raw.lines() {
+            if let Some(id) = line.strip_prefix("id: ") {
+                self.last_id = Some(id.to_owned());
+            }
+            data = line.strip_prefix("data: ").unwrap_or(data);
+        }
+        if data == "[DONE]" {
+            return Event::Done;
+        }
+        let chunk: Value = serde_json::from_str(data).expect("an event is JSON");
+        if let Some(error) = chunk.get("error") {
+            return Event::Error(error["code"].as_str().unwrap_or_default().to_owned());
+        }
+        if let Some(usage) = chunk.get("usage") {
+            return Event::Usage(usage.clone());
+        }
+        Event::Token(
+            chunk["choices"][0]["text"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned(),
+        )
+    }
+}
+
+/// The text that an engine gives to a token of this prompt.
+pub fn expected(prompt: &str, index: u64) -> String {
+    let fingerprint = sardinerelay_standin::engine::fingerprint(&json!(prompt).to_string());
+    format!("{fingerprint:08x}.{index} ")
+}
+
+/// Asserts that the events from token `from` on are this prompt's whole answer of `tokens` tokens.
+pub fn assert_whole(events: &[Event], prompt: &str, from: u64, tokens: u64) {
+    let mut next = from;
+    for event in events {
+        if let Event::Token(text) = event {
+            assert_eq!(
+                *text,
+                expected(prompt, next),
+                "token {next} is wrong, doubled or missing"
+            );
+            next += 1;
+        }
+    }
+    assert_eq!(next, tokens, "the answer is not whole: {:?}", events.last());
+    assert_eq!(events.last(), Some(&Event::Done));
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/main.rs
@@ -0,0 +1,10 @@
+//! End-to-end tests: the real daemon and the stand-ins as processes on loopback.
+
+mod calls;
+mod client;
+mod cuts;
+mod harness;
+mod path;
+mod sheets;
+mod stops;
+mod streams;
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/path.rs
@@ -0,0 +1,141 @@
+//! The whole path from caller to engine, and requests that must not hurt it.
+
+use {
+    crate::{
+        client::{self, Event, assert_whole, expected},
+        harness::{System, engine, key, sheet},
+    },
+    http::Method,
+    rstest::rstest,
+    serde_json::{Value, json},
+};
+
+/// A system of three hosts with two engines, and the engines to keep alive.
+async fn system() -> (System, Vec<crate::harness::Process>) {
+    let engines = vec![engine("engine-0", &[]), engine("engine-1", &[])];
+    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&sheet(1, &addresses, &[])).await;
+    (system, engines)
+}
+
+/// Guards against a path on which some host does not serve what another one accepted.
+#[tokio::test]
+async fn every_host_serves_the_accepted_sheet() {
+    let (system, _engines) = system().await;
+    for position in 0..3 {
+        let prompt = format!("plan {position}");
+        let mut stream = client::stream(
+            system.address(position),
+            &key("brakeline"),
+            &prompt,
+            20,
+            &[],
+        )
+        .await
+        .expect("a stream");
+        assert_whole(&stream.rest().await, &prompt, 0, 20);
+    }
+}
+
+/// Guards against whole answers that differ from the streamed ones.
+#[tokio::test]
+async fn a_whole_chat_answer_has_text_usage_and_finish_reason() {
+    let (system, _engines) = system().await;
+    let authorization = format!("Bearer {}", key("harakeke"));
+    let body = json!({
+        "model": "bend-planner",
+        "messages": [{ "role": "user", "content": "Does die 12 fit 40 t?" }],
+        "metadata": { "standin_tokens": 3 },
+    });
+    let headers = [("authorization", authorization.as_str())];
+    let (status, answer) = client::send(
+        system.address(1),
+        Method::POST,
+        "/v1/chat/completions",
+        &headers,
+        &body.to_string(),
+    )
+    .await;
+    assert_eq!(status, 200, "{answer}");
+    let answer: Value = serde_json::from_str(&answer).expect("the answer is JSON");
+    assert_eq!(answer["object"], "chat.completion");
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+    assert_eq!(answer["usage"]["completion_tokens"], 3);
+    let text = answer["choices"][0]["message"]["content"]
+        .as_str()
+        .expect("text");
+    assert_eq!(text.split_whitespace().count(), 3);
+}
+
+/// Guards against bad input that gets an untyped error or ends the process.
+#[rstest]
+#[case::wrong_model("brakeline", r#"{"model":"none","prompt":"a"}"#.to_owned(), 404, "unknown_model")]
+#[case::wrong_adapter("brakeline", r#"{"model":"bend-planner:none","prompt":"a"}"#.to_owned(), 404, "unknown_model")]
+#[case::unknown_organisation("nobody", r#"{"model":"bend-planner","prompt":"a"}"#.to_owned(), 401, "unauthorized")]
+#[case::malformed("brakeline", "{".to_owned(), 400, "invalid_request")]
+#[case::not_text("brakeline", "\u{0}\u{1}".to_owned(), 400, "invalid_request")]
+#[case::no_prompt("brakeline", r#"{"model":"bend-planner"}"#.to_owned(), 400, "invalid_request")]
+#[case::body_over_the_limit("brakeline", format!(r#"{{"model":"bend-planner","prompt":"{}"}}"#, "a".repeat(1 << 20)), 413, "body_too_large")]
+#[tokio::test]
+async fn bad_requests_get_a_typed_error(
+    #[case] organisation: &str,
+    #[case] body: String,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let (system, _engines) = system().await;
+    let authorization = format!("Bearer {}", key(organisation));
+    let headers = [("authorization", authorization.as_str())];
+    let (got, answer) = client::send(
+        system.address(0),
+        Method::POST,
+        "/v1/completions",
+        &headers,
+        &body,
+    )
+    .await;
+    let answer: Value = serde_json::from_str(&answer).expect("the error is JSON");
+    assert_eq!(
+        (got, answer["error"]["code"].as_str()),
+        (status, Some(code))
+    );
+    assert_eq!(answer["error"]["run"], "not_run");
+    assert_eq!(client::get(system.address(0), "/livez").await.0, 200);
+}
+
+/// Guards against a request head of any size being buffered.
+#[tokio::test]
+async fn a_request_head_over_the_limit_is_refused() {
+    let (system, _engines) = system().await;
+    let long = "a".repeat(64 << 10);
+    let (status, _) = client::send(
+        system.address(0),
+        Method::GET,
+        "/v1/models",
+        &[("x-long", &long)],
+        "",
+    )
+    .await;
+    assert_eq!(status, 431);
+    assert_eq!(client::get(system.address(0), "/livez").await.0, 200);
+}
+
+/// Guards against a planned stop that cuts a stream (G6).
+#[tokio::test]
+async fn sigterm_lets_the_open_stream_finish_and_exits_with_0() {
+    let (mut system, _engines) = system().await;
+    let prompt = "a long plan";
+    let mut stream = client::stream(system.address(0), &key("brakeline"), prompt, 400, &[])
+        .await
+        .expect("a stream");
+    assert_eq!(stream.next().await, Event::Token(expected(prompt, 0)));
+    system.process(0).signal("TERM");
+    assert_whole(&stream.rest().await, prompt, 1, 400);
+    let process = system.hosts[0]
+        .process
+        .as_mut()
+        .expect("the process was started");
+    assert_eq!(process.wait().code(), Some(0));
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/stops.rs
@@ -0,0 +1,108 @@
+//! Planned stops lose nothing (G5, G6).
+
+use {
+    crate::{
+        client::{self, Event, assert_whole, expected},
+        harness::{System, engine, eventually, key, sheet},
+    },
+    sardinerelay::operator::{HOSTS, STOP_PLAN, STOP_WATCH},
+    serde_json::{Value, json},
+    uuid::Uuid,
+};
+
+/// Guards against a stop of the leader that cuts streams, loses the quorum, or ends in an error.
+#[tokio::test]
+async fn every_host_can_be_stopped_and_started_in_turn_under_load() {
+    let engine = engine("engine-0", &[]);
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&sheet(1, &[engine.address], &[])).await;
+    for position in 0..3 {
+        let prompt = format!("during stop {position}");
+        let mut stream = client::stream(
+            system.address(position),
+            &key("brakeline"),
+            &prompt,
+            300,
+            &[],
+        )
+        .await
+        .expect("a stream");
+        assert_eq!(stream.next().await, Event::Token(expected(&prompt, 0)));
+        let request = json!({ "subject": { "kind": "host", "name": position + 1 }, "proposal": Uuid::new_v4() });
+        let through = (position + 1) % 3;
+        system
+            .operate(through, STOP_PLAN, request)
+            .await
+            .expect("the stop is planned");
+        assert_whole(&stream.rest().await, &prompt, 1, 300);
+        let process = system.hosts[position]
+            .process
+            .as_mut()
+            .expect("the process was started");
+        assert_eq!(process.wait().code(), Some(0));
+        let number = position as u64 + 2;
+        let next = sheet(number, &[engine.address], &[]);
+        let accepted = async || system.submit(through, &next, Uuid::new_v4()).await.is_ok();
+        eventually("the others accept a sheet", accepted).await;
+        system.start_host(position);
+        let ready = async || client::get(system.address(position), "/readyz").await.0 == 200;
+        eventually("the host is back", ready).await;
+    }
+}
+
+/// Guards against new work on a target that an operator stops, and against a stop that never ends.
+#[tokio::test]
+async fn a_stopped_target_finishes_its_streams_and_gets_no_new_ones() {
+    let engines = [engine("engine-0", &[]), engine("engine-1", &[])];
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system
+        .put_in_force(&sheet(1, &[engines[0].address, engines[1].address], &[]))
+        .await;
+    let subject = json!({ "kind": "target", "name": "engine-0" });
+    let plan = json!({ "subject": subject, "proposal": Uuid::new_v4() });
+    system
+        .operate(0, STOP_PLAN, plan)
+        .await
+        .expect("the stop is planned");
+    let drained = async || {
+        let watch = json!({ "subject": subject, "seen": null, "wait_ms": 100 });
+        let progress = system.operate(1, STOP_WATCH, watch).await;
+        progress.is_ok_and(|progress| progress["stage"] == "drained")
+    };
+    eventually("the target is drained", drained).await;
+    for position in 0..3 {
+        let mut stream =
+            client::stream(system.address(position), &key("brakeline"), "after", 5, &[])
+                .await
+                .expect("a stream");
+        assert_whole(&stream.rest().await, "after", 0, 5);
+    }
+    let (_, text) = client::get(engines[0].address, "/record").await;
+    assert!(
+        !text.contains("generation\":"),
+        "the stopped target ran something: {text}"
+    );
+}
+
+/// Guards against a table of hosts that lacks some, or invents the state of an unreachable one.
+#[tokio::test]
+async fn the_table_of_hosts_tells_who_answers() {
+    let engine = engine("engine-0", &[]);
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&sheet(1, &[engine.address], &[])).await;
+    system.kill(2);
+    let rows = system
+        .operate(0, HOSTS, Value::Null)
+        .await
+        .expect("a table");
+    let states: Vec<&str> = rows
+        .as_array()
+        .expect("rows")
+        .iter()
+        .filter_map(|row| row["state"].as_str())
+        .collect();
+    assert_eq!(states, ["ready", "ready", "unreachable"]);
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/streams.rs
@@ -0,0 +1,211 @@
+//! Streams under faults: each token once, in order, whole and from one generation.
+
+use {
+    crate::{
+        client::{self, Event, assert_whole, expected},
+        harness::{Process, System, engine, engine_at, eventually, key, sheet},
+    },
+    http::{Method, StatusCode},
+    serde_json::{Value, json},
+};
+
+async fn system(hosts: u64, engines: &[Process], more: &[&str]) -> System {
+    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
+    let mut system = System::new(hosts, 1, &[&["--bootstrap"], more].concat());
+    system.start();
+    system.put_in_force(&sheet(1, &addresses, &[])).await;
+    system
+}
+
+async fn records(engine: &Process) -> Vec<Value> {
+    let (_, text) = client::get(engine.address, "/record").await;
+    let record: Value = serde_json::from_str(&text).expect("the record is JSON");
+    let list = record.as_array().or_else(|| record["records"].as_array());
+    list.cloned().unwrap_or_default()
+}
+
+/// Guards against a stream that hangs when its connection to the engine goes silent while new
+/// connections work.
+#[tokio::test]
+async fn a_stream_survives_a_silent_connection() {
+    let engines = [engine("engine-0", &[])];
+    let system = system(1, &engines, &["--token-gap", "300ms"]).await;
+    let prompt = "silent";
+    let mut stream = client::stream(system.address(0), &key("brakeline"), prompt, 300, &[])
+        .await
+        .expect("a stream");
+    assert_eq!(stream.next().await, Event::Token(expected(prompt, 0)));
+    let body = json!({ "silent": true }).to_string();
+    let headers = [("content-type", "application/json")];
+    let (status, answer) = client::send(
+        engines[0].address,
+        Method::POST,
+        "/v1/faults",
+        &headers,
+        &body,
+    )
+    .await;
+    assert!((200..300).contains(&status), "{answer}");
+    assert_whole(&stream.rest().await, prompt, 1, 300);
+    assert_eq!(
+        records(&engines[0]).await.len(),
+        1,
+        "the answer must come from a single generation"
+    );
+}
+
+/// Guards against output of two generations in one answer.
+#[tokio::test]
+async fn an_engine_killed_after_the_first_token_ends_the_stream_with_a_typed_error() {
+    let mut engines = [engine("engine-0", &[]), engine("engine-1", &[])];
+    let system = system(
+        1,
+        &engines,
+        &["--token-gap", "200ms", "--engine-loss", "500ms"],
+    )
+    .await;
+    let prompt = "lost";
+    let mut stream = client::stream(system.address(0), &key("brakeline"), prompt, 5000, &[])
+        .await
+        .expect("a stream");
+    assert_eq!(stream.next().await, Event::Token(expected(prompt, 0)));
+    for engine in &mut engines {
+        engine.kill();
+    }
+    let events = stream.rest().await;
+    assert_eq!(
+        events.last(),
+        Some(&Event::Error("generation_lost".to_owned()))
+    );
+}
+
+/// Guards against a request that fails although no token was delivered and another engine lives.
+#[tokio::test]
+async fn an_engine_killed_before_the_first_token_is_replaced_by_another() {
+    let mut engines = [
+        engine_at("1s", "engine-0", &[]),
+        engine_at("1s", "engine-1", &[]),
+    ];
+    let system = system(
+        1,
+        &engines,
+        &["--token-gap", "200ms", "--engine-loss", "500ms"],
+    )
+    .await;
+    let address = system.address(0);
+    let waiting =
+        tokio::spawn(
+            async move { client::stream(address, &key("brakeline"), "early", 2, &[]).await },
+        );
+    let running = async || {
+        let counts = [
+            records(&engines[0]).await.len(),
+            records(&engines[1]).await.len(),
+        ];
+        counts.iter().sum::<usize>() == 1
+    };
+    eventually("an engine took the request", running).await;
+    let busy = usize::from(records(&engines[0]).await.is_empty());
+    engines[busy].kill();
+    let mut stream = waiting.await.expect("the task ends").expect("a stream");
+    assert_whole(&stream.rest().await, "early", 0, 2);
+}
+
+/// Guards against an answer that is lost with its entry host.
+#[tokio::test]
+async fn a_stream_whose_host_was_killed_continues_through_another_host() {
+    let engines = [engine("engine-0", &[])];
+    let mut system = system(2, &engines, &[]).await;
+    let prompt = "resumable";
+    let headers = [("x-sardinerelay-resume", "true")];
+    let mut stream = client::stream(system.address(1), &key("brakeline"), prompt, 400, &headers)
+        .await
+        .expect("a stream");
+    let mut delivered = 0;
+    while delivered < 20 {
+        assert_eq!(
+            stream.next().await,
+            Event::Token(expected(prompt, delivered))
+        );
+        delivered += 1;
+    }
+    let last_id = stream.last_id.clone().expect("each event has an id");
+    system.kill(1);
+    let mut resumed = client::resume(system.address(0), &key("brakeline"), &last_id)
+        .await
+        .expect("the stream resumes");
+    assert_whole(&resumed.rest().await, prompt, delivered, 400);
+    assert_eq!(
+        records(&engines[0]).await.len(),
+        1,
+        "the answer must come from a single generation"
+    );
+}
+
+/// Guards against a resume token that opens another organisation's output.
+#[tokio::test]
+async fn a_resume_token_is_refused_for_another_organisation_and_when_altered() {
+    let engines = [engine("engine-0", &[])];
+    let system = system(1, &engines, &[]).await;
+    let headers = [("x-sardinerelay-resume", "true")];
+    let mut stream = client::stream(system.address(0), &key("brakeline"), "mine", 400, &headers)
+        .await
+        .expect("a stream");
+    stream.next().await;
+    let id = stream.last_id.clone().expect("each event has an id");
+    let altered = format!("A{}", &id[1..]);
+    for (organisation, id) in [
+        ("harakeke", id.as_str()),
+        ("brakeline", altered.as_str()),
+        ("brakeline", "x.1"),
+    ] {
+        let (status, error) = client::resume(system.address(0), &key(organisation), id)
+            .await
+            .expect_err("a refusal");
+        assert!(status.is_client_error(), "{status}");
+        assert_eq!(error["error"]["code"], "resume_refused");
+    }
+}
+
+/// Guards against work that goes on for a caller that has left.
+#[tokio::test]
+async fn a_caller_that_disconnects_is_cancelled_on_the_engine() {
+    let engines = [engine("engine-0", &[])];
+    let system = system(1, &engines, &[]).await;
+    let mut stream = client::stream(system.address(0), &key("brakeline"), "left", 5000, &[])
+        .await
+        .expect("a stream");
+    stream.next().await;
+    drop(stream);
+    let cancelled = async || {
+        records(&engines[0])
+            .await
+            .iter()
+            .any(|record| record["outcome"] == "cancelled")
+    };
+    eventually("the engine cancelled the generation", cancelled).await;
+}
+
+/// Guards against new work on a leaving engine (G5), and against cutting the work it has.
+#[tokio::test]
+async fn a_leaving_engine_finishes_its_streams_and_gets_no_new_ones() {
+    let engines = [engine("engine-0", &[])];
+    let system = system(1, &engines, &[]).await;
+    let prompt = "leaving";
+    let mut stream = client::stream(system.address(0), &key("brakeline"), prompt, 400, &[])
+        .await
+        .expect("a stream");
+    assert_eq!(stream.next().await, Event::Token(expected(prompt, 0)));
+    client::send(engines[0].address, Method::POST, "/v1/leave", &[], "").await;
+    let (status, error) = client::stream(system.address(0), &key("brakeline"), "new", 2, &[])
+        .await
+        .expect_err("a refusal");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{error}");
+    assert_eq!(error["error"]["run"], "not_run");
+    assert_whole(&stream.rest().await, prompt, 1, 400);
+    assert_eq!(
+        records(&engines[0]).await.len(),
+        1,
+        "a leaving engine must run nothing new"
+    );
+}
--- a/crates/sardinerelayd/tests/peer.rs
+++ b/crates/sardinerelayd/tests/peer.rs
@@ -53,7 +53,7 @@
     let counters = Arc::new(Counters::default());
     Server::start(
         any,
-        secrets(accepted),
+        Some(secrets(accepted)),
         (module, Receiver::new(receive)),
         counters,
     )
