Close gaps in the tests of the sheet and of sardinectl

Trial mutations on a scratch copy (24 edits of checks, one at a time) were all caught but two: the filter on consequences of a syntax error, and the rule that an unknown protocol error leaves a change's outcome unknown.

One run of these tests failed: an address that was meant to refuse connections was a port freed before use, and another test's listener got it.

--- a/crates/sardinectl/tests/operator.rs
+++ b/crates/sardinectl/tests/operator.rs
@@ -8,6 +8,7 @@
         closed, cut_before_answer, digest, group, json, lock, run, sardinectl, start, stderr,
         stdout,
     },
+    jsonrpsee::types::error::{INTERNAL_ERROR_CODE, METHOD_NOT_FOUND_CODE},
     rstest::rstest,
     sardinerelay::operator::ErrorCode,
     serde_json::json,
@@ -47,10 +48,11 @@
 fn next_server_answers(#[values(false, true)] silent: bool) {
     let group = group();
     let fake = start(&group);
+    let closed = closed();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let first = match silent {
         true => listener.local_addr().unwrap(),
-        false => closed(),
+        false => closed.address,
     };
     let output = run(&[first, fake.address], &["hosts", "--timeout", "5s", "-v"]);
     assert_eq!(code(&output), 0, "{}", stderr(&output));
@@ -61,7 +63,8 @@
 /// Guards against an unreachable group that is reported as another failure.
 #[test]
 fn no_server_answers() {
-    let servers = [closed(), closed()];
+    let closed = [closed(), closed()];
+    let servers = closed.each_ref().map(|server| server.address);
     let output = run(&servers, &["--json", "targets"]);
     assert_eq!(code(&output), 5);
     assert_eq!(json(&output)["error"]["exit_code"], 5);
@@ -260,7 +263,9 @@
     let fake = start(&group);
     let output = run(&[fake.address], &["health"]);
     assert_eq!(code(&output), 0, "{}", stderr(&output));
-    let output = run(&[closed(), fake.address], &["--json", "health"]);
+    let closed = closed();
+    let servers = [closed.address, fake.address];
+    let output = run(&servers, &["--json", "health"]);
     assert_eq!(code(&output), 1);
     assert!(json(&output)[0]["error"].is_string());
     assert_eq!(json(&output)[1]["health"]["state"], "ready");
@@ -330,13 +335,15 @@
 
 /// Guards against refusals that look like an unknown outcome, or the other way round.
 #[rstest]
-#[case(ErrorCode::NoQuorum, 6)]
-#[case(ErrorCode::UnknownName, 6)]
-#[case(ErrorCode::Unauthorized, 6)]
-#[case(ErrorCode::ProposalReused, 4)]
-#[case(ErrorCode::OutcomeUnknown, 7)]
-#[case(ErrorCode::Internal, 7)]
-fn errors_have_exit_codes(#[case] error: ErrorCode, #[case] expected: i32) {
+#[case(ErrorCode::NoQuorum.number(), 6)]
+#[case(ErrorCode::UnknownName.number(), 6)]
+#[case(ErrorCode::Unauthorized.number(), 6)]
+#[case(ErrorCode::ProposalReused.number(), 4)]
+#[case(ErrorCode::OutcomeUnknown.number(), 7)]
+#[case(ErrorCode::Internal.number(), 7)]
+#[case(INTERNAL_ERROR_CODE, 7)]
+#[case(METHOD_NOT_FOUND_CODE, 6)]
+fn errors_have_exit_codes(#[case] error: i32, #[case] expected: i32) {
     let group = group();
     lock(&group).error = Some(error);
     let fake = start(&group);
--- a/crates/sardinectl/tests/operator/fake.rs
+++ b/crates/sardinectl/tests/operator/fake.rs
@@ -8,10 +8,9 @@
     },
     sardinerelay::{
         operator::{
-            self, CheckReport, CheckRequest, Digest, ErrorCode, ErrorData, Health, HostRow,
-            HostState, OrganisationRow, Proposal, Published, QueueRow, Role, Stage, StopProgress,
-            StopRequest, StopWatch, Submission, TargetKind, TargetRow, TargetState, Verdict,
-            Version,
+            self, CheckReport, CheckRequest, Digest, ErrorData, Health, HostRow, HostState,
+            OrganisationRow, Proposal, Published, QueueRow, Role, Stage, StopProgress, StopRequest,
+            StopWatch, Submission, TargetKind, TargetRow, TargetState, Verdict, Version,
         },
         sheet,
     },
@@ -35,8 +34,8 @@
     pub verdicts: HashMap<Proposal, Verdict>,
     /// Submissions in the order of arrival.
     pub submissions: Vec<Submission>,
-    /// Answers every change with this error.
-    pub error: Option<ErrorCode>,
+    /// Answers every change with an error of this number.
+    pub error: Option<i32>,
     /// Hosts that have the last sheet in force; one more with each look.
     pub hosts_in_force: u64,
     /// Hosts that are reachable.
@@ -212,9 +211,9 @@
 
 fn refuse(group: &Group) -> Result<(), ErrorObjectOwned> {
     match group.error {
-        Some(code) => Err(ErrorObjectOwned::owned(
-            code.number(),
-            format!("{code:?} on request"),
+        Some(number) => Err(ErrorObjectOwned::owned(
+            number,
+            format!("error {number} on request"),
             Some(ErrorData::default()),
         )),
         None => Ok(()),
@@ -317,12 +316,22 @@
     address
 }
 
-/// An address that refuses connections.
-pub fn closed() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// An address that refuses connections: the local end of an open connection, so that no other
+/// test can get its port.
+#[derive(Debug)]
+pub struct Closed {
+    pub address: SocketAddr,
+    _connection: [TcpStream; 2],
+}
+
+pub fn closed() -> Closed {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (server, _) = listener.accept().unwrap();
+    Closed {
+        address: client.local_addr().unwrap(),
+        _connection: [client, server],
+    }
 }
 
 /// The tool in an empty environment, with a deadline that a busy machine does not exceed.
--- a/crates/sardinerelay/tests/sheet.rs
+++ b/crates/sardinerelay/tests/sheet.rs
@@ -341,6 +341,15 @@
     );
 }
 
+/// Guards against a line that can't be read and is reported together with everything that the
+/// parser skipped after it.
+#[test]
+fn skipped_text_is_not_reported_as_missing() {
+    let faults = sheet::parse(&SMALL.replace("version = \"1\"", "version 1")).unwrap_err();
+    let lines: Vec<_> = faults.iter().map(|fault| fault.line).collect();
+    assert_eq!(lines, [21], "{faults:#?}");
+}
+
 /// Guards against a misspelt table whose entries are silently dropped.
 #[test]
 fn misspelt_table_is_reported() {
