--- a/crates/sardinerelay/tests/raft/group.rs
+++ b/crates/sardinerelay/tests/raft/group.rs
@@ -105,10 +105,8 @@
     fn restore(data: &[u8]) -> Self {
         let padding = &data[16..];
         assert_eq!(data.len(), SNAPSHOT_PADDING_BYTES);
-        assert!(
-            padding.iter().all(|byte| *byte == padding[0]),
-            "mixed snapshot"
-        );
+        let mixed = padding.iter().any(|byte| *byte != padding[0]);
+        assert!(!mixed, "snapshot with parts of two encodings");
         let number = |range| u64::from_le_bytes(<[u8; 8]>::try_from(&data[range]).unwrap());
         Self {
             applied: number(0..8),
@@ -278,11 +276,8 @@
             .map(|machine| (machine.applied, machine.digest))
             .collect();
         for machine in machines {
-            assert_eq!(
-                digests[&machine.applied], machine.digest,
-                "seed {}",
-                self.seed
-            );
+            let digest = digests[&machine.applied];
+            assert_eq!(digest, machine.digest, "seed {}", self.seed);
         }
     }
 
@@ -374,11 +369,8 @@
         }
         for read in ready.reads {
             if let Ok(index) = read.outcome {
-                assert!(
-                    index >= self.read_floor[&read.token],
-                    "seed {}: stale read",
-                    self.seed
-                );
+                let floor = self.read_floor[&read.token];
+                assert!(index >= floor, "seed {}: stale read", self.seed);
                 assert!(node.machine.applied >= index);
             }
             self.reads.insert(read.token, read.outcome);
@@ -437,6 +429,7 @@
 
     /// Election safety, leader completeness, and exclusiveness of the lease.
     fn check_leaders(&mut self) {
+        let seed = self.seed;
         let mut newest = 0;
         for host in self.alive() {
             let replica = self.nodes[&host].replica.as_ref().unwrap();
@@ -445,20 +438,13 @@
                 continue;
             }
             let known = *self.leaders.entry(status.term).or_insert(host);
-            assert_eq!(
-                known, host,
-                "seed {}: two leaders in term {}",
-                self.seed, status.term
-            );
+            assert_eq!(known, host, "seed {seed}: two leaders in one term");
             let earlier = self.committed.iter().rev();
             let known = earlier
                 .map(|entry| entry.position)
                 .find(|at| at.term < status.term);
-            assert!(
-                known <= Some(status.last),
-                "seed {}: leader lacks entries",
-                self.seed
-            );
+            let complete = known <= Some(status.last);
+            assert!(complete, "seed {seed}: leader lacks entries");
             match replica.lease().map(|lease| lease.until()) {
                 Some(Some(until)) => _ = self.leases.insert(host, (status.term, until)),
                 Some(None) => {}
@@ -468,11 +454,7 @@
         }
         for (&host, &(term, until)) in &self.leases {
             let over = term >= newest || until <= self.clock(host);
-            assert!(
-                over,
-                "seed {}: newer leader within the lease of {host}",
-                self.seed
-            );
+            assert!(over, "seed {seed}: newer leader within the lease of {host}");
         }
     }
 
