--- a/crates/sardinerelay/src/ledger.rs
+++ b/crates/sardinerelay/src/ledger.rs
@@ -13,6 +13,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         mem::size_of,
+        sync::Arc,
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     uuid::Uuid,
@@ -48,9 +49,9 @@
 impl Default for Quota {
     fn default() -> Self {
         Self {
-            records: 200_000,
-            timeless: 400_000,
-            answer_bytes: 16 * 1024 * 1024,
+            records: 50_000,
+            timeless: 200_000,
+            answer_bytes: 8 * 1024 * 1024,
         }
     }
 }
@@ -169,6 +170,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Book {
     records: BTreeMap<Digest, Record>,
+    expiries: BTreeSet<(u64, Digest)>,
     tombstones: BTreeSet<Digest>,
     /// Live records whose key carries no time.
     timeless: usize,
@@ -189,19 +191,21 @@
 /// All records of one group of replicas.
 ///
 /// Its clock is the highest time any command carried, so all replicas decide alike, and a time
-/// that went backwards revives nothing.
+/// that went backwards revives nothing. A copy shares the records with its original until one of
+/// them changes, so that a snapshot can be encoded while commands are applied.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     quota: Quota,
     clock_ms: u64,
-    books: BTreeMap<Organisation, Book>,
-    expiries: BTreeSet<(u64, Organisation, Digest)>,
+    /// No record expires before this time.
+    next_ms: u64,
+    books: BTreeMap<Organisation, Arc<Book>>,
 }
 
 impl Ledger {
     /// Bytes that a live record takes beside its answer, without the allocator's overhead.
     pub const RECORD_BYTES: usize =
-        size_of::<Digest>() + size_of::<Record>() + size_of::<(u64, Organisation, Digest)>();
+        size_of::<Digest>() + size_of::<Record>() + size_of::<(u64, Digest)>();
 
     /// An empty ledger.
     pub fn new(quota: Quota) -> Self {
@@ -242,11 +246,9 @@
         if book.is_some_and(|book| book.is_full(quota, timed)) {
             return Begin::QuotaExceeded;
         }
+        self.next_ms = self.next_ms.min(expires_ms);
         let organisation = intent.key.organisation.clone();
-        self.expiries
-            .insert((expires_ms, organisation.clone(), digest));
-        let book = self.books.entry(organisation).or_default();
-        book.timeless += usize::from(!timed);
+        let book = Arc::make_mut(self.books.entry(organisation).or_default());
         let status = Status::Started {
             owner: intent.owner,
             deadline_ms: millis(intent.deadline),
@@ -258,7 +260,7 @@
             timed,
             status,
         };
-        book.records.insert(digest, record);
+        book.insert(digest, record);
         Begin::New
     }
 
@@ -273,44 +275,26 @@
         let Some(book) = self.books.get_mut(&conclusion.key.organisation) else {
             return Finish::Absent;
         };
-        let stored = book.answer_bytes;
-        let Some(record) = book.records.get_mut(&digest) else {
-            return Finish::Absent;
-        };
-        if record.attempt != conclusion.attempt {
-            return Finish::Absent;
-        }
-        if matches!(record.status, Status::Done(_)) {
-            return Finish::Recorded;
-        }
-        match conclusion.outcome {
-            Outcome::Done(answer) => {
-                let answer = answer.bounded(limit.saturating_sub(stored));
-                book.answer_bytes += answer.len();
-                record.status = Status::Done(Box::new(answer));
-            }
-            Outcome::Unknown => record.status = Status::Unknown,
-            Outcome::NotRun => {
-                let entry = (record.expires_ms, conclusion.key.organisation, digest);
-                book.timeless -= usize::from(!record.timed);
-                book.records.remove(&digest);
-                self.expiries.remove(&entry);
-            }
+        match book.records.get(&digest) {
+            Some(record) if record.attempt == conclusion.attempt => {}
+            _ => return Finish::Absent,
         }
+        Arc::make_mut(book).conclude(digest, conclusion.outcome, limit);
         Finish::Recorded
     }
 
     /// Moves the clock to `now` unless it is already later, and expires records.
     pub fn expire(&mut self, now: SystemTime) {
         self.clock_ms = self.clock_ms.max(millis(now));
-        while let Some(entry) = self.expiries.first() {
-            if entry.0 > self.clock_ms {
-                return;
-            }
-            let (_, organisation, digest) = self.expiries.pop_first().expect("is not empty");
-            if let Some(book) = self.books.get_mut(&organisation) {
-                book.retire(digest);
+        if self.clock_ms < self.next_ms {
+            return;
+        }
+        self.next_ms = u64::MAX;
+        for book in self.books.values_mut() {
+            if book.next_ms() <= self.clock_ms {
+                Arc::make_mut(book).expire(self.clock_ms);
             }
+            self.next_ms = self.next_ms.min(book.next_ms());
         }
     }
 
@@ -338,17 +322,56 @@
         self.records.len() >= quota.records || (!timed && timeless >= quota.timeless)
     }
 
-    fn retire(&mut self, digest: Digest) {
-        let Some(record) = self.records.remove(&digest) else {
+    fn insert(&mut self, digest: Digest, record: Record) {
+        self.timeless += usize::from(!record.timed);
+        self.expiries.insert((record.expires_ms, digest));
+        self.records.insert(digest, record);
+    }
+
+    fn conclude(&mut self, digest: Digest, outcome: Outcome, limit: usize) {
+        let Some(record) = self.records.get_mut(&digest) else {
             return;
         };
+        if matches!(record.status, Status::Done(_)) {
+            return;
+        }
+        match outcome {
+            Outcome::Done(answer) => {
+                let answer = answer.bounded(limit.saturating_sub(self.answer_bytes));
+                self.answer_bytes += answer.len();
+                record.status = Status::Done(Box::new(answer));
+            }
+            Outcome::Unknown => record.status = Status::Unknown,
+            Outcome::NotRun => {
+                self.remove(digest);
+            }
+        }
+    }
+
+    fn next_ms(&self) -> u64 {
+        self.expiries.first().map_or(u64::MAX, |expiry| expiry.0)
+    }
+
+    fn expire(&mut self, clock_ms: u64) {
+        while let Some(&(expires_ms, digest)) = self.expiries.first() {
+            if expires_ms > clock_ms {
+                return;
+            }
+            let removed = self.remove(digest);
+            if removed.is_some_and(|record| !record.timed) {
+                self.tombstones.insert(digest);
+            }
+        }
+    }
+
+    fn remove(&mut self, digest: Digest) -> Option<Record> {
+        let record = self.records.remove(&digest)?;
+        self.expiries.remove(&(record.expires_ms, digest));
+        self.timeless -= usize::from(!record.timed);
         if let Status::Done(answer) = &record.status {
             self.answer_bytes -= answer.len();
         }
-        if !record.timed {
-            self.timeless -= 1;
-            self.tombstones.insert(digest);
-        }
+        Some(record)
     }
 }
 
--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -66,6 +66,8 @@
     /// Entries and bytes applied since the last snapshot.
     uncompacted: (u64, usize),
     saving: bool,
+    /// Size of the last snapshot.
+    snapshot_bytes: usize,
 }
 
 impl Consensus {
@@ -81,6 +83,7 @@
             data => Machine::restore(data)?,
         };
         let applied = durable.snapshot.meta.last.index;
+        let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
         let (writer, written) = Writer::start(store)?;
         Ok(Self {
@@ -97,6 +100,7 @@
             compaction,
             uncompacted: (0, 0),
             saving: false,
+            snapshot_bytes,
         })
     }
 
@@ -190,11 +194,12 @@
             Written::Saved(snapshot) => {
                 self.saving = false;
                 let last = snapshot.meta.last.index;
+                self.snapshot_bytes = snapshot.data.len();
                 debug!("took a snapshot at {last}");
                 self.replica.compact(snapshot);
                 self.writer.queue(Job::Compact(last));
             }
-            Written::Failed(error) => return Err(error.into()),
+            Written::Failed(failure) => return Err(failure),
         }
         Ok(())
     }
@@ -208,7 +213,8 @@
             self.handle(ready)?;
         }
         self.publish();
-        self.compact()
+        self.compact();
+        Ok(())
     }
 
     fn handle(&mut self, ready: Ready) -> Result<(), Failure> {
@@ -242,7 +248,9 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Failure> {
+        info!("restoring a snapshot at {}", snapshot.meta.last.index);
         self.machine = Machine::restore(&snapshot.data)?;
+        self.snapshot_bytes = snapshot.data.len();
         self.applied = snapshot.meta.last.index;
         self.uncompacted = (0, 0);
         let later = self.pending.split_off(&(self.applied + 1));
@@ -298,19 +306,22 @@
         }
     }
 
-    fn compact(&mut self) -> Result<(), Failure> {
+    fn compact(&mut self) {
         let (entries, bytes) = self.uncompacted;
-        let due = entries >= self.compaction.entries || bytes >= self.compaction.bytes;
+        let limit = self.compaction;
+        let due = entries >= limit.entries || bytes >= limit.bytes;
+        // Snapshots of a large state are taken less often, so that they cost at most about as many
+        // written bytes as the log.
+        let due = due && bytes >= self.snapshot_bytes / 2;
         if self.saving || !due {
-            return Ok(());
+            return;
         }
         let Some(meta) = self.replica.snapshot_meta(self.applied) else {
-            return Ok(());
+            return;
         };
-        let data = Bytes::from(self.machine.snapshot()?);
-        self.writer.queue(Job::Save(Snapshot { meta, data }));
+        let machine = Box::new(self.machine.clone());
+        self.writer.queue(Job::Save(meta, machine));
         self.uncompacted = (0, 0);
         self.saving = true;
-        Ok(())
     }
 }
--- a/crates/sardinerelayd/src/control/settings.rs
+++ b/crates/sardinerelayd/src/control/settings.rs
@@ -64,6 +64,9 @@
     pub snapshot_entries: u64,
     /// Bytes of log entries after which a snapshot is taken.
     pub snapshot_bytes: usize,
+    /// Bytes of log entries that a snapshot contains and that are kept for followers that lag a
+    /// little, so that they need no snapshot.
+    pub trailing_bytes: usize,
 }
 
 /// Why settings were refused.
@@ -117,6 +120,7 @@
             quota: Quota::default(),
             snapshot_entries: 10_000,
             snapshot_bytes: 8 << 20,
+            trailing_bytes: 1 << 20,
         }
     }
 
--- a/crates/sardinerelayd/src/control/start.rs
+++ b/crates/sardinerelayd/src/control/start.rs
@@ -195,6 +195,7 @@
     config.heartbeat = settings.heartbeat;
     config.election = settings.election;
     config.drift = settings.election / 10;
+    config.trailing_bytes = settings.trailing_bytes;
     let compaction = Compaction {
         entries: settings.snapshot_entries,
         bytes: settings.snapshot_bytes,
--- a/crates/sardinerelayd/src/control/writer.rs
+++ b/crates/sardinerelayd/src/control/writer.rs
@@ -2,10 +2,12 @@
 
 use {
     super::Failure,
+    bytes::Bytes,
     sardinerelay::{
         id::Index,
-        raft::{Persist, Snapshot},
-        wal::{self, Store},
+        raft::{Persist, Snapshot, SnapshotMeta},
+        state::Machine,
+        wal::Store,
     },
     std::{
         sync::mpsc::{Receiver, Sender, channel},
@@ -19,7 +21,8 @@
 
 pub(super) enum Job {
     Persist(Persist),
-    Save(Snapshot),
+    /// Encodes and saves a snapshot. Encoding takes too long for the control thread.
+    Save(SnapshotMeta, Box<Machine>),
     Compact(Index),
 }
 
@@ -30,7 +33,7 @@
     /// The snapshot is synced.
     Saved(Snapshot),
     /// Nothing more can be written.
-    Failed(wal::Error),
+    Failed(Failure),
 }
 
 /// The thread. Dropping it waits until it has released the store.
@@ -81,7 +84,7 @@
     mut store: Store,
     queue: &Receiver<Job>,
     report: &UnboundedSender<Written>,
-) -> Result<(), wal::Error> {
+) -> Result<(), Failure> {
     while let Ok(first) = queue.recv() {
         let mut sequence = None;
         let mut other = None;
@@ -103,7 +106,10 @@
             let _ = report.send(Written::Persisted(sequence));
         }
         match other {
-            Some(Job::Save(snapshot)) => {
+            Some(Job::Save(meta, machine)) => {
+                let data = Bytes::from(machine.snapshot()?);
+                drop(machine);
+                let snapshot = Snapshot { meta, data };
                 store.save_snapshot(&snapshot)?;
                 let _ = report.send(Written::Saved(snapshot));
             }
--- a/crates/sardinerelayd/tests/control.rs
+++ b/crates/sardinerelayd/tests/control.rs
@@ -76,6 +76,8 @@
             secrets: vec!["secret".into()],
             poll: Duration::from_secs(2),
             snapshot_entries: 20,
+            // A host that restarts late gets a snapshot and no entries.
+            trailing_bytes: 0,
             ..Settings::single(data, incarnation())
         }
     }
