--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -15,7 +15,7 @@
         limits::Limits,
         metrics::Metrics,
         operator::{self, Desk},
-        peer::{Limits as PeerLimits, Receiver, Secret, Secrets, Server, SharedCounters},
+        peer::{Receiver, Secret, Secrets, Server, SharedCounters},
         platform, publish,
         report::Source,
         resume::Resume,
@@ -32,7 +32,7 @@
     log::{debug, error, info, warn},
     sardinerelay::{
         id::Incarnation,
-        ledger::{Owner, Quota},
+        ledger::Owner,
         resume::{self, Sealer},
         state::Command,
         wal,
@@ -54,15 +54,6 @@
 /// Least election timeout. With the random part on top, a leader is replaced in under 2 s.
 const ELECTION: Duration = Duration::from_millis(600);
 
-/// The longest time that an upstream host holds a pull open.
-const POLL: Duration = Duration::from_secs(5);
-
-/// Log entries after which a snapshot is taken.
-const SNAPSHOT_ENTRIES: u64 = 10_000;
-
-/// Bytes of log entries after which a snapshot is taken.
-const SNAPSHOT_BYTES: usize = 8 << 20;
-
 /// Time that leaving the group may take on a planned stop.
 const LEAVE: Duration = Duration::from_secs(3);
 
@@ -393,9 +384,9 @@
         zone: config.zone.clone(),
         address: config.peer_listen,
     };
+    let data = config.data_dir.clone().or(temporary);
     let settings = control::Settings {
         host: config.host,
-        incarnation,
         zone: config.zone.clone(),
         listen: config.peer_listen,
         voters: if alone {
@@ -404,17 +395,13 @@
             members(&config.voters)
         },
         hosts: members(&config.hosts),
-        data: config.data_dir.clone().or(temporary),
         found: config.bootstrap,
         learner: config.learner,
         secrets: secrets(config),
         heartbeat: HEARTBEAT,
         election: ELECTION,
-        poll: POLL,
-        limits: PeerLimits::default(),
-        quota: Quota::default(),
-        snapshot_entries: SNAPSHOT_ENTRIES,
-        snapshot_bytes: SNAPSHOT_BYTES,
+        data: data.clone(),
+        ..control::Settings::single(data.unwrap_or_default(), incarnation)
     };
     Ok((settings, directory))
 }
