--- a/crates/sardinectl/src/config.rs
+++ b/crates/sardinectl/src/config.rs
@@ -160,11 +160,13 @@
         file: file.to_owned(),
         source,
     })?;
-    let secret = text.trim_end_matches(['\r', '\n']);
+    // The daemon reads the same file: one secret a line, of which the first is sent.
+    let secret = text.lines().map(str::trim).find(|line| !line.is_empty());
+    let secret = secret.unwrap_or_default();
     let malformed = || Error::Secret {
         file: file.to_owned(),
     };
-    if secret.is_empty() || !secret.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if secret.is_empty() || !secret.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic()) {
         return Err(malformed());
     }
     let mut value = HeaderValue::try_from(format!("Bearer {secret}")).map_err(|_| malformed())?;
