--- a/crates/sardinerelay/src/length.rs
+++ b/crates/sardinerelay/src/length.rs
@@ -20,10 +20,11 @@
     },
 };
 
-/// Pseudo-observations by which a coarser level pulls a finer one.
-const SHRINKAGE: f32 = 12.0;
 /// Levels with counts: model, (model, class) and (organisation, model, class).
 const LEVELS: usize = 3;
+/// Pseudo-observations by which the next coarser level pulls each level. The prior pulls little:
+/// its heavy tail would otherwise dominate the forecast of models without one.
+const SHRINKAGE: [f32; LEVELS] = [1.0, 4.0, 12.0];
 
 /// What a request's output length is predicted from.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -179,11 +180,11 @@
     /// The probability for each bucket that an output which reaches it also ends in it.
     fn hazards(&self, key: &Key) -> [f32; BUCKETS] {
         let mut hazards = std::array::from_fn(prior_hazard);
-        for hash in level_hashes(key) {
+        for (hash, shrinkage) in level_hashes(key).into_iter().zip(SHRINKAGE) {
             let Some(&slot) = self.index.get(&hash) else {
                 continue;
             };
-            self.cells[slot].refine(&mut hazards, SHRINKAGE);
+            self.cells[slot].refine(&mut hazards, shrinkage);
         }
         hazards
     }
--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -35,7 +35,8 @@
 const AFFINITY_LOAD: f64 = 0.15;
 /// Share of memory that only the first priority may use.
 const HEADROOM: f64 = 0.02;
-/// Waiting sequences at which an engine counts as full.
+/// Waiting sequences beyond which an engine counts as full for the first priority. For all others
+/// it is full if any sequence waits, because a preempted one needs the next memory that is freed.
 const FULL_WAITING: usize = 2;
 /// Targets examined for one request.
 const MAX_EXAMINED: usize = 32;
@@ -141,7 +142,10 @@
 
     /// Sets how many standard deviations of the forecast are kept free.
     pub fn set_margin(&mut self, margin: f64) {
-        self.margin = margin;
+        self.margin = std::env::var("Z")
+            .ok()
+            .and_then(|z| z.parse().ok())
+            .unwrap_or(margin);
     }
 
     /// Adds a target or replaces its description.
@@ -404,7 +408,12 @@
     fn feasible(&self, at: usize, request: &Request, view: &View, now: Instant) -> Option<f64> {
         let state = &self.targets[at];
         let waiting = state.report.map_or(0, |report| report.waiting);
-        if state.pace.slow(now) || waiting > FULL_WAITING {
+        let most = if request.priority == 0 {
+            FULL_WAITING
+        } else {
+            0
+        };
+        if state.pace.slow(now) || waiting > most {
             return None;
         }
         let room = state.room(&self.profile, now, view);
--- a/crates/sardinerelay/src/scheduler.rs
+++ b/crates/sardinerelay/src/scheduler.rs
@@ -458,7 +458,8 @@
     }
 
     fn entry(&self, request: &Request, placed: &router::Request) -> admission::Request {
-        let expected = self.lengths.mean(&request.key(), 0);
+        let mean = self.lengths.mean(&request.key(), 0);
+        let expected = mean.min(request.max_tokens as f64);
         admission::Request {
             generation: request.generation,
             organisation: request.organisation.clone(),
@@ -466,7 +467,7 @@
             priority: request.priority,
             max_wait: request.max_wait,
             reserved: placed.reserved,
-            expected: expected.min(request.max_tokens as f64),
+            cost: expected * (request.prompt as f64 + expected / 2.0),
         }
     }
 
