--- a/crates/sardinerelay/src/admission.rs
+++ b/crates/sardinerelay/src/admission.rs
@@ -102,7 +102,8 @@
     pub fn offer(&mut self, request: Request, now: Instant) -> Offer {
         self.measure(now);
         let wait = self.predicted_wait(&request);
-        let over = wait.saturating_sub(request.max_wait);
+        let lane = self.lanes.entry(request.priority).or_default();
+        let over = wait.saturating_sub(request.max_wait.mul_f64(lane.patience(&request)));
         let retry_after = over.clamp(MIN_RETRY, MAX_RETRY);
         if self.waiting.len() >= self.limit {
             return Offer::Refused(Refusal::QueueFull { retry_after });
--- a/crates/sardinerelay/src/admission/lane.rs
+++ b/crates/sardinerelay/src/admission/lane.rs
@@ -44,6 +44,10 @@
     items: Vec<Item>,
 }
 
+/// Least share of the longest wait that a costly request may be predicted to wait.
+const LEAST_PATIENCE: f64 = 0.3;
+/// Weight of one request in the average cost.
+const COST_WEIGHT: f64 = 0.02;
 /// Seconds over which the rate is averaged.
 const RATE_WINDOW: f64 = 10.0;
 /// Seconds that make one sample of the rate.
@@ -88,6 +92,7 @@
     /// Whether the organisation in front has had its quantum in this turn.
     granted: bool,
     rate: Rate,
+    average_cost: f64,
 }
 
 impl Lane {
@@ -120,6 +125,18 @@
         }
     }
 
+    /// The share of its longest wait that a request may be predicted to wait. When not everything
+    /// can be served, requests that hold more memory than the average are refused first, which
+    /// leaves more room for the others.
+    pub(super) fn patience(&mut self, request: &Request) -> f64 {
+        if self.average_cost == 0.0 {
+            self.average_cost = request.cost;
+        }
+        self.average_cost += COST_WEIGHT * (request.cost - self.average_cost);
+        let relative = self.average_cost / request.cost.max(1.0);
+        relative.powi(2).clamp(LEAST_PATIENCE, 1.0)
+    }
+
     /// Tokens that are served before a new request of this organisation, with round robin among
     /// organisations and the shorter ones of its own organisation first.
     pub(super) fn ahead(&self, request: &Request) -> f64 {
--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -142,10 +142,7 @@
 
     /// Sets how many standard deviations of the forecast are kept free.
     pub fn set_margin(&mut self, margin: f64) {
-        self.margin = std::env::var("Z")
-            .ok()
-            .and_then(|z| z.parse().ok())
-            .unwrap_or(margin);
+        self.margin = margin;
     }
 
     /// Adds a target or replaces its description.
