--- a/crates/sardinerelay/examples/policy.rs
+++ b/crates/sardinerelay/examples/policy.rs
@@ -27,13 +27,13 @@
 const HOSTS: usize = 9;
 const ZONES: usize = 3;
 const ORGANISATIONS: usize = 10;
-const MEMORY_TOKENS: u64 = 32_768;
-const MAX_RUNNING: usize = 96;
-const PREFILL_PER_STEP: u64 = 2_048;
+const MEMORY_TOKENS: u64 = 60_000;
+const MAX_RUNNING: usize = 256;
+const PREFILL_PER_STEP: u64 = 4_096;
 /// Resolution of virtual time.
 const TICK: Duration = Duration::from_millis(5);
 /// Ticks of one decode iteration.
-const STEP_TICKS: u64 = 5;
+const STEP_TICKS: u64 = 4;
 /// Ticks between two load reports of one engine to one host.
 const REPORT_TICKS: u64 = 100;
 /// Age of a report on arrival, in ticks.
--- a/crates/sardinerelay/src/admission/lane.rs
+++ b/crates/sardinerelay/src/admission/lane.rs
@@ -44,8 +44,10 @@
     items: Vec<Item>,
 }
 
+/// Share of the longest wait that a request of average cost may be predicted to wait.
+const AVERAGE_PATIENCE: f64 = 0.7;
 /// Least share of the longest wait that a costly request may be predicted to wait.
-const LEAST_PATIENCE: f64 = 0.3;
+const LEAST_PATIENCE: f64 = 0.15;
 /// Weight of one request in the average cost.
 const COST_WEIGHT: f64 = 0.02;
 /// Seconds over which the rate is averaged.
@@ -134,7 +136,7 @@
         }
         self.average_cost += COST_WEIGHT * (request.cost - self.average_cost);
         let relative = self.average_cost / request.cost.max(1.0);
-        relative.powi(2).clamp(LEAST_PATIENCE, 1.0)
+        (AVERAGE_PATIENCE * relative.powi(3)).clamp(LEAST_PATIENCE, 1.0)
     }
 
     /// Tokens that are served before a new request of this organisation, with round robin among
--- a/crates/sardinerelay/src/admission/quantile.rs
+++ b/crates/sardinerelay/src/admission/quantile.rs
@@ -48,7 +48,7 @@
     /// Tolerated share of stream time that is stalled.
     fn stall_share(self) -> f64 {
         match self {
-            Self::Stall => 0.025,
+            Self::Stall => 0.027,
             Self::Preemption => 0.05,
         }
     }
@@ -57,7 +57,7 @@
     fn preemption_rate(self) -> f64 {
         match self {
             Self::Stall => 0.05,
-            Self::Preemption => 0.005,
+            Self::Preemption => 0.011,
         }
     }
 }
