--- a/crates/sardinerelay/src/admission/lane.rs
+++ b/crates/sardinerelay/src/admission/lane.rs
@@ -4,7 +4,7 @@
     super::Request,
     crate::id::{Generation, Model, Organisation},
     std::{
-        collections::{HashMap, VecDeque},
+        collections::{BTreeMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -90,7 +90,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     turns: VecDeque<Organisation>,
-    accounts: HashMap<Organisation, Account>,
+    accounts: BTreeMap<Organisation, Account>,
     /// Whether the organisation in front has had its quantum in this turn.
     granted: bool,
     rate: Rate,
--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -155,20 +155,24 @@
         self.targets.push(State::new(about, now));
     }
 
-    /// Chooses a target. Nothing is reserved until [`Router::dispatched`].
-    pub fn pick<R>(
+    /// Chooses a target among those that the fleet and `allowed` let through. Nothing is reserved
+    /// until [`Router::dispatched`].
+    pub fn pick<R, F>(
         &self,
         request: &Request,
         fleet: &Fleet,
+        allowed: F,
         rng: &mut R,
         now: Instant,
     ) -> Result<Pick, Refusal>
     where
         R: Rng + ?Sized,
+        F: Fn(&str) -> bool,
     {
         self.serves(request, fleet)?;
         let (near, far): (Vec<usize>, Vec<usize>) = self
             .candidates(request, fleet)
+            .filter(|at| allowed(&self.targets[*at].about.name))
             .partition(|at| self.targets[*at].about.zone == self.zone);
         let share = self.share();
         let view = View {
--- a/crates/sardinerelay/src/router/target.rs
+++ b/crates/sardinerelay/src/router/target.rs
@@ -9,7 +9,7 @@
     },
     crate::id::{Generation, Model, Target, Zone},
     std::{
-        collections::{HashMap, VecDeque},
+        collections::{BTreeMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -26,7 +26,7 @@
 /// margin costs little.
 const NEAR: u64 = 64;
 /// Least margin in standard deviations for near horizons.
-const NEAR_MARGIN: f64 = 1.5;
+const NEAR_MARGIN: f64 = 1.75;
 /// Share of a stream's own peak below which its need doesn't count: a request that has ended by
 /// then must not be held up by a shortage at a late horizon.
 const NEGLIGIBLE: f64 = 0.05;
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) about: Description,
-    pub(super) streams: HashMap<Generation, Stream>,
+    pub(super) streams: BTreeMap<Generation, Stream>,
     pub(super) pace: Pace,
     pub(super) cache: Map,
     pub(super) report: Option<Report>,
@@ -90,7 +90,7 @@
     pub(super) fn new(about: Description, now: Instant) -> Self {
         Self {
             about,
-            streams: HashMap::new(),
+            streams: BTreeMap::new(),
             pace: Pace::default(),
             cache: Map::default(),
             report: None,
@@ -226,8 +226,8 @@
         };
         // Other hosts see the same report and are assumed to dispatch as much as this one.
         let unseen = 1.0 / view.share - 1.0;
-        for h in 0..HORIZONS {
-            let margin = if AHEAD[h] <= NEAR {
+        for (h, ahead) in AHEAD.into_iter().enumerate() {
+            let margin = if ahead <= NEAR {
                 view.margin.max(NEAR_MARGIN)
             } else {
                 view.margin
