--- a/crates/sardinerelay/src/admission/quantile.rs
+++ b/crates/sardinerelay/src/admission/quantile.rs
@@ -57,7 +57,7 @@
     fn preemption_rate(self) -> f64 {
         match self {
             Self::Stall => 0.05,
-            Self::Preemption => 0.011,
+            Self::Preemption => 0.014,
         }
     }
 }
