--- a/crates/sardinerelay/src/admission/lane.rs
+++ b/crates/sardinerelay/src/admission/lane.rs
@@ -45,9 +45,9 @@
 }
 
 /// Share of the longest wait that a request of average cost may be predicted to wait.
-const AVERAGE_PATIENCE: f64 = 0.7;
+const AVERAGE_PATIENCE: f64 = 0.5;
 /// Least share of the longest wait that a costly request may be predicted to wait.
-const LEAST_PATIENCE: f64 = 0.15;
+const LEAST_PATIENCE: f64 = 0.05;
 /// Weight of one request in the average cost.
 const COST_WEIGHT: f64 = 0.02;
 /// Seconds over which the rate is averaged.
@@ -136,7 +136,7 @@
         }
         self.average_cost += COST_WEIGHT * (request.cost - self.average_cost);
         let relative = self.average_cost / request.cost.max(1.0);
-        (AVERAGE_PATIENCE * relative.powi(3)).clamp(LEAST_PATIENCE, 1.0)
+        (AVERAGE_PATIENCE * relative.powi(5)).clamp(LEAST_PATIENCE, 1.0)
     }
 
     /// Tokens that are served before a new request of this organisation, with round robin among
