Lease limits among hosts, budget retries, and report failures truly

Each host holds a base share of every organisation for minutes and leases more for seconds while its demand exceeds that; the replicated state never grants more than the limit. A retry needs a token of the budget and waits with jitter. A caller that left before its first token was reported to the scheduler as a failure of the target, which would have ejected healthy engines; it now counts as cancelled.

--- a/crates/sardinectl/src/config.rs
+++ b/crates/sardinectl/src/config.rs
@@ -166,7 +166,11 @@
     let malformed = || Error::Secret {
         file: file.to_owned(),
     };
-    if secret.is_empty() || !secret.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic()) {
+    if secret.is_empty()
+        || !secret
+            .bytes()
+            .all(|byte| byte == b' ' || byte.is_ascii_graphic())
+    {
         return Err(malformed());
     }
     let mut value = HeaderValue::try_from(format!("Bearer {secret}")).map_err(|_| malformed())?;
--- a/crates/sardinerelayd/src/engine/reader.rs
+++ b/crates/sardinerelayd/src/engine/reader.rs
@@ -72,6 +72,7 @@
     patience: Patience,
     connection: Option<Connection>,
     ended: bool,
+    lost: bool,
 }
 
 #[derive(Debug)]
@@ -124,6 +125,7 @@
             patience,
             connection: None,
             ended: false,
+            lost: false,
         }
     }
 
@@ -147,12 +149,23 @@
         self.ended
     }
 
+    /// Whether the generation could not be continued.
+    pub fn lost(&self) -> bool {
+        self.lost
+    }
+
     /// Waits for the next event.
     ///
     /// # Errors
     ///
     /// Returns why the generation can't be continued.
     pub async fn next(&mut self) -> Result<Event, Lost> {
+        let result = self.read().await;
+        self.lost = result.is_err();
+        result
+    }
+
+    async fn read(&mut self) -> Result<Event, Lost> {
         loop {
             let Some(connection) = &mut self.connection else {
                 self.reconnect().await?;
--- a/crates/sardinerelayd/src/filter.rs
+++ b/crates/sardinerelayd/src/filter.rs
@@ -109,8 +109,8 @@
     pub tokens: u64,
     /// Whether the answer is whole.
     pub whole: bool,
-    /// Preemptions on the engine, if it told.
-    pub preemptions: u64,
+    /// Whether the target lost the generation.
+    pub lost: bool,
 }
 
 impl fmt::Debug for Answer {
@@ -131,7 +131,7 @@
         let end = End {
             tokens: self.reader.next_index(),
             whole,
-            preemptions: 0,
+            lost: self.reader.lost(),
         };
         for on_end in self.on_end.drain(..) {
             on_end(end);
--- a/crates/sardinerelayd/src/filter/limit.rs
+++ b/crates/sardinerelayd/src/filter/limit.rs
@@ -54,7 +54,7 @@
         Box::pin(async move {
             let organisation = call.organisation.clone();
             let charged = async {
-                let charge = limits.charge(&call)?;
+                let charge = limits.charge(&call).await?;
                 let mut answer = inner.call(call).await?;
                 answer
                     .on_end
--- a/crates/sardinerelayd/src/limits.rs
+++ b/crates/sardinerelayd/src/limits.rs
@@ -1,27 +1,74 @@
-//! This host's share of each organisation's limit.
+//! This host's leased shares of the organisations' limits.
+//!
+//! A host holds a base share of each organisation for minutes, so that a cut availability zone goes
+//! on serving, and leases more for seconds while its own demand exceeds that. The replicated state
+//! never grants more than the limit in all, so the sum holds through any cut (see
+//! `docs/design/limits.md`).
 
 use {
     crate::{
+        control::Handle,
         filter::Call,
         refusal::{Code, Refusal},
         snapshot::Shared,
     },
-    compact_str::{CompactString, format_compact},
+    compact_str::format_compact,
+    log::{debug, warn},
+    sardinerelay::{
+        id::{Host, Organisation},
+        limiter::{self, Grant, Rate, Share},
+        sheet::Account,
+        state::{Claim, Command, Reply},
+    },
     std::{
         collections::HashMap,
         fmt,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
+    tokio::{
+        sync::{Notify, watch},
+        time::{sleep, timeout},
+    },
 };
 
-/// Output tokens charged before the real length is known.
+/// Output tokens charged before the real length is known, unless the caller's bound is lower.
 const ESTIMATED_OUTPUT: u64 = 256;
 
+/// Lifetime of a base share. It bounds how long a cut zone goes on, and how long the share of a
+/// dead host stays unused.
+const BASE_LIFETIME: Duration = Duration::from_secs(300);
+
+/// Part of the limit that is divided equally as base shares, in percent.
+const BASE_PERCENT: u64 = 50;
+
+/// Lifetime of a larger share that follows demand.
+const SURPLUS_LIFETIME: Duration = Duration::from_secs(6);
+
+/// Interval between two looks at the shares.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time to commit a claim.
+const COMMIT: Duration = Duration::from_secs(2);
+
+/// Time that a request waits for the host's first share of its organisation.
+const FIRST_SHARE: Duration = Duration::from_secs(2);
+
+/// Demand is measured over this span.
+const DEMAND_SPAN: Duration = Duration::from_secs(10);
+
+/// Room that a share leaves above the measured demand, in percent.
+const HEADROOM_PERCENT: u64 = 125;
+
 /// Charges requests to organisations.
 pub struct Limits {
     view: Shared,
-    buckets: Mutex<HashMap<CompactString, Bucket>>,
+    control: Handle,
+    host: Host,
+    hosts: u64,
+    accounts: Mutex<HashMap<Organisation, State>>,
+    granted: Notify,
+    wanted: Notify,
 }
 
 impl fmt::Debug for Limits {
@@ -30,39 +77,62 @@
     }
 }
 
-/// Tokens and requests that an organisation may still use, refilled over a minute.
+/// One organisation on this host.
 #[derive(Debug)]
-struct Bucket {
-    tokens: f64,
-    requests: f64,
-    refilled: Instant,
+struct State {
+    share: Share,
+    /// The grant that the share goes by.
+    current: Option<Grant>,
+    /// The last granted base share.
+    base_grant: Option<Grant>,
+    /// The last granted larger share.
+    surplus_grant: Option<Grant>,
+    /// When the base share was claimed, with the limit it was claimed under.
+    base: Option<(Instant, Rate)>,
+    /// When a larger share was claimed.
+    surplus: Option<Instant>,
+    demand: Demand,
 }
 
-/// What an organisation used of a minute's limit on this host.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Used {
-    /// Tokens.
-    pub tokens: u64,
-    /// Requests.
-    pub requests: u64,
+/// Tokens and requests that callers asked for, refused ones included.
+#[derive(Debug)]
+struct Demand {
+    since: Instant,
+    tokens: u64,
+    requests: u64,
+    /// The last whole span, per minute.
+    last: Rate,
 }
 
 /// What one request was charged.
 #[derive(Debug)]
 pub struct Charge {
     limits: Arc<Limits>,
-    organisation: CompactString,
+    organisation: Organisation,
     prompt: u64,
-    charged: u64,
-    settled: bool,
+    charge: Option<limiter::Charge>,
+}
+
+/// What an organisation used of this host's share within the last seconds, per minute.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Tokens.
+    pub tokens: u64,
+    /// Requests.
+    pub requests: u64,
 }
 
 impl Limits {
-    /// Starts with full buckets.
-    pub fn new(view: Shared) -> Self {
+    /// Starts without shares. `hosts` is the number of hosts among which base shares are divided.
+    pub fn new(view: Shared, control: Handle, host: Host, hosts: u64) -> Self {
         Self {
             view,
-            buckets: Mutex::new(HashMap::new()),
+            control,
+            host,
+            hosts: hosts.max(1),
+            accounts: Mutex::default(),
+            granted: Notify::new(),
+            wanted: Notify::new(),
         }
     }
 
@@ -70,114 +140,280 @@
     ///
     /// # Errors
     ///
-    /// Refuses it as not run if the organisation has used up its limit.
-    pub fn charge(self: &Arc<Self>, call: &Call) -> Result<Charge, Refusal> {
-        let view = self.view.load();
-        let account = view
-            .sheet
-            .as_ref()
-            .and_then(|sheet| {
-                sheet
-                    .organisations
-                    .iter()
-                    .find(|account| account.name == call.organisation)
-            })
-            .ok_or_else(|| {
-                Refusal::new(Code::Unauthorized, "the organisation is no longer in force")
-            })?;
+    /// Refuses it as not run if the host's share is used up.
+    pub async fn charge(self: &Arc<Self>, call: &Call) -> Result<Charge, Refusal> {
+        self.await_first_share(&call.organisation).await;
         let output = call
             .max_tokens
             .unwrap_or(ESTIMATED_OUTPUT)
             .min(ESTIMATED_OUTPUT);
-        let charged = call.prompt_tokens + output;
-        let mut buckets = self.lock();
+        let estimate = call.prompt_tokens + output;
         let now = Instant::now();
-        let (tokens, requests) = (
-            account.tokens_per_minute as f64,
-            account.requests_per_minute as f64,
-        );
-        let bucket = buckets.entry(call.organisation.clone()).or_insert(Bucket {
-            tokens,
-            requests,
-            refilled: now,
-        });
-        bucket.refill(tokens, requests, now);
-        let wait = bucket.take(charged, tokens, requests);
-        match wait {
-            None => Ok(Charge {
-                limits: self.clone(),
-                organisation: call.organisation.clone(),
-                prompt: call.prompt_tokens,
-                charged,
-                settled: false,
-            }),
-            Some(wait) => {
-                let message = format_compact!(
-                    "the limit of organisation '{}' is used up",
-                    call.organisation
-                );
-                Err(Refusal::new(Code::RateLimited, message).retry_after(wait))
-            }
+        let mut accounts = self.lock();
+        let state = accounts
+            .entry(call.organisation.clone())
+            .or_insert_with(|| State::new(now));
+        state.demand.add(estimate, now);
+        state.refresh(now);
+        let taken = state.share.take(estimate, now);
+        if state.wants_more() {
+            self.wanted.notify_one();
         }
+        let charge = taken.map_err(|exhausted| {
+            let message = format_compact!("organisation '{}': {exhausted}", call.organisation);
+            Refusal::new(Code::RateLimited, message).retry_after(exhausted.retry_after)
+        })?;
+        Ok(Charge {
+            limits: self.clone(),
+            organisation: call.organisation.clone(),
+            prompt: call.prompt_tokens,
+            charge: Some(charge),
+        })
+    }
+
+    /// Waits while the host has never held a share of the organisation, as just after a start.
+    async fn await_first_share(&self, organisation: &Organisation) {
+        let held = || {
+            self.lock()
+                .get(organisation)
+                .is_some_and(|state| state.current.is_some())
+        };
+        let wait = async {
+            loop {
+                let granted = self.granted.notified();
+                if held() {
+                    return;
+                }
+                self.wanted.notify_one();
+                granted.await;
+            }
+        };
+        // Without a share in time, the charge is refused with a hint when to retry.
+        let _ = timeout(FIRST_SHARE, wait).await;
     }
 
-    /// What an organisation used and that has not been refilled yet.
+    /// What an organisation used within the last seconds, per minute.
     pub fn used(&self, organisation: &str) -> Used {
+        let accounts = self.lock();
+        accounts
+            .get(organisation)
+            .map_or(Used::default(), |state| Used {
+                tokens: state.demand.last.tokens,
+                requests: state.demand.last.requests,
+            })
+    }
+
+    /// Claims and renews shares until the task is aborted.
+    pub async fn run(self: Arc<Self>, mut changes: watch::Receiver<u64>) {
+        loop {
+            let claims = self.claims(Instant::now());
+            if !claims.is_empty() {
+                self.claim(claims).await;
+            }
+            tokio::select! {
+                () = sleep(INTERVAL) => {}
+                // A burst of demand leads to one claim, not to one for each request.
+                () = self.wanted.notified() => sleep(INTERVAL / 10).await,
+                changed = changes.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+
+    async fn claim(&self, claims: Vec<Claim>) {
+        // The host's clock starts before the proposal, so that a share ends here no later than there.
+        let asked = Instant::now();
+        match self.control.propose(Command::Grant(claims), COMMIT).await {
+            Ok(Reply::Granted(leases)) => {
+                let now = Instant::now();
+                let mut accounts = self.lock();
+                for lease in leases {
+                    let state = accounts
+                        .entry(lease.organisation.clone())
+                        .or_insert_with(|| State::new(now));
+                    let rate = Rate {
+                        tokens: lease.tokens_per_minute,
+                        requests: lease.requests_per_minute,
+                    };
+                    let expires = asked + lease.lifetime;
+                    state.take_over(Grant { rate, expires }, lease.lifetime, now);
+                }
+                drop(accounts);
+                self.granted.notify_waiters();
+            }
+            Ok(reply) => warn!("unexpected reply to a claim: {reply:?}"),
+            Err(error) => debug!("shares of limits were not renewed: {error}"),
+        }
+    }
+
+    /// The claims that are due.
+    fn claims(&self, now: Instant) -> Vec<Claim> {
         let view = self.view.load();
-        let accounts = view.sheet.iter().flat_map(|sheet| &sheet.organisations);
-        let Some(account) = accounts
-            .into_iter()
-            .find(|account| account.name == organisation)
-        else {
-            return Used::default();
+        let Some(sheet) = &view.sheet else {
+            return Vec::new();
+        };
+        let mut accounts = self.lock();
+        accounts.retain(|name, _| {
+            sheet
+                .organisations
+                .iter()
+                .any(|account| account.name == *name)
+        });
+        let mut claims = Vec::new();
+        for account in &sheet.organisations {
+            let state = accounts
+                .entry(account.name.clone())
+                .or_insert_with(|| State::new(now));
+            if let Some((rate, lifetime)) = state.due(account, self.hosts, now) {
+                claims.push(Claim {
+                    host: self.host,
+                    organisation: account.name.clone(),
+                    tokens_per_minute: rate.tokens,
+                    requests_per_minute: rate.requests,
+                    lifetime,
+                });
+            }
+        }
+        claims
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Organisation, State>> {
+        self.accounts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn new(now: Instant) -> Self {
+        Self {
+            share: Share::new(now),
+            current: None,
+            base_grant: None,
+            surplus_grant: None,
+            base: None,
+            surplus: None,
+            demand: Demand {
+                since: now,
+                tokens: 0,
+                requests: 0,
+                last: Rate::default(),
+            },
+        }
+    }
+
+    /// The share to claim now, if one is due: the base share well before it expires or when the
+    /// sheet changed it, and a larger one every interval while demand exceeds the base.
+    fn due(&mut self, account: &Account, hosts: u64, now: Instant) -> Option<(Rate, Duration)> {
+        self.demand.roll(now);
+        let limit = Rate {
+            tokens: account.tokens_per_minute,
+            requests: account.requests_per_minute,
+        };
+        let base = Rate {
+            tokens: base(limit.tokens, hosts),
+            requests: base(limit.requests, hosts),
         };
-        let (tokens, requests) = (
-            account.tokens_per_minute as f64,
-            account.requests_per_minute as f64,
-        );
-        let mut buckets = self.lock();
-        let Some(bucket) = buckets.get_mut(organisation) else {
-            return Used::default();
+        let fresh = self.base.is_some_and(|(at, claimed)| {
+            claimed == base && now.duration_since(at) < BASE_LIFETIME / 3
+        });
+        if !fresh {
+            self.base = Some((now, base));
+            return Some((base, BASE_LIFETIME));
+        }
+        let demand = self.demand.expected();
+        let wanted = Rate {
+            tokens: demand.tokens.min(limit.tokens),
+            requests: demand.requests.min(limit.requests),
         };
-        bucket.refill(tokens, requests, Instant::now());
-        Used {
-            tokens: (tokens - bucket.tokens).max(0.0).round() as u64,
-            requests: (requests - bucket.requests).max(0.0).round() as u64,
+        let exceeds = wanted.tokens > base.tokens || wanted.requests > base.requests;
+        let recent = self
+            .surplus
+            .is_some_and(|at| now.duration_since(at) < INTERVAL / 2);
+        if !exceeds || recent {
+            return None;
+        }
+        self.surplus = Some(now);
+        let rate = Rate {
+            tokens: wanted.tokens.max(base.tokens),
+            requests: wanted.requests.max(base.requests),
+        };
+        Some((rate, SURPLUS_LIFETIME))
+    }
+
+    /// Whether demand has outgrown the share.
+    fn wants_more(&self) -> bool {
+        let demand = self.demand.expected();
+        let rate = self.current.map(|grant| grant.rate).unwrap_or_default();
+        demand.tokens > rate.tokens || demand.requests > rate.requests
+    }
+
+    /// Keeps a granted share. A base share of nothing means that all is leased to others for now,
+    /// so it is claimed again at the next look.
+    fn take_over(&mut self, grant: Grant, lifetime: Duration, now: Instant) {
+        let granted = grant.rate != Rate::default();
+        match (lifetime == BASE_LIFETIME, granted) {
+            (true, true) => self.base_grant = Some(grant),
+            (true, false) => self.base = None,
+            (false, true) => self.surplus_grant = Some(grant),
+            (false, false) => {}
         }
+        self.refresh(now);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<CompactString, Bucket>> {
-        self.buckets
-            .lock()
-            .expect("no thread panics while it holds the lock")
+    /// Goes by the larger of the unexpired shares, so that the base share counts again when a
+    /// larger one was not renewed.
+    fn refresh(&mut self, now: Instant) {
+        let grants = [self.base_grant, self.surplus_grant];
+        let unexpired = grants
+            .into_iter()
+            .flatten()
+            .filter(|grant| grant.expires > now);
+        let best = unexpired.max_by_key(|grant| (grant.rate.tokens, grant.rate.requests));
+        if let Some(best) = best
+            && self.current != Some(best)
+        {
+            self.current = Some(best);
+            self.share.renew(best, now);
+        }
     }
 }
 
-impl Bucket {
-    fn refill(&mut self, tokens: f64, requests: f64, now: Instant) {
-        let minutes = now.duration_since(self.refilled).as_secs_f64() / 60.0;
-        self.tokens = (self.tokens + tokens * minutes).min(tokens);
-        self.requests = (self.requests + requests * minutes).min(requests);
-        self.refilled = now;
-    }
-
-    /// Takes a request and its tokens, or returns how long that will take.
-    fn take(
-        &mut self,
-        tokens: u64,
-        tokens_per_minute: f64,
-        requests_per_minute: f64,
-    ) -> Option<Duration> {
-        // A request larger than a whole minute's limit is let through by a full bucket.
-        let need = (tokens as f64).min(tokens_per_minute);
-        let minutes = ((need - self.tokens) / tokens_per_minute)
-            .max((1.0 - self.requests) / requests_per_minute);
-        if minutes > 0.0 {
-            return Some(Duration::from_secs_f64((minutes * 60.0).min(3600.0)));
+impl Demand {
+    fn add(&mut self, tokens: u64, now: Instant) {
+        self.roll(now);
+        self.tokens += tokens;
+        self.requests += 1;
+    }
+
+    fn roll(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.since);
+        if elapsed < DEMAND_SPAN {
+            return;
+        }
+        let per_minute =
+            |amount: u64| (amount as u128 * 60_000 / elapsed.as_millis().max(1)) as u64;
+        self.last = Rate {
+            tokens: per_minute(self.tokens),
+            requests: per_minute(self.requests),
+        };
+        (self.since, self.tokens, self.requests) = (now, 0, 0);
+    }
+
+    /// Demand per minute with headroom: that of the last span, or of the running one if it is
+    /// higher already.
+    fn expected(&self) -> Rate {
+        let spans = 60 / DEMAND_SPAN.as_secs();
+        let headroom = |last: u64, running: u64| last.max(running * spans) * HEADROOM_PERCENT / 100;
+        Rate {
+            tokens: headroom(self.last.tokens, self.tokens),
+            requests: headroom(self.last.requests, self.requests),
         }
-        self.tokens -= tokens as f64;
-        self.requests -= 1.0;
-        None
+    }
+}
+
+/// An equal part of the limit, at least one so that each host can serve something.
+fn base(limit: u64, hosts: u64) -> u64 {
+    match hosts {
+        1 => limit,
+        hosts => (limit * BASE_PERCENT / 100 / hosts).max(1),
     }
 }
 
@@ -188,9 +424,10 @@
     }
 
     fn correct(&mut self, used: u64) {
-        self.settled = true;
-        if let Some(bucket) = self.limits.lock().get_mut(&self.organisation) {
-            bucket.tokens += self.charged as f64 - used as f64;
+        if let Some(charge) = self.charge.take()
+            && let Some(state) = self.limits.lock().get_mut(&self.organisation)
+        {
+            state.share.settle(charge, used);
         }
     }
 }
@@ -198,8 +435,6 @@
 impl Drop for Charge {
     /// Gives the tokens back if the request was refused after it was charged.
     fn drop(&mut self) {
-        if !self.settled {
-            self.correct(0);
-        }
+        self.correct(0);
     }
 }
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -158,6 +158,7 @@
             incarnation,
         };
         let intents = Intents::new(control.clone(), owner);
+        let hosts = control.members().len() as u64;
         Ok(Self {
             scheduler: Arc::new(Scheduler::new(
                 config,
@@ -165,7 +166,12 @@
                 metrics.clone(),
                 tally.clone(),
             )),
-            limits: Arc::new(Limits::new(view.clone())),
+            limits: Arc::new(Limits::new(
+                view.clone(),
+                control.clone(),
+                config.host,
+                hosts,
+            )),
             proxy: Proxy::new(view.clone(), intents, config.zone.clone(), config.max_body),
             client: Client::new(),
             changes: watch::Sender::new(0),
@@ -194,6 +200,7 @@
             self.client.clone(),
         ));
         tokio::spawn(self.scheduler.clone().run());
+        tokio::spawn(self.limits.clone().run(self.changes.subscribe()));
         if let Some(url) = &config.hosts_url {
             tokio::spawn(platform::run(
                 url.clone(),
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -20,6 +20,7 @@
         admission,
         fleet::{Entry, Incarnation, Listed},
         id::{Generation, Target},
+        retry::{self, Budget},
         router::{self, Description, Pick, Report},
         scheduler::{self, Counters, Decision, Ending, Request, Settings},
     },
@@ -30,13 +31,23 @@
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::interval},
+    tokio::{
+        sync::oneshot,
+        time::{interval, sleep},
+    },
     uuid::Uuid,
 };
 
 /// Attempts that one request gets.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Retries as a share of requests, in percent. Without a bound, the retries of a partial outage
+/// would overload the targets that are left.
+const RETRY_PERCENT: u64 = 20;
+
+/// Retries that are allowed each second beside that, for hosts with little traffic.
+const RETRIES_PER_SECOND: u64 = 1;
+
 /// Most requests that wait on one host.
 const QUEUE_LIMIT: usize = 10_000;
 
@@ -70,6 +81,8 @@
 struct Inner {
     scheduler: scheduler::Scheduler,
     random: StdRng,
+    /// Retries that this host may still send.
+    budget: Budget,
     waiters: HashMap<Generation, oneshot::Sender<Verdict>>,
     /// Targets that did not answer lately, until they answer again.
     silent: BTreeMap<Target, Instant>,
@@ -128,6 +141,7 @@
         let inner = Inner {
             scheduler: scheduler::Scheduler::new(settings, Instant::now()),
             random: StdRng::from_os_rng(),
+            budget: Budget::new(RETRY_PERCENT, RETRIES_PER_SECOND, Instant::now()),
             waiters: HashMap::new(),
             silent: BTreeMap::new(),
             reports: BTreeMap::new(),
@@ -161,6 +175,7 @@
     ///
     /// Refuses the request as not run if no target can take it in time.
     pub async fn admit(self: &Arc<Self>, call: &Call) -> Result<Ticket, Refusal> {
+        self.lock().budget.deposit();
         let ticket = self.place(call, 1).await?;
         let waited = call.received.elapsed();
         self.metrics
@@ -176,9 +191,13 @@
     pub async fn readmit(
         self: &Arc<Self>,
         call: &Call,
-        ticket: Ticket,
+        mut ticket: Ticket,
         failure: Failure,
     ) -> Result<Ticket, Option<Refusal>> {
+        ticket.ending = match failure {
+            Failure::Leaving => Ending::Cancelled,
+            Failure::Unreachable | Failure::Refused | Failure::Lost => Ending::Failed,
+        };
         match failure {
             Failure::Leaving => self.left(&ticket.target),
             Failure::Unreachable => self.silent(&ticket.target),
@@ -187,9 +206,12 @@
         let attempt = ticket.attempt + 1;
         let target = ticket.target.clone();
         drop(ticket);
-        if attempt > MAX_ATTEMPTS {
+        let now = Instant::now();
+        if attempt > MAX_ATTEMPTS || !self.lock().budget.withdraw(now) {
             return Err(None);
         }
+        let pause = retry::backoff(attempt - 2, &mut rand::rng());
+        sleep(pause).await;
         self.metrics.retried(&target);
         self.place(call, attempt).await.map_err(Some)
     }
@@ -231,7 +253,8 @@
             generation,
             target: pick.target,
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
-            ending: Ending::Failed,
+            // A caller that leaves before the first token says nothing about the target.
+            ending: Ending::Cancelled,
             attempt,
             _counted: counted,
         };
@@ -494,10 +517,10 @@
 
     /// Reports the end.
     pub fn finish(mut self, end: End) {
-        self.ending = if end.whole {
-            Ending::Complete
-        } else {
-            Ending::Cancelled
+        self.ending = match end {
+            End { whole: true, .. } => Ending::Complete,
+            End { lost: true, .. } => Ending::Failed,
+            End { .. } => Ending::Cancelled,
         };
     }
 }
