--- a/crates/sardinerelay/src/raft/config.rs
+++ b/crates/sardinerelay/src/raft/config.rs
@@ -33,7 +33,7 @@
     /// Most bytes of snapshot chunks sent to one follower and not answered yet. It bounds how
     /// long a heartbeat waits behind a snapshot on the same connection.
     pub chunk_inflight_bytes: usize,
-    /// Largest snapshot that is accepted, in bytes.
+    /// Largest snapshot that is accepted, in bytes; below what the store accepts.
     pub snapshot_bytes: u64,
     /// Bytes of entries below the snapshot that stay in memory for slow followers.
     pub trailing_bytes: usize,
@@ -99,7 +99,7 @@
             proposal_bytes: 4 << 20,
             chunk_bytes: 64 << 10,
             chunk_inflight_bytes: 256 << 10,
-            snapshot_bytes: 1 << 30,
+            snapshot_bytes: 512 << 20,
             trailing_bytes: 1 << 20,
             promote_lag: 256,
         }
--- a/crates/sardinerelay/tests/raft/group.rs
+++ b/crates/sardinerelay/tests/raft/group.rs
@@ -360,6 +360,11 @@
             assert_eq!(node.machine.applied, snapshot.meta.last.index);
         }
         for entry in ready.committed {
+            let stored = node.disk.entries.last().map(|last| last.position.index);
+            assert!(
+                stored >= Some(entry.position.index),
+                "applied before it is stored"
+            );
             node.machine.apply(&entry);
             let place = entry.position.index as usize - 1;
             match self.committed.get(place) {
--- a/crates/sardinerelay/tests/replica.rs
+++ b/crates/sardinerelay/tests/replica.rs
@@ -5,8 +5,8 @@
     sardinerelay::{
         id::{Host, Term},
         raft::{
-            Append, Body, Config, Durable, Entry, Envelope, Message, Payload, Position, Ready,
-            Replica, Role,
+            Append, Body, Config, Conflict, Durable, Entry, Envelope, Message, Payload, Position,
+            Ready, Replica, Role,
         },
     },
     std::time::{Duration, Instant},
@@ -57,7 +57,12 @@
 
 /// Elects replica 1 in term 1 with the help of replica 2, which answers the first round.
 fn elect(now: Instant) -> (Replica, Instant) {
-    let mut replica = replica(now);
+    elect_with(Config::new(1, 1), Durable::founding([1, 2, 3]), now)
+}
+
+fn elect_with(config: Config, durable: Durable, now: Instant) -> (Replica, Instant) {
+    let first = durable.snapshot.meta.last.index + 1;
+    let mut replica = Replica::new(config, durable, now).unwrap();
     let now = replica.deadline();
     replica.tick(now);
     settle(&mut replica);
@@ -75,7 +80,7 @@
     settle(&mut replica);
     replica.step(2, message(1, Body::VoteReply { granted: true }), now);
     settle(&mut replica);
-    replica.step(2, message(1, Body::Appended { matched: 1 }), now);
+    replica.step(2, message(1, Body::Appended { matched: first }), now);
     replica.step(2, message(1, Body::HeartbeatReply { round: 1 }), now);
     settle(&mut replica);
     assert!(replica.lease().is_some_and(|lease| lease.held(now)));
@@ -248,6 +253,71 @@
     assert_eq!(is_granted(&settle(&mut replica), 2), expected);
 }
 
+/// Guards against a commit that only learners have copies of.
+#[test]
+fn learners_do_not_count_for_commits() {
+    let mut durable = Durable::founding([1, 2, 3]);
+    durable.snapshot.meta.membership.learners.extend([4, 5]);
+    let (mut replica, now) = elect_with(Config::new(1, 1), durable, Instant::now());
+    replica.propose("x".into()).unwrap();
+    settle(&mut replica);
+    for learner in [4, 5] {
+        replica.step(learner, message(1, Body::Appended { matched: 2 }), now);
+    }
+    assert_eq!(replica.status().commit, 1);
+}
+
+/// Guards against a learner that asks for votes.
+#[test]
+fn learner_never_campaigns() {
+    let mut durable = Durable::founding([2, 3]);
+    durable.snapshot.meta.membership.learners.insert(1);
+    let mut replica = Replica::new(Config::new(1, 1), durable, Instant::now()).unwrap();
+    for _ in 0..5 {
+        replica.tick(replica.deadline());
+        assert!(settle(&mut replica).is_empty());
+    }
+    replica.step(2, message(0, Body::TimeoutNow), replica.deadline());
+    assert!(settle(&mut replica).is_empty());
+}
+
+/// Guards against a snapshot that fills the connection and delays heartbeats.
+#[test]
+fn snapshot_chunks_stay_within_the_window() {
+    let config = Config {
+        chunk_bytes: 10,
+        chunk_inflight_bytes: 30,
+        ..Config::new(1, 1)
+    };
+    let mut durable = Durable::founding([1, 2, 3]);
+    durable.snapshot.meta.last = Position { term: 0, index: 7 };
+    durable.snapshot.data = vec![5; 100].into();
+    let (mut replica, now) = elect_with(config, durable, Instant::now());
+    let hint = Position::default();
+    replica.step(
+        3,
+        message(1, Body::Rejected(Conflict { rejected: 7, hint })),
+        now,
+    );
+    assert_eq!(chunk_offsets(&settle(&mut replica)), [0, 10, 20]);
+    let last = Position { term: 0, index: 7 };
+    let reply = Body::ChunkReply {
+        last,
+        received: 10,
+        rewind: false,
+    };
+    replica.step(3, message(1, reply), now);
+    assert_eq!(chunk_offsets(&settle(&mut replica)), [30]);
+}
+
+fn chunk_offsets(envelopes: &[Envelope]) -> Vec<u64> {
+    let offset = |envelope: &Envelope| match &envelope.message.body {
+        Body::Chunk(chunk) => Some(chunk.offset),
+        _ => None,
+    };
+    envelopes.iter().filter_map(offset).collect()
+}
+
 /// Entries with the given terms after a place.
 fn entries(terms: &[Term], previous: Position) -> Vec<Entry> {
     let entry = |(index, &term)| Entry {
--- a/crates/sardinerelay/tests/wal.rs
+++ b/crates/sardinerelay/tests/wal.rs
@@ -270,6 +270,25 @@
     }
 }
 
+/// Guards against a lost frame that is skipped, which would forget a vote.
+#[test]
+fn missing_frame_is_refused() {
+    let trial = Trial::new(&[]);
+    let (mut store, recovered) = open(trial.path()).unwrap();
+    let mut state = recovered.durable;
+    let mut sizes = Vec::new();
+    for vote in 1..4 {
+        sizes.push(newest(trial.path()).1 as usize);
+        run(&mut store, &mut state, 2, &Step::Vote(vote));
+    }
+    drop(store);
+    let (path, _) = newest(trial.path());
+    let mut content = fs::read(&path).unwrap();
+    content.drain(sizes[1]..sizes[2]);
+    fs::write(&path, content).unwrap();
+    assert!(matches!(open(trial.path()), Err(Error::Damaged { .. })));
+}
+
 /// Guards against two processes that write to one directory.
 #[test]
 fn second_process_is_refused() {
