Reopen the store between the steps of the property tests

Forgetting the highest index of a recovered segment, so that compaction removes live entries, went unnoticed because the store was never compacted after a restart.

--- a/crates/sardinerelay/tests/wal.rs
+++ b/crates/sardinerelay/tests/wal.rs
@@ -35,6 +35,7 @@
     Vote(u64),
     Compact { back: u64 },
     Install { ahead: u64 },
+    Reopen,
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -45,6 +46,7 @@
         2 => (1..9u64).prop_map(Step::Vote),
         1 => (0..6u64).prop_map(|back| Step::Compact { back }),
         1 => (1..20u64).prop_map(|ahead| Step::Install { ahead }),
+        1 => Just(Step::Reopen),
     ];
     vec(step, 1..30)
 }
@@ -71,6 +73,11 @@
             bytes: 9,
         };
         for (term, step) in (1..).zip(steps.iter().chain([&last])) {
+            if matches!(step, Step::Reopen) {
+                drop(store);
+                store = open(directory.path()).unwrap().0;
+                continue;
+            }
             before = newest(directory.path());
             let mut state = states[states.len() - 1].clone();
             run(&mut store, &mut state, term, step);
@@ -149,6 +156,7 @@
             state.entries.clear();
             persist.snapshot = Some(state.snapshot.clone());
         }
+        Step::Reopen => return,
     }
     store.persist(&persist).unwrap();
 }
