--- a/crates/sardinerelay/src/wal/store.rs
+++ b/crates/sardinerelay/src/wal/store.rs
@@ -138,8 +138,8 @@
         Self::open_with(path, Limits::default())
     }
 
-    /// Opens a directory. Nothing in it is changed if it is refused, except that an incomplete
-    /// last write may have been cut off.
+    /// Opens a directory. An incomplete last write, temporary files and superseded snapshots are
+    /// removed; nothing else is changed, also if the directory is refused.
     pub fn open_with(path: &Path, limits: Limits) -> Result<(Self, Recovered), Error> {
         let missing = || Error::NotInitialised {
             path: path.to_owned(),
