--- a/crates/sardinerelayd/tests/control.rs
+++ b/crates/sardinerelayd/tests/control.rs
@@ -1,185 +1,34 @@
 //! Tests of the control thread: several of them in this process, over loopback.
 
+#[path = "control/cluster.rs"]
+mod cluster;
+
 use {
+    cluster::{Cluster, PATIENCE, accept, incarnation, number, proxy, shows, status, submit},
+    jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     rstest::rstest,
     sardinerelay::{
         id::Host,
-        ledger::{Begin, Intent, Key, Owner},
-        raft::{Change, Role},
-        sheet::Sheet,
-        state::{Accepted, Command, Reply},
+        ledger::{Begin, Intent, Key, Owner, Quota},
+        raft::Change,
+        state::{Command, Entry, Machine, Reply, Update, View},
+    },
+    sardinerelayd::{
+        control::{self, Error, Failure, Settings},
+        peer::{Packed, Receiver, Secrets, Server},
     },
-    sardinerelayd::control::{self, Error, Failure, Handle, Member, Published, Settings, Status},
     std::{
         collections::BTreeMap,
         fs,
         future::pending,
-        net::{Ipv4Addr, SocketAddr},
-        process,
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
+        sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant, SystemTime},
     },
     tempfile::TempDir,
-    tokio::{
-        io::copy_bidirectional,
-        net::{TcpListener, TcpStream},
-        sync::watch,
-        task::JoinSet,
-        time::sleep,
-    },
+    tokio::{task::JoinSet, time::sleep},
     uuid::Uuid,
 };
 
-/// After this time a test fails instead of waiting on. It is no expectation of speed.
-const PATIENCE: Duration = Duration::from_secs(120);
-
-static CLUSTERS: AtomicU32 = AtomicU32::new(0);
-
-/// Hosts 1 to 3 are voters in the zones a to c. Others are in zone a and have no disk, unless
-/// [`Cluster::DISK`] is added to their number.
-struct Cluster {
-    directory: TempDir,
-    members: Vec<Member>,
-    running: BTreeMap<Host, Handle>,
-}
-
-impl Cluster {
-    const DISK: Host = 100;
-
-    fn new(others: &[Host]) -> Self {
-        let cluster = CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        // Each cluster of each test process has addresses of its own on the loopback network.
-        let [_, _, high, low] = process::id().to_be_bytes();
-        let port = 10_000 + (cluster % 20) as u16 * 1000;
-        let members = [1, 2, 3].iter().chain(others).map(|&id| Member {
-            id,
-            zone: ["a", "b", "c"]
-                .get(id as usize - 1)
-                .copied()
-                .unwrap_or("a")
-                .into(),
-            address: SocketAddr::from((Ipv4Addr::new(127, 1, high, low), port + id as u16)),
-        });
-        Self {
-            directory: TempDir::new().unwrap(),
-            members: members.collect(),
-            running: BTreeMap::new(),
-        }
-    }
-
-    fn settings(&self, host: Host) -> Settings {
-        let me = self.members.iter().find(|member| member.id == host);
-        let me = me.unwrap().clone();
-        let data = self.directory.path().join(host.to_string());
-        let disk = host <= 3 || host > Self::DISK;
-        Settings {
-            host,
-            zone: me.zone,
-            listen: me.address,
-            voters: self.members[..3].to_vec(),
-            hosts: self.members.clone(),
-            data: disk.then(|| data.clone()),
-            secrets: vec!["secret".into()],
-            poll: Duration::from_secs(2),
-            snapshot_entries: 20,
-            // A host that restarts late gets a snapshot and no entries.
-            trailing_bytes: 0,
-            ..Settings::single(data, incarnation())
-        }
-    }
-
-    fn start(&mut self, host: Host) -> Handle {
-        let handle = control::spawn(self.settings(host)).unwrap();
-        self.running.insert(host, handle.clone());
-        handle
-    }
-
-    fn start_all<Hosts>(&mut self, hosts: Hosts)
-    where
-        Hosts: IntoIterator<Item = Host>,
-    {
-        for host in hosts {
-            self.start(host);
-        }
-    }
-
-    async fn kill(&mut self, host: Host) {
-        self.running.remove(&host).unwrap().abandon().await;
-    }
-
-    fn host(&self, host: Host) -> &Handle {
-        &self.running[&host]
-    }
-
-    /// The leader as it sees itself, once there is one.
-    async fn leader(&self) -> Host {
-        loop {
-            for (&host, handle) in &self.running {
-                let replica = handle.status().await.unwrap().replica;
-                if replica.is_some_and(|replica| replica.role == Role::Leader) {
-                    return host;
-                }
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
-
-fn incarnation() -> u64 {
-    static LAST: AtomicU32 = AtomicU32::new(1);
-    u64::from(LAST.fetch_add(1, Ordering::SeqCst))
-}
-
-fn submit(number: u64, mark: u8) -> Command {
-    let sheet = Sheet {
-        number,
-        classes: Vec::new(),
-        targets: Vec::new(),
-        models: Vec::new(),
-        services: Vec::new(),
-        organisations: Vec::new(),
-    };
-    Command::Submit {
-        digest: [mark; 32],
-        sheet: Arc::new(sheet),
-    }
-}
-
-async fn accept(handle: &Handle, number: u64) -> Accepted {
-    match handle.propose(submit(number, 1), PATIENCE).await {
-        Ok(Reply::Accepted(accepted)) => accepted,
-        other => panic!("sheet {number}: {other:?}"),
-    }
-}
-
-fn number(published: &Published) -> Option<u64> {
-    published.sheet.as_ref().map(|sheet| sheet.number)
-}
-
-async fn shows(handle: &Handle, expected: u64) -> Arc<Published> {
-    let mut published = handle.published();
-    let shown = published.wait_for(|published| number(published) >= Some(expected));
-    let shown = tokio::time::timeout(PATIENCE, shown)
-        .await
-        .unwrap()
-        .unwrap();
-    assert_eq!(Some(expected), number(&shown));
-    Arc::clone(&shown)
-}
-
-async fn status(handle: &Handle, expected: impl Fn(&Status) -> bool) -> Status {
-    loop {
-        let status = handle.status().await.unwrap();
-        if expected(&status) {
-            return status;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 // Guards against a system of one host that needs more than a data directory, and that loses or
 // changes what it accepted when it restarts.
 #[tokio::test]
@@ -404,33 +253,6 @@
     assert!(shows(&restarted, 3).await.confirmed);
 }
 
-/// Forwards connections until it is told to go silent. All connections stay open then.
-async fn proxy(to: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (silence, silent) = watch::channel(false);
-    tokio::spawn(async move {
-        while let Ok((mut near, _)) = listener.accept().await {
-            let mut silent = silent.clone();
-            tokio::spawn(async move {
-                let forward = async {
-                    let mut far = TcpStream::connect(to).await?;
-                    copy_bidirectional(&mut near, &mut far).await
-                };
-                let silenced = async {
-                    let _ = silent.wait_for(|silent| *silent).await;
-                };
-                tokio::select! {
-                    _ = forward => {}
-                    // The streams live until the test ends.
-                    () = silenced => pending().await,
-                }
-            });
-        }
-    });
-    (address, silence)
-}
-
 // Guards against a host that waits for ever for a relay whose connections went silent (G7), and
 // against one that never returns to it.
 #[tokio::test]
@@ -580,3 +402,71 @@
     accept(cluster.host(1), 50).await;
     shows(cluster.host(new), 50).await;
 }
+
+/// The views at versions 1 to `last`, each with the sheet of the same number.
+fn views(last: u64) -> Vec<View> {
+    let mut machine = Machine::new(Quota::default());
+    let mut apply = |number| {
+        let entry = Entry {
+            proposal: None,
+            at: SystemTime::UNIX_EPOCH,
+            shard: 0,
+            command: submit(number, 1),
+        };
+        machine.apply(number, &entry);
+        machine.view().clone()
+    };
+    (1..=last).map(&mut apply).collect()
+}
+
+/// A voter that confirms version 1 and answers pulls with whole views of versions 5, 3 and 6.
+async fn stale_voter(address: std::net::SocketAddr) -> Server {
+    let mut module = RpcModule::new((views(6), AtomicUsize::new(0)));
+    module
+        .register_async_method("state.confirm", |_, _, _| async {
+            // The outcome `Done` of version 1.
+            Ok::<_, ErrorObjectOwned>(Packed((0_u8, 1_u64)))
+        })
+        .unwrap();
+    module
+        .register_async_method("state.pull", |_, context, _| async move {
+            let (views, pulls) = &*context;
+            let version = match pulls.fetch_add(1, Ordering::SeqCst) {
+                0 => 5,
+                1 => 3,
+                2 => 6,
+                _ => pending().await,
+            };
+            let update = Packed(Update::Whole(Box::new(views[version - 1].clone())));
+            let pulled = serde_json::json!({ "update": update, "cut_off": false });
+            Ok::<_, ErrorObjectOwned>(pulled)
+        })
+        .unwrap();
+    let secrets = Secrets::new(&["secret".into()]).unwrap();
+    let methods = (module, Receiver::new(|_, _| {}));
+    Server::start(address, secrets, methods, Default::default())
+        .await
+        .unwrap()
+}
+
+// Guards against a host that goes back to an older sheet because the host that it pulls from has
+// fallen behind (G7).
+#[tokio::test]
+async fn older_view_is_not_applied() {
+    let host = 4;
+    let mut cluster = Cluster::new(&[host]);
+    let mut settings = cluster.settings(host);
+    settings.voters.truncate(1);
+    settings.hosts.retain(|member| member.id == host);
+    let _voter = stale_voter(settings.voters[0].address).await;
+    let handle = control::spawn(settings).unwrap();
+    cluster.running.insert(host, handle.clone());
+    let mut published = handle.published();
+    let mut last = None;
+    while last < Some(6) {
+        published.changed().await.unwrap();
+        let shown = number(&published.borrow_and_update());
+        assert!(shown >= last, "{shown:?} after {last:?}");
+        last = shown;
+    }
+}
