--- a/crates/sardinerelayd/tests/control.rs
+++ b/crates/sardinerelayd/tests/control.rs
@@ -1,176 +1,34 @@
 //! Tests of the control thread: several of them in this process, over loopback.
 
+#[path = "control/cluster.rs"]
+mod cluster;
+
 use {
+    cluster::{Cluster, PATIENCE, accept, incarnation, number, proxy, shows, status, submit},
+    jsonrpsee::{RpcModule, types::ErrorObjectOwned},
+    rstest::rstest,
     sardinerelay::{
         id::Host,
-        ledger::{Begin, Intent, Key, Owner},
-        raft::{Change, Role},
-        sheet::Sheet,
-        state::{Accepted, Command, Reply},
+        ledger::{Begin, Intent, Key, Owner, Quota},
+        raft::Change,
+        state::{Command, Entry, Machine, Reply, Update, View},
+    },
+    sardinerelayd::{
+        control::{self, Error, Failure, Settings},
+        peer::{Packed, Receiver, Secrets, Server},
     },
-    sardinerelayd::control::{self, Error, Failure, Handle, Member, Published, Settings, Status},
     std::{
         collections::BTreeMap,
-        net::{Ipv4Addr, SocketAddr},
-        process,
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
-        time::{Duration, SystemTime},
+        fs,
+        future::pending,
+        sync::atomic::{AtomicUsize, Ordering},
+        time::{Duration, Instant, SystemTime},
     },
     tempfile::TempDir,
     tokio::{task::JoinSet, time::sleep},
     uuid::Uuid,
 };
 
-/// After this time a test fails instead of waiting on. It is no expectation of speed.
-const PATIENCE: Duration = Duration::from_secs(120);
-
-static CLUSTERS: AtomicU32 = AtomicU32::new(0);
-
-/// Hosts 1 to 3 are voters in the zones a to c. Others are in zone a and have no disk, unless
-/// [`Cluster::DISK`] is added to their number.
-struct Cluster {
-    directory: TempDir,
-    members: Vec<Member>,
-    running: BTreeMap<Host, Handle>,
-}
-
-impl Cluster {
-    const DISK: Host = 100;
-
-    fn new(others: &[Host]) -> Self {
-        let cluster = CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        // Each cluster of each test process has addresses of its own on the loopback network.
-        let [_, _, high, low] = process::id().to_be_bytes();
-        let port = 10_000 + (cluster % 20) as u16 * 1000;
-        let members = [1, 2, 3].iter().chain(others).map(|&id| Member {
-            id,
-            zone: ["a", "b", "c"]
-                .get(id as usize - 1)
-                .copied()
-                .unwrap_or("a")
-                .into(),
-            address: SocketAddr::from((Ipv4Addr::new(127, 1, high, low), port + id as u16)),
-        });
-        Self {
-            directory: TempDir::new().unwrap(),
-            members: members.collect(),
-            running: BTreeMap::new(),
-        }
-    }
-
-    fn settings(&self, host: Host) -> Settings {
-        let me = self.members.iter().find(|member| member.id == host);
-        let me = me.unwrap().clone();
-        let data = self.directory.path().join(host.to_string());
-        let disk = host <= 3 || host > Self::DISK;
-        Settings {
-            host,
-            zone: me.zone,
-            listen: me.address,
-            voters: self.members[..3].to_vec(),
-            hosts: self.members.clone(),
-            data: disk.then(|| data.clone()),
-            secrets: vec!["secret".into()],
-            poll: Duration::from_secs(2),
-            snapshot_entries: 20,
-            // A host that restarts late gets a snapshot and no entries.
-            trailing_bytes: 0,
-            ..Settings::single(data, incarnation())
-        }
-    }
-
-    fn start(&mut self, host: Host) -> Handle {
-        let handle = control::spawn(self.settings(host)).unwrap();
-        self.running.insert(host, handle.clone());
-        handle
-    }
-
-    fn start_all<Hosts>(&mut self, hosts: Hosts)
-    where
-        Hosts: IntoIterator<Item = Host>,
-    {
-        for host in hosts {
-            self.start(host);
-        }
-    }
-
-    async fn kill(&mut self, host: Host) {
-        self.running.remove(&host).unwrap().abandon().await;
-    }
-
-    fn host(&self, host: Host) -> &Handle {
-        &self.running[&host]
-    }
-
-    /// The leader as it sees itself, once there is one.
-    async fn leader(&self) -> Host {
-        loop {
-            for (&host, handle) in &self.running {
-                let replica = handle.status().await.unwrap().replica;
-                if replica.is_some_and(|replica| replica.role == Role::Leader) {
-                    return host;
-                }
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
-
-fn incarnation() -> u64 {
-    static LAST: AtomicU32 = AtomicU32::new(1);
-    u64::from(LAST.fetch_add(1, Ordering::SeqCst))
-}
-
-fn submit(number: u64, mark: u8) -> Command {
-    let sheet = Sheet {
-        number,
-        classes: Vec::new(),
-        targets: Vec::new(),
-        models: Vec::new(),
-        services: Vec::new(),
-        organisations: Vec::new(),
-    };
-    Command::Submit {
-        digest: [mark; 32],
-        sheet: Arc::new(sheet),
-    }
-}
-
-async fn accept(handle: &Handle, number: u64) -> Accepted {
-    match handle.propose(submit(number, 1), PATIENCE).await {
-        Ok(Reply::Accepted(accepted)) => accepted,
-        other => panic!("sheet {number}: {other:?}"),
-    }
-}
-
-fn number(published: &Published) -> Option<u64> {
-    published.sheet.as_ref().map(|sheet| sheet.number)
-}
-
-async fn shows(handle: &Handle, expected: u64) -> Arc<Published> {
-    let mut published = handle.published();
-    let shown = published.wait_for(|published| number(published) >= Some(expected));
-    let shown = tokio::time::timeout(PATIENCE, shown)
-        .await
-        .unwrap()
-        .unwrap();
-    assert_eq!(Some(expected), number(&shown));
-    Arc::clone(&shown)
-}
-
-async fn status(handle: &Handle, expected: impl Fn(&Status) -> bool) -> Status {
-    loop {
-        let status = handle.status().await.unwrap();
-        if expected(&status) {
-            return status;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 // Guards against a system of one host that needs more than a data directory, and that loses or
 // changes what it accepted when it restarts.
 #[tokio::test]
@@ -395,6 +253,37 @@
     assert!(shows(&restarted, 3).await.confirmed);
 }
 
+// Guards against a host that waits for ever for a relay whose connections went silent (G7), and
+// against one that never returns to it.
+#[tokio::test]
+async fn silent_relay_is_passed_over() {
+    let (relay, host) = (4, 5);
+    let mut cluster = Cluster::new(&[relay, host]);
+    cluster.start_all([2, 3, relay]);
+    let mut settings = cluster.settings(host);
+    let member = settings
+        .hosts
+        .iter_mut()
+        .find(|member| member.id == relay)
+        .unwrap();
+    let (address, silence) = proxy(member.address).await;
+    member.address = address;
+    let handle = control::spawn(settings).unwrap();
+    cluster.running.insert(host, handle.clone());
+    accept(&handle, 1).await;
+    status(&handle, |status| status.upstream == Some(relay)).await;
+    shows(&handle, 1).await;
+    silence.send_replace(true);
+    let start = Instant::now();
+    accept(cluster.host(2), 2).await;
+    shows(&handle, 2).await;
+    println!("passed over after {:?}", start.elapsed());
+    silence.send_replace(false);
+    status(&handle, |status| status.upstream == Some(relay)).await;
+    accept(cluster.host(2), 3).await;
+    shows(&handle, 3).await;
+}
+
 // Guards against a planned stop that leaves the group without a leader or the leave unrecorded.
 #[tokio::test]
 async fn stop_hands_leadership_over() {
@@ -422,6 +311,41 @@
     );
 }
 
+// Guards against a host that goes on after a failed write, and against a process that isn't told.
+#[rstest]
+#[case::log("replica", |failure: &Failure| matches!(failure, Failure::Storage(_)))]
+#[case::view("view.new", |failure: &Failure| matches!(failure, Failure::View { .. }))]
+#[tokio::test]
+async fn failed_write_ends_the_thread(
+    #[case] obstacle: &str,
+    #[case] expected: fn(&Failure) -> bool,
+) {
+    let directory = TempDir::new().unwrap();
+    let settings = Settings {
+        snapshot_entries: 5,
+        ..Settings::single(directory.path().to_owned(), incarnation())
+    };
+    let handle = control::spawn(settings).unwrap();
+    accept(&handle, 1).await;
+    shows(&handle, 1).await;
+    let path = directory.path().join(obstacle);
+    if path.exists() {
+        fs::remove_dir_all(path).unwrap();
+    } else {
+        fs::create_dir(path).unwrap();
+    }
+    let propose = async {
+        let mut number = 2;
+        while handle.propose(submit(number, 1), PATIENCE).await.is_ok() {
+            number += 1;
+        }
+    };
+    let ((), ended) = tokio::join!(propose, handle.ended());
+    assert!(ended.as_ref().as_ref().is_err_and(expected), "{ended:?}");
+    let refused = handle.propose(submit(999, 1), PATIENCE).await;
+    assert_eq!(Err(Error::Ended), refused);
+}
+
 // Guards against a voter that lost its disk and votes again under its id, and against two
 // processes on one data directory.
 #[tokio::test]
@@ -478,3 +402,71 @@
     accept(cluster.host(1), 50).await;
     shows(cluster.host(new), 50).await;
 }
+
+/// The views at versions 1 to `last`, each with the sheet of the same number.
+fn views(last: u64) -> Vec<View> {
+    let mut machine = Machine::new(Quota::default());
+    let mut apply = |number| {
+        let entry = Entry {
+            proposal: None,
+            at: SystemTime::UNIX_EPOCH,
+            shard: 0,
+            command: submit(number, 1),
+        };
+        machine.apply(number, &entry);
+        machine.view().clone()
+    };
+    (1..=last).map(&mut apply).collect()
+}
+
+/// A voter that confirms version 1 and answers pulls with whole views of versions 5, 3 and 6.
+async fn stale_voter(address: std::net::SocketAddr) -> Server {
+    let mut module = RpcModule::new((views(6), AtomicUsize::new(0)));
+    module
+        .register_async_method("state.confirm", |_, _, _| async {
+            // The outcome `Done` of version 1.
+            Ok::<_, ErrorObjectOwned>(Packed((0_u8, 1_u64)))
+        })
+        .unwrap();
+    module
+        .register_async_method("state.pull", |_, context, _| async move {
+            let (views, pulls) = &*context;
+            let version = match pulls.fetch_add(1, Ordering::SeqCst) {
+                0 => 5,
+                1 => 3,
+                2 => 6,
+                _ => pending().await,
+            };
+            let update = Packed(Update::Whole(Box::new(views[version - 1].clone())));
+            let pulled = serde_json::json!({ "update": update, "cut_off": false });
+            Ok::<_, ErrorObjectOwned>(pulled)
+        })
+        .unwrap();
+    let secrets = Secrets::new(&["secret".into()]).unwrap();
+    let methods = (module, Receiver::new(|_, _| {}));
+    Server::start(address, secrets, methods, Default::default())
+        .await
+        .unwrap()
+}
+
+// Guards against a host that goes back to an older sheet because the host that it pulls from has
+// fallen behind (G7).
+#[tokio::test]
+async fn older_view_is_not_applied() {
+    let host = 4;
+    let mut cluster = Cluster::new(&[host]);
+    let mut settings = cluster.settings(host);
+    settings.voters.truncate(1);
+    settings.hosts.retain(|member| member.id == host);
+    let _voter = stale_voter(settings.voters[0].address).await;
+    let handle = control::spawn(settings).unwrap();
+    cluster.running.insert(host, handle.clone());
+    let mut published = handle.published();
+    let mut last = None;
+    while last < Some(6) {
+        published.changed().await.unwrap();
+        let shown = number(&published.borrow_and_update());
+        assert!(shown >= last, "{shown:?} after {last:?}");
+        last = shown;
+    }
+}
