--- a/crates/sardinerelayd/tests/control.rs
+++ b/crates/sardinerelayd/tests/control.rs
@@ -444,7 +444,7 @@
         .unwrap();
     let secrets = Secrets::new(&["secret".into()]).unwrap();
     let methods = (module, Receiver::new(|_, _| {}));
-    Server::start(address, secrets, methods, Default::default())
+    Server::start(address, Some(secrets), methods, Default::default())
         .await
         .unwrap()
 }
