Start a host's share with a full bucket, and test limits over three hosts

A host with a small share refused its first requests, because its bucket began empty: with 60 requests a minute over nine hosts the first one waited 18 s. Filling the bucket on every renewal was tried and reverted, since the limiter's tests rightly forbid tokens that appear by renewing.

--- a/crates/sardinerelay/src/limiter/share.rs
+++ b/crates/sardinerelay/src/limiter/share.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Starts with a full bucket, as after ten seconds without requests. It keeps the first
+    /// requests of an organisation with a small limit from being refused, at the price of one more
+    /// burst for each start of a host.
+    pub fn full(grant: Grant, now: Instant) -> Self {
+        let mut share = Self::new(now);
+        share.renew(grant, now);
+        for bucket in [&mut share.tokens, &mut share.requests] {
+            bucket.level = bucket.capacity();
+        }
+        share
+    }
+
     /// Takes over a new grant. The level carries over, so that renewing creates no tokens.
     pub fn renew(&mut self, grant: Grant, now: Instant) {
         self.fill(now);
--- a/crates/sardinerelay/tests/limiter.rs
+++ b/crates/sardinerelay/tests/limiter.rs
@@ -120,3 +120,20 @@
         }
     }
 }
+
+/// Guards against a first request that is refused although its organisation used nothing, and
+/// against a start that admits more than one burst.
+#[rstest]
+fn a_full_share_admits_one_burst() {
+    let start = Instant::now();
+    let grant = Grant {
+        rate: Rate {
+            tokens: 6_000,
+            requests: 6,
+        },
+        expires: start + LEASE,
+    };
+    let mut share = Share::full(grant, start);
+    assert!(share.take(900, start).is_ok());
+    assert!(share.take(1, start).is_err());
+}
--- a/crates/sardinerelayd/src/limits.rs
+++ b/crates/sardinerelayd/src/limits.rs
@@ -370,8 +370,10 @@
         if let Some(best) = best
             && self.current != Some(best)
         {
-            self.current = Some(best);
-            self.share.renew(best, now);
+            match self.current.replace(best) {
+                Some(_) => self.share.renew(best, now),
+                None => self.share = Share::full(best, now),
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/limits.rs
@@ -0,0 +1,100 @@
+//! Limits of organisations hold over all hosts, also through a cut.
+
+use {
+    crate::{
+        client,
+        harness::{Process, System, engine, key, sheet},
+    },
+    http::Method,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// Requests a minute that the test's organisation may send.
+const LIMIT: u64 = 120;
+
+/// Seconds of its share that a host may let through at once.
+const BURST_SECONDS: f64 = 10.0;
+
+/// Time for which the callers press.
+const SPAN: Duration = Duration::from_secs(8);
+
+async fn ask(address: SocketAddr) -> (u16, Value) {
+    let authorization = format!("Bearer {}", key("brakeline"));
+    let body =
+        json!({ "model": "bend-planner", "prompt": "a", "metadata": { "standin_tokens": 1 } });
+    let headers = [("authorization", authorization.as_str())];
+    let (status, text) = client::send(
+        address,
+        Method::POST,
+        "/v1/completions",
+        &headers,
+        &body.to_string(),
+    )
+    .await;
+    (status, serde_json::from_str(&text).unwrap_or_default())
+}
+
+/// Asks one host again and again, and returns how many requests it served.
+async fn press(address: SocketAddr, until: Instant) -> u64 {
+    let mut served = 0;
+    while Instant::now() < until {
+        let (status, answer) = ask(address).await;
+        match status {
+            200 => served += 1,
+            429 => assert_eq!(answer["error"]["run"], "not_run", "{answer}"),
+            status => panic!("unexpected status {status}: {answer}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    served
+}
+
+async fn runs(engine: &Process) -> u64 {
+    let (_, text) = client::get(engine.address, "/record").await;
+    let records: Vec<Value> = serde_json::from_str(&text).expect("the record is JSON");
+    records.len() as u64
+}
+
+/// Guards against hosts that each let the whole limit through, and against a cut host that goes on
+/// without a bound: one host of three is stopped from reaching the others midway.
+#[tokio::test]
+async fn all_hosts_together_stay_within_the_limit() {
+    let engine = engine("engine-0", &[]);
+    let mut limited = sheet(1, &[engine.address], &[]);
+    for account in &mut limited.organisations {
+        account.requests_per_minute = LIMIT;
+    }
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&limited).await;
+    let start = Instant::now();
+    let mut callers = JoinSet::new();
+    for position in 0..3 {
+        callers.spawn(press(system.address(position), start + SPAN));
+    }
+    tokio::time::sleep(SPAN / 2).await;
+    // Two frozen voters leave the third without a quorum, so that it can renew nothing.
+    system.process(1).signal("STOP");
+    system.process(2).signal("STOP");
+    tokio::time::sleep(SPAN / 4).await;
+    system.process(1).signal("CONT");
+    system.process(2).signal("CONT");
+    let mut served = 0;
+    while let Some(count) = callers.join_next().await {
+        served += count.expect("the caller ends");
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    // One request of each host may be under way beyond the count.
+    let bound = LIMIT as f64 * (elapsed + BURST_SECONDS) / 60.0 + 3.0;
+    assert!(
+        served as f64 <= bound,
+        "{served} served, at most {bound:.0} allowed"
+    );
+    assert_eq!(runs(&engine).await, served, "a refused request ran");
+    assert!(served >= 3, "each host serves its own share: {served}");
+}
