Add shared limits, retry budget and ejector

Shares of an organisation's limit count until they expire, whether or not their host can be reached, so the sum of unexpired shares stays within the limit through a cut.

--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod fleet;
 pub mod id;
 pub mod length;
+pub mod limiter;
+pub mod retry;
 pub mod router;
 pub mod scheduler;
 pub mod sheet;
--- /dev/null
+++ b/crates/sardinerelay/src/limiter.rs
@@ -0,0 +1,166 @@
+//! Organisation limits shared among hosts.
+//!
+//! The leader's [`Allocator`] leases each host a share of an organisation's limit until an
+//! expiry. A share that was granted counts against the limit until it expires, whether or not
+//! its host can be reached, so the sum of unexpired shares never exceeds the limit, even through a
+//! partition. On each host a [`Share`] is a token bucket: a request is charged its estimated
+//! length and settled with its real one. All arithmetic is in integers.
+
+mod share;
+
+pub use share::{Charge, Exhausted, Grant, Share};
+
+use {
+    crate::id::Host,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Per-minute amounts of one organisation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Rate {
+    /// Tokens a minute, prompt and output together.
+    pub tokens: u64,
+    /// Requests a minute.
+    pub requests: u64,
+}
+
+/// A leased share of one organisation's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// The share.
+    pub rate: Rate,
+    /// When the share ends, on the allocator's clock.
+    pub expires: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Holder {
+    /// Unexpired leases, oldest first. The largest of them counts, because the host may still
+    /// use an older one if the newer didn't reach it.
+    leases: Vec<Lease>,
+}
+
+impl Holder {
+    fn held(&self) -> Rate {
+        let most = |amount: fn(&Lease) -> u64| self.leases.iter().map(amount).max().unwrap_or(0);
+        Rate {
+            tokens: most(|lease| lease.rate.tokens),
+            requests: most(|lease| lease.rate.requests),
+        }
+    }
+}
+
+/// Divides one organisation's limit among hosts.
+#[derive(Debug)]
+pub struct Allocator {
+    limit: Rate,
+    duration: Duration,
+    holders: BTreeMap<Host, Holder>,
+}
+
+/// Part of the limit that is divided equally, in percent. It lets a host without demand so far
+/// serve its first requests before its demand is known.
+const EQUAL_PERCENT: u64 = 20;
+
+impl Allocator {
+    /// An allocator whose leases last for `duration`.
+    pub fn new(limit: Rate, duration: Duration) -> Self {
+        Self {
+            limit,
+            duration,
+            holders: BTreeMap::new(),
+        }
+    }
+
+    /// Sets a new limit. A lower one takes effect as leases expire or are renewed.
+    pub fn set_limit(&mut self, limit: Rate) {
+        self.limit = limit;
+    }
+
+    /// Grants leases to the hosts that reported their demand. A host's lease grows only by what
+    /// the unexpired leases of all hosts leave free, so one host's growth waits until another's
+    /// larger lease has expired.
+    pub fn split(&mut self, demands: &BTreeMap<Host, Rate>, now: Instant) -> BTreeMap<Host, Lease> {
+        self.expire(now);
+        let hosts = demands.len() as u64;
+        let total = demands.values().fold(Rate::default(), |sum, demand| Rate {
+            tokens: sum.tokens.saturating_add(demand.tokens),
+            requests: sum.requests.saturating_add(demand.requests),
+        });
+        demands
+            .iter()
+            .map(|(host, demand)| {
+                let wanted = Rate {
+                    tokens: portion(self.limit.tokens, demand.tokens, total.tokens, hosts),
+                    requests: portion(self.limit.requests, demand.requests, total.requests, hosts),
+                };
+                (*host, self.grant(*host, wanted, now))
+            })
+            .collect()
+    }
+
+    /// Counts a lease that an earlier leader granted.
+    pub fn restore(&mut self, host: Host, lease: Lease) {
+        self.holders.entry(host).or_default().leases.push(lease);
+    }
+
+    /// The sum of all unexpired shares.
+    pub fn granted(&mut self, now: Instant) -> Rate {
+        self.expire(now);
+        self.held_by_all()
+    }
+
+    fn held_by_all(&self) -> Rate {
+        let held = self.holders.values().map(Holder::held);
+        held.fold(Rate::default(), |sum, rate| Rate {
+            tokens: sum.tokens.saturating_add(rate.tokens),
+            requests: sum.requests.saturating_add(rate.requests),
+        })
+    }
+
+    fn grant(&mut self, host: Host, wanted: Rate, now: Instant) -> Lease {
+        let own = self
+            .holders
+            .get(&host)
+            .map(Holder::held)
+            .unwrap_or_default();
+        let all = self.held_by_all();
+        let free = |limit: u64, all: u64, own: u64| limit.saturating_sub(all - own);
+        let rate = Rate {
+            tokens: wanted
+                .tokens
+                .min(free(self.limit.tokens, all.tokens, own.tokens)),
+            requests: wanted
+                .requests
+                .min(free(self.limit.requests, all.requests, own.requests)),
+        };
+        let lease = Lease {
+            rate,
+            expires: now + self.duration,
+        };
+        self.holders.entry(host).or_default().leases.push(lease);
+        lease
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for holder in self.holders.values_mut() {
+            holder.leases.retain(|lease| lease.expires > now);
+        }
+        self.holders.retain(|_, holder| !holder.leases.is_empty());
+    }
+}
+
+/// A host's part of `limit`: an equal part and one by demand, rounded down so that the parts never
+/// add up to more than the limit.
+fn portion(limit: u64, demand: u64, total: u64, hosts: u64) -> u64 {
+    let (limit, hosts) = (u128::from(limit), u128::from(hosts.max(1)));
+    if total == 0 {
+        return (limit / hosts) as u64;
+    }
+    let equal = limit * u128::from(EQUAL_PERCENT) / 100;
+    let shared = limit - equal;
+    (equal / hosts + shared * u128::from(demand) / u128::from(total)) as u64
+}
--- /dev/null
+++ b/crates/sardinerelay/tests/retry.rs
@@ -0,0 +1,104 @@
+//! Retries and ejections.
+
+use {
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    sardinerelay::retry::{Budget, Ejector, Failure, backoff},
+    std::time::{Duration, Instant},
+};
+
+/// Sends 2,000 requests at targets of which the first third is dead. Returns attempts in all.
+fn storm(budget: Option<u64>, targets: usize) -> u32 {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut budget = budget.map(|percent| Budget::new(percent, 0, start));
+    let mut attempts = 0;
+    for _ in 0..2_000 {
+        if let Some(budget) = &mut budget {
+            budget.deposit();
+        }
+        // All callers retry up to five times.
+        for _ in 0..6 {
+            attempts += 1;
+            let dead = rng.random_range(0..targets) < targets / 3;
+            if !dead || !budget.as_mut().is_none_or(|budget| budget.withdraw(start)) {
+                break;
+            }
+        }
+    }
+    attempts
+}
+
+/// Guards against retries that multiply the load when a third of the targets die.
+#[rstest]
+fn budget_bounds_a_retry_storm() {
+    let without = storm(None, 12);
+    let with = storm(Some(10), 12);
+    println!("{without} attempts without and {with} with a budget for 2000 requests");
+    assert!(without > 2_900);
+    assert!(with <= 2_000 + 200 + 20);
+}
+
+/// Guards against retrying what may have run or was partly delivered.
+#[rstest]
+#[case(Failure::NotRun, true)]
+#[case(Failure::Generation { delivered: 0 }, true)]
+#[case(Failure::Generation { delivered: 1 }, false)]
+#[case(Failure::Unknown, false)]
+fn only_harmless_failures_are_retried(#[case] failure: Failure, #[case] expected: bool) {
+    assert_eq!(failure.retryable(), expected);
+}
+
+/// Guards against callers that retry in step, and against an unbounded delay.
+#[rstest]
+fn backoff_is_spread_and_bounded() {
+    let mut rng = StdRng::seed_from_u64(2);
+    let delays: Vec<_> = (0..200).map(|_| backoff(3, &mut rng)).collect();
+    let early = delays
+        .iter()
+        .filter(|delay| **delay < Duration::from_millis(160))
+        .count();
+    assert!((70..130).contains(&early));
+    assert!(backoff(u32::MAX, &mut rng) <= Duration::from_secs(2));
+}
+
+/// Guards against ejecting so many targets that the rest is overloaded.
+#[rstest]
+fn ejections_are_capped() {
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut ejector = Ejector::new(34);
+    let names: Vec<_> = (0..9).map(|at| format!("engine-{at}").into()).collect();
+    for name in &names {
+        ejector.add(name);
+    }
+    for name in names.iter().cycle().take(90) {
+        ejector.fail(name, &mut rng, now);
+    }
+    assert_eq!(ejector.ejected(), 3);
+}
+
+/// Guards against a returning target that is hit by full traffic, or that never returns.
+#[rstest]
+fn ejected_target_returns_by_one_probe() {
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut ejector = Ejector::new(100);
+    let name = "engine".into();
+    for _ in 0..3 {
+        assert!(ejector.allowed("engine", now));
+        ejector.fail(&name, &mut rng, now);
+    }
+    assert!(!ejector.allowed("engine", now));
+    let later = now + Duration::from_secs(3);
+    assert!(ejector.allowed("engine", later));
+    ejector.sent("engine", later);
+    assert!(!ejector.allowed("engine", later));
+    assert!(ejector.fail(&name, &mut rng, later));
+    assert!(!ejector.allowed("engine", later + Duration::from_secs(2)));
+    let much_later = later + Duration::from_secs(6);
+    ejector.sent("engine", much_later);
+    ejector.ok("engine");
+    assert!(ejector.allowed("engine", much_later));
+    assert_eq!(ejector.ejected(), 0);
+}
