Admit by the forecast of memory and measure it against the baselines

Cause of the misses found on the way (docs/design/admission.md has all tries): a shortage at a horizon at which the request has ended already held it up; the profile of other hosts' streams followed one second of own streams and shut hosts out; the prior's heavy tail kept memory free; the rate while waiting fell to zero on hosts with one waiting request; short requests of the first priority preempted long ones on full engines.

Keeping preemptions rare needs free memory, which the baselines fill.

--- a/crates/sardinerelay/src/admission.rs
+++ b/crates/sardinerelay/src/admission.rs
@@ -22,8 +22,6 @@
 
 /// Requests offered to the targets in one call of [`Queue::next`].
 const ATTEMPTS: usize = 6;
-/// Interval over which the rate of dispatched tokens is averaged.
-const RATE_WINDOW: f64 = 10.0;
 /// Shortest time after which a refused caller is asked to retry.
 const MIN_RETRY: Duration = Duration::from_secs(1);
 /// Longest time after which a refused caller is asked to retry.
@@ -44,8 +42,8 @@
     pub max_wait: Duration,
     /// Prompt and the chosen quantile of the output length.
     pub reserved: u64,
-    /// Expected output tokens.
-    pub expected: f64,
+    /// Expected use of memory: tokens held, summed over the tokens generated.
+    pub cost: f64,
 }
 
 /// Answer to an offered request.
@@ -86,11 +84,7 @@
     lanes: BTreeMap<u8, Lane>,
     waiting: HashMap<Generation, (u8, Organisation)>,
     limit: usize,
-    /// Reserved tokens dispatched per second while requests were waiting.
-    rate: Option<f64>,
-    dispatched: f64,
     measured: Instant,
-    busy: bool,
 }
 
 impl Queue {
@@ -100,17 +94,16 @@
             lanes: BTreeMap::new(),
             waiting: HashMap::new(),
             limit,
-            rate: None,
-            dispatched: 0.0,
             measured: now,
-            busy: false,
         }
     }
 
     /// Queues the request, or refuses it early.
     pub fn offer(&mut self, request: Request, now: Instant) -> Offer {
+        self.measure(now);
         let wait = self.predicted_wait(&request);
-        let over = wait.saturating_sub(request.max_wait);
+        let lane = self.lanes.entry(request.priority).or_default();
+        let over = wait.saturating_sub(request.max_wait.mul_f64(lane.patience(&request)));
         let retry_after = over.clamp(MIN_RETRY, MAX_RETRY);
         if self.waiting.len() >= self.limit {
             return Offer::Refused(Refusal::QueueFull { retry_after });
@@ -142,6 +135,7 @@
     where
         F: FnMut(&Request) -> Option<T>,
     {
+        self.measure(now);
         let mut search = Search {
             attempts: ATTEMPTS,
             blocked: Vec::new(),
@@ -149,11 +143,9 @@
         for lane in self.lanes.values_mut().filter(|lane| !lane.is_empty()) {
             if let Some((request, placed)) = lane.next(now, &mut search, &mut place) {
                 self.waiting.remove(&request.generation);
-                self.dispatched += request.reserved as f64;
                 return Some((request, placed));
             }
         }
-        self.busy |= !self.waiting.is_empty();
         None
     }
 
@@ -184,40 +176,28 @@
     }
 
     /// The wait that a new request would have, from the tokens ahead of it and the rate at which
-    /// tokens were dispatched lately. Zero as long as nothing waits or no rate is known.
+    /// its priority was served lately. Zero as long as nothing waits or no rate is known.
     pub fn predicted_wait(&self, request: &Request) -> Duration {
-        let Some(rate) = self.rate else {
+        let Some(lane) = self.lanes.get(&request.priority) else {
             return Duration::ZERO;
         };
-        let mut ahead = 0.0;
-        for (priority, lane) in self.lanes.range(..=request.priority) {
-            ahead += if *priority == request.priority {
-                lane.ahead(request)
-            } else {
-                lane.tokens()
-            };
-        }
-        if ahead <= 0.0 {
-            return Duration::ZERO;
+        let ahead = lane.ahead(request);
+        match lane.rate() {
+            Some(rate) if ahead > 0.0 => {
+                Duration::try_from_secs_f64(ahead / rate.max(1e-3)).unwrap_or(Duration::MAX)
+            }
+            _ => Duration::ZERO,
         }
-        Duration::try_from_secs_f64(ahead / rate.max(1e-3)).unwrap_or(Duration::MAX)
     }
 
-    /// Learns the rate from intervals in which requests were waiting, because only then does it
-    /// show what the targets can take.
     fn measure(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.measured).as_secs_f64();
-        if elapsed < 0.5 {
+        let elapsed = now.saturating_duration_since(self.measured);
+        if elapsed.is_zero() {
             return;
         }
-        if self.busy {
-            let seen = self.dispatched / elapsed;
-            let weight = (elapsed / RATE_WINDOW).min(1.0);
-            let old = self.rate.unwrap_or(seen);
-            self.rate = Some(old + weight * (seen - old));
-        }
-        self.dispatched = 0.0;
         self.measured = now;
-        self.busy = !self.waiting.is_empty();
+        for lane in self.lanes.values_mut() {
+            lane.measure(elapsed);
+        }
     }
 }
--- a/crates/sardinerelay/src/admission/lane.rs
+++ b/crates/sardinerelay/src/admission/lane.rs
@@ -4,11 +4,13 @@
     super::Request,
     crate::id::{Generation, Model, Organisation},
     std::{
-        collections::{HashMap, VecDeque},
-        time::Instant,
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
     },
 };
 
+/// Share of the longest wait after which a request goes before all others of its organisation.
+const OVERDUE: f64 = 0.75;
 /// Tokens that an organisation's turn adds to its deficit.
 const QUANTUM: f64 = 2_000.0;
 
@@ -19,19 +21,19 @@
 }
 
 impl Item {
-    /// Rank within the organisation's turn; the lowest goes first. The expected length loses its
-    /// weight until half of the longest wait has passed; from then on the oldest goes first.
+    /// Rank within the organisation's turn; the lowest goes first. The expected cost loses its
+    /// weight with age, and an overdue request goes first whatever its cost.
     fn rank(&self, now: Instant) -> f64 {
-        let half = self.request.max_wait.as_secs_f64() / 2.0;
+        let late = self.request.max_wait.as_secs_f64() * OVERDUE;
         let age = now.saturating_duration_since(self.since).as_secs_f64();
-        if age >= half {
-            return half - age;
+        if age >= late {
+            return late - age;
         }
-        self.request.expected * (1.0 - age / half)
+        self.request.cost * (1.0 - (age / late).powi(2))
     }
 
     fn overdue(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.since) * 2 >= self.request.max_wait
+        now.saturating_duration_since(self.since) >= self.request.max_wait.mul_f64(OVERDUE)
     }
 }
 
@@ -42,13 +44,57 @@
     items: Vec<Item>,
 }
 
+/// Share of the longest wait that a request of average cost may be predicted to wait.
+const AVERAGE_PATIENCE: f64 = 0.5;
+/// Least share of the longest wait that a costly request may be predicted to wait.
+const LEAST_PATIENCE: f64 = 0.05;
+/// Weight of one request in the average cost.
+const COST_WEIGHT: f64 = 0.02;
+/// Seconds over which the rate is averaged.
+const RATE_WINDOW: f64 = 10.0;
+/// Seconds that make one sample of the rate.
+const RATE_SAMPLE: f64 = 0.5;
+
+/// Reserved tokens served per second. While requests wait, this shows what the targets can take;
+/// otherwise what callers ask for, which is a lower bound. The larger of the two counts, because
+/// a single request that waits for room says little about the others.
+#[derive(Debug, Default)]
+struct Rate {
+    waiting: Average,
+    overall: Average,
+}
+
+#[derive(Debug, Default)]
+struct Average {
+    value: Option<f64>,
+    tokens: f64,
+    seconds: f64,
+}
+
+impl Average {
+    fn pass(&mut self, seconds: f64) {
+        self.seconds += seconds;
+        if self.seconds < RATE_SAMPLE {
+            return;
+        }
+        let sample = self.tokens / self.seconds;
+        let weight = (self.seconds / RATE_WINDOW).min(1.0);
+        let old = self.value.unwrap_or(sample);
+        self.value = Some(old + weight * (sample - old));
+        self.tokens = 0.0;
+        self.seconds = 0.0;
+    }
+}
+
 /// One priority's queue.
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     turns: VecDeque<Organisation>,
-    accounts: HashMap<Organisation, Account>,
+    accounts: BTreeMap<Organisation, Account>,
     /// Whether the organisation in front has had its quantum in this turn.
     granted: bool,
+    rate: Rate,
+    average_cost: f64,
 }
 
 impl Lane {
@@ -66,9 +112,31 @@
         account.items.push(item);
     }
 
-    /// Tokens waiting in all.
-    pub(super) fn tokens(&self) -> f64 {
-        self.accounts.values().map(|account| account.tokens).sum()
+    /// Reserved tokens that the lane can expect to be served per second.
+    pub(super) fn rate(&self) -> Option<f64> {
+        let overall = self.rate.overall.value.unwrap_or(0.0);
+        self.rate.waiting.value.map(|rate| rate.max(overall))
+    }
+
+    /// Records that time has passed since the last call.
+    pub(super) fn measure(&mut self, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64();
+        self.rate.overall.pass(seconds);
+        if !self.turns.is_empty() {
+            self.rate.waiting.pass(seconds);
+        }
+    }
+
+    /// The share of its longest wait that a request may be predicted to wait. When not everything
+    /// can be served, requests that hold more memory than the average are refused first, which
+    /// leaves more room for the others.
+    pub(super) fn patience(&mut self, request: &Request) -> f64 {
+        if self.average_cost == 0.0 {
+            self.average_cost = request.cost;
+        }
+        self.average_cost += COST_WEIGHT * (request.cost - self.average_cost);
+        let relative = self.average_cost / request.cost.max(1.0);
+        (AVERAGE_PATIENCE * relative.powi(5)).clamp(LEAST_PATIENCE, 1.0)
     }
 
     /// Tokens that are served before a new request of this organisation, with round robin among
@@ -81,7 +149,7 @@
                 account
                     .items
                     .iter()
-                    .filter(|item| item.request.expected <= request.expected)
+                    .filter(|item| item.request.cost <= request.cost)
                     .map(|item| item.request.reserved as f64)
                     .sum()
             });
@@ -131,6 +199,10 @@
                 account.deficit -= cost;
                 account.tokens -= cost;
                 let item = account.items.swap_remove(best);
+                if item.since < now || self.turns.len() > 1 || !account.items.is_empty() {
+                    self.rate.waiting.tokens += cost;
+                }
+                self.rate.overall.tokens += cost;
                 if account.items.is_empty() {
                     self.close(&name);
                 }
--- a/crates/sardinerelay/src/admission/quantile.rs
+++ b/crates/sardinerelay/src/admission/quantile.rs
@@ -29,31 +29,35 @@
 pub struct Quantile {
     objective: Objective,
     logit: f64,
+    cost: f64,
 }
 
-/// Lowest and highest quantile as log-odds: 0.5 and 0.9995.
-const LOGIT_RANGE: (f64, f64) = (0.0, 7.6);
-/// Log-odds at the start: 0.9.
-const LOGIT_START: f64 = 2.2;
-/// Largest rise in one interval.
-const MAX_RISE: f64 = 1.0;
-/// Fall in an interval without any cost.
-const FALL: f64 = 0.02;
+/// Lowest and highest quantile as log-odds: 0.15 and 0.9995.
+const LOGIT_RANGE: (f64, f64) = (-1.7, 7.6);
+/// Log-odds at the start: 0.77.
+const LOGIT_START: f64 = 1.2;
+/// Weight of one interval in the averaged cost. Preemptions come in bursts, and a burst must not
+/// move the quantile by itself.
+const COST_WEIGHT: f64 = 0.05;
+/// Change of the log-odds for each unit of cost above or below the tolerated one.
+const GAIN: f64 = 0.02;
+/// Largest excess of cost that counts.
+const MAX_EXCESS: f64 = 3.0;
 
 impl Objective {
     /// Tolerated share of stream time that is stalled.
     fn stall_share(self) -> f64 {
         match self {
-            Self::Stall => 0.0005,
-            Self::Preemption => 0.004,
+            Self::Stall => 0.027,
+            Self::Preemption => 0.05,
         }
     }
 
     /// Tolerated preemptions per second of running time.
     fn preemption_rate(self) -> f64 {
         match self {
-            Self::Stall => 0.002,
-            Self::Preemption => 0.0005,
+            Self::Stall => 0.05,
+            Self::Preemption => 0.014,
         }
     }
 }
@@ -64,10 +68,11 @@
         Self {
             objective,
             logit: LOGIT_START,
+            cost: 1.0,
         }
     }
 
-    /// The quantile, from 0.5 to just below 1.
+    /// The quantile, from 0.15 to just below 1.
     pub fn value(&self) -> f64 {
         1.0 / (1.0 + (-self.logit).exp())
     }
@@ -77,19 +82,15 @@
         self.logit / 1.702
     }
 
-    /// Learns from one interval. Costs above the tolerated rate raise the quantile at once; below
-    /// it, the quantile falls slowly, because a preemption shows up only long after the dispatch
-    /// that caused it.
+    /// Learns from one interval. The averaged cost settles at the tolerated one: above it the
+    /// quantile rises, below it the quantile falls and more requests are admitted.
     pub fn adapt(&mut self, seen: &Seen) {
         let stall = share(seen.stall.as_secs_f64(), seen.stream_time);
         let preemptions = share(seen.preemptions as f64, seen.running_time);
         let cost =
             stall / self.objective.stall_share() + preemptions / self.objective.preemption_rate();
-        let step = if cost > 1.0 {
-            (0.1 * cost).min(MAX_RISE)
-        } else {
-            -FALL * (1.0 - cost)
-        };
+        self.cost += COST_WEIGHT * (cost - self.cost);
+        let step = GAIN * (self.cost - 1.0).min(MAX_EXCESS);
         self.logit = (self.logit + step).clamp(LOGIT_RANGE.0, LOGIT_RANGE.1);
     }
 }
--- a/crates/sardinerelay/src/length.rs
+++ b/crates/sardinerelay/src/length.rs
@@ -20,10 +20,11 @@
     },
 };
 
-/// Pseudo-observations by which a coarser level pulls a finer one.
-const SHRINKAGE: f32 = 12.0;
 /// Levels with counts: model, (model, class) and (organisation, model, class).
 const LEVELS: usize = 3;
+/// Pseudo-observations by which the next coarser level pulls each level. The prior pulls little:
+/// its heavy tail would otherwise dominate the forecast of models without one.
+const SHRINKAGE: [f32; LEVELS] = [1.0, 4.0, 12.0];
 
 /// What a request's output length is predicted from.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -104,21 +105,20 @@
     /// that `generated` tokens exist already.
     pub fn quantile(&self, key: &Key, generated: u64, q: f64) -> u64 {
         let hazards = self.hazards(key);
-        let wanted = -(1.0 - q.clamp(0.0, 0.999_999)).ln();
-        let mut passed = 0.0;
+        let wanted = 1.0 - q.clamp(0.0, 0.999_999);
+        let mut alive = 1.0;
         let mut from = generated.min(MAX_TOKENS);
         while from < MAX_TOKENS {
             let at = bucket(from);
             let to = lower(at) + width(at);
-            let rate = rate(hazards[at], at);
-            let step = rate * (to - from) as f64;
-            if passed + step >= wanted {
-                let within = (wanted - passed) / rate;
-                return ((from as f64 + within).ceil() as u64)
-                    .saturating_sub(generated)
-                    .max(1);
+            let after = alive * kept(hazards[at], at, from, to);
+            if after <= wanted {
+                let within = (alive - wanted) / (alive - after) * (to - from) as f64;
+                // Survival at a length means that the output has at least this many tokens.
+                let bound = from + (within.ceil() as u64).saturating_sub(1);
+                return bound.saturating_sub(generated).max(1);
             }
-            passed += step;
+            alive = after;
             from = to;
         }
         MAX_TOKENS.saturating_sub(generated).max(1)
@@ -133,9 +133,8 @@
         while from < MAX_TOKENS && alive > 1e-6 {
             let at = bucket(from);
             let to = lower(at) + width(at);
-            let rate = rate(hazards[at], at);
-            let after = alive * (-rate * (to - from) as f64).exp();
-            sum += (alive - after) / rate;
+            let after = alive * kept(hazards[at], at, from, to);
+            sum += (alive + after) / 2.0 * (to - from) as f64;
             alive = after;
             from = to;
         }
@@ -151,17 +150,17 @@
         further: &[u64; N],
     ) -> [f64; N] {
         let hazards = self.hazards(key);
-        let mut passed = 0.0;
+        let mut alive = 1.0;
         let mut from = generated.min(MAX_TOKENS);
         further.map(|tokens| {
             let end = generated.saturating_add(tokens).min(MAX_TOKENS);
             while from < end {
                 let at = bucket(from);
                 let to = (lower(at) + width(at)).min(end);
-                passed += rate(hazards[at], at) * (to - from) as f64;
+                alive *= kept(hazards[at], at, from, to);
                 from = to;
             }
-            f64::exp(-passed)
+            alive
         })
     }
 
@@ -179,11 +178,11 @@
     /// The probability for each bucket that an output which reaches it also ends in it.
     fn hazards(&self, key: &Key) -> [f32; BUCKETS] {
         let mut hazards = std::array::from_fn(prior_hazard);
-        for hash in level_hashes(key) {
+        for (hash, shrinkage) in level_hashes(key).into_iter().zip(SHRINKAGE) {
             let Some(&slot) = self.index.get(&hash) else {
                 continue;
             };
-            self.cells[slot].refine(&mut hazards, SHRINKAGE);
+            self.cells[slot].refine(&mut hazards, shrinkage);
         }
         hazards
     }
@@ -211,10 +210,13 @@
     }
 }
 
-/// Turns a bucket's hazard into a rate per token.
-fn rate(hazard: f32, at: usize) -> f64 {
+/// The share of outputs alive at `from` that are still alive at `to`, both within one bucket.
+/// Ends are taken as spread evenly over the bucket. A constant hazard would place them too early
+/// in the last buckets of a bounded length.
+fn kept(hazard: f32, at: usize, from: u64, to: u64) -> f64 {
     let hazard = f64::from(hazard).clamp(1e-6, 0.999_999);
-    -(1.0 - hazard).ln() / width(at) as f64
+    let alive = |tokens: u64| 1.0 - hazard * (tokens - lower(at)) as f64 / width(at) as f64;
+    alive(to) / alive(from)
 }
 
 /// Names of the cells from coarse to fine.
--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -34,8 +34,9 @@
 /// Load by which a target with the whole prefix in its cache may exceed the alternative.
 const AFFINITY_LOAD: f64 = 0.15;
 /// Share of memory that only the first priority may use.
-const HEADROOM: f64 = 0.02;
-/// Waiting sequences at which an engine counts as full.
+const HEADROOM: f64 = 0.04;
+/// Waiting sequences beyond which an engine counts as full for the first priority. For all others
+/// it is full if any sequence waits, because a preempted one needs the next memory that is freed.
 const FULL_WAITING: usize = 2;
 /// Targets examined for one request.
 const MAX_EXAMINED: usize = 32;
@@ -154,20 +155,24 @@
         self.targets.push(State::new(about, now));
     }
 
-    /// Chooses a target. Nothing is reserved until [`Router::dispatched`].
-    pub fn pick<R>(
+    /// Chooses a target among those that the fleet and `allowed` let through. Nothing is reserved
+    /// until [`Router::dispatched`].
+    pub fn pick<R, F>(
         &self,
         request: &Request,
         fleet: &Fleet,
+        allowed: F,
         rng: &mut R,
         now: Instant,
     ) -> Result<Pick, Refusal>
     where
         R: Rng + ?Sized,
+        F: Fn(&str) -> bool,
     {
         self.serves(request, fleet)?;
         let (near, far): (Vec<usize>, Vec<usize>) = self
             .candidates(request, fleet)
+            .filter(|at| allowed(&self.targets[*at].about.name))
             .partition(|at| self.targets[*at].about.zone == self.zone);
         let share = self.share();
         let view = View {
@@ -404,7 +409,12 @@
     fn feasible(&self, at: usize, request: &Request, view: &View, now: Instant) -> Option<f64> {
         let state = &self.targets[at];
         let waiting = state.report.map_or(0, |report| report.waiting);
-        if state.pace.slow(now) || waiting > FULL_WAITING {
+        let most = if request.priority == 0 {
+            FULL_WAITING
+        } else {
+            0
+        };
+        if state.pace.slow(now) || waiting > most {
             return None;
         }
         let room = state.room(&self.profile, now, view);
--- a/crates/sardinerelay/src/router/growth.rs
+++ b/crates/sardinerelay/src/router/growth.rs
@@ -75,12 +75,17 @@
     held: [f64; HORIZONS],
     alive: [f64; HORIZONS],
     variance: [f64; HORIZONS],
+    samples: f64,
 }
 
 /// Tokens after which half of the streams have ended, before anything is known.
 const ASSUMED_MEDIAN: f64 = 512.0;
-/// Weight of one tick's own streams in the profile.
-const PROFILE_WEIGHT: f64 = 0.1;
+/// Least weight of one tick's own streams in the profile: about a minute of ten ticks a second.
+/// A host's own streams are a small sample, and a profile that follows them closely can shut out
+/// a host whose last streams were long.
+const PROFILE_WEIGHT: f64 = 0.002;
+/// Own streams that make a full sample.
+const PROFILE_SAMPLE: f64 = 8.0;
 
 impl Default for Profile {
     fn default() -> Self {
@@ -91,6 +96,7 @@
             variance: std::array::from_fn(|h| {
                 alive[h] * (1.0 - alive[h]) * (ASSUMED_MEDIAN + AHEAD[h] as f64).powi(2)
             }),
+            samples: 5.0,
         }
     }
 }
@@ -104,7 +110,9 @@
             return;
         }
         // Few own streams say little about the average one.
-        let weight = PROFILE_WEIGHT * (streams / 8.0).min(1.0);
+        let sample = (streams / PROFILE_SAMPLE).min(1.0);
+        self.samples += sample;
+        let weight = sample * f64::max(1.0 / self.samples, PROFILE_WEIGHT);
         let mix = |old: &mut f64, new: f64| *old += weight * (new - *old);
         for (h, ahead) in AHEAD.into_iter().enumerate() {
             let kept = own.mean[h] - ahead as f64 * own.alive[h];
--- a/crates/sardinerelay/src/router/target.rs
+++ b/crates/sardinerelay/src/router/target.rs
@@ -4,12 +4,12 @@
     super::{
         Delta, Report,
         affinity::Map,
-        growth::{Curve, HORIZONS, Profile, Sum},
+        growth::{AHEAD, Curve, HORIZONS, Profile, Sum},
         pace::Pace,
     },
     crate::id::{Generation, Model, Target, Zone},
     std::{
-        collections::{HashMap, VecDeque},
+        collections::{BTreeMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -21,6 +21,16 @@
 /// Seconds between tokens before any were measured.
 const ASSUMED_GAP: f64 = 0.03;
 
+/// Up to this horizon in tokens the memory is kept free with a margin of at least
+/// [`NEAR_MARGIN`]. Few streams end that soon, so an overflow there is nearly certain and the
+/// margin costs little.
+const NEAR: u64 = 64;
+/// Least margin in standard deviations for near horizons.
+const NEAR_MARGIN: f64 = 0.75;
+/// Share of a stream's own peak below which its need doesn't count: a request that has ended by
+/// then must not be held up by a shortage at a late horizon.
+const NEGLIGIBLE: f64 = 0.05;
+
 /// What a target is.
 #[derive(Debug, Clone)]
 pub struct Description {
@@ -58,7 +68,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) about: Description,
-    pub(super) streams: HashMap<Generation, Stream>,
+    pub(super) streams: BTreeMap<Generation, Stream>,
     pub(super) pace: Pace,
     pub(super) cache: Map,
     pub(super) report: Option<Report>,
@@ -80,7 +90,7 @@
     pub(super) fn new(about: Description, now: Instant) -> Self {
         Self {
             about,
-            streams: HashMap::new(),
+            streams: BTreeMap::new(),
             pace: Pace::default(),
             cache: Map::default(),
             report: None,
@@ -216,8 +226,13 @@
         };
         // Other hosts see the same report and are assumed to dispatch as much as this one.
         let unseen = 1.0 / view.share - 1.0;
-        for h in 0..HORIZONS {
-            let used = expected.mean[h] + view.margin * expected.variance[h].max(0.0).sqrt();
+        for (h, ahead) in AHEAD.into_iter().enumerate() {
+            let margin = if ahead <= NEAR {
+                view.margin.max(NEAR_MARGIN)
+            } else {
+                view.margin
+            };
+            let used = expected.mean[h] + margin * expected.variance[h].max(0.0).sqrt();
             let claimed = self.claimed.mean[h].max(0.0);
             let released = self.released.mean[h].max(0.0);
             let free = limit * (1.0 - view.headroom) - used;
@@ -262,9 +277,9 @@
     pub(super) fn fits(&self, curve: &Curve) -> bool {
         let mut need = Sum::default();
         need.add(curve);
-        (0..HORIZONS).all(|h| {
-            need.mean[h] <= self.free[h].max(0.0)
-                && self.draw * need.mean[h] <= self.allowance[h].max(0.0)
-        })
+        let peak = need.mean.iter().copied().fold(0.0, f64::max);
+        (0..HORIZONS)
+            .filter(|h| need.mean[*h] > NEGLIGIBLE * peak)
+            .all(|h| need.mean[h] <= self.free[h] && self.draw * need.mean[h] <= self.allowance[h])
     }
 }
--- a/crates/sardinerelay/src/scheduler.rs
+++ b/crates/sardinerelay/src/scheduler.rs
@@ -5,17 +5,22 @@
 //! target or refused. The baselines of the measurements run in the same code, selected by
 //! [`Policy`].
 
+mod baseline;
+mod event;
 mod stream;
 
+pub use event::{Counters, Decision, Ending, Policy, Refusal, Request, Settings};
+
 use {
     crate::{
-        admission::{self, Objective, Offer, Quantile, Queue, Seen},
+        admission::{self, Offer, Quantile, Queue, Seen},
         fleet::Fleet,
-        id::{Class, Generation, Model, Organisation, Target, Zone},
+        id::{Generation, Target},
         length::{Estimator, Key, Output},
-        router::{self, AHEAD, CacheEvent, Curve, Description, Pick, Prefix, Report, Router},
+        retry::Ejector,
+        router::{self, AHEAD, CacheEvent, Curve, Description, Pick, Report, Router},
     },
-    rand::{Rng, seq::IndexedRandom},
+    rand::Rng,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -23,110 +28,6 @@
     stream::Stream,
 };
 
-/// How targets are chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// Admission by forecast memory, fair queueing and load-aware choice.
-    Adaptive,
-    /// Baseline: targets in turn, without admission control.
-    RoundRobin,
-    /// Baseline: the target with the fewest of this host's requests in flight, without admission
-    /// control.
-    LeastInFlight,
-}
-
-/// Fixed properties of a [`Scheduler`].
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// This host's availability zone.
-    pub zone: Zone,
-    /// Number of entry hosts, this one included, until [`Scheduler::set_hosts`] tells otherwise.
-    pub hosts: usize,
-    /// How targets are chosen.
-    pub policy: Policy,
-    /// What the reservation quantile weighs highest.
-    pub objective: Objective,
-    /// Most requests that wait on this host.
-    pub queue_limit: usize,
-}
-
-/// A request that is offered. One attempt has one generation; a retry is a new request.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// The attempt's generation.
-    pub generation: Generation,
-    /// The calling organisation.
-    pub organisation: Organisation,
-    /// The model asked for.
-    pub model: Model,
-    /// The request class.
-    pub class: Class,
-    /// Priority of the class; 0 comes first.
-    pub priority: u8,
-    /// The longest time to wait.
-    pub max_wait: Duration,
-    /// Prompt tokens.
-    pub prompt: u64,
-    /// The caller's upper bound on output tokens.
-    pub max_tokens: u64,
-    /// Hashes of the prompt's blocks, from short to long. May be empty.
-    pub prefixes: Vec<Prefix>,
-}
-
-/// What has to be done with a request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Decision {
-    /// Hand the request to the target. The scheduler already counts it as in flight.
-    Dispatch {
-        /// The attempt.
-        generation: Generation,
-        /// Where it goes.
-        pick: Pick,
-    },
-    /// Refuse the request. It did not run.
-    Refuse {
-        /// The attempt.
-        generation: Generation,
-        /// Why.
-        refusal: Refusal,
-    },
-}
-
-/// Why a request was refused before it ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum Refusal {
-    /// The queue refused it.
-    #[error(transparent)]
-    Admission(#[from] admission::Refusal),
-    /// No target can serve it.
-    #[error(transparent)]
-    Router(#[from] router::Refusal),
-}
-
-/// How a dispatched request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// The model ended the output.
-    Complete,
-    /// The caller cancelled it or its token limit was reached.
-    Cancelled,
-    /// The target failed, or refused the request.
-    Failed,
-}
-
-/// Counters since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Requests handed to a target.
-    pub dispatched: u64,
-    /// Requests handed to a target of another availability zone.
-    pub spilled: u64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Preemptions of this host's streams.
-    pub preempted: u64,
-}
-
 /// Decides for one entry host which waiting request runs where.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -134,6 +35,7 @@
     queue: Queue,
     router: Router,
     fleet: Fleet,
+    ejector: Ejector,
     lengths: Estimator,
     quantile: Quantile,
     waiting: HashMap<Generation, (Request, router::Request)>,
@@ -150,6 +52,8 @@
 pub const STALL_AFTER: Duration = Duration::from_millis(250);
 /// Interval in which the quantile adapts.
 const ADAPT_EVERY: Duration = Duration::from_secs(1);
+/// Largest share of the targets that is ejected at once.
+const MAX_EJECTED_PERCENT: usize = 34;
 /// Decisions that one call returns at most, which bounds its duration.
 const MAX_DECISIONS: usize = 16;
 
@@ -160,6 +64,7 @@
             queue: Queue::new(settings.queue_limit, now),
             router: Router::new(settings.zone.clone(), settings.hosts),
             fleet: Fleet::new(),
+            ejector: Ejector::new(MAX_EJECTED_PERCENT),
             lengths: Estimator::default(),
             quantile: Quantile::new(settings.objective),
             waiting: HashMap::new(),
@@ -174,6 +79,7 @@
 
     /// Adds a target or replaces its description. It receives work once the fleet knows it too.
     pub fn describe(&mut self, about: Description, now: Instant) {
+        self.ejector.add(&about.name);
         self.router.describe(about, now);
     }
 
@@ -252,6 +158,9 @@
 
     /// Records the first token of a stream.
     pub fn first_token(&mut self, generation: Generation, now: Instant) {
+        if let Some(target) = self.router.target_of(generation) {
+            self.ejector.ok(target);
+        }
         self.router.first_token(generation, now);
         self.token_progress(generation, 1, now);
     }
@@ -297,6 +206,15 @@
     where
         R: Rng + ?Sized,
     {
+        if let Some(target) = self.router.target_of(generation) {
+            match ending {
+                Ending::Complete => self.ejector.ok(target),
+                Ending::Cancelled => {}
+                Ending::Failed => {
+                    self.ejector.fail(target, rng, now);
+                }
+            }
+        }
         self.router.finished(generation, now);
         if let Some(mut stream) = self.streams.remove(&generation) {
             self.seen.stream_time += stream.account(now);
@@ -362,7 +280,10 @@
         while decisions.len() < MAX_DECISIONS && !self.queue.is_empty() {
             let place = |entry: &admission::Request| {
                 let (_, placed) = self.waiting.get(&entry.generation)?;
-                self.router.pick(placed, &self.fleet, rng, now).ok()
+                let allowed = |name: &str| self.ejector.allowed(name, now);
+                self.router
+                    .pick(placed, &self.fleet, allowed, rng, now)
+                    .ok()
             };
             let Some((entry, pick)) = self.queue.next(now, place) else {
                 break;
@@ -384,6 +305,7 @@
         let generation = request.generation;
         self.router
             .dispatched(generation, &pick.target, placed, now);
+        self.ejector.sent(&pick.target, now);
         self.streams.insert(generation, Stream::new(request, now));
         self.counters.dispatched += 1;
         self.counters.spilled += u64::from(pick.spilled);
@@ -398,52 +320,6 @@
         }
     }
 
-    fn baseline<R>(
-        &mut self,
-        request: Request,
-        placed: &router::Request,
-        rng: &mut R,
-        now: Instant,
-    ) -> Decision
-    where
-        R: Rng + ?Sized,
-    {
-        let eligible: Vec<&Target> = self
-            .router
-            .running(&request.model)
-            .filter(|target| self.fleet.eligible(target))
-            .collect();
-        let chosen = match self.settings.policy {
-            Policy::LeastInFlight => {
-                let least = eligible
-                    .iter()
-                    .map(|name| self.router.own_in_flight(name))
-                    .min();
-                let equal: Vec<_> = eligible
-                    .iter()
-                    .filter(|name| Some(self.router.own_in_flight(name)) == least)
-                    .collect();
-                equal.choose(rng).map(|name| (**name).clone())
-            }
-            Policy::RoundRobin | Policy::Adaptive => {
-                self.turn += 1;
-                eligible
-                    .get(self.turn % eligible.len().max(1))
-                    .map(|name| (*name).clone())
-            }
-        };
-        let Some(target) = chosen else {
-            return self.refuse(request.generation, router::Refusal::NoTarget.into());
-        };
-        let pick = Pick {
-            target,
-            reserved: placed.reserved,
-            spilled: false,
-            overlap: 0.0,
-        };
-        self.start(request, placed, pick, now)
-    }
-
     fn placement(&self, request: &Request) -> router::Request {
         let key = request.key();
         let quantile = self.lengths.quantile(&key, 0, self.quantile.value());
@@ -458,7 +334,8 @@
     }
 
     fn entry(&self, request: &Request, placed: &router::Request) -> admission::Request {
-        let expected = self.lengths.mean(&request.key(), 0);
+        let mean = self.lengths.mean(&request.key(), 0);
+        let expected = mean.min(request.max_tokens as f64);
         admission::Request {
             generation: request.generation,
             organisation: request.organisation.clone(),
@@ -466,7 +343,7 @@
             priority: request.priority,
             max_wait: request.max_wait,
             reserved: placed.reserved,
-            expected: expected.min(request.max_tokens as f64),
+            cost: expected * (request.prompt as f64 + expected / 2.0),
         }
     }
 
@@ -490,16 +367,6 @@
     }
 }
 
-impl Request {
-    fn key(&self) -> Key {
-        Key {
-            organisation: self.organisation.clone(),
-            model: self.model.clone(),
-            class: self.class.clone(),
-        }
-    }
-}
-
 /// The expected memory of a stream over time, which ends at the caller's token limit.
 fn forecast(lengths: &Estimator, key: &Key, prompt: u64, generated: u64, limit: u64) -> Curve {
     let mut survival = lengths.survival(key, generated, &AHEAD);
--- /dev/null
+++ b/crates/sardinerelay/src/scheduler/baseline.rs
@@ -0,0 +1,60 @@
+//! The baselines of the measurements: no admission control, no load reports.
+
+use {
+    super::{Decision, Policy, Request, Scheduler},
+    crate::{
+        id::Target,
+        router::{self, Pick},
+    },
+    rand::{Rng, seq::IndexedRandom},
+    std::time::Instant,
+};
+
+impl Scheduler {
+    /// Chooses a target for the request at once.
+    pub(super) fn baseline<R>(
+        &mut self,
+        request: Request,
+        placed: &router::Request,
+        rng: &mut R,
+        now: Instant,
+    ) -> Decision
+    where
+        R: Rng + ?Sized,
+    {
+        let eligible: Vec<&Target> = self
+            .router
+            .running(&request.model)
+            .filter(|target| self.fleet.eligible(target))
+            .collect();
+        let chosen = match self.settings.policy {
+            Policy::LeastInFlight => {
+                let least = eligible
+                    .iter()
+                    .map(|name| self.router.own_in_flight(name))
+                    .min();
+                let equal: Vec<_> = eligible
+                    .iter()
+                    .filter(|name| Some(self.router.own_in_flight(name)) == least)
+                    .collect();
+                equal.choose(rng).map(|name| (**name).clone())
+            }
+            Policy::RoundRobin | Policy::Adaptive => {
+                self.turn += 1;
+                eligible
+                    .get(self.turn % eligible.len().max(1))
+                    .map(|name| (*name).clone())
+            }
+        };
+        let Some(target) = chosen else {
+            return self.refuse(request.generation, router::Refusal::NoTarget.into());
+        };
+        let pick = Pick {
+            target,
+            reserved: placed.reserved,
+            spilled: false,
+            overlap: 0.0,
+        };
+        self.start(request, placed, pick, now)
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay/src/scheduler/event.rs
@@ -0,0 +1,125 @@
+//! What goes into the scheduler and what comes out of it.
+
+use {
+    crate::{
+        admission::{self, Objective},
+        id::{Class, Generation, Model, Organisation, Zone},
+        length::Key,
+        router::{self, Pick, Prefix},
+    },
+    std::time::Duration,
+};
+
+/// How targets are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Admission by forecast memory, fair queueing and load-aware choice.
+    Adaptive,
+    /// Baseline: targets in turn, without admission control.
+    RoundRobin,
+    /// Baseline: the target with the fewest of this host's requests in flight, without admission
+    /// control.
+    LeastInFlight,
+}
+
+/// Fixed properties of a [`Scheduler`].
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host's availability zone.
+    pub zone: Zone,
+    /// Number of entry hosts, this one included, until [`Scheduler::set_hosts`] tells otherwise.
+    pub hosts: usize,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// What the reservation quantile weighs highest.
+    pub objective: Objective,
+    /// Most requests that wait on this host.
+    pub queue_limit: usize,
+}
+
+/// A request that is offered. One attempt has one generation; a retry is a new request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The attempt's generation.
+    pub generation: Generation,
+    /// The calling organisation.
+    pub organisation: Organisation,
+    /// The model asked for.
+    pub model: Model,
+    /// The request class.
+    pub class: Class,
+    /// Priority of the class; 0 comes first.
+    pub priority: u8,
+    /// The longest time to wait.
+    pub max_wait: Duration,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// The caller's upper bound on output tokens.
+    pub max_tokens: u64,
+    /// Hashes of the prompt's blocks, from short to long. May be empty.
+    pub prefixes: Vec<Prefix>,
+}
+
+/// What has to be done with a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// Hand the request to the target. The scheduler already counts it as in flight.
+    Dispatch {
+        /// The attempt.
+        generation: Generation,
+        /// Where it goes.
+        pick: Pick,
+    },
+    /// Refuse the request. It did not run.
+    Refuse {
+        /// The attempt.
+        generation: Generation,
+        /// Why.
+        refusal: Refusal,
+    },
+}
+
+/// Why a request was refused before it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// The queue refused it.
+    #[error(transparent)]
+    Admission(#[from] admission::Refusal),
+    /// No target can serve it.
+    #[error(transparent)]
+    Router(#[from] router::Refusal),
+}
+
+/// How a dispatched request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// The model ended the output.
+    Complete,
+    /// The caller cancelled it or its token limit was reached.
+    Cancelled,
+    /// The target failed, or refused the request.
+    Failed,
+}
+
+/// Counters since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests handed to a target.
+    pub dispatched: u64,
+    /// Requests handed to a target of another availability zone.
+    pub spilled: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Preemptions of this host's streams.
+    pub preempted: u64,
+}
+
+impl Request {
+    pub(super) fn key(&self) -> Key {
+        Key {
+            organisation: self.organisation.clone(),
+            model: self.model.clone(),
+            class: self.class.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay/tests/fleet.rs
@@ -0,0 +1,75 @@
+//! Membership of targets.
+
+use {
+    proptest::prelude::*,
+    rstest::rstest,
+    sardinerelay::fleet::{Entry, Fleet, Listed},
+    std::time::{Duration, Instant},
+};
+
+fn entry(incarnation: u64, listed: Listed) -> Entry {
+    Entry {
+        target: "engine".into(),
+        incarnation,
+        listed,
+    }
+}
+
+/// Guards against a lagging list that brings back a target which has announced its leave.
+#[rstest]
+fn list_never_reverts_a_leave() {
+    let mut fleet = Fleet::new();
+    fleet.observe(&[entry(1, Listed::Live)]);
+    fleet.leave(&"engine".into(), 1);
+    for _ in 0..3 {
+        fleet.observe(&[entry(1, Listed::Live)]);
+        assert!(!fleet.eligible("engine"));
+    }
+    fleet.observe(&[entry(2, Listed::Live)]);
+    assert!(fleet.eligible("engine"));
+}
+
+/// Guards against a late leave of the old process that stops its replacement.
+#[rstest]
+fn late_leave_spares_the_next_incarnation() {
+    let mut fleet = Fleet::new();
+    fleet.join(&"engine".into(), 2);
+    fleet.leave(&"engine".into(), 1);
+    fleet.observe(&[entry(1, Listed::Leaving)]);
+    assert!(fleet.eligible("engine"));
+}
+
+/// Guards against hosts that count as live although they have been silent.
+#[rstest]
+fn silent_hosts_are_not_counted() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new();
+    fleet.heard(1, now);
+    fleet.heard(2, now + Duration::from_secs(8));
+    assert_eq!(fleet.live_hosts(now + Duration::from_secs(9)), 2);
+    assert_eq!(fleet.live_hosts(now + Duration::from_secs(12)), 1);
+}
+
+proptest! {
+    /// Guards against any order of list entries and leaves in which an incarnation is eligible
+    /// again after its leave was seen.
+    #[test]
+    fn leave_is_sticky(events in prop::collection::vec((1_u64..5, any::<bool>(), any::<bool>()), 1..60)) {
+        let mut fleet = Fleet::new();
+        let mut left = 0;
+        for (incarnation, leave, by_list) in events {
+            match (leave, by_list) {
+                (true, true) => fleet.observe(&[entry(incarnation, Listed::Leaving)]),
+                (true, false) => fleet.leave(&"engine".into(), incarnation),
+                (false, true) => fleet.observe(&[entry(incarnation, Listed::Live)]),
+                (false, false) => fleet.join(&"engine".into(), incarnation),
+            }
+            if leave {
+                left = left.max(incarnation);
+            }
+            if fleet.eligible("engine") {
+                prop_assert!(fleet.incarnation("engine") > Some(left));
+            }
+        }
+    }
+}
