--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -34,7 +34,7 @@
 /// Load by which a target with the whole prefix in its cache may exceed the alternative.
 const AFFINITY_LOAD: f64 = 0.15;
 /// Share of memory that only the first priority may use.
-const HEADROOM: f64 = 0.02;
+const HEADROOM: f64 = 0.04;
 /// Waiting sequences beyond which an engine counts as full for the first priority. For all others
 /// it is full if any sequence waits, because a preempted one needs the next memory that is freed.
 const FULL_WAITING: usize = 2;
--- a/crates/sardinerelay/src/router/target.rs
+++ b/crates/sardinerelay/src/router/target.rs
@@ -26,7 +26,7 @@
 /// margin costs little.
 const NEAR: u64 = 64;
 /// Least margin in standard deviations for near horizons.
-const NEAR_MARGIN: f64 = 1.75;
+const NEAR_MARGIN: f64 = 0.75;
 /// Share of a stream's own peak below which its need doesn't count: a request that has ended by
 /// then must not be held up by a shortage at a late horizon.
 const NEGLIGIBLE: f64 = 0.05;
