Add a recording checker under combined faults

A seeded schedule kills, freezes and stops hosts, cuts the links between availability zones, silences and ends engines and removes a diskless host, while callers and two operators record every event. Hand-written histories show that it finds each kind of violation.

The stand-in engine marks each token with its generation on request, so that output of two generations for one prompt can be told apart.

--- a/crates/sardinerelay-standin/src/cli.rs
+++ b/crates/sardinerelay-standin/src/cli.rs
@@ -151,6 +151,12 @@
             "Seed of the output lengths and of lost cache events",
         ))
         .arg(number("mean-tokens", "60", "Mean output length in tokens"))
+        .arg(
+            Arg::new("mark-generations")
+                .long("mark-generations")
+                .action(ArgAction::SetTrue)
+                .help("End the text of each token with its generation"),
+        )
 }
 
 fn service_command() -> Command {
@@ -314,6 +320,7 @@
         incarnation: matches.get_one("incarnation").cloned(),
         seed: value(matches, "seed"),
         mean_tokens: value(matches, "mean-tokens"),
+        mark_generations: matches.get_flag("mark-generations"),
     })
 }
 
--- a/crates/sardinerelay-standin/src/engine.rs
+++ b/crates/sardinerelay-standin/src/engine.rs
@@ -77,6 +77,9 @@
     pub seed: u64,
     /// Mean output length in tokens where the request does not state one.
     pub mean_tokens: u64,
+    /// Whether the text of each token ends with a mark of its generation, so that a reader can
+    /// tell output of two generations for one prompt apart.
+    pub mark_generations: bool,
 }
 
 impl Default for Config {
@@ -105,6 +108,7 @@
             incarnation: None,
             seed: 1,
             mean_tokens: 60,
+            mark_generations: false,
         }
     }
 }
@@ -264,7 +268,7 @@
         request: header(headers, "x-request-id").unwrap_or_default(),
         priority: header(headers, "x-priority").unwrap_or(0),
         target,
-        live: ask.into_live(shape, target),
+        live: ask.into_live(shape, target, shared.config.mark_generations),
     };
     if !core.admit(admission) {
         return Err(refuse(
@@ -315,7 +319,7 @@
             .unwrap_or(u64::MAX)
     }
 
-    fn into_live(self, shape: Shape, target: u64) -> Live {
+    fn into_live(self, shape: Shape, target: u64, marked: bool) -> Live {
         let prompt = match shape {
             Shape::Chat => prompt_of(&self.messages),
             Shape::Text => self.prompt.to_string(),
@@ -323,6 +327,7 @@
         Live {
             shape,
             fingerprint: fingerprint(&prompt),
+            marked,
             prompt_tokens: (prompt.len() as u64 / BYTES_PER_TOKEN).max(1),
             cached: 0,
             blocks: blocks(&self.model, &prompt),
--- a/crates/sardinerelay-standin/src/reader.rs
+++ b/crates/sardinerelay-standin/src/reader.rs
@@ -30,6 +30,8 @@
     pub(crate) model: CompactString,
     /// Text of each token is derived from this, so that a reader can check its own answer.
     pub(crate) fingerprint: u32,
+    /// Whether the text also names the generation.
+    pub(crate) marked: bool,
     pub(crate) prompt_tokens: u64,
     /// Prompt tokens that the prefix cache held.
     pub(crate) cached: u64,
@@ -159,7 +161,10 @@
     }
 
     fn write_token(&self, events: &mut String, id: Uuid, index: u64) {
-        let text = format!("{:08x}.{index} ", self.fingerprint);
+        let text = match self.marked {
+            true => format!("{:08x}.{index}.{} ", self.fingerprint, id.simple()),
+            false => format!("{:08x}.{index} ", self.fingerprint),
+        };
         let last = index + 1 == self.target;
         let finish = if last { json!("stop") } else { Value::Null };
         let choice = match self.shape {
--- /dev/null
+++ b/crates/sardinerelayd/tests/chaos/faults.rs
@@ -0,0 +1,165 @@
+//! The seeded schedule of faults. Two lanes run it, so that faults meet.
+
+use {
+    crate::{
+        client,
+        harness::Process,
+        scene::{ENGINES, HOSTS, Scene, VOTERS, World, read_generations},
+    },
+    http::Method,
+    rand::{Rng, rngs::StdRng},
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::Mutex, time::sleep},
+};
+
+/// Availability zones of the harness.
+const ZONES: [&str; 3] = ["lakes-a", "lakes-b", "lakes-c"];
+
+/// One fault.
+#[derive(Debug, Clone, PartialEq)]
+enum Fault {
+    /// Ends a host without warning, and starts it later.
+    Kill(usize),
+    /// Stops a host gracefully, and starts it later.
+    Stop(usize),
+    /// Stops a host's process from running for a while.
+    Freeze(usize),
+    /// Ends a host without a disk for good.
+    Remove(usize),
+    /// Sets a fault on all links of an availability zone for a while.
+    Cut(&'static str, &'static str),
+    /// Makes the engine's open connections silent for good.
+    Silence(usize),
+    /// Pauses an engine's decoding.
+    Stall(usize),
+    /// Ends an engine, and starts it later.
+    KillEngine(usize),
+    /// The platform reclaims an engine at short notice, and starts another later.
+    Reclaim(usize),
+}
+
+impl Fault {
+    fn random(random: &mut StdRng) -> Self {
+        let host = random.random_range(0..HOSTS as usize);
+        let engine = random.random_range(0..ENGINES);
+        let zone = ZONES[random.random_range(0..ZONES.len())];
+        match random.random_range(0..20) {
+            0..=3 => Self::Kill(host),
+            4..=5 => Self::Stop(host),
+            6..=8 => Self::Freeze(host),
+            9 => Self::Remove(random.random_range(VOTERS..HOSTS) as usize),
+            10..=11 => Self::Cut(zone, "cut"),
+            12..=13 => Self::Cut(zone, "black_hole"),
+            14 => Self::Cut(zone, "silent"),
+            15 => Self::Silence(engine),
+            16 => Self::Stall(engine),
+            17..=18 => Self::KillEngine(engine),
+            _ => Self::Reclaim(engine),
+        }
+    }
+}
+
+/// Injects one fault after the other until the run ends.
+pub async fn inject(scene: Arc<Scene>, world: Arc<Mutex<World>>, task: u64) {
+    let mut random = scene.random(task);
+    while scene.is_running() {
+        let fault = Fault::random(&mut random);
+        let hold = Duration::from_millis(random.random_range(100..3_000));
+        eprintln!("{:>9} {fault:?} for {hold:?}", scene.recorder.now());
+        let stopping = begin(&scene, &mut *world.lock().await, &fault).await;
+        sleep(hold).await;
+        if let (Fault::Stop(host), Some(id)) = (&fault, stopping) {
+            await_stop(&world, *host, id).await;
+        }
+        end(&scene, &mut *world.lock().await, &fault).await;
+        sleep(Duration::from_millis(random.random_range(50..1_000))).await;
+    }
+}
+
+/// Returns the id of the process that was told to stop.
+async fn begin(scene: &Scene, world: &mut World, fault: &Fault) -> Option<u32> {
+    match fault {
+        Fault::Kill(host) => world.kill_host(scene, *host),
+        Fault::Stop(host) => {
+            world.signal(*host, "TERM");
+            let process = world.system.hosts[*host].process.as_ref();
+            return process.map(Process::id);
+        }
+        Fault::Freeze(host) => world.signal(*host, "STOP"),
+        Fault::Remove(host) if world.removed.is_none() => {
+            world.kill_host(scene, *host);
+            world.removed = Some(*host);
+        }
+        Fault::Remove(_) => {}
+        Fault::Cut(zone, mode) => world.wires.fault(zone, mode).await,
+        Fault::Silence(engine) => tell(scene, *engine, "faults", r#"{"silent":true}"#).await,
+        Fault::Stall(engine) => tell(scene, *engine, "faults", r#"{"stall_ms":1500}"#).await,
+        Fault::KillEngine(engine) => world.kill_engine(scene, *engine).await,
+        Fault::Reclaim(engine) => {
+            tell(scene, *engine, "leave", r#"{"kill_after_ms":600}"#).await;
+            // The last look at its record: it refuses new generations from now on.
+            read_generations(scene, *engine).await;
+        }
+    }
+    None
+}
+
+async fn end(scene: &Scene, world: &mut World, fault: &Fault) {
+    match fault {
+        Fault::Kill(host) | Fault::Stop(host) => world.revive_host(scene, *host),
+        Fault::Freeze(host) => world.signal(*host, "CONT"),
+        Fault::Cut(zone, _) => world.wires.heal(zone).await,
+        Fault::KillEngine(engine) => world.revive_engine(scene, *engine),
+        Fault::Reclaim(engine) => {
+            sleep(Duration::from_millis(700)).await;
+            world.revive_engine(scene, *engine);
+        }
+        Fault::Remove(_) | Fault::Silence(_) | Fault::Stall(_) => {}
+    }
+}
+
+/// Waits until the process that was told to stop has ended. One that the other lane froze ends
+/// later.
+async fn await_stop(world: &Mutex<World>, host: usize, id: u32) {
+    loop {
+        let mut world = world.lock().await;
+        let process = &mut world.system.hosts[host].process;
+        let Some(stopping) = process.as_mut().filter(|stopping| stopping.id() == id) else {
+            return;
+        };
+        if stopping.ended().is_some() {
+            *process = None;
+            return;
+        }
+        drop(world);
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn tell(scene: &Scene, engine: usize, path: &str, body: &str) {
+    let headers = [("content-type", "application/json")];
+    let path = format!("/v1/{path}");
+    client::send(scene.engines[engine], Method::POST, &path, &headers, body).await;
+}
+
+/// Ends every fault and starts every process that is away, but for a removed host.
+pub async fn heal(scene: &Scene, world: &mut World) {
+    for zone in ZONES {
+        world.wires.heal(zone).await;
+    }
+    for host in 0..HOSTS as usize {
+        world.signal(host, "CONT");
+        let process = &mut world.system.hosts[host].process;
+        if process
+            .as_mut()
+            .is_some_and(|process| process.ended().is_some())
+        {
+            *process = None;
+        }
+        world.revive_host(scene, host);
+        world.end_outage(scene, host);
+    }
+    for engine in 0..ENGINES {
+        world.revive_engine(scene, engine);
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/tests/chaos/main.rs
@@ -0,0 +1,20 @@
+//! Combined faults at random from a seed, with every event recorded and the history checked
+//! against the guarantees of section 1.2 of `docs/design.md`.
+
+mod calls;
+mod check;
+#[path = "../e2e/client.rs"]
+#[allow(dead_code, reason = "shared with the end-to-end tests")]
+mod client;
+mod faults;
+#[path = "../e2e/harness.rs"]
+#[allow(dead_code, reason = "shared with the end-to-end tests")]
+mod harness;
+mod history;
+mod operators;
+mod planted;
+mod run;
+mod scene;
+mod streams;
+#[path = "../e2e/wires.rs"]
+mod wires;
--- a/crates/sardinerelayd/tests/e2e/cuts.rs
+++ b/crates/sardinerelayd/tests/e2e/cuts.rs
@@ -3,66 +3,17 @@
 use {
     crate::{
         client::{self, assert_whole},
-        harness::{
-            Process, System, engine, eventually, free_address, in_force, key, sheet, standin,
-        },
+        harness::{Process, System, engine, eventually, in_force, key, sheet, standin},
+        wires::Wires,
     },
     http::Method,
     rstest::rstest,
     sardinerelay::operator::Verdict,
-    serde_json::{Value, json},
-    std::{collections::BTreeMap, net::SocketAddr},
+    serde_json::Value,
+    std::net::SocketAddr,
     uuid::Uuid,
 };
 
-/// The links between availability zones, each through a fault-injecting proxy.
-struct Wires {
-    proxy: Process,
-}
-
-impl Wires {
-    /// Puts a route under every link that crosses availability zones.
-    fn lay(system: &mut System, voters: u64) -> Self {
-        let mut listens: BTreeMap<(u64, u64), SocketAddr> = BTreeMap::new();
-        let mut arguments = vec!["proxy".to_owned()];
-        for from in &system.hosts {
-            for to in system.hosts.iter().filter(|to| to.zone != from.zone) {
-                let listen = free_address();
-                listens.insert((from.id, to.id), listen);
-                arguments.push("--route".to_owned());
-                let name = format!("{}-{}", from.id, to.id);
-                arguments.push(format!(
-                    "{listen}={},name={name},group={},group={}",
-                    to.peer, from.zone, to.zone
-                ));
-            }
-        }
-        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-        let proxy = standin(&arguments);
-        system.link(
-            &|from, to| listens.get(&(from.id, to.id)).copied().unwrap_or(to.peer),
-            voters,
-        );
-        Self { proxy }
-    }
-
-    /// Sets a fault on every link of an availability zone.
-    async fn fault(&self, zone: &str, mode: &str) {
-        let body = json!({ "mode": mode }).to_string();
-        let headers = [("content-type", "application/json")];
-        let path = format!("/v1/faults/{zone}");
-        let (status, text) =
-            client::send(self.proxy.address, Method::PUT, &path, &headers, &body).await;
-        assert!((200..300).contains(&status), "{status} {text}");
-    }
-
-    async fn heal(&self, zone: &str) {
-        let path = format!("/v1/faults/{zone}");
-        let (status, text) = client::send(self.proxy.address, Method::DELETE, &path, &[], "").await;
-        assert!((200..300).contains(&status), "{status} {text}");
-    }
-}
-
 async fn order(address: SocketAddr, id: &str) -> (u16, Value) {
     let authorization = format!("Bearer {}", key("brakeline"));
     let headers = [
--- a/crates/sardinerelayd/tests/e2e/harness.rs
+++ b/crates/sardinerelayd/tests/e2e/harness.rs
@@ -69,7 +69,7 @@
     /// Sends a signal by name, for example `TERM`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
+            .args([format!("-{name}"), self.id().to_string()])
             .status()
             .expect("kill runs");
         assert!(status.success(), "kill -{name} failed");
@@ -81,11 +81,21 @@
         let _ = self.child.wait();
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the child can be waited for")
+    }
+
     /// Waits for it to end by itself.
     pub fn wait(&mut self) -> ExitStatus {
         let since = Instant::now();
         loop {
-            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+            if let Some(status) = self.ended() {
                 return status;
             }
             assert!(since.elapsed() < PATIENCE, "the process did not end");
@@ -287,17 +297,7 @@
         sheet: &Sheet,
         proposal: Uuid,
     ) -> Result<Verdict, Error> {
-        let submission = Submission {
-            number: sheet.number,
-            digest: Digest(sheet.digest()),
-            toml: sheet.to_toml(),
-            proposal,
-        };
-        let params = serde_json::to_value(submission).expect("a submission is JSON");
-        let verdict = self
-            .operate(position, operator::SHEET_SUBMIT, params)
-            .await?;
-        Ok(serde_json::from_value(verdict).expect("the verdict can be read"))
+        submit(self.hosts[position].operator, sheet, proposal).await
     }
 
     /// Submits a sheet until a leader accepts it, then waits until it is in force on all hosts.
@@ -324,6 +324,19 @@
     }
 }
 
+/// Submits a sheet at an operator address.
+pub async fn submit(address: SocketAddr, sheet: &Sheet, proposal: Uuid) -> Result<Verdict, Error> {
+    let submission = Submission {
+        number: sheet.number,
+        digest: Digest(sheet.digest()),
+        toml: sheet.to_toml(),
+        proposal,
+    };
+    let params = serde_json::to_value(submission).expect("a submission is JSON");
+    let verdict = operate(address, operator::SHEET_SUBMIT, params).await?;
+    Ok(serde_json::from_value(verdict).expect("the verdict can be read"))
+}
+
 /// The number of the sheet that a host has in force.
 pub async fn in_force(operator: SocketAddr) -> Option<u64> {
     let health = operate(operator, operator::HEALTH, Value::Null)
@@ -332,7 +345,8 @@
     health["in_force"]["number"].as_u64()
 }
 
-async fn operate(address: SocketAddr, method: &str, params: Value) -> Result<Value, Error> {
+/// Calls an operator method at an operator address.
+pub async fn operate(address: SocketAddr, method: &str, params: Value) -> Result<Value, Error> {
     let mut headers = HeaderMap::new();
     let secret = format!("Bearer {SECRET}");
     headers.insert(
--- a/crates/sardinerelayd/tests/e2e/main.rs
+++ b/crates/sardinerelayd/tests/e2e/main.rs
@@ -8,3 +8,4 @@
 mod sheets;
 mod stops;
 mod streams;
+mod wires;
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/wires.rs
@@ -0,0 +1,61 @@
+//! The links between availability zones.
+
+use {
+    crate::{
+        client,
+        harness::{Process, System, free_address, standin},
+    },
+    http::Method,
+    serde_json::json,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// The links between availability zones, each through a fault-injecting proxy.
+#[derive(Debug)]
+pub struct Wires {
+    proxy: Process,
+}
+
+impl Wires {
+    /// Puts a route under every link that crosses availability zones.
+    pub fn lay(system: &mut System, voters: u64) -> Self {
+        let mut listens: BTreeMap<(u64, u64), SocketAddr> = BTreeMap::new();
+        let mut arguments = vec!["proxy".to_owned()];
+        for from in &system.hosts {
+            for to in system.hosts.iter().filter(|to| to.zone != from.zone) {
+                let listen = free_address();
+                listens.insert((from.id, to.id), listen);
+                arguments.push("--route".to_owned());
+                let name = format!("{}-{}", from.id, to.id);
+                arguments.push(format!(
+                    "{listen}={},name={name},group={},group={}",
+                    to.peer, from.zone, to.zone
+                ));
+            }
+        }
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        let proxy = standin(&arguments);
+        system.link(
+            &|from, to| listens.get(&(from.id, to.id)).copied().unwrap_or(to.peer),
+            voters,
+        );
+        Self { proxy }
+    }
+
+    /// Sets a fault on every link of an availability zone.
+    pub async fn fault(&self, zone: &str, mode: &str) {
+        let body = json!({ "mode": mode }).to_string();
+        let headers = [("content-type", "application/json")];
+        let path = format!("/v1/faults/{zone}");
+        let (status, text) =
+            client::send(self.proxy.address, Method::PUT, &path, &headers, &body).await;
+        assert!((200..300).contains(&status), "{status} {text}");
+    }
+
+    /// Heals every link of an availability zone.
+    pub async fn heal(&self, zone: &str) {
+        let path = format!("/v1/faults/{zone}");
+        let (status, text) = client::send(self.proxy.address, Method::DELETE, &path, &[], "").await;
+        assert!((200..300).contains(&status), "{status} {text}");
+    }
+}
