--- a/crates/sardinerelayd/tests/chaos/check.rs
+++ b/crates/sardinerelayd/tests/chaos/check.rs
@@ -30,6 +30,8 @@
     Truncated(String),
     /// A stream that ended without a word although its host lived (G2, G6).
     Silenced(String),
+    /// New work for a target after every host had confirmed its stop (G5).
+    WorkAfterStop(String),
     /// A host showed an older sheet than before (G7).
     Reverted(String),
     /// Two sheets under one number (G7).
--- a/crates/sardinerelayd/tests/chaos/check/streams.rs
+++ b/crates/sardinerelayd/tests/chaos/check/streams.rs
@@ -27,9 +27,22 @@
             }
         }
     }
+    found.extend(work_after_stop(history));
     found
 }
 
+fn work_after_stop(history: &History) -> impl Iterator<Item = Violation> {
+    let pairs = history.generations.iter().flat_map(|generation| {
+        let stops = history.drained.iter().filter(|stop| {
+            stop.engine == generation.engine
+                && generation.started_ms > stop.from_ms
+                && generation.started_ms < stop.until_ms
+        });
+        stops.map(move |stop| (generation, stop))
+    });
+    pairs.map(|(generation, stop)| Violation::WorkAfterStop(format!("{generation:?} {stop:?}")))
+}
+
 /// The first token that breaks the order, if any.
 fn tokens(delivery: &Delivery) -> Option<Violation> {
     let mut generation = None;
--- a/crates/sardinerelayd/tests/chaos/faults.rs
+++ b/crates/sardinerelayd/tests/chaos/faults.rs
@@ -3,18 +3,34 @@
 use {
     crate::{
         client,
-        harness::Process,
-        scene::{ENGINES, HOSTS, Scene, VOTERS, World, read_generations},
+        harness::{Process, operate},
+        history::Drained,
+        scene::{ENGINES, HOSTS, Scene, VOTERS, World, read_generations, unix_ms},
     },
     http::Method,
     rand::{Rng, rngs::StdRng},
+    sardinerelay::operator::{STOP_PLAN, STOP_WATCH},
+    serde_json::json,
     std::{sync::Arc, time::Duration},
-    tokio::{sync::Mutex, time::sleep},
+    tokio::{
+        sync::Mutex,
+        time::{sleep, timeout},
+    },
+    uuid::Uuid,
 };
 
 /// Availability zones of the harness.
 const ZONES: [&str; 3] = ["lakes-a", "lakes-b", "lakes-c"];
 
+/// How long an operator waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// Looks at the progress of a planned stop.
+const LOOKS: u32 = 20;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(200);
+
 /// One fault.
 #[derive(Debug, Clone, PartialEq)]
 enum Fault {
@@ -34,6 +50,8 @@
     Stall(usize),
     /// Ends an engine, and starts it later.
     KillEngine(usize),
+    /// An operator plans the stop of an engine, which is replaced later.
+    PlanStop(usize),
     /// The platform reclaims an engine at short notice, and starts another later.
     Reclaim(usize),
 }
@@ -43,7 +61,7 @@
         let host = random.random_range(0..HOSTS as usize);
         let engine = random.random_range(0..ENGINES);
         let zone = ZONES[random.random_range(0..ZONES.len())];
-        match random.random_range(0..20) {
+        match random.random_range(0..22) {
             0..=3 => Self::Kill(host),
             4..=5 => Self::Stop(host),
             6..=8 => Self::Freeze(host),
@@ -54,6 +72,7 @@
             15 => Self::Silence(engine),
             16 => Self::Stall(engine),
             17..=18 => Self::KillEngine(engine),
+            19..=20 => Self::PlanStop(engine),
             _ => Self::Reclaim(engine),
         }
     }
@@ -68,6 +87,9 @@
         eprintln!("{:>9} {fault:?} for {hold:?}", scene.recorder.now());
         let stopping = begin(&scene, &mut *world.lock().await, &fault).await;
         sleep(hold).await;
+        if let Fault::PlanStop(engine) = fault {
+            plan_stop(&scene, &world, engine, &mut random).await;
+        }
         if let (Fault::Stop(host), Some(id)) = (&fault, stopping) {
             await_stop(&world, *host, id).await;
         }
@@ -90,7 +112,7 @@
             world.kill_host(scene, *host);
             world.removed = Some(*host);
         }
-        Fault::Remove(_) => {}
+        Fault::Remove(_) | Fault::PlanStop(_) => {}
         Fault::Cut(zone, mode) => world.wires.fault(zone, mode).await,
         Fault::Silence(engine) => tell(scene, *engine, "faults", r#"{"silent":true}"#).await,
         Fault::Stall(engine) => tell(scene, *engine, "faults", r#"{"stall_ms":1500}"#).await,
@@ -110,6 +132,10 @@
         Fault::Freeze(host) => world.signal(*host, "CONT"),
         Fault::Cut(zone, _) => world.wires.heal(zone).await,
         Fault::KillEngine(engine) => world.revive_engine(scene, *engine),
+        Fault::PlanStop(engine) => {
+            world.kill_engine(scene, *engine).await;
+            world.revive_engine(scene, *engine);
+        }
         Fault::Reclaim(engine) => {
             sleep(Duration::from_millis(700)).await;
             world.revive_engine(scene, *engine);
@@ -136,6 +162,48 @@
     }
 }
 
+/// Plans the stop of an engine through any host and watches until all hosts have confirmed it.
+/// The attempt is given up if the engine is replaced meanwhile.
+async fn plan_stop(scene: &Scene, world: &Mutex<World>, engine: usize, random: &mut StdRng) {
+    let run = world.lock().await.engine_runs[engine];
+    let name = format!("engine-{engine}");
+    let subject = json!({ "kind": "target", "name": name });
+    let planned_ms = unix_ms();
+    let proposal = Uuid::from_u128(random.random());
+    let plan = json!({ "subject": subject, "proposal": proposal });
+    let planned = operate(scene.pick(random).operator, STOP_PLAN, plan);
+    if !matches!(timeout(PATIENCE, planned).await, Ok(Ok(_))) {
+        return;
+    }
+    for _ in 0..LOOKS {
+        sleep(LOOK).await;
+        let watch = json!({ "subject": subject, "seen": null, "wait_ms": 100 });
+        let told = operate(scene.pick(random).operator, STOP_WATCH, watch);
+        let Ok(Ok(progress)) = timeout(PATIENCE, told).await else {
+            continue;
+        };
+        // An older stop of the same name may still be told.
+        let current = progress["planned_at_ms"].as_u64() >= Some(planned_ms);
+        if !current || progress["stage"] == "planned" {
+            continue;
+        }
+        let from_ms = unix_ms();
+        let mut world = world.lock().await;
+        if world.engine_runs[engine] == run && world.engines[engine].is_some() {
+            world.drained.push(Drained {
+                engine,
+                planned_ms,
+                from_ms,
+                until_ms: u64::MAX,
+            });
+        }
+        // Time in which new work would arrive.
+        drop(world);
+        sleep(Duration::from_secs(1)).await;
+        return;
+    }
+}
+
 async fn tell(scene: &Scene, engine: usize, path: &str, body: &str) {
     let headers = [("content-type", "application/json")];
     let path = format!("/v1/{path}");
--- a/crates/sardinerelayd/tests/chaos/history.rs
+++ b/crates/sardinerelayd/tests/chaos/history.rs
@@ -176,10 +176,27 @@
     pub id: String,
     /// The request identifier.
     pub request: String,
+    /// The engine that ran it.
+    pub engine: usize,
+    /// When the engine took it on, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
     /// How often the engine preempted it.
     pub preemptions: u64,
 }
 
+/// A planned stop of an engine that was reported as confirmed by every host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drained {
+    /// The engine.
+    pub engine: usize,
+    /// Before the stop was planned, in milliseconds since the Unix epoch.
+    pub planned_ms: u64,
+    /// When the confirmation arrived, in milliseconds since the Unix epoch.
+    pub from_ms: u64,
+    /// When this run of the engine ended.
+    pub until_ms: u64,
+}
+
 /// A time in which a host's process was killed or away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Outage {
@@ -206,6 +223,8 @@
     pub runs: Vec<Run>,
     /// The engines' records.
     pub generations: Vec<Generation>,
+    /// Confirmed stops of engines.
+    pub drained: Vec<Drained>,
     /// Kills of hosts.
     pub outages: Vec<Outage>,
 }
--- a/crates/sardinerelayd/tests/chaos/planted.rs
+++ b/crates/sardinerelayd/tests/chaos/planted.rs
@@ -5,8 +5,8 @@
     crate::{
         check::{Violation, violations},
         history::{
-            Attempt, Delivery, End, Generation, History, Identity, Kind, Outage, Outcome, Part,
-            Run, Shown, Span, Submission, Verdict,
+            Attempt, Delivery, Drained, End, Generation, History, Identity, Kind, Outage, Outcome,
+            Part, Run, Shown, Span, Submission, Verdict,
         },
     },
     rstest::rstest,
@@ -172,6 +172,8 @@
     history.generations.push(Generation {
         id: "g".to_owned(),
         request: "r".to_owned(),
+        engine: 0,
+        started_ms: 5,
         preemptions: 0,
     });
     assert_found(&history, &["FalseNotRun"]);
@@ -179,6 +181,31 @@
     assert_found(&history, &[]);
 }
 
+#[test]
+fn new_work_after_a_confirmed_stop() {
+    let generation = |engine, started_ms| Generation {
+        id: "g".to_owned(),
+        request: "r".to_owned(),
+        engine,
+        started_ms,
+        preemptions: 0,
+    };
+    let stop = Drained {
+        engine: 0,
+        planned_ms: 3,
+        from_ms: 5,
+        until_ms: 9,
+    };
+    let mut history = History {
+        drained: vec![stop],
+        generations: vec![generation(0, 4), generation(1, 7), generation(0, 10)],
+        ..History::default()
+    };
+    assert_found(&history, &[]);
+    history.generations.push(generation(0, 7));
+    assert_found(&history, &["WorkAfterStop"]);
+}
+
 fn identity(number: u64, digest: &str) -> Identity {
     Identity {
         number,
--- a/crates/sardinerelayd/tests/chaos/run.rs
+++ b/crates/sardinerelayd/tests/chaos/run.rs
@@ -90,6 +90,9 @@
     let mut world = world.lock().await;
     faults::heal(&scene, &mut world).await;
     settle(&scene, &world).await;
+    for engine in 0..ENGINES {
+        world.end_drained(&scene, engine);
+    }
     scene.recorder.history().clone()
 }
 
@@ -155,7 +158,7 @@
     format!(
         "{} attempts ({} acknowledged, {} not run, {} unknown, {} lost); {} streams, {} \
          connections ({} whole, {} errors, {} closed, {} abandoned, {} refused), {} preemptions; {} \
-         submissions ({} accepted, {} not committed, {} lost), {} sheets shown; {} kills",
+         submissions ({} accepted, {} not committed, {} lost), {} sheets shown; {} kills; {} confirmed stops, last new work {:?} ms after the plan",
         history.attempts.len(),
         attempts(|outcome| matches!(outcome, Outcome::Acknowledged { .. })),
         attempts(|outcome| matches!(outcome, Outcome::NotRun(_))),
@@ -175,5 +178,19 @@
         verdicts(|verdict| *verdict == Verdict::Lost),
         history.shown.len(),
         history.outages.len(),
+        history.drained.len(),
+        last_work(history),
     )
 }
+
+/// The longest time between the plan of a confirmed stop and new work on the engine.
+fn last_work(history: &History) -> Option<u64> {
+    let times = history.drained.iter().flat_map(|stop| {
+        let started = history.generations.iter().filter(|generation| {
+            generation.engine == stop.engine
+                && (stop.planned_ms..stop.until_ms).contains(&generation.started_ms)
+        });
+        started.map(|generation| generation.started_ms - stop.planned_ms)
+    });
+    times.max()
+}
--- a/crates/sardinerelayd/tests/chaos/scene.rs
+++ b/crates/sardinerelayd/tests/chaos/scene.rs
@@ -4,7 +4,7 @@
     crate::{
         client,
         harness::{Process, System, free_address, standin},
-        history::{Generation, Outage, Recorder, Run},
+        history::{Drained, Generation, Outage, Recorder, Run},
         wires::Wires,
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom},
@@ -13,7 +13,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
-        time::Duration,
+        time::{Duration, UNIX_EPOCH},
     },
     tokio::time::timeout,
 };
@@ -91,6 +91,10 @@
     pub engines: Vec<Option<Process>>,
     /// A host that was removed for good.
     pub removed: Option<usize>,
+    /// Confirmed stops of the engines that run now.
+    pub drained: Vec<Drained>,
+    /// Number of the current run of each engine.
+    pub engine_runs: [u64; ENGINES],
     /// When each host that is away was killed.
     pub killed_at: BTreeMap<usize, u64>,
     /// The plain service, which ends with the world.
@@ -152,6 +156,8 @@
             wires,
             _service: service,
             removed: None,
+            drained: Vec::new(),
+            engine_runs: [0; ENGINES],
             killed_at: BTreeMap::new(),
         };
         (world, scene)
@@ -197,6 +203,7 @@
     pub async fn kill_engine(&mut self, scene: &Scene, position: usize) {
         if self.engines[position].is_some() {
             read_generations(scene, position).await;
+            self.end_drained(scene, position);
             self.engines[position] = None;
         }
     }
@@ -207,9 +214,29 @@
             .as_mut()
             .is_none_or(|process| process.ended().is_some());
         if ended {
+            self.end_drained(scene, position);
+            self.engine_runs[position] += 1;
             self.engines[position] = Some(engine(position, scene.engines[position]));
         }
     }
+
+    /// Notes that a run of an engine ended whose stop was confirmed.
+    pub fn end_drained(&mut self, scene: &Scene, position: usize) {
+        let ended = self
+            .drained
+            .extract_if(.., |stop| stop.engine == position)
+            .map(|stop| Drained {
+                until_ms: unix_ms(),
+                ..stop
+            });
+        scene.recorder.history().drained.extend(ended);
+    }
+}
+
+/// Milliseconds since the Unix epoch, as the stand-ins record them.
+pub fn unix_ms() -> u64 {
+    let elapsed = UNIX_EPOCH.elapsed().unwrap_or_default();
+    elapsed.as_millis() as u64
 }
 
 fn engine(position: usize, address: SocketAddr) -> Process {
@@ -242,6 +269,8 @@
         history.generations.push(Generation {
             id: id.replace('-', ""),
             request: row["request"].as_str().unwrap_or_default().to_owned(),
+            engine: position,
+            started_ms: row["started_ms"].as_u64().unwrap_or_default(),
             preemptions: row["preemptions"].as_u64().unwrap_or_default(),
         });
     }
