Keep a planned stop when an older run of the target is stopped

Cause: a plan replaced whatever stop the subject had. Repeating a plan also counted as a change. Ruled out: the targets' own leaves, which compare incarnations already. Before: the new test reads version 2 after the second plan. After: version 1, and the first stop stays; a later run still replaces it. Conclusion: stops now only move to later runs, as leaves do.

--- a/crates/sardinerelay/src/state/view.rs
+++ b/crates/sardinerelay/src/state/view.rs
@@ -221,7 +221,10 @@
             ),
             Change::PlanStop(stop) => (
                 !self.left(&stop.subject, stop.incarnation)
-                    && self.stops.get(&stop.subject) != Some(&stop.planned()),
+                    && self
+                        .stops
+                        .get(&stop.subject)
+                        .is_none_or(|planned| planned.incarnation < stop.incarnation),
                 self.stops.contains_key(&stop.subject),
                 self.stops.len(),
             ),
--- a/crates/sardinerelay/tests/state.rs
+++ b/crates/sardinerelay/tests/state.rs
@@ -231,6 +231,32 @@
     assert!(view.leaves.target_left("engine-1", 3) && !view.leaves.target_left("engine-1", 4));
 }
 
+// Guards against a stop that another plan reverts: one that was made through a host that knew only
+// an older run of the target.
+#[test]
+fn a_stop_of_an_older_run_does_not_replace_a_later_one() {
+    let stop = |incarnation, at| {
+        plain(Command::PlanStop(Stop {
+            subject: Subject::Target("engine-1".into()),
+            incarnation,
+            at: time(at),
+            grace: Duration::from_secs(30),
+        }))
+    };
+    let planned = |machine: &Machine| {
+        let subject = Subject::Target("engine-1".into());
+        machine.view().stops.get(&subject).cloned()
+    };
+    let mut machine = Machine::new(Quota::default());
+    assert_eq!(Reply::Recorded(1), machine.apply(1, &stop(3, 60)));
+    let first = planned(&machine);
+    assert_eq!(Reply::Recorded(1), machine.apply(2, &stop(0, 61)));
+    assert_eq!(Reply::Recorded(1), machine.apply(3, &stop(3, 62)));
+    assert_eq!(planned(&machine), first);
+    assert_eq!(Reply::Recorded(2), machine.apply(4, &stop(4, 63)));
+    assert_eq!(planned(&machine).map(|stop| stop.incarnation), Some(4));
+}
+
 // Guards against hosts that together exceed an organisation's limit, also when a host's answer to
 // a smaller claim was lost and it still spends the larger share.
 #[test]
