Refuse to plan the stop of an engine whose run is unknown

Cause: a host that has no load report of an engine yet, for example directly after its restart, planned the stop of incarnation 0. Ruled out: slow distribution of the stop; every host had confirmed its version. Before: the new test finds generations on the stopped engine. After: the plan is refused as not ready, and the operator repeats it or uses another host. Conclusion: a stop names a run that the host has seen; servers of plain services have no runs.

--- a/crates/sardinerelayd/src/operator.rs
+++ b/crates/sardinerelayd/src/operator.rs
@@ -261,6 +261,14 @@
     )
 }
 
+fn not_ready(what: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(
+        ErrorCode::NotReady.number(),
+        format!("this host {what}; repeat the request, or use another host"),
+        None::<()>,
+    )
+}
+
 fn unexpected(reply: &Reply) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(
         ErrorCode::Internal.number(),
--- a/crates/sardinerelayd/src/operator/stops.rs
+++ b/crates/sardinerelayd/src/operator/stops.rs
@@ -1,7 +1,7 @@
 //! Planned stops of hosts and targets, and their progress over all hosts.
 
 use {
-    super::{Answer, Desk, unexpected, unknown},
+    super::{Answer, Desk, not_ready, unexpected, unknown},
     crate::report::Report,
     log::info,
     sardinerelay::{
@@ -89,11 +89,20 @@
                     .ok_or_else(|| unknown(&format!("host {host} that answers")))
             }
             Subject::Target(target) => {
-                self.view
-                    .load()
+                let view = self.view.load();
+                let server = view
                     .target(target)
                     .ok_or_else(|| unknown(&format!("target '{target}' in the sheet")))?;
-                Ok(self.scheduler.incarnation(target).unwrap_or_default())
+                let reports = self.scheduler.reports();
+                match reports.get(target) {
+                    Some((load, _)) => Ok(load.incarnation()),
+                    // Servers of plain services send no reports and have no runs.
+                    None if server.memory_tokens == 0 => Ok(Incarnation::MIN),
+                    // A stop of a guessed run would be confirmed without stopping the real one.
+                    None => Err(not_ready(&format!(
+                        "has no report of target '{target}' yet"
+                    ))),
+                }
             }
         }
     }
--- a/crates/sardinerelayd/tests/e2e/stops.rs
+++ b/crates/sardinerelayd/tests/e2e/stops.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         client::{self, Event, assert_whole, expected},
-        harness::{System, engine, eventually, key, sheet},
+        harness::{System, engine, eventually, in_force, key, sheet},
     },
     sardinerelay::operator::{HOSTS, STOP_PLAN, STOP_WATCH},
     serde_json::{Value, json},
@@ -86,6 +86,46 @@
     );
 }
 
+/// Guards against a stop that is confirmed but stops nothing, because the host through which it was
+/// planned did not know the target's run yet (G5).
+#[tokio::test]
+async fn a_stop_through_a_host_that_does_not_know_the_target_stops_it_or_is_refused() {
+    let engines = [engine("engine-0", &[]), engine("engine-1", &[])];
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start();
+    system
+        .put_in_force(&sheet(1, &[engines[0].address, engines[1].address], &[]))
+        .await;
+    engines[0].signal("STOP");
+    system.kill(2);
+    system.start_host(2);
+    let shown = async || in_force(system.hosts[2].operator).await == Some(1);
+    eventually("the restarted host has the sheet in force", shown).await;
+    let subject = json!({ "kind": "target", "name": "engine-0" });
+    let plan = json!({ "subject": subject, "proposal": Uuid::new_v4() });
+    let planned = system.operate(2, STOP_PLAN, plan).await;
+    engines[0].signal("CONT");
+    if planned.is_err() {
+        return;
+    }
+    let confirmed = async || {
+        let watch = json!({ "subject": subject, "seen": null, "wait_ms": 100 });
+        let progress = system.operate(1, STOP_WATCH, watch).await;
+        progress.is_ok_and(|progress| progress["stage"] != "planned")
+    };
+    eventually("every host confirms the stop", confirmed).await;
+    for turn in 0..60 {
+        let address = system.address(turn % 3);
+        let opened = client::stream(address, &key("brakeline"), "after", 1, &[]).await;
+        opened.expect("a stream").rest().await;
+    }
+    let (_, text) = client::get(engines[0].address, "/record").await;
+    assert!(
+        !text.contains("generation\":"),
+        "the stopped target ran something: {text}"
+    );
+}
+
 /// Guards against a table of hosts that lacks some, or invents the state of an unreachable one.
 #[tokio::test]
 async fn the_table_of_hosts_tells_who_answers() {
