--- a/crates/sardinerelayd/tests/chaos/faults.rs
+++ b/crates/sardinerelayd/tests/chaos/faults.rs
@@ -22,6 +22,16 @@
 /// Availability zones of the harness.
 const ZONES: [&str; 3] = ["lakes-a", "lakes-b", "lakes-c"];
 
+/// Longest time of most faults, in milliseconds.
+const SHORT: u64 = 2_000;
+
+/// Longest time of the other faults, in milliseconds: long enough for leases, elections and calls
+/// to run out.
+const LONG: u64 = 8_000;
+
+/// Share of the longer faults.
+const LONG_SHARE: f64 = 0.25;
+
 /// How long an operator waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(6);
 
@@ -83,7 +93,12 @@
     let mut random = scene.random(task);
     while scene.is_running() {
         let fault = Fault::random(&mut random);
-        let hold = Duration::from_millis(random.random_range(100..3_000));
+        let longest = if random.random_bool(LONG_SHARE) {
+            LONG
+        } else {
+            SHORT
+        };
+        let hold = Duration::from_millis(random.random_range(100..longest));
         eprintln!("{:>9} {fault:?} for {hold:?}", scene.recorder.now());
         let stopping = begin(&scene, &mut *world.lock().await, &fault).await;
         sleep(hold).await;
--- a/crates/sardinerelayd/tests/chaos/planted.rs
+++ b/crates/sardinerelayd/tests/chaos/planted.rs
@@ -69,6 +69,7 @@
     assert_eq!(names(&violations(history)), wanted);
 }
 
+/// Guards against a doubled order, a lost acknowledged order and a false "not run" that go unseen.
 #[rstest]
 #[case::doubled(vec![acknowledged("k", "a")], 2, &["Doubled", "KeyNotLinearizable"])]
 #[case::doubled_after_a_lost_answer(vec![Outcome::Lost, Outcome::Lost], 2, &["Doubled", "KeyNotLinearizable"])]
@@ -84,6 +85,7 @@
     assert_found(&calls(Kind::Keyed, outcomes, count), wanted);
 }
 
+/// Guards against the same faults of calls without a key, and against alarms for repeatable ones.
 #[rstest]
 #[case::repeated(Kind::Repeatable, Outcome::Lost, 2, &[])]
 #[case::repeated_single_call(Kind::Single, Outcome::Lost, 2, &["Doubled"])]
@@ -98,6 +100,7 @@
     assert_found(&calls(kind, vec![outcome], count), wanted);
 }
 
+/// Guards against a run of another call under the key that goes unseen.
 #[test]
 fn run_with_another_body() {
     let mut history = calls(Kind::Keyed, vec![acknowledged("k", "a")], 1);
@@ -132,6 +135,7 @@
     }
 }
 
+/// Guards against wrong, doubled, missing, foreign or mixed tokens and false ends that go unseen.
 #[rstest]
 #[case::sound("aa.0.g aa.1.g aa.2.g aa.3.g", End::Done, &[])]
 #[case::sound_resumed("aa.0.g aa.1.g; aa.2.g aa.3.g", End::Done, &[])]
@@ -149,6 +153,7 @@
     assert_found(&stream(parts, end), wanted);
 }
 
+/// Guards against alarms for streams that broke with their host, and only for those.
 #[test]
 fn stream_that_broke_with_its_host() {
     let mut history = stream("aa.0.g", End::Closed);
@@ -161,6 +166,7 @@
     assert_found(&history, &["Silenced"]);
 }
 
+/// Guards against a generation of a refused request that goes unseen.
 #[test]
 fn refused_stream_that_ran() {
     let refused = |not_run| End::Refused {
@@ -181,6 +187,7 @@
     assert_found(&history, &[]);
 }
 
+/// Guards against new work for a stopped engine that goes unseen.
 #[test]
 fn new_work_after_a_confirmed_stop() {
     let generation = |engine, started_ms| Generation {
@@ -229,6 +236,7 @@
     Verdict::Outdated(identity(number, digest))
 }
 
+/// Guards against two winners, a reverted sheet and a false refusal that go unseen.
 #[rstest]
 #[case::sound(vec![
     submission((5, "a"), (0, 9), Verdict::Accepted(1)),
@@ -270,6 +278,7 @@
     assert_found(&history, wanted);
 }
 
+/// Guards against a host that reverts unseen.
 #[test]
 fn host_that_shows_an_older_sheet() {
     let shown = |host, number, at| Shown {
@@ -286,6 +295,7 @@
     assert_found(&history, &["Reverted"]);
 }
 
+/// Guards against a host that stays behind unseen.
 #[test]
 fn accepted_sheet_that_a_host_lacks() {
     let accepted = submission((5, "a"), (0, 1), Verdict::Accepted(1));
