Refuse with an unknown outcome when an earlier engine may have run the request

Ruled out: the other ways out of the attempts, which keep what earlier engines may have done. Before: the new test, with a killed engine and one whose memory is too small, got run "not_run". After: run "unknown", code and message as before. Conclusion: the last refusal decides the code, and all attempts decide the run.

--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -77,7 +77,11 @@
                 Ok((reader, first)) => return Ok(self.answer(call, ticket, guard, reader, first)),
                 Err(lost) => {
                     if let Some(refusal) = invalid(&lost) {
-                        return Err(refusal);
+                        // This engine did not run it, but an earlier one may have.
+                        return Err(match may_have_run {
+                            true => refusal.may_have_run(),
+                            false => refusal,
+                        });
                     }
                     let failure = failure(&lost);
                     may_have_run |= failure == Failure::Lost;
--- a/crates/sardinerelayd/tests/e2e/streams.rs
+++ b/crates/sardinerelayd/tests/e2e/streams.rs
@@ -111,6 +111,33 @@
     assert_whole(&stream.rest().await, "early", 0, 2);
 }
 
+/// Guards against "not run" for a request that one engine took before it died and that another
+/// one then refused (G3).
+#[tokio::test]
+async fn a_request_that_an_engine_took_is_not_refused_as_not_run_by_the_next_one() {
+    let mut engines = [
+        engine_at("1s", "engine-0", &[]),
+        engine("engine-1", &["--memory-tokens", "16"]),
+    ];
+    let patience = ["--token-gap", "200ms", "--engine-loss", "500ms"];
+    let system = system(1, &engines, &patience).await;
+    let address = system.address(0);
+    // A request that the small engine gets first is refused at once, so another one is made.
+    let refused = loop {
+        let opened = tokio::spawn(async move {
+            client::stream(address, &key("brakeline"), "taken", 50, &[]).await
+        });
+        let taken = async || !records(&engines[0]).await.is_empty() || opened.is_finished();
+        eventually("an engine answered or took the request", taken).await;
+        if !records(&engines[0]).await.is_empty() {
+            engines[0].kill();
+            break opened.await.expect("the task ends");
+        }
+    };
+    let (_, answer) = refused.expect_err("a refusal");
+    assert_eq!(answer["error"]["run"], "unknown", "{answer}");
+}
+
 /// Guards against an answer that is lost with its entry host.
 #[tokio::test]
 async fn a_stream_whose_host_was_killed_continues_through_another_host() {
