Send work to the replacement of a stopped engine

Cause: the view bars a stopped target for the run that was stopped, but was only made anew when the control state changed. The replacement got no work until then. Ruled out: the fleet's sticky leave, which ends with a higher incarnation. Before: with one engine, stopped and replaced, no request ran within 60 s. Conclusion: a new run of a target is a reason to make the view anew, as a change of state is.

--- a/crates/sardinerelayd/src/publish.rs
+++ b/crates/sardinerelayd/src/publish.rs
@@ -23,6 +23,7 @@
     changes: watch::Sender<u64>,
     scheduler: Arc<Scheduler>,
 ) {
+    let mut restarts = scheduler.restarts();
     loop {
         let current = published.borrow_and_update().clone();
         let before = view.load().sheet.as_ref().map(|sheet| sheet.number);
@@ -36,8 +37,12 @@
         {
             info!("sheet {number} is in force, version {}", current.version);
         }
-        if published.changed().await.is_err() {
-            return;
+        tokio::select! {
+            changed = published.changed() => if changed.is_err() {
+                return;
+            },
+            // A new run of a target ends the stop of the run before.
+            _ = restarts.changed() => {}
         }
     }
 }
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -30,7 +30,10 @@
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::interval},
+    tokio::{
+        sync::{oneshot, watch},
+        time::interval,
+    },
     uuid::Uuid,
 };
 
@@ -65,6 +68,8 @@
     metrics: Arc<Metrics>,
     tally: Arc<Tally>,
     inner: Mutex<Inner>,
+    /// Counts the targets' restarts that were seen.
+    restarts: watch::Sender<u64>,
 }
 
 struct Inner {
@@ -138,6 +143,7 @@
             metrics,
             tally,
             inner: Mutex::new(inner),
+            restarts: watch::Sender::new(0),
         }
     }
 
@@ -280,6 +286,7 @@
         }
         if known.is_some_and(|known| known < incarnation) {
             inner.scheduler.restarted(target);
+            self.restarts.send_modify(|restarts| *restarts += 1);
         }
         if inner.silent.remove(target).is_some() {
             info!(target = target.as_str(); "target answers again");
@@ -352,6 +359,11 @@
             .collect()
     }
 
+    /// Changes when a target was seen to run anew.
+    pub fn restarts(&self) -> watch::Receiver<u64> {
+        self.restarts.subscribe()
+    }
+
     /// The last known run of the target.
     pub fn incarnation(&self, target: &str) -> Option<Incarnation> {
         self.lock().scheduler.fleet().incarnation(target)
