Tell of the planned stop of the current run only

Cause: a watch told of whatever stop the name had. After a target was replaced, and directly after a new plan on a host that had not published it yet, that was the stop of the run before: "drained", while the target received work. Ruled out: the counts of open work, which are of the current run. Before: the new test is told "drained" of the replacement. After: there is no such stop, and a plan is answered once this host has published it. Conclusion: a stop is named by target and run, so that progress is looked up by both.

--- a/crates/sardinerelayd/src/operator/stops.rs
+++ b/crates/sardinerelayd/src/operator/stops.rs
@@ -1,11 +1,11 @@
 //! Planned stops of hosts and targets, and their progress over all hosts.
 
 use {
-    super::{Answer, Desk, not_ready, unexpected, unknown},
+    super::{Answer, COMMIT, Desk, not_ready, unexpected, unknown},
     crate::report::Report,
     log::info,
     sardinerelay::{
-        id::Incarnation,
+        id::{Incarnation, Version},
         operator::{Stage, StopProgress, StopRequest, StopWatch, Subject},
         state::{self, Command, Planned, Reply, Stop},
     },
@@ -14,7 +14,7 @@
         sync::{Mutex, PoisonError},
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Time that open work has to finish.
@@ -46,12 +46,23 @@
                     "planned stop of {} recorded at version {version}",
                     request.subject
                 );
+                self.await_version(version).await;
                 Ok(self.progress(&request.subject, version).await)
             }
             reply => Err(unexpected(&reply)),
         }
     }
 
+    /// Waits until this host has published the version, so that a watch through it tells of the
+    /// same stop. The plan is committed either way.
+    async fn await_version(&self, version: Version) {
+        let mut published = self.control.published();
+        let current = published.wait_for(|published| published.version >= version);
+        if !matches!(timeout(COMMIT, current).await, Ok(Ok(_))) {
+            info!("version {version} is not published here yet");
+        }
+    }
+
     /// Waits until the stop has moved on since the revision that the watcher saw.
     pub(super) async fn watch(&self, watch: StopWatch) -> Answer<StopProgress> {
         let wait = Duration::from_millis(watch.wait_ms).min(LONGEST_WATCH);
@@ -69,13 +80,21 @@
         }
     }
 
+    /// The stop that is planned for the current run of the subject. The stop of an earlier run
+    /// says nothing about work that a target receives now.
     fn planned(&self, name: &Subject) -> Option<Planned> {
-        self.control
-            .published()
-            .borrow()
-            .stops
-            .get(&subject(name))
-            .cloned()
+        let published = self.control.published();
+        let planned = published.borrow().stops.get(&subject(name)).cloned()?;
+        let current = match name {
+            Subject::Host(_) => planned.incarnation,
+            Subject::Target(target) => {
+                let reports = self.scheduler.reports();
+                reports
+                    .get(target)
+                    .map_or(planned.incarnation, |(load, _)| load.incarnation())
+            }
+        };
+        (planned.incarnation >= current).then_some(planned)
     }
 
     /// The run of the host or target that a stop is for.
--- a/crates/sardinerelayd/tests/e2e/stops.rs
+++ b/crates/sardinerelayd/tests/e2e/stops.rs
@@ -126,6 +126,37 @@
     );
 }
 
+/// Guards against an operator who is told "drained" because of the stop of an earlier run, while
+/// the target that replaced it receives work (G5, G6).
+#[tokio::test]
+async fn a_stop_of_an_earlier_run_is_not_told_of_its_replacement() {
+    let mut first = engine("engine-0", &[]);
+    let mut system = System::new(1, 1, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&sheet(1, &[first.address], &[])).await;
+    let subject = json!({ "kind": "target", "name": "engine-0" });
+    let plan = json!({ "subject": subject, "proposal": Uuid::new_v4() });
+    let drained = async || {
+        let watch = json!({ "subject": subject, "seen": null, "wait_ms": 100 });
+        let progress = system.operate(0, STOP_WATCH, watch).await;
+        progress.is_ok_and(|progress| progress["stage"] == "drained")
+    };
+    let planned = async || system.operate(0, STOP_PLAN, plan.clone()).await.is_ok();
+    eventually("the stop is planned", planned).await;
+    eventually("the target is drained", drained).await;
+    first.kill();
+    let _second = engine("engine-0", &["--listen", &first.address.to_string()]);
+    let works = async || {
+        let opened = client::stream(system.address(0), &key("brakeline"), "new", 1, &[]).await;
+        match opened {
+            Ok(mut stream) => stream.rest().await.last() == Some(&Event::Done),
+            Err(_) => false,
+        }
+    };
+    eventually("the replacement receives work", works).await;
+    assert!(!drained().await, "the replacement is not drained");
+}
+
 /// Guards against a table of hosts that lacks some, or invents the state of an unreachable one.
 #[tokio::test]
 async fn the_table_of_hosts_tells_who_answers() {
