--- a/crates/sardinerelayd/tests/chaos/faults.rs
+++ b/crates/sardinerelayd/tests/chaos/faults.rs
@@ -7,10 +7,11 @@
         history::Drained,
         scene::{ENGINES, HOSTS, Scene, VOTERS, World, read_generations, unix_ms},
     },
+    futures::future::join_all,
     http::Method,
     rand::{Rng, rngs::StdRng},
-    sardinerelay::operator::{STOP_PLAN, STOP_WATCH},
-    serde_json::json,
+    sardinerelay::operator::{HEALTH, STOP_PLAN, STOP_WATCH},
+    serde_json::{Value, json},
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::Mutex,
@@ -88,18 +89,59 @@
     }
 }
 
+impl Fault {
+    /// Whether it isolates a host, which may still believe that it leads.
+    fn isolates(&self) -> bool {
+        matches!(self, Self::Freeze(_) | Self::Cut(_, "black_hole"))
+    }
+
+    /// The same fault of the voter at this position.
+    fn aimed_at(self, host: usize) -> Self {
+        match self {
+            Self::Freeze(_) => Self::Freeze(host),
+            Self::Cut(_, mode) => Self::Cut(ZONES[host % ZONES.len()], mode),
+            other => other,
+        }
+    }
+}
+
+/// The position of the host that says that it leads, in the highest term.
+async fn leader(scene: &Scene) -> Option<usize> {
+    let looks = scene.hosts.iter().take(VOTERS as usize).map(|host| {
+        timeout(
+            Duration::from_millis(500),
+            operate(host.operator, HEALTH, Value::Null),
+        )
+    });
+    let answers = join_all(looks).await.into_iter().enumerate();
+    answers
+        .filter_map(|(position, answer)| Some((answer.ok()?.ok()?, position)))
+        .filter(|(health, _)| health["role"] == "leader")
+        .max_by_key(|(health, _)| health["term"].as_u64())
+        .map(|(_, position)| position)
+}
+
 /// Injects one fault after the other until the run ends.
 pub async fn inject(scene: Arc<Scene>, world: Arc<Mutex<World>>, task: u64) {
     let mut random = scene.random(task);
     while scene.is_running() {
-        let fault = Fault::random(&mut random);
+        let mut fault = Fault::random(&mut random);
         let longest = if random.random_bool(LONG_SHARE) {
             LONG
         } else {
             SHORT
         };
         let hold = Duration::from_millis(random.random_range(100..longest));
-        eprintln!("{:>9} {fault:?} for {hold:?}", scene.recorder.now());
+        let aimed = random.random_bool(0.5);
+        let leader = leader(&scene).await.filter(|_| fault.isolates());
+        if let Some(leader) = leader.filter(|_| aimed) {
+            fault = fault.aimed_at(leader);
+        }
+        let hit = match leader.is_some_and(|leader| fault == fault.clone().aimed_at(leader)) {
+            true => " of the leader",
+            false => "",
+        };
+        eprintln!("{:>9} {fault:?} for {hold:?}{hit}", scene.recorder.now());
         let stopping = begin(&scene, &mut *world.lock().await, &fault).await;
         sleep(hold).await;
         if let Fault::PlanStop(engine) = fault {
