--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -32,7 +32,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::oneshot,
+        sync::{oneshot, watch},
         time::{interval, sleep},
     },
     uuid::Uuid,
@@ -76,6 +76,8 @@
     metrics: Arc<Metrics>,
     tally: Arc<Tally>,
     inner: Mutex<Inner>,
+    /// Counts the targets' restarts that were seen.
+    restarts: watch::Sender<u64>,
 }
 
 struct Inner {
@@ -152,6 +154,7 @@
             metrics,
             tally,
             inner: Mutex::new(inner),
+            restarts: watch::Sender::new(0),
         }
     }
 
@@ -303,6 +306,7 @@
         }
         if known.is_some_and(|known| known < incarnation) {
             inner.scheduler.restarted(target);
+            self.restarts.send_modify(|restarts| *restarts += 1);
         }
         if inner.silent.remove(target).is_some() {
             info!(target = target.as_str(); "target answers again");
@@ -375,6 +379,11 @@
             .collect()
     }
 
+    /// Changes when a target was seen to run anew.
+    pub fn restarts(&self) -> watch::Receiver<u64> {
+        self.restarts.subscribe()
+    }
+
     /// The last known run of the target.
     pub fn incarnation(&self, target: &str) -> Option<Incarnation> {
         self.lock().scheduler.fleet().incarnation(target)
--- a/crates/sardinerelayd/tests/e2e/main.rs
+++ b/crates/sardinerelayd/tests/e2e/main.rs
@@ -9,3 +9,4 @@
 mod sheets;
 mod stops;
 mod streams;
+mod wires;
