Replace a voter by committed steps, and guard founding against a lost disk

Before a replica is created, the other hosts are now asked whether the group has accepted a change, or counts the number as a member. The leader's first entry is no sign of a lost disk, because two founding voters commit it before the third one has started.

voters.replace takes one step per call and derives it from the membership alone, so that any leader continues after a lost answer.

--- a/crates/sardinectl/src/cli.rs
+++ b/crates/sardinectl/src/cli.rs
@@ -53,6 +53,7 @@
             "Lists organisations with limits and use",
         ))
         .subcommand(plain("queues", "Lists the admission queues of all hosts"))
+        .subcommand(voters())
         .subcommand(stop())
         .subcommand(explain())
         .subcommand(key())
@@ -207,6 +208,30 @@
         .arg(no_wait())
 }
 
+fn voters() -> Command {
+    let host = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .value_name(name.to_uppercase())
+            .required(true)
+            .value_parser(value_parser!(Host))
+            .help(help)
+    };
+    Command::new("voters")
+        .about("Lists the members of the consensus group, or replaces one")
+        .after_help("Examples:\n  sardinectl voters\n  sardinectl voters replace 3 4")
+        .subcommand(
+            Command::new("replace")
+                .about("Makes a learner a voter in place of a voter, one committed step at a time")
+                .after_help("Run the same command again after a lost answer; it continues.")
+                .arg(host("old", "The voter to remove"))
+                .arg(host(
+                    "new",
+                    "The host that runs with --learner under a new number",
+                ))
+                .arg(wait("15m")),
+        )
+}
+
 fn explain() -> Command {
     Command::new("explain")
         .about("Explains a refusal code that a caller received")
--- a/crates/sardinectl/src/config.rs
+++ b/crates/sardinectl/src/config.rs
@@ -7,7 +7,7 @@
     compact_str::CompactString,
     jsonrpsee::ws_client::HeaderValue,
     sardinerelay::{
-        operator::{Proposal, Subject},
+        operator::{Proposal, ReplaceRequest, Subject},
         refusal_code::Code,
     },
     std::{fs, path::Path, path::PathBuf, time::Duration},
@@ -65,6 +65,15 @@
     Organisations,
     /// List queues.
     Queues,
+    /// List the members of the consensus group.
+    Voters,
+    /// Replace a voter.
+    VotersReplace {
+        /// Which host by which.
+        request: ReplaceRequest,
+        /// How long to go on.
+        wait: Duration,
+    },
     /// Plan a stop.
     Stop {
         /// What to stop.
@@ -185,6 +194,7 @@
         ("targets", _) => Task::Targets,
         ("organisations", _) => Task::Organisations,
         ("queues", _) => Task::Queues,
+        ("voters", matches) => voters_task(matches),
         ("stop", matches) => stop_task(matches),
         ("explain", matches) => Task::Explain(refusal_code(matches)),
         ("key", _) => Task::KeyHash,
@@ -212,6 +222,19 @@
     }
 }
 
+fn voters_task(matches: &ArgMatches) -> Task {
+    match matches.subcommand() {
+        Some((_, matches)) => Task::VotersReplace {
+            request: ReplaceRequest {
+                old: cli::get(matches, "old"),
+                new: cli::get(matches, "new"),
+            },
+            wait: cli::get(matches, "wait"),
+        },
+        None => Task::Voters,
+    }
+}
+
 fn stop_task(matches: &ArgMatches) -> Task {
     let (kind, matches) = subcommand(matches);
     let subject = match kind {
--- a/crates/sardinectl/src/main.rs
+++ b/crates/sardinectl/src/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod sheet;
 mod stop;
+mod voters;
 
 use {
     anyhow::{Context, Result},
@@ -72,6 +73,10 @@
         Task::Targets => list::targets(&mut client, json).await,
         Task::Organisations => list::organisations(&mut client, json).await,
         Task::Queues => list::queues(&mut client, json).await,
+        Task::Voters => voters::list(&mut client, json).await,
+        Task::VotersReplace { request, wait } => {
+            voters::replace(&mut client, request, wait, json).await
+        }
         Task::Stop { subject, change } => stop::run(&mut client, subject, change, json).await,
         Task::Explain(code) => explain::run(code, json),
         Task::KeyHash => key::hash(json),
--- a/crates/sardinerelay/src/operator.rs
+++ b/crates/sardinerelay/src/operator.rs
@@ -21,10 +21,12 @@
 
 mod digest;
 mod error_code;
+mod voters;
 
 pub use {
     digest::{Digest, DigestError},
     error_code::{ErrorCode, ErrorData},
+    voters::{ReplaceProgress, ReplaceRefusal, ReplaceRequest, ReplaceStage, VoterRow, Voters},
 };
 
 /// Checks a sheet against the one in force: [`CheckRequest`] to [`CheckReport`].
@@ -54,6 +56,12 @@
 /// Waits for progress of a planned stop: [`StopWatch`] to [`StopProgress`].
 pub const STOP_WATCH: &str = "stop.watch";
 
+/// Lists the members of the consensus group: no parameters to [`Voters`].
+pub const VOTERS: &str = "voters";
+
+/// Takes the next step of replacing a voter: [`ReplaceRequest`] to [`ReplaceProgress`].
+pub const VOTERS_REPLACE: &str = "voters.replace";
+
 /// Returns the state of the answering host: no parameters to [`Health`].
 pub const HEALTH: &str = "health";
 
--- a/crates/sardinerelay/src/operator/error_code.rs
+++ b/crates/sardinerelay/src/operator/error_code.rs
@@ -33,11 +33,13 @@
     OutcomeUnknown = -31009,
     /// A fault in the daemon.
     Internal = -31010,
+    /// The membership change does not fit the group, or the new host is not listed.
+    MembershipRefused = -31011,
 }
 
 impl ErrorCode {
     /// Every code.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Unauthorized,
         Self::InvalidRequest,
         Self::InvalidSheet,
@@ -48,6 +50,7 @@
         Self::Busy,
         Self::OutcomeUnknown,
         Self::Internal,
+        Self::MembershipRefused,
     ];
 
     /// The number in the JSON-RPC error object.
--- a/crates/sardinerelay/src/raft.rs
+++ b/crates/sardinerelay/src/raft.rs
@@ -32,6 +32,7 @@
 mod message;
 mod progress;
 mod ready;
+mod replacement;
 mod replica;
 mod replication;
 mod transfer;
@@ -44,5 +45,6 @@
         Position, Snapshot, SnapshotMeta,
     },
     ready::{Persist, Read, Ready, Soft},
+    replacement::{Replacement, ReplacementFault},
     replica::{Refusal, Replica, Role, Status},
 };
--- /dev/null
+++ b/crates/sardinerelay/src/raft/replacement.rs
@@ -0,0 +1,83 @@
+//! The steps that replace one voter by another host.
+
+use {
+    super::membership::{Change, Membership},
+    crate::id::Host,
+    serde::{Deserialize, Serialize},
+    thiserror::Error,
+};
+
+/// Replaces one voter by another host. The next step follows from the membership alone, so that
+/// any leader continues where another one stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Replacement {
+    /// The voter to remove.
+    pub old: Host,
+    /// The host that becomes a voter.
+    pub new: Host,
+    /// Voters that the group has while none is being replaced.
+    pub voters: usize,
+}
+
+/// Why a replacement does not fit the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum ReplacementFault {
+    /// A host can't replace itself: a replica that lost its disk needs a new number.
+    #[error("host {host} can't replace itself; it needs a new number")]
+    Same {
+        /// The host.
+        host: Host,
+    },
+    /// The host to remove does not vote.
+    #[error("host {host} is not a voter")]
+    NotVoter {
+        /// The host.
+        host: Host,
+    },
+    /// Removing the old host would leave too few voters, because the new one voted before.
+    #[error("host {host} is already a voter; removing another one would leave {left} voters")]
+    AlreadyVoter {
+        /// The new host.
+        host: Host,
+        /// Voters that would be left.
+        left: usize,
+    },
+    /// Another replacement has to finish first.
+    #[error("another replacement is under way: the group has {voters} voters")]
+    Another {
+        /// Voters now.
+        voters: usize,
+    },
+}
+
+impl Replacement {
+    /// The next change, or `None` once the membership is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// [`ReplacementFault`].
+    pub fn next(&self, membership: &Membership) -> Result<Option<Change>, ReplacementFault> {
+        let Self { old, new, voters } = *self;
+        let now = membership.voters.len();
+        let promoted = membership.voters.contains(&new);
+        if old == new {
+            return Err(ReplacementFault::Same { host: old });
+        }
+        if !membership.voters.contains(&old) {
+            return match promoted {
+                true => Ok(None),
+                false => Err(ReplacementFault::NotVoter { host: old }),
+            };
+        }
+        match promoted {
+            true if now > voters => Ok(Some(Change::Remove(old))),
+            true => Err(ReplacementFault::AlreadyVoter {
+                host: new,
+                left: now - 1,
+            }),
+            false if now > voters => Err(ReplacementFault::Another { voters: now }),
+            false if membership.learners.contains(&new) => Ok(Some(Change::Promote(new))),
+            false => Ok(Some(Change::AddLearner(new))),
+        }
+    }
+}
--- a/crates/sardinerelay/src/raft/replica.rs
+++ b/crates/sardinerelay/src/raft/replica.rs
@@ -116,6 +116,9 @@
     pub log_bytes: usize,
     /// Current membership, committed or not.
     pub membership: Membership,
+    /// Entry that holds the current membership. It is committed if this is at most the commit
+    /// index.
+    pub membership_index: Index,
     /// On the leader, the last entry that each other member is known to have on disk.
     pub matched: Vec<(Host, Index)>,
 }
@@ -359,6 +362,7 @@
             snapshot: self.log.snapshot.meta.last.index,
             log_bytes: self.log.bytes(),
             membership: self.log.membership().clone(),
+            membership_index: self.log.membership_index(),
             matched,
         }
     }
--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -5,8 +5,10 @@
 
 mod board;
 mod consensus;
+mod guard;
 mod handle;
 mod leader;
+mod members;
 mod message;
 mod propose;
 mod report;
@@ -19,6 +21,7 @@
 
 pub use self::{
     handle::{Handle, spawn},
+    members::MemberError,
     report::Reporter,
     settings::{Fault, Member, Settings},
 };
@@ -159,6 +162,34 @@
         /// The data directory.
         path: PathBuf,
     },
+    /// The data directory holds no replica, and the group has accepted changes already. A voter
+    /// that founded it a second time would forget its votes and what it acknowledged.
+    #[error(
+        "{path} holds no replica, but host {by} says that the group exists at version {version}; \
+         come back under a new host id with --learner and without --bootstrap, then run \
+         `sardinectl voters replace {host} NEW`"
+    )]
+    Founded {
+        /// The data directory.
+        path: PathBuf,
+        /// This host.
+        host: Host,
+        /// The host that says so.
+        by: Host,
+        /// The version that it has.
+        version: Version,
+    },
+    /// The data directory holds no replica, and the number belongs to a member of the group.
+    #[error(
+        "{path} holds no replica, but host {host} is a member of the group already; come back \
+         under a new host id with --learner, then run `sardinectl voters replace {host} NEW`"
+    )]
+    Member {
+        /// The data directory.
+        path: PathBuf,
+        /// This host.
+        host: Host,
+    },
     /// The data directory belongs to another host.
     #[error("{path} belongs to host {found}, not to host {host}")]
     Foreign {
--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -8,6 +8,7 @@
     super::{
         Failure,
         board::Board,
+        members,
         message::{Input, Outcome},
         writer::{Job, Writer, Written},
     },
@@ -53,6 +54,8 @@
 
 pub(super) struct Consensus {
     replica: Replica,
+    /// Voters that the settings name.
+    founders: usize,
     machine: Machine,
     applied: Index,
     board: Arc<Board>,
@@ -72,7 +75,7 @@
 
 impl Consensus {
     pub(super) fn new(
-        config: raft::Config,
+        (config, founders): (raft::Config, usize),
         (store, durable): (Store, Durable),
         quota: Quota,
         compaction: Compaction,
@@ -88,6 +91,7 @@
         let (writer, written) = Writer::start(store)?;
         Ok(Self {
             replica,
+            founders,
             machine,
             applied,
             board,
@@ -149,6 +153,12 @@
             Input::Transfer(reply) => {
                 let _ = reply.send(self.replica.transfer(None));
             }
+            Input::Replace(request, reply) => {
+                let outboxes = &self.outboxes;
+                let reachable = |host| outboxes.contains_key(&host);
+                let answer = members::advance(&mut self.replica, request, self.founders, reachable);
+                let _ = reply.send(answer);
+            }
             Input::Status(reply) => {
                 let _ = reply.send(self.replica.status());
             }
--- /dev/null
+++ b/crates/sardinerelayd/src/control/guard.rs
@@ -0,0 +1,98 @@
+//! Refuses to create a replica under a number that the group knows already.
+//!
+//! A replica that lost its disk forgets its votes and the entries that it acknowledged. If it
+//! came back under its old number, two leaders could be elected in one term, and committed
+//! entries could be lost.
+
+use {
+    super::{Failure, Settings, board::Board, message::Input},
+    crate::peer::Client,
+    futures::future::join_all,
+    log::{info, warn},
+    sardinerelay::id::{Host, Version},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, path::Path, sync::Arc, time::Duration},
+    tokio::sync::{mpsc::Sender, oneshot},
+};
+
+pub(super) const STANDING: &str = "voters.standing";
+
+/// Time in which other hosts have to answer before the replica is created.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// What a host knows of another host's standing in the group.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Standing {
+    /// The version that the answering host has. Above 0, the group has accepted a change.
+    pub(super) version: Version,
+    /// Whether the answering host's replica counts the other host as a member.
+    pub(super) member: bool,
+}
+
+/// This host's knowledge of another host's standing.
+pub(super) async fn standing(local: Option<&Sender<Input>>, board: &Board, host: Host) -> Standing {
+    Standing {
+        version: board.view().version,
+        member: is_member(local, host).await.unwrap_or(false),
+    }
+}
+
+async fn is_member(local: Option<&Sender<Input>>, host: Host) -> Option<bool> {
+    let (reply, answer) = oneshot::channel();
+    local?.send(Input::Status(reply)).await.ok()?;
+    Some(answer.await.ok()?.membership.contains(host))
+}
+
+/// Checks that a replica may be created in `path`, which holds none.
+///
+/// Founding voters of a new group start one after another, and two of them elect a leader before
+/// the third one runs. The leader's empty entry is therefore no sign of a lost disk; a version
+/// above 0 is.
+pub(super) async fn check(
+    settings: &Settings,
+    clients: &BTreeMap<Host, Arc<Client>>,
+    board: &Board,
+    path: &Path,
+) -> Result<(), Failure> {
+    let host = settings.host;
+    let own = Standing {
+        version: board.view().version,
+        member: false,
+    };
+    let mut standings = ask(clients, host).await;
+    if standings.is_empty() && !clients.is_empty() {
+        warn!("no other host answers; the replica is created without their consent");
+    }
+    standings.push((host, own));
+    if settings.founds() {
+        return match standings.iter().find(|(_, standing)| standing.version > 0) {
+            Some(&(by, Standing { version, .. })) => Err(Failure::Founded {
+                path: path.to_owned(),
+                host,
+                by,
+                version,
+            }),
+            None => Ok(()),
+        };
+    }
+    match standings.iter().any(|(_, standing)| standing.member) {
+        true => Err(Failure::Member {
+            path: path.to_owned(),
+            host,
+        }),
+        false => Ok(()),
+    }
+}
+
+async fn ask(clients: &BTreeMap<Host, Arc<Client>>, host: Host) -> Vec<(Host, Standing)> {
+    let asked = clients.iter().map(|(&other, client)| async move {
+        match client.call::<_, Standing>(STANDING, &host, DEADLINE).await {
+            Ok(standing) => Some((other, standing)),
+            Err(error) => {
+                info!("host {other} can't be asked whether the group exists: {error}");
+                None
+            }
+        }
+    });
+    join_all(asked).await.into_iter().flatten().collect()
+}
--- a/crates/sardinerelayd/src/control/message.rs
+++ b/crates/sardinerelayd/src/control/message.rs
@@ -1,9 +1,11 @@
 //! Messages between the control thread's tasks and between hosts.
 
 use {
+    super::members::Replaced,
     crate::peer::Packed,
     sardinerelay::{
         id::{Host, Version},
+        operator::ReplaceRequest,
         raft::{self, Change, Refusal},
         state::{Digest, Entry, Reply, Update},
     },
@@ -56,6 +58,7 @@
     Confirm(Sender<Outcome<Version>>),
     Change(Change, Sender<Result<(), Refusal>>),
     Transfer(Sender<Result<Host, Refusal>>),
+    Replace(ReplaceRequest, Sender<Replaced>),
     Status(Sender<raft::Status>),
 }
 
--- a/crates/sardinerelayd/src/control/rpc.rs
+++ b/crates/sardinerelayd/src/control/rpc.rs
@@ -3,7 +3,9 @@
 use {
     super::{
         board::Board,
+        guard::{self, STANDING},
         leader::{confirm_here, propose_here},
+        members::{REPLACE, VOTERS, list_here, replace_here},
         message::{CONFIRM, Confirm, HEALTH, Health, Input, PROPOSE, PULL, Propose, Pull},
         report::{REPORT, Slot},
         sheet,
@@ -73,6 +75,24 @@
         context.counters.count_sent();
         Answer::Ok(report)
     })?;
+    module.register_async_method(VOTERS, |_, context, _| async move {
+        context.counters.count_received();
+        let voters = list_here(context.local.as_ref()).await;
+        context.counters.count_sent();
+        Answer::Ok(voters)
+    })?;
+    module.register_async_method(REPLACE, |parameters, context, _| async move {
+        let request = context.read(&parameters)?;
+        let answer = replace_here(context.local.as_ref(), request).await;
+        context.counters.count_sent();
+        Answer::Ok(answer)
+    })?;
+    module.register_async_method(STANDING, |parameters, context, _| async move {
+        let host: Host = context.read(&parameters)?;
+        let standing = guard::standing(context.local.as_ref(), &context.board, host).await;
+        context.counters.count_sent();
+        Answer::Ok(standing)
+    })?;
     Ok(module)
 }
 
--- a/crates/sardinerelayd/src/control/start.rs
+++ b/crates/sardinerelayd/src/control/start.rs
@@ -5,6 +5,7 @@
         Failure, Published, Settings,
         board::Board,
         consensus::{Compaction, Consensus},
+        guard,
         leader::Leader,
         message::Input,
         propose::Proposer,
@@ -78,7 +79,7 @@
     };
     let clients = clients(&settings, secrets.as_ref(), &counters);
     let all_clients = clients.clone();
-    let local = start_replica(&settings, &clients, &board, &mut tasks)?;
+    let local = start_replica(&settings, &clients, &board, &mut tasks).await?;
     let reporter = Slot::default();
     let server = match secrets {
         Some(secrets) => {
@@ -189,7 +190,7 @@
     Ok(server)
 }
 
-fn start_replica(
+async fn start_replica(
     settings: &Settings,
     clients: &BTreeMap<Host, Arc<Client>>,
     board: &Arc<Board>,
@@ -198,7 +199,7 @@
     let Some(data) = settings.data.as_ref().filter(|_| settings.has_replica()) else {
         return Ok(None);
     };
-    let files = open_replica(settings, &data.join("replica"))?;
+    let files = open_replica(settings, clients, board, &data.join("replica")).await?;
     let mut config = Config::new(settings.host, rand::random());
     config.heartbeat = settings.heartbeat;
     config.election = settings.election;
@@ -216,16 +217,24 @@
         outboxes.insert(host, outbox);
     }
     let board = Arc::clone(board);
+    let config = (config, settings.voters.len());
     let consensus = Consensus::new(config, files, settings.quota, compaction, (board, outboxes))?;
     let (local, inputs) = channel(INPUTS);
     tasks.spawn(consensus.run(inputs));
     Ok(Some(local))
 }
 
-fn open_replica(settings: &Settings, path: &Path) -> Result<(Store, Durable), Failure> {
+async fn open_replica(
+    settings: &Settings,
+    clients: &BTreeMap<Host, Arc<Client>>,
+    board: &Board,
+    path: &Path,
+) -> Result<(Store, Durable), Failure> {
     let opened = match Store::open(path) {
         Err(wal::Error::NotInitialised { .. }) => {
-            create_replica(settings, path)?;
+            let durable = first_state(settings, path)?;
+            guard::check(settings, clients, board, path).await?;
+            create_replica(settings, path, &durable)?;
             Store::open(path)
         }
         opened => opened,
@@ -249,21 +258,27 @@
     Ok((store, recovered.durable))
 }
 
-fn create_replica(settings: &Settings, path: &Path) -> Result<(), Failure> {
-    let durable = match settings.founds() {
-        true => Durable::founding(settings.voters.iter().map(|voter| voter.id)),
-        false if settings.learner => Durable::default(),
-        false => {
-            return Err(Failure::NoReplica {
-                path: path.to_owned(),
-            });
-        }
-    };
+/// What a replica starts from without files. A founding voter must not come back as a learner,
+/// because the group counts its number among the voters.
+fn first_state(settings: &Settings, path: &Path) -> Result<Durable, Failure> {
+    if settings.founds() {
+        let voters = settings.voters.iter().map(|voter| voter.id);
+        return Ok(Durable::founding(voters));
+    }
+    if settings.learner && !settings.is_voter(settings.host) {
+        return Ok(Durable::default());
+    }
+    Err(Failure::NoReplica {
+        path: path.to_owned(),
+    })
+}
+
+fn create_replica(settings: &Settings, path: &Path, durable: &Durable) -> Result<(), Failure> {
     let identity = Identity {
         cluster: cluster(settings),
         replica: settings.host,
     };
-    Ok(Store::create(path, identity, &durable)?)
+    Ok(Store::create(path, identity, durable)?)
 }
 
 /// The group's identity. All founding voters derive the same one from their settings.
--- a/crates/sardinerelayd/src/operator.rs
+++ b/crates/sardinerelayd/src/operator.rs
@@ -3,6 +3,7 @@
 
 mod rows;
 mod stops;
+mod voters;
 
 pub use stops::Seen;
 
@@ -25,7 +26,8 @@
         operator::{
             CheckReport, CheckRequest, Digest, ErrorCode, ErrorData, FaultRow, HEALTH, HOSTS,
             Health, HostState, ORGANISATIONS, Published, QUEUES, SHEET_CHECK, SHEET_SHOW,
-            SHEET_SUBMIT, STOP_PLAN, STOP_WATCH, Submission, TARGETS, Verdict,
+            SHEET_SUBMIT, STOP_PLAN, STOP_WATCH, Submission, TARGETS, VOTERS, VOTERS_REPLACE,
+            Verdict,
         },
         sheet::{self, Sheet},
         state::{Command, Reply},
@@ -98,6 +100,10 @@
     module.register_async_method(STOP_WATCH, |params, desk, _| async move {
         desk.watch(read(&params)?).await
     })?;
+    module.register_async_method(VOTERS, |_, desk, _| async move { desk.voters().await })?;
+    module.register_async_method(VOTERS_REPLACE, |params, desk, _| async move {
+        desk.replace(read(&params)?).await
+    })?;
     module.register_async_method(HEALTH, |_, desk, _| async move {
         Answer::Ok(desk.health().await)
     })?;
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -433,6 +433,8 @@
         Failure::Storage(_)
         | Failure::Locked { .. }
         | Failure::NoReplica { .. }
+        | Failure::Founded { .. }
+        | Failure::Member { .. }
         | Failure::Foreign { .. }
         | Failure::State(_) => ExitCode::Data,
         Failure::Thread(_) | Failure::Panic => ExitCode::General,
