--- a/crates/sardinerelayd/tests/e2e/calls.rs
+++ b/crates/sardinerelayd/tests/e2e/calls.rs
@@ -20,12 +20,12 @@
     system
 }
 
-fn service(more: &[&str]) -> Process {
+pub fn service(more: &[&str]) -> Process {
     standin(&[&["service"], more].concat())
 }
 
 /// Places a keyed order and returns status, error code and body.
-async fn order(
+pub async fn order(
     address: SocketAddr,
     organisation: &str,
     idempotency_key: &str,
@@ -46,7 +46,7 @@
 }
 
 /// How often a key ran, from the service's own record.
-async fn runs(service: &Process, idempotency_key: &str) -> u64 {
+pub async fn runs(service: &Process, idempotency_key: &str) -> u64 {
     let (_, text) = client::get(service.address, "/record").await;
     let records: Vec<Value> = serde_json::from_str(&text).expect("the record is JSON");
     let matching = records
--- /dev/null
+++ b/crates/sardinerelayd/tests/e2e/disks.rs
@@ -0,0 +1,345 @@
+//! Lost and damaged disks of voters (G4, G7): no replica forgets its votes, and the group goes on.
+
+use {
+    crate::{
+        calls::{order, runs, service},
+        harness::{PATIENCE, Process, System, binary, eventually, free_address, in_force, sheet},
+    },
+    jsonrpsee::core::client::Error,
+    sardinerelay::operator::{ErrorCode, Verdict, Voters},
+    serde_json::{Value, json},
+    std::{
+        fs::{self, File},
+        path::PathBuf,
+        process::{Command, Stdio},
+        thread,
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+};
+
+/// Exit code of the daemon for a data directory that it refuses.
+const DATA: i32 = 4;
+
+/// Position of the spare host.
+const SPARE: usize = 3;
+
+/// Three voters that run with a sheet in force, and host 4, listed as a spare with a disk.
+async fn system(service: &Process) -> System {
+    let mut system = System::new(4, 3, &["--bootstrap"]);
+    let spare = &mut system.hosts[SPARE];
+    spare.data = Some(system.directory.path().join("data-4"));
+    spare.arguments.insert(0, "--learner".to_owned());
+    (0..SPARE).for_each(|position| system.start_host(position));
+    system
+        .put_in_force(&sheet(1, &[], &[service.address]))
+        .await;
+    system
+}
+
+/// Runs a command that has to end by itself, and returns its exit code and what it logged.
+fn end(system: &System, mut command: Command) -> (i32, String) {
+    let path = system.directory.path().join("refused.log");
+    let log = File::create(&path).expect("the log can be created");
+    let mut child = command
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .expect("the binary starts");
+    let since = Instant::now();
+    loop {
+        if let Some(status) = child.try_wait().expect("the child can be waited for") {
+            let text = fs::read_to_string(&path).expect("the log is text");
+            return (status.code().expect("an exit code"), text);
+        }
+        if since.elapsed() > PATIENCE {
+            let _ = child.kill();
+            let _ = child.wait();
+            panic!("the daemon was not refused");
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The host's command with other flags.
+fn with_flags(system: &mut System, position: usize, flags: &[&str]) -> Command {
+    let arguments = &mut system.hosts[position].arguments;
+    arguments.retain(|argument| argument != "--bootstrap" && argument != "--learner");
+    let mut command = system.command(position);
+    command.args(flags);
+    command
+}
+
+/// Runs `sardinectl` against the running hosts and returns its exit code and output.
+fn sardinectl(system: &System, arguments: &[&str]) -> (i32, String, String) {
+    let running = system.hosts.iter().filter(|host| host.process.is_some());
+    let servers: Vec<String> = running.map(|host| host.operator.to_string()).collect();
+    let output = Command::new(binary("sardinectl"))
+        .arg("--server")
+        .arg(servers.join(","))
+        .arg("--secret-file")
+        .arg(system.secret())
+        .args(["--timeout", "20s"])
+        .args(arguments)
+        .output()
+        .expect("sardinectl runs");
+    (
+        output.status.code().expect("an exit code"),
+        String::from_utf8_lossy(&output.stdout).into_owned(),
+        String::from_utf8_lossy(&output.stderr).into_owned(),
+    )
+}
+
+fn lose_disk(system: &mut System, position: usize) {
+    system.kill(position);
+    let data = system.hosts[position].data.as_ref().expect("a voter");
+    fs::remove_dir_all(data).expect("the data directory can be removed");
+}
+
+async fn voters(system: &System, position: usize) -> Option<Voters> {
+    let answer = system.operate(position, "voters", Value::Null).await.ok()?;
+    serde_json::from_value(answer).ok()
+}
+
+/// The numbers of the voters and of the learners.
+fn members(voters: &Voters) -> (Vec<u64>, Vec<u64>) {
+    let numbers = |votes: bool| {
+        let rows = voters.members.iter().filter(|row| row.votes == votes);
+        rows.map(|row| row.host).collect()
+    };
+    (numbers(true), numbers(false))
+}
+
+async fn order_until_done(system: &System, position: usize, id: &str) -> String {
+    eventually("the keyed call is answered", async || {
+        order(system.address(position), "brakeline", id, "punch 7")
+            .await
+            .0
+            == 200
+    })
+    .await;
+    order(system.address(position), "brakeline", id, "punch 7")
+        .await
+        .2
+}
+
+fn replace(system: &System, old: &str, new: &str) {
+    let (code, text, notes) = sardinectl(system, &["voters", "replace", old, new]);
+    assert_eq!(code, 0, "{text}{notes}");
+    assert_eq!(
+        text,
+        format!("host {new} votes in place of host {old}\n"),
+        "{notes}"
+    );
+}
+
+/// Guards against a voter that forgot its votes and votes again, and against a repair after which
+/// the group does not survive the next loss.
+#[tokio::test]
+async fn a_repaired_group_survives_the_next_loss() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    let early = Uuid::now_v7().to_string();
+    let first = order_until_done(&system, 0, &early).await;
+    lose_disk(&mut system, 2);
+    for flags in [&["--bootstrap"][..], &[], &["--learner"]] {
+        let command = with_flags(&mut system, 2, flags);
+        let (code, log) = end(&system, command);
+        assert_eq!(code, DATA, "{flags:?}: {log}");
+        assert!(log.contains("learner"), "{flags:?}: {log}");
+        let id = Uuid::now_v7().to_string();
+        order_until_done(&system, 0, &id).await;
+        assert_eq!(runs(&service, &id).await, 1);
+    }
+    system.start_host(SPARE);
+    replace(&system, "3", "4");
+    replace(&system, "3", "4");
+    let (code, text, notes) = sardinectl(&system, &["--json", "voters"]);
+    assert_eq!(code, 0, "{notes}");
+    let listed: Voters = serde_json::from_str(&text).expect("the list is JSON");
+    assert_eq!(members(&listed), (vec![1, 2, 4], vec![]));
+    assert!(listed.committed);
+
+    system.kill(1);
+    for position in [0, SPARE] {
+        assert_eq!(order_until_done(&system, position, &early).await, first);
+    }
+    assert_eq!(runs(&service, &early).await, 1);
+    let late = Uuid::now_v7().to_string();
+    order_until_done(&system, SPARE, &late).await;
+    assert_eq!(runs(&service, &late).await, 1);
+    system
+        .put_in_force(&sheet(2, &[], &[service.address]))
+        .await;
+    // The repaired host kept what it acknowledged.
+    system.kill(SPARE);
+    system.start_host(SPARE);
+    assert_eq!(order_until_done(&system, SPARE, &early).await, first);
+    let operator = system.hosts[SPARE].operator;
+    eventually("the sheet is in force again", async || {
+        in_force(operator).await == Some(2)
+    })
+    .await;
+}
+
+/// Guards against a fork, a lost change and a stuck repair when a second voter is lost before the
+/// learner votes.
+#[tokio::test]
+async fn a_second_loss_during_the_repair_stops_the_group_until_the_host_returns() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    let early = Uuid::now_v7().to_string();
+    let first = order_until_done(&system, 0, &early).await;
+    lose_disk(&mut system, 2);
+    system.start_host(SPARE);
+    let request = json!({ "old": 3, "new": 4 });
+    eventually("the first step is taken", async || {
+        system
+            .operate(0, "voters.replace", request.clone())
+            .await
+            .is_ok()
+    })
+    .await;
+    eventually("the learner is committed", async || {
+        voters(&system, 0)
+            .await
+            .is_some_and(|voters| voters.committed && members(&voters) == (vec![1, 2, 3], vec![4]))
+    })
+    .await;
+    // A learner that lost its disk would be counted for entries that it no longer has.
+    lose_disk(&mut system, SPARE);
+    let command = system.command(SPARE);
+    let (code, log) = end(&system, command);
+    assert_eq!(code, DATA, "{log}");
+
+    system.kill(1);
+    let held = Uuid::now_v7().to_string();
+    eventually("the rest of the group stops", async || {
+        order(system.address(0), "brakeline", &held, "punch 7")
+            .await
+            .1
+            == "no_quorum"
+    })
+    .await;
+    let refused = system.operate(0, "voters.replace", request).await;
+    assert!(refused.is_err() || runs(&service, &held).await == 0);
+    system.start_host(1);
+    assert_eq!(order_until_done(&system, 1, &early).await, first);
+    order_until_done(&system, 0, &held).await;
+    assert_eq!(runs(&service, &early).await, 1);
+    assert_eq!(runs(&service, &held).await, 1);
+    let proposal = Uuid::new_v4();
+    let next = sheet(2, &[], &[service.address]);
+    for position in [0, 1] {
+        let verdict = system.submit(position, &next, proposal).await;
+        assert!(
+            matches!(verdict, Ok(Verdict::Accepted(version)) if version.number == 2),
+            "{verdict:?}"
+        );
+    }
+}
+
+/// Guards against a replacement that loses its place when the leader changes, and against
+/// membership changes that leave too few voters.
+#[tokio::test]
+async fn replacing_the_leader_continues_under_the_next_leader() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    system.start_host(SPARE);
+    let listed = voters(&system, 0).await.expect("a leader answers");
+    let old = listed.leader;
+    let other = old % 3 + 1;
+    for (old, new) in [(old, old), (9, 4), (old, other), (old, 9)] {
+        let request = json!({ "old": old, "new": new });
+        let answer = system.operate(0, "voters.replace", request).await;
+        let Err(Error::Call(refusal)) = answer else {
+            panic!("{old} by {new} was not refused: {answer:?}");
+        };
+        assert_eq!(refusal.code(), ErrorCode::MembershipRefused.number());
+    }
+    replace(&system, &old.to_string(), "4");
+    let position = other as usize - 1;
+    let after = voters(&system, position).await.expect("a leader answers");
+    assert_ne!(after.leader, old);
+    let (votes, learners) = members(&after);
+    assert!(!votes.contains(&old) && votes.contains(&4) && votes.len() == 3);
+    assert!(learners.is_empty());
+    system.kill(old as usize - 1);
+    let id = Uuid::now_v7().to_string();
+    order_until_done(&system, position, &id).await;
+    assert_eq!(runs(&service, &id).await, 1);
+}
+
+/// Guards against a replica that starts with a hole in its log, and against a group that stops
+/// because one voter's log is damaged.
+#[tokio::test]
+async fn damage_in_the_middle_of_the_log_is_refused_while_the_others_go_on() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    for number in 2..6 {
+        system
+            .put_in_force(&sheet(number, &[], &[service.address]))
+            .await;
+    }
+    system.kill(2);
+    let path = largest_file(&system, 2);
+    let mut bytes = fs::read(&path).expect("the log can be read");
+    let middle = bytes.len() / 3;
+    bytes[middle] ^= 0x40;
+    fs::write(&path, bytes).expect("the log can be written");
+    let command = system.command(2);
+    let (code, log) = end(&system, command);
+    assert_eq!(code, DATA, "{log}");
+    let id = Uuid::now_v7().to_string();
+    order_until_done(&system, 0, &id).await;
+    assert_eq!(runs(&service, &id).await, 1);
+    system
+        .put_in_force(&sheet(6, &[], &[service.address]))
+        .await;
+}
+
+/// The log segment, which is the largest file of a replica with a small state.
+fn largest_file(system: &System, position: usize) -> PathBuf {
+    let data = system.hosts[position].data.as_ref().expect("a voter");
+    let files = fs::read_dir(data.join("replica")).expect("the replica's directory");
+    let files = files.map(|file| file.expect("an entry"));
+    files
+        .max_by_key(|file| file.metadata().expect("metadata").len())
+        .expect("a file")
+        .path()
+}
+
+/// Guards against two daemons that write to one log.
+#[tokio::test]
+async fn a_second_daemon_on_the_same_data_directory_is_refused() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    let arguments = system.hosts[0].arguments.clone();
+    for flag in ["--peer-listen", "--operator-listen"] {
+        let arguments = &mut system.hosts[0].arguments;
+        let place = arguments.iter().position(|argument| argument == flag);
+        arguments[place.expect("the flag is given") + 1] = free_address().to_string();
+    }
+    let voter = format!("1,lakes-a,{}", system.hosts[0].peer);
+    let moved = system.hosts[0]
+        .arguments
+        .iter()
+        .position(|argument| *argument == voter)
+        .expect("the host is listed");
+    let address = system.hosts[0]
+        .arguments
+        .iter()
+        .skip_while(|argument| *argument != "--peer-listen")
+        .nth(1)
+        .expect("an address")
+        .clone();
+    system.hosts[0].arguments[moved] = format!("1,lakes-a,{address}");
+    let command = system.command(0);
+    let (code, log) = end(&system, command);
+    assert_eq!(code, DATA, "{log}");
+    assert!(log.contains("used by another process"), "{log}");
+    system.hosts[0].arguments = arguments;
+    let id = Uuid::now_v7().to_string();
+    order_until_done(&system, 0, &id).await;
+    assert_eq!(runs(&service, &id).await, 1);
+}
--- a/crates/sardinerelayd/tests/e2e/harness.rs
+++ b/crates/sardinerelayd/tests/e2e/harness.rs
@@ -100,16 +100,21 @@
     }
 }
 
-/// Starts a stand-in.
-pub fn standin(arguments: &[&str]) -> Process {
+/// The path of another binary of the workspace.
+pub fn binary(name: &str) -> PathBuf {
     let mut path = PathBuf::from(env!("CARGO_BIN_EXE_sardinerelayd"));
-    path.set_file_name("sardinerelay-standin");
+    path.set_file_name(name);
     assert!(
         path.exists(),
         "run `cargo build --workspace` first: {} is missing",
         path.display()
     );
-    let mut command = Command::new(path);
+    path
+}
+
+/// Starts a stand-in.
+pub fn standin(arguments: &[&str]) -> Process {
+    let mut command = Command::new(binary("sardinerelay-standin"));
     command.args(arguments).stderr(log_file("standin"));
     Process::start(command)
 }
@@ -235,21 +240,32 @@
         }
     }
 
-    /// Starts one host.
-    pub fn start_host(&mut self, position: usize) {
+    /// The file with the hosts' shared secret.
+    pub fn secret(&self) -> PathBuf {
         let secret = self.directory.path().join("secret");
         fs::write(&secret, SECRET).expect("the secret can be written");
-        let host = &mut self.hosts[position];
+        secret
+    }
+
+    /// The command that starts one host.
+    pub fn command(&self, position: usize) -> Command {
+        let host = &self.hosts[position];
         let mut command = Command::new(env!("CARGO_BIN_EXE_sardinerelayd"));
         command
             .args(&host.arguments)
             .arg("--secret-file")
-            .arg(&secret)
-            .stderr(log_file(&format!("host-{}", host.id)));
+            .arg(self.secret());
         if let Some(data) = &host.data {
             command.arg("--data-dir").arg(data);
         }
-        host.process = Some(Process::start(command));
+        command
+    }
+
+    /// Starts one host.
+    pub fn start_host(&mut self, position: usize) {
+        let mut command = self.command(position);
+        command.stderr(log_file(&format!("host-{}", self.hosts[position].id)));
+        self.hosts[position].process = Some(Process::start(command));
     }
 
     /// The address at which a host serves callers.
--- a/crates/sardinerelayd/tests/e2e/main.rs
+++ b/crates/sardinerelayd/tests/e2e/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod client;
 mod cuts;
+mod disks;
 mod harness;
 mod path;
 mod sheets;
