--- a/crates/sardinerelayd/src/control/message.rs
+++ b/crates/sardinerelayd/src/control/message.rs
@@ -1,7 +1,7 @@
 //! Messages between the control thread's tasks and between hosts.
 
 use {
-    super::members::Replaced,
+    super::{Tenure, members::Replaced},
     crate::peer::Packed,
     sardinerelay::{
         id::{Host, Version},
@@ -60,6 +60,7 @@
     Transfer(Sender<Result<Host, Refusal>>),
     Replace(ReplaceRequest, Sender<Replaced>),
     Status(Sender<raft::Status>),
+    Tenure(Sender<Option<Tenure>>),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -15,6 +15,7 @@
         limits::Limits,
         metrics::Metrics,
         operator::{self, Desk},
+        orders,
         peer::{Receiver, Secret, Secrets, Server, SharedCounters},
         platform, publish,
         report::Source,
@@ -201,6 +202,14 @@
         ));
         tokio::spawn(self.scheduler.clone().run());
         tokio::spawn(self.limits.clone().run(self.changes.subscribe()));
+        let orders = orders::Controller {
+            source: self.source(),
+            client: self.client.clone(),
+            metrics: self.metrics.clone(),
+            store: config.store,
+            pause: config.order_pause,
+        };
+        tokio::spawn(orders.run());
         if let Some(url) = &config.hosts_url {
             tokio::spawn(platform::run(
                 url.clone(),
@@ -214,6 +223,7 @@
         Source {
             control: self.control.clone(),
             scheduler: self.scheduler.clone(),
+            tally: self.tally.clone(),
             proxy: self.proxy.clone(),
             drain: self.drain.clone(),
             host: self.owner.host,
--- a/crates/sardinerelayd/tests/e2e/main.rs
+++ b/crates/sardinerelayd/tests/e2e/main.rs
@@ -6,6 +6,7 @@
 mod disks;
 mod harness;
 mod limits;
+mod orders;
 mod path;
 mod sheets;
 mod stops;
