--- a/crates/sardinerelay/src/router.rs
+++ b/crates/sardinerelay/src/router.rs
@@ -23,7 +23,10 @@
     },
     growth::{Profile, Sum},
     pace::Medians,
-    rand::{Rng, seq::SliceRandom},
+    rand::{
+        Rng,
+        seq::{SliceRandom, index},
+    },
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -38,6 +41,8 @@
 /// Waiting sequences beyond which an engine counts as full for the first priority. For all others
 /// it is full if any sequence waits, because a preempted one needs the next memory that is freed.
 const FULL_WAITING: usize = 2;
+/// Targets of a model that are considered for one request.
+const MAX_SAMPLED: usize = 96;
 /// Targets examined for one request.
 const MAX_EXAMINED: usize = 32;
 
@@ -117,6 +122,8 @@
     margin: f64,
     targets: Vec<State>,
     names: HashMap<Target, usize>,
+    /// Positions of the targets that run a model, ascending.
+    models: HashMap<Model, Vec<usize>>,
     streams: HashMap<Generation, usize>,
     profile: Profile,
 }
@@ -130,6 +137,7 @@
             margin: 1.0,
             targets: Vec::new(),
             names: HashMap::new(),
+            models: HashMap::new(),
             streams: HashMap::new(),
             profile: Profile::default(),
         }
@@ -147,11 +155,21 @@
 
     /// Adds a target or replaces its description.
     pub fn describe(&mut self, about: Description, now: Instant) {
-        if let Some(&at) = self.names.get(&about.name) {
+        let known = self.names.get(&about.name).copied();
+        let at = known.unwrap_or(self.targets.len());
+        for positions in self.models.values_mut() {
+            positions.retain(|position| *position != at);
+        }
+        for model in &about.models {
+            let positions = self.models.entry(model.clone()).or_default();
+            let place = positions.partition_point(|position| *position < at);
+            positions.insert(place, at);
+        }
+        if known.is_some() {
             self.targets[at].about = about;
             return;
         }
-        self.names.insert(about.name.clone(), self.targets.len());
+        self.names.insert(about.name.clone(), at);
         self.targets.push(State::new(about, now));
     }
 
@@ -170,8 +188,10 @@
         F: Fn(&str) -> bool,
     {
         self.serves(request, fleet)?;
-        let (near, far): (Vec<usize>, Vec<usize>) = self
-            .candidates(request, fleet)
+        let sampled = self.sample(&request.model, rng);
+        let (near, far): (Vec<usize>, Vec<usize>) = sampled
+            .into_iter()
+            .filter(|at| self.usable(*at, request, fleet))
             .filter(|at| allowed(&self.targets[*at].about.name))
             .partition(|at| self.targets[*at].about.zone == self.zone);
         let share = self.share();
@@ -187,7 +207,8 @@
 
     /// Whether any eligible target can serve the request once it has room.
     pub fn serves(&self, request: &Request, fleet: &Fleet) -> Result<(), Refusal> {
-        if self.candidates(request, fleet).next().is_some() {
+        let positions = self.models.get(&request.model).into_iter().flatten();
+        if positions.copied().any(|at| self.usable(at, request, fleet)) {
             return Ok(());
         }
         let eligible = |name: &Target| fleet.eligible(name);
@@ -310,10 +331,8 @@
 
     /// Targets that run the model, in the order of their description.
     pub fn running<'a>(&'a self, model: &'a Model) -> impl Iterator<Item = &'a Target> {
-        self.targets
-            .iter()
-            .filter(move |state| state.about.models.contains(model))
-            .map(|state| &state.about.name)
+        let positions = self.models.get(model).into_iter().flatten();
+        positions.map(|at| &self.targets[*at].about.name)
     }
 
     /// Whether the target is marked as slow.
@@ -328,18 +347,27 @@
         Some(&mut self.targets[at])
     }
 
-    /// Eligible targets that run the model and can hold the prompt.
-    fn candidates(&self, request: &Request, fleet: &Fleet) -> impl Iterator<Item = usize> {
-        self.targets
-            .iter()
-            .enumerate()
-            .filter(move |(_, state)| {
-                let about = &state.about;
-                about.models.contains(&request.model)
-                    && fleet.eligible(&about.name)
-                    && (about.memory_tokens == 0 || request.prompt < about.memory_tokens)
-            })
-            .map(|(at, _)| at)
+    /// Targets that run the model: all, or a random part if there are many, which bounds the
+    /// duration of a call.
+    fn sample<R>(&self, model: &Model, rng: &mut R) -> Vec<usize>
+    where
+        R: Rng + ?Sized,
+    {
+        let positions = self.models.get(model).map_or(&[][..], Vec::as_slice);
+        if positions.len() <= MAX_SAMPLED {
+            return positions.to_vec();
+        }
+        index::sample(rng, positions.len(), MAX_SAMPLED)
+            .into_iter()
+            .map(|at| positions[at])
+            .collect()
+    }
+
+    /// Whether the target is eligible and can hold the prompt.
+    fn usable(&self, at: usize, request: &Request, fleet: &Fleet) -> bool {
+        let about = &self.targets[at].about;
+        let fits = about.memory_tokens == 0 || request.prompt < about.memory_tokens;
+        fits && fleet.eligible(&about.name)
     }
 
     /// This host's share of free memory: half equal among hosts, half by streams in flight, so
