--- a/crates/sardinerelayd/tests/chaos/check.rs
+++ b/crates/sardinerelayd/tests/chaos/check.rs
@@ -38,6 +38,8 @@
     TwoWinners(String),
     /// Submissions and their results fit no order of events (G7).
     SheetsNotLinearizable(String),
+    /// A host ended although nothing ended it.
+    Crashed(String),
     /// An accepted sheet did not reach a host after the last heal (G7).
     NotInForce(String),
 }
@@ -47,5 +49,7 @@
     let mut found = orders::violations(history);
     found.extend(streams::violations(history));
     found.extend(sheets::violations(history));
+    let crashes = history.crashes.iter();
+    found.extend(crashes.map(|crash| Violation::Crashed(format!("{crash:?}"))));
     found
 }
--- a/crates/sardinerelayd/tests/chaos/faults.rs
+++ b/crates/sardinerelayd/tests/chaos/faults.rs
@@ -157,12 +157,15 @@
 
 /// Returns the id of the process that was told to stop.
 async fn begin(scene: &Scene, world: &mut World, fault: &Fault) -> Option<u32> {
+    world.note_crashes(scene);
     match fault {
         Fault::Kill(host) => world.kill_host(scene, *host),
         Fault::Stop(host) => {
             world.signal(*host, "TERM");
             let process = world.system.hosts[*host].process.as_ref();
-            return process.map(Process::id);
+            let id = process.map(Process::id);
+            world.told_to_stop.extend(id);
+            return id;
         }
         Fault::Freeze(host) => world.signal(*host, "STOP"),
         Fault::Remove(host) if world.removed.is_none() => {
@@ -269,6 +272,7 @@
 
 /// Ends every fault and starts every process that is away, but for a removed host.
 pub async fn heal(scene: &Scene, world: &mut World) {
+    world.note_crashes(scene);
     for zone in ZONES {
         world.wires.heal(zone).await;
     }
--- a/crates/sardinerelayd/tests/chaos/history.rs
+++ b/crates/sardinerelayd/tests/chaos/history.rs
@@ -225,6 +225,8 @@
     pub generations: Vec<Generation>,
     /// Confirmed stops of engines.
     pub drained: Vec<Drained>,
+    /// Hosts that ended although nothing ended them, with their status.
+    pub crashes: Vec<(u64, String)>,
     /// Kills of hosts.
     pub outages: Vec<Outage>,
 }
--- a/crates/sardinerelayd/tests/chaos/planted.rs
+++ b/crates/sardinerelayd/tests/chaos/planted.rs
@@ -278,6 +278,16 @@
     assert_found(&history, wanted);
 }
 
+/// Guards against a host that ends by itself unseen.
+#[test]
+fn host_that_ended_by_itself() {
+    let history = History {
+        crashes: vec![(1, "exit status: 1".to_owned())],
+        ..History::default()
+    };
+    assert_found(&history, &["Crashed"]);
+}
+
 /// Guards against a host that reverts unseen.
 #[test]
 fn host_that_shows_an_older_sheet() {
--- a/crates/sardinerelayd/tests/chaos/scene.rs
+++ b/crates/sardinerelayd/tests/chaos/scene.rs
@@ -10,7 +10,7 @@
     rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde_json::Value,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
         time::{Duration, UNIX_EPOCH},
@@ -95,6 +95,8 @@
     pub drained: Vec<Drained>,
     /// Number of the current run of each engine.
     pub engine_runs: [u64; ENGINES],
+    /// Processes that were told to stop.
+    pub told_to_stop: BTreeSet<u32>,
     /// When each host that is away was killed.
     pub killed_at: BTreeMap<usize, u64>,
     /// The plain service, which ends with the world.
@@ -156,6 +158,7 @@
             wires,
             _service: service,
             removed: None,
+            told_to_stop: BTreeSet::new(),
             drained: Vec::new(),
             engine_runs: [0; ENGINES],
             killed_at: BTreeMap::new(),
@@ -199,6 +202,23 @@
         }
     }
 
+    /// Notes the hosts that ended although nothing ended them.
+    pub fn note_crashes(&mut self, scene: &Scene) {
+        for host in &mut self.system.hosts {
+            let Some(process) = &mut host.process else {
+                continue;
+            };
+            let Some(status) = process.ended() else {
+                continue;
+            };
+            if !self.told_to_stop.contains(&process.id()) {
+                let crash = (host.id, status.to_string());
+                scene.recorder.history().crashes.push(crash);
+                host.process = None;
+            }
+        }
+    }
+
     /// Kills an engine if it runs, after reading its record.
     pub async fn kill_engine(&mut self, scene: &Scene, position: usize) {
         if self.engines[position].is_some() {
