Let a founding voter start after the others have accepted changes

Cause: the guard against a lost disk took any accepted change as a sign that the group exists, so a voter started by hand a few seconds after the other two was refused for good. Before: the new test's third voter ended at its start. After: it is refused only if the replicated state records an earlier run of this host, which each host commits when it starts. What remains: a disk lost within the moment between a voter's first vote and that record.

--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -166,8 +166,8 @@
     /// The data directory holds no replica, and the group has accepted changes already. A voter
     /// that founded it a second time would forget its votes and what it acknowledged.
     #[error(
-        "{path} holds no replica, but host {by} says that the group exists at version {version}; \
-         come back under a new host id with --learner and without --bootstrap, then run \
+        "{path} holds no replica, but host {by} says that host {host} has run before (version \
+         {version}); come back under a new host id with --learner and without --bootstrap, then run \
          `sardinectl voters replace {host} NEW`"
     )]
     Founded {
--- a/crates/sardinerelayd/src/control/guard.rs
+++ b/crates/sardinerelayd/src/control/guard.rs
@@ -23,16 +23,20 @@
 /// What a host knows of another host's standing in the group.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Standing {
-    /// The version that the answering host has. Above 0, the group has accepted a change.
+    /// The version that the answering host has.
     pub(super) version: Version,
+    /// Whether the replicated state records that the other host has run before.
+    pub(super) known: bool,
     /// Whether the answering host's replica counts the other host as a member.
     pub(super) member: bool,
 }
 
 /// This host's knowledge of another host's standing.
 pub(super) async fn standing(local: Option<&Sender<Input>>, board: &Board, host: Host) -> Standing {
+    let view = board.view();
     Standing {
-        version: board.view().version,
+        version: view.version,
+        known: view.leaves.hosts.contains_key(&host),
         member: is_member(local, host).await.unwrap_or(false),
     }
 }
@@ -45,9 +49,9 @@
 
 /// Checks that a replica may be created in `path`, which holds none.
 ///
-/// Founding voters of a new group start one after another, and two of them elect a leader before
-/// the third one runs. The leader's empty entry is therefore no sign of a lost disk; a version
-/// above 0 is.
+/// Founding voters of a new group start one after another, and two of them elect a leader and
+/// accept changes before the third one runs, so neither is a sign of a lost disk. A record of an
+/// earlier run of this host is: each host commits one when it starts.
 pub(super) async fn check(
     settings: &Settings,
     clients: &BTreeMap<Host, Arc<Client>>,
@@ -55,8 +59,10 @@
     path: &Path,
 ) -> Result<(), Failure> {
     let host = settings.host;
+    let view = board.view();
     let own = Standing {
-        version: board.view().version,
+        version: view.version,
+        known: view.leaves.hosts.contains_key(&host),
         member: false,
     };
     let mut standings = ask(clients, host).await;
@@ -65,7 +71,7 @@
     }
     standings.push((host, own));
     if settings.founds() {
-        return match standings.iter().find(|(_, standing)| standing.version > 0) {
+        return match standings.iter().find(|(_, standing)| standing.known) {
             Some(&(by, Standing { version, .. })) => Err(Failure::Founded {
                 path: path.to_owned(),
                 host,
--- a/crates/sardinerelayd/tests/e2e/sheets.rs
+++ b/crates/sardinerelayd/tests/e2e/sheets.rs
@@ -101,3 +101,18 @@
         eventually("the restarted host has the sheet in force", shown).await;
     }
 }
+
+/// Guards against a founding voter that is refused because it starts after the others have already
+/// accepted a sheet, as happens when hosts are started by hand.
+#[tokio::test]
+async fn a_founding_voter_may_start_late() {
+    let engine = engine("engine-0", &[]);
+    let mut system = System::new(3, 3, &["--bootstrap"]);
+    system.start_host(0);
+    system.start_host(1);
+    system.put_in_force(&sheet(1, &[engine.address], &[])).await;
+    system.start_host(2);
+    let operator = system.hosts[2].operator;
+    let shown = async || in_force(operator).await == Some(1);
+    eventually("the late voter has the sheet in force", shown).await;
+}
