--- a/crates/sardinerelayd/tests/chaos/scene.rs
+++ b/crates/sardinerelayd/tests/chaos/scene.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         client,
-        harness::{Process, System, free_address, standin},
+        harness::{PATIENCE, Process, System, free_address, standin},
         history::{Drained, Generation, Outage, Recorder, Run},
         wires::Wires,
     },
@@ -11,9 +11,10 @@
     serde_json::Value,
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener},
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
-        time::{Duration, UNIX_EPOCH},
+        thread,
+        time::{Duration, Instant, UNIX_EPOCH},
     },
     tokio::time::timeout,
 };
@@ -181,6 +182,11 @@
             return;
         }
         self.end_outage(scene, position);
+        let host = &self.system.hosts[position];
+        let listen = scene.hosts[position].listen;
+        for address in [host.peer, host.operator, listen] {
+            await_free(address);
+        }
         self.system.start_host(position);
     }
 
@@ -259,7 +265,17 @@
     elapsed.as_millis() as u64
 }
 
+/// Waits until an address is free that another test process took while its owner was away.
+fn await_free(address: SocketAddr) {
+    let since = Instant::now();
+    while TcpListener::bind(address).is_err() {
+        assert!(since.elapsed() < PATIENCE, "{address} stays in use");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 fn engine(position: usize, address: SocketAddr) -> Process {
+    await_free(address);
     standin(&[
         "engine",
         "--name",
