--- a/crates/sardinectl/tests/operator.rs
+++ b/crates/sardinectl/tests/operator.rs
@@ -337,6 +337,7 @@
 #[rstest]
 #[case(ErrorCode::NoQuorum.number(), 6)]
 #[case(ErrorCode::UnknownName.number(), 6)]
+#[case(ErrorCode::MembershipRefused.number(), 6)]
 #[case(ErrorCode::Unauthorized.number(), 6)]
 #[case(ErrorCode::ProposalReused.number(), 4)]
 #[case(ErrorCode::OutcomeUnknown.number(), 7)]
--- a/crates/sardinerelayd/tests/e2e/disks.rs
+++ b/crates/sardinerelayd/tests/e2e/disks.rs
@@ -280,7 +280,25 @@
     assert_eq!(runs(&service, &id).await, 1);
 }
 
-/// Guards against a replacement that loses its place when the leader changes, and against
+/// Guards against a replacement that only the leader that began it can finish.
+#[tokio::test]
+async fn a_replacement_continues_after_its_leader_was_killed() {
+    let service = service(&[]);
+    let mut system = system(&service).await;
+    let early = Uuid::now_v7().to_string();
+    let first = order_until_done(&system, 0, &early).await;
+    system.start_host(SPARE);
+    add_learner(&system).await;
+    let leader = voters(&system, 0).await.expect("a leader answers").leader;
+    system.kill(leader as usize - 1);
+    replace(&system, "3", "4").await;
+    let after = voters(&system, SPARE).await.expect("a leader answers");
+    assert_eq!(members(&after), (vec![1, 2, 4], vec![]));
+    assert_eq!(order_until_done(&system, SPARE, &early).await, first);
+    assert_eq!(runs(&service, &early).await, 1);
+}
+
+/// Guards against a replacement of the leader that gets stuck or removes it while it leads, and against
 /// membership changes that leave too few voters.
 #[tokio::test]
 async fn replacing_the_leader_continues_under_the_next_leader() {
