Wait for an engine's first load report instead of refusing

Cause: a host is ready as soon as a sheet is in force, but an engine takes new work only once its first load report has come. Requests in between were refused with no_target, seen as an intermittent failure of several end-to-end tests. Ruled out: the limiter, whose refusals have another code. Before: the new test, with a report held back by a slow link, is refused. After: the request waits for up to 1 s.

--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -33,8 +33,8 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{oneshot, watch},
-        time::{interval, sleep},
+        sync::{Notify, oneshot, watch},
+        time::{interval, sleep, timeout},
     },
     uuid::Uuid,
 };
@@ -55,6 +55,9 @@
 /// Advised wait of a caller whose model is being loaded.
 const LOAD_RETRY: Duration = Duration::from_secs(2);
 
+/// Time that a request waits for the first load report of an engine of its model.
+const FIRST_REPORT: Duration = Duration::from_secs(1);
+
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -79,6 +82,8 @@
     view: Shared,
     metrics: Arc<Metrics>,
     tally: Arc<Tally>,
+    /// Told of each load report and of each target that falls silent.
+    heard: Notify,
     inner: Mutex<Inner>,
     /// Counts the targets' restarts that were seen.
     restarts: watch::Sender<u64>,
@@ -160,6 +165,7 @@
             view,
             metrics,
             tally,
+            heard: Notify::new(),
             inner: Mutex::new(inner),
             restarts: watch::Sender::new(0),
         }
@@ -237,6 +243,7 @@
     }
 
     async fn place(self: &Arc<Self>, call: &Call, attempt: u32) -> Result<Ticket, Refusal> {
+        self.await_first_report(call).await;
         let generation = Uuid::new_v4();
         let (sender, verdict) = oneshot::channel();
         let mut waiting = Waiting {
@@ -273,6 +280,37 @@
         Ok(ticket)
     }
 
+    /// Waits while no engine of the model was heard of yet, as just after a start or after a sheet
+    /// that names new engines. Without the wait, the first requests would be refused although an
+    /// engine is there.
+    async fn await_first_report(&self, call: &Call) {
+        let wait = async {
+            loop {
+                let heard = self.heard.notified();
+                if self.heard_of(&call.model) {
+                    return;
+                }
+                heard.await;
+            }
+        };
+        // After the bound, the request is decided by what is known.
+        let _ = timeout(FIRST_REPORT, wait).await;
+    }
+
+    /// Whether an engine of the model has reported its load, or all of them were found silent.
+    fn heard_of(&self, model: &Model) -> bool {
+        let view = self.view.load();
+        let Some(deployment) = view.model(model) else {
+            return true;
+        };
+        let inner = self.lock();
+        let mut targets = deployment.targets.iter();
+        targets
+            .clone()
+            .any(|target| inner.reports.contains_key(target))
+            || targets.all(|target| inner.silent.contains_key(target))
+    }
+
     fn offer(&self, call: &Call, generation: Generation, sender: oneshot::Sender<Verdict>) {
         let request = Request {
             generation,
@@ -336,6 +374,8 @@
         } = &mut *inner;
         let decisions = scheduler.report(target, report, random, now);
         inner.deliver(decisions);
+        drop(inner);
+        self.heard.notify_waiters();
     }
 
     /// Takes over changes of a target's prefix cache.
@@ -375,6 +415,8 @@
             let view = self.view.load();
             inner.describe(&view);
         }
+        drop(inner);
+        self.heard.notify_waiters();
     }
 
     /// Takes over what an engine has loaded.
--- a/crates/sardinerelayd/tests/e2e/path.rs
+++ b/crates/sardinerelayd/tests/e2e/path.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         client::{self, Event, assert_whole, expected},
-        harness::{System, engine, key, sheet},
+        harness::{System, engine, free_address, key, sheet, standin},
     },
     http::Method,
     rstest::rstest,
@@ -139,3 +139,25 @@
         .expect("the process was started");
     assert_eq!(process.wait().code(), Some(0));
 }
+
+/// Guards against requests that are refused although an engine is there, in the moment after a
+/// sheet names it and before its first load report: the report is held back by a slow link.
+#[tokio::test]
+async fn a_request_waits_for_the_first_load_report() {
+    let engine = engine("engine-0", &[]);
+    let slow = free_address();
+    let route = format!("{slow}={},name=slow", engine.address);
+    let proxy = standin(&["proxy", "--route", &route]);
+    let delay = json!({ "delay_ms": 100 }).to_string();
+    let headers = [("content-type", "application/json")];
+    let (status, text) =
+        client::send(proxy.address, Method::PUT, "/v1/faults", &headers, &delay).await;
+    assert!((200..300).contains(&status), "{status} {text}");
+    let mut system = System::new(1, 1, &["--bootstrap"]);
+    system.start();
+    system.put_in_force(&sheet(1, &[slow], &[])).await;
+    let mut stream = client::stream(system.address(0), &key("brakeline"), "first", 3, &[])
+        .await
+        .expect("a stream");
+    assert_whole(&stream.rest().await, "first", 0, 3);
+}
