--- a/crates/sardinerelayd/src/api.rs
+++ b/crates/sardinerelayd/src/api.rs
@@ -22,6 +22,7 @@
         body::Body,
         extract::{Request, State},
         http::{HeaderMap, StatusCode},
+        middleware::{Next, from_fn_with_state},
         response::{IntoResponse, Response},
         routing::{get, post},
     },
@@ -46,6 +47,8 @@
     pub resume: Resume,
     /// Control state.
     pub view: Shared,
+    /// Largest request head in bytes.
+    pub max_headers: usize,
     /// Whether a planned stop is under way.
     pub drain: Drain,
     /// Observations.
@@ -65,10 +68,34 @@
             .route("/metrics", get(metrics))
             .fallback(service)
             .method_not_allowed_fallback(wrong_method)
+            .layer(from_fn_with_state(self.clone(), bounded_head))
             .with_state(self)
     }
 }
 
+/// Refuses a request head over the limit, with the API's error object.
+async fn bounded_head(State(api): State<Api>, request: Request, next: Next) -> Response {
+    let fields = request.headers().iter();
+    let bytes: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    let bytes = bytes
+        + request
+            .uri()
+            .path_and_query()
+            .map_or(0, |path| path.as_str().len());
+    if bytes <= api.max_headers {
+        return next.run(request).await;
+    }
+    let message = format!(
+        "the request head has {bytes} bytes, at most {} are read",
+        api.max_headers
+    );
+    api.relay
+        .respond(Err(Refusal::new(Code::HeadersTooLarge, message)))
+        .await
+}
+
 async fn chat(State(api): State<Api>, request: Request) -> Response {
     generate(api, Shape::Chat, request).await
 }
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -297,6 +297,7 @@
             resume,
             proxy: self.proxy.clone(),
             view: self.view.clone(),
+            max_headers: config.max_headers,
             drain: self.drain.clone(),
             metrics: self.metrics.clone(),
         })
--- a/crates/sardinerelayd/src/serve.rs
+++ b/crates/sardinerelayd/src/serve.rs
@@ -18,6 +18,10 @@
     tower::ServiceExt,
 };
 
+/// Request heads of up to this many times the limit are read, so that they can be refused with the
+/// API's error object. A larger one gets the HTTP library's bare answer.
+const READ_FACTOR: usize = 8;
+
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -51,7 +55,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(config.header_timeout)
-            .max_buf_size(config.max_headers)
+            .max_buf_size(config.max_headers * READ_FACTOR)
             .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/sardinerelayd/tests/e2e/path.rs
+++ b/crates/sardinerelayd/tests/e2e/path.rs
@@ -105,20 +105,23 @@
     assert_eq!(client::get(system.address(0), "/livez").await.0, 200);
 }
 
-/// Guards against a request head of any size being buffered.
+/// Guards against a request head of any size being buffered, and against an untyped refusal.
+#[rstest]
+#[case::over_the_limit(20 << 10, Some("headers_too_large"))]
+#[case::over_what_is_read(300 << 10, None)]
 #[tokio::test]
-async fn a_request_head_over_the_limit_is_refused() {
+async fn a_request_head_over_the_limit_is_refused(
+    #[case] bytes: usize,
+    #[case] code: Option<&str>,
+) {
     let (system, _engines) = system().await;
-    let long = "a".repeat(64 << 10);
-    let (status, _) = client::send(
-        system.address(0),
-        Method::GET,
-        "/v1/models",
-        &[("x-long", &long)],
-        "",
-    )
-    .await;
+    let long = "a".repeat(bytes);
+    let headers = [("x-long", long.as_str())];
+    let (status, text) =
+        client::send(system.address(0), Method::GET, "/v1/models", &headers, "").await;
     assert_eq!(status, 431);
+    let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+    assert_eq!(answer["error"]["code"].as_str(), code, "{text}");
     assert_eq!(client::get(system.address(0), "/livez").await.0, 200);
 }
 
