Split the scheduler's shell; callers that leave say nothing about a target

A request that was dispatched in the moment its caller left was finished as failed, which counts against a healthy target and could eject it. It is cancelled now. Found by reading while the file was split into the ticket, the state under the mutex and the refusals.

--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -3,27 +3,34 @@
 //! Every event is one short call under the mutex. The decisions that it returns wake the requests
 //! that wait.
 
+mod inner;
+mod refusal;
+mod ticket;
+
+pub use ticket::{Progress, Ticket};
+
 use {
+    self::{inner::Inner, refusal::explain, ticket::Waiting},
     crate::{
         config::{self, Config},
         engine::{CacheAction, CacheEvent, Load, Loaded},
-        filter::{Call, End},
+        filter::Call,
         inventory,
         metrics::Metrics,
         refusal::{Code, Refusal},
         snapshot::{Shared, View},
-        tally::{Counted, Tally},
+        tally::Tally,
     },
-    compact_str::{CompactString, ToCompactString, format_compact},
+    compact_str::format_compact,
     log::{info, warn},
     rand::{SeedableRng, rngs::StdRng},
     sardinerelay::{
         admission,
-        fleet::{Entry, Incarnation, Listed},
+        fleet::{Entry, Incarnation},
         id::{Generation, Model, Target},
         retry::{self, Budget},
-        router::{self, Description, Pick, Report},
-        scheduler::{self, Counters, Decision, Ending, Request, Settings},
+        router::{self, Pick, Report},
+        scheduler::{self, Counters, Ending, Request, Settings},
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -89,21 +96,6 @@
     restarts: watch::Sender<u64>,
 }
 
-struct Inner {
-    scheduler: scheduler::Scheduler,
-    random: StdRng,
-    /// Retries that this host may still send.
-    budget: Budget,
-    waiters: HashMap<Generation, oneshot::Sender<Verdict>>,
-    /// Targets that did not answer lately, until they answer again.
-    silent: BTreeMap<Target, Instant>,
-    reports: BTreeMap<Target, (Load, Instant)>,
-    /// What engines read back as loaded, as far as it is known.
-    loaded: inventory::Known,
-    /// Where the open tickets are.
-    tickets: HashMap<Generation, Target>,
-}
-
 type Verdict = Result<Pick, scheduler::Refusal>;
 
 impl fmt::Debug for Scheduler {
@@ -112,35 +104,6 @@
     }
 }
 
-/// A place on a target, held until it is dropped.
-#[derive(Debug)]
-pub struct Ticket {
-    scheduler: Arc<Scheduler>,
-    /// The attempt.
-    pub generation: Generation,
-    /// The target's name.
-    pub target: CompactString,
-    /// The target's address.
-    pub address: SocketAddr,
-    ending: Ending,
-    attempt: u32,
-    _counted: Counted,
-}
-
-/// Reports the progress of one generation.
-#[derive(Debug)]
-pub struct Progress {
-    scheduler: Arc<Scheduler>,
-    generation: Generation,
-}
-
-/// Withdraws a request whose caller leaves while it waits.
-struct Waiting<'a> {
-    scheduler: &'a Scheduler,
-    generation: Generation,
-    armed: bool,
-}
-
 impl Scheduler {
     /// Starts without targets.
     pub fn new(config: &Config, view: Shared, metrics: Arc<Metrics>, tally: Arc<Tally>) -> Self {
@@ -528,143 +491,6 @@
     }
 }
 
-impl Inner {
-    /// Wakes the requests that were decided. A request whose caller left at the same moment gives
-    /// its place back.
-    fn deliver(&mut self, decisions: Vec<Decision>) {
-        let mut decisions = decisions;
-        while let Some(decision) = decisions.pop() {
-            let (generation, verdict) = match decision {
-                Decision::Dispatch { generation, pick } => (generation, Ok(pick)),
-                Decision::Refuse {
-                    generation,
-                    refusal,
-                } => (generation, Err(refusal)),
-            };
-            let target = verdict.as_ref().ok().map(|pick| pick.target.clone());
-            let waiter = self.waiters.remove(&generation);
-            let woken = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
-            let Some(target) = target else { continue };
-            if woken {
-                self.tickets.insert(generation, target);
-            } else {
-                let now = Instant::now();
-                decisions.extend(self.scheduler.finished(
-                    generation,
-                    Ending::Failed,
-                    &mut self.random,
-                    now,
-                ));
-            }
-        }
-    }
-
-    /// Whether the target must get no new work.
-    fn barred(&self, view: &View, target: &Target) -> bool {
-        view.leaving.contains(target) || self.silent.contains_key(target)
-    }
-
-    fn routes(&self, view: &View) -> inventory::Routes {
-        match &view.sheet {
-            Some(sheet) => {
-                inventory::routes(sheet, &self.loaded, |target| self.barred(view, target))
-            }
-            None => BTreeMap::new(),
-        }
-    }
-
-    /// Describes each target of the sheet. A target that must get no new work runs no model.
-    fn describe(&mut self, view: &View) {
-        let Some(sheet) = &view.sheet else { return };
-        let now = Instant::now();
-        let mut routes = self.routes(view);
-        for target in &sheet.targets {
-            let description = Description {
-                name: target.name.clone(),
-                zone: target.zone.clone(),
-                memory_tokens: target.memory_tokens,
-                models: routes.remove(&target.name).unwrap_or_default(),
-            };
-            self.scheduler.describe(description, now);
-        }
-        let listed: Vec<Target> = self.reports.keys().cloned().collect();
-        for name in listed
-            .into_iter()
-            .filter(|name| view.target(name).is_none())
-        {
-            self.reports.remove(&name);
-            self.silent.remove(&name);
-            self.loaded.remove(&name);
-            self.scheduler.fleet_mut().observe(&[Entry {
-                target: name,
-                incarnation: Incarnation::MIN,
-                listed: Listed::Leaving,
-            }]);
-        }
-    }
-}
-
-impl Ticket {
-    /// Reports the first token.
-    pub fn first_token(&self) {
-        let now = Instant::now();
-        self.scheduler
-            .lock()
-            .scheduler
-            .first_token(self.generation, now);
-    }
-
-    /// A reporter of further tokens.
-    pub fn progress(&self) -> Progress {
-        Progress {
-            scheduler: self.scheduler.clone(),
-            generation: self.generation,
-        }
-    }
-
-    /// Reports the end.
-    pub fn finish(mut self, end: End) {
-        self.ending = match end {
-            End { whole: true, .. } => Ending::Complete,
-            End { lost: true, .. } => Ending::Failed,
-            End { .. } => Ending::Cancelled,
-        };
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.scheduler.finish(self.generation, self.ending);
-    }
-}
-
-impl Progress {
-    /// Reports that the token with this index arrived.
-    pub fn token(&self, index: u64) {
-        let now = Instant::now();
-        self.scheduler
-            .lock()
-            .scheduler
-            .token_progress(self.generation, index + 1, now);
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
-        let mut inner = self.scheduler.lock();
-        inner.waiters.remove(&self.generation);
-        let withdrawn = inner.scheduler.withdraw(self.generation);
-        drop(inner);
-        if !withdrawn {
-            // The request was dispatched at the moment its caller left.
-            self.scheduler.finish(self.generation, Ending::Failed);
-        }
-    }
-}
-
 fn policy(policy: config::Policy) -> scheduler::Policy {
     match policy {
         config::Policy::Adaptive => scheduler::Policy::Adaptive,
@@ -679,24 +505,3 @@
         config::Objective::Preemption => admission::Objective::Preemption,
     }
 }
-
-fn explain(refusal: scheduler::Refusal, call: &Call) -> Refusal {
-    let message = refusal.to_compact_string();
-    match refusal {
-        scheduler::Refusal::Admission(refusal) => admission_refusal(refusal, message),
-        scheduler::Refusal::Router(router::Refusal::NoTarget) => Refusal::new(
-            Code::NoTarget,
-            format_compact!("no target serves the model '{}' now", call.model),
-        ),
-        scheduler::Refusal::Router(_) => Refusal::new(Code::NoTarget, message),
-    }
-}
-
-fn admission_refusal(refusal: admission::Refusal, message: CompactString) -> Refusal {
-    let (code, retry_after) = match refusal {
-        admission::Refusal::QueueFull { retry_after } => (Code::QueueFull, retry_after),
-        admission::Refusal::WaitTooLong { retry_after }
-        | admission::Refusal::Expired { retry_after } => (Code::WaitTooLong, retry_after),
-    };
-    Refusal::new(code, message).retry_after(retry_after)
-}
--- /dev/null
+++ b/crates/sardinerelayd/src/schedule/inner.rs
@@ -0,0 +1,110 @@
+//! What the scheduler holds under its mutex.
+
+use {
+    super::Verdict,
+    crate::{engine::Load, inventory, snapshot::View},
+    rand::rngs::StdRng,
+    sardinerelay::{
+        fleet::{Entry, Incarnation, Listed},
+        id::{Generation, Target},
+        retry::Budget,
+        router::Description,
+        scheduler::{self, Decision, Ending},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Instant,
+    },
+    tokio::sync::oneshot,
+};
+
+pub(super) struct Inner {
+    pub(super) scheduler: scheduler::Scheduler,
+    pub(super) random: StdRng,
+    /// Retries that this host may still send.
+    pub(super) budget: Budget,
+    pub(super) waiters: HashMap<Generation, oneshot::Sender<Verdict>>,
+    /// Targets that did not answer lately, until they answer again.
+    pub(super) silent: BTreeMap<Target, Instant>,
+    pub(super) reports: BTreeMap<Target, (Load, Instant)>,
+    /// What engines read back as loaded, as far as it is known.
+    pub(super) loaded: inventory::Known,
+    /// Where the open tickets are.
+    pub(super) tickets: HashMap<Generation, Target>,
+}
+
+impl Inner {
+    /// Wakes the requests that were decided. A request whose caller left at the same moment gives
+    /// its place back.
+    pub(super) fn deliver(&mut self, decisions: Vec<Decision>) {
+        let mut decisions = decisions;
+        while let Some(decision) = decisions.pop() {
+            let (generation, verdict) = match decision {
+                Decision::Dispatch { generation, pick } => (generation, Ok(pick)),
+                Decision::Refuse {
+                    generation,
+                    refusal,
+                } => (generation, Err(refusal)),
+            };
+            let target = verdict.as_ref().ok().map(|pick| pick.target.clone());
+            let waiter = self.waiters.remove(&generation);
+            let woken = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+            let Some(target) = target else { continue };
+            if woken {
+                self.tickets.insert(generation, target);
+            } else {
+                let now = Instant::now();
+                decisions.extend(self.scheduler.finished(
+                    generation,
+                    Ending::Cancelled,
+                    &mut self.random,
+                    now,
+                ));
+            }
+        }
+    }
+
+    /// Whether the target must get no new work.
+    pub(super) fn barred(&self, view: &View, target: &Target) -> bool {
+        view.leaving.contains(target) || self.silent.contains_key(target)
+    }
+
+    pub(super) fn routes(&self, view: &View) -> inventory::Routes {
+        match &view.sheet {
+            Some(sheet) => {
+                inventory::routes(sheet, &self.loaded, |target| self.barred(view, target))
+            }
+            None => BTreeMap::new(),
+        }
+    }
+
+    /// Describes each target of the sheet. A target that must get no new work runs no model.
+    pub(super) fn describe(&mut self, view: &View) {
+        let Some(sheet) = &view.sheet else { return };
+        let now = Instant::now();
+        let mut routes = self.routes(view);
+        for target in &sheet.targets {
+            let description = Description {
+                name: target.name.clone(),
+                zone: target.zone.clone(),
+                memory_tokens: target.memory_tokens,
+                models: routes.remove(&target.name).unwrap_or_default(),
+            };
+            self.scheduler.describe(description, now);
+        }
+        let listed: Vec<Target> = self.reports.keys().cloned().collect();
+        for name in listed
+            .into_iter()
+            .filter(|name| view.target(name).is_none())
+        {
+            self.reports.remove(&name);
+            self.silent.remove(&name);
+            self.loaded.remove(&name);
+            self.scheduler.fleet_mut().observe(&[Entry {
+                target: name,
+                incarnation: Incarnation::MIN,
+                listed: Listed::Leaving,
+            }]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelayd/src/schedule/ticket.rs
@@ -0,0 +1,99 @@
+//! The place of one request on a target, from the queue to its end.
+
+use {
+    super::Scheduler,
+    crate::{filter::End, tally::Counted},
+    compact_str::CompactString,
+    sardinerelay::{id::Generation, scheduler::Ending},
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// A place on a target, held until it is dropped.
+#[derive(Debug)]
+pub struct Ticket {
+    pub(super) scheduler: Arc<Scheduler>,
+    /// The attempt.
+    pub generation: Generation,
+    /// The target's name.
+    pub target: CompactString,
+    /// The target's address.
+    pub address: SocketAddr,
+    pub(super) ending: Ending,
+    pub(super) attempt: u32,
+    pub(super) _counted: Counted,
+}
+
+/// Reports the progress of one generation.
+#[derive(Debug)]
+pub struct Progress {
+    pub(super) scheduler: Arc<Scheduler>,
+    pub(super) generation: Generation,
+}
+
+/// Withdraws a request whose caller leaves while it waits.
+pub(super) struct Waiting<'a> {
+    pub(super) scheduler: &'a Scheduler,
+    pub(super) generation: Generation,
+    pub(super) armed: bool,
+}
+
+impl Ticket {
+    /// Reports the first token.
+    pub fn first_token(&self) {
+        let now = Instant::now();
+        self.scheduler
+            .lock()
+            .scheduler
+            .first_token(self.generation, now);
+    }
+
+    /// A reporter of further tokens.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            scheduler: self.scheduler.clone(),
+            generation: self.generation,
+        }
+    }
+
+    /// Reports the end.
+    pub fn finish(mut self, end: End) {
+        self.ending = match end {
+            End { whole: true, .. } => Ending::Complete,
+            End { lost: true, .. } => Ending::Failed,
+            End { .. } => Ending::Cancelled,
+        };
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.scheduler.finish(self.generation, self.ending);
+    }
+}
+
+impl Progress {
+    /// Reports that the token with this index arrived.
+    pub fn token(&self, index: u64) {
+        let now = Instant::now();
+        self.scheduler
+            .lock()
+            .scheduler
+            .token_progress(self.generation, index + 1, now);
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let mut inner = self.scheduler.lock();
+        inner.waiters.remove(&self.generation);
+        let withdrawn = inner.scheduler.withdraw(self.generation);
+        drop(inner);
+        if !withdrawn {
+            // The request was dispatched at the moment its caller left.
+            self.scheduler.finish(self.generation, Ending::Cancelled);
+        }
+    }
+}
