Say in plain words who leads and what became of a sheet; poll engines twice a second

At four polls a second an engine cost a host 3.0 KB/s, so that ten engines exceeded the bound of 29 KB/s for control. Two polls cost 15 KB/s; the policies were tuned with reports every 500 ms.

--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -252,10 +252,13 @@
             self.answer(read);
         }
         if let Some(soft) = ready.soft {
-            info!(
-                "term {}: {:?}, leader {:?}",
-                soft.term, soft.role, soft.leader
-            );
+            match soft.leader {
+                Some(leader) if soft.role == raft::Role::Leader => {
+                    info!("this host, {leader}, leads term {}", soft.term);
+                }
+                Some(leader) => info!("host {leader} leads term {}", soft.term),
+                None => info!("no leader is known in term {}", soft.term),
+            }
             self.board.set_cut_off(soft.leader.is_none());
             self.pending.retain(|_, pending| !pending.reply.is_closed());
         }
--- a/crates/sardinerelayd/src/operator.rs
+++ b/crates/sardinerelayd/src/operator.rs
@@ -158,7 +158,26 @@
             },
             reply => return Err(unexpected(&reply)),
         };
-        info!("sheet {number} with digest {digest}: {verdict:?}");
+        match &verdict {
+            Verdict::Accepted(version) => {
+                info!(
+                    "sheet {number} with digest {digest} is accepted as version {}",
+                    version.version
+                );
+            }
+            Verdict::Conflict { held } => {
+                info!(
+                    "sheet {number} with digest {digest} is refused: the number belongs to {}",
+                    held.digest
+                );
+            }
+            Verdict::Outdated { newest } => {
+                info!(
+                    "sheet {number} is refused: sheet {} is accepted already",
+                    newest.number
+                );
+            }
+        }
         Ok(verdict)
     }
 
--- a/crates/sardinerelayd/src/targets.rs
+++ b/crates/sardinerelayd/src/targets.rs
@@ -15,7 +15,7 @@
 };
 
 /// Interval between two load reports of one engine.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Failed polls in a row after which an engine gets no new work.
 const SILENT_AFTER: u32 = 2;
