Release keys until they are free; give each test process its own loopback address

An intent that timed out without a quorum can still be committed when the quorum is back. Its release was tried once, while there was no quorum, so the key then counted as running and later as unknown although the call was never sent. The release now goes on until the record is found or its deadline has passed. Before: found by reading after disks::a_second_loss_during_the_repair waited in vain once; not reproduced since.

--- a/crates/sardinerelayd/src/intent.rs
+++ b/crates/sardinerelayd/src/intent.rs
@@ -10,11 +10,12 @@
     log::warn,
     sardinerelay::{
         id::Organisation,
-        ledger::{Answer, Begin, Conclusion, Intent, Key, Outcome, Owner},
+        ledger::{Answer, Begin, Conclusion, Finish, Intent, Key, Outcome, Owner},
         state::{Command, Reply},
     },
     sha2::{Digest, Sha256},
-    std::time::{Duration, SystemTime},
+    std::time::{Duration, Instant, SystemTime},
+    tokio::time::sleep,
     uuid::Uuid,
 };
 
@@ -24,6 +25,9 @@
 /// Time to commit a conclusion. The caller waits for it, so that a resend finds the answer.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Pause before a key is released again.
+const RELEASE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time beyond the call's own bound after which nobody can know its outcome any more.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(30);
 
@@ -106,28 +110,40 @@
     /// Commits the conclusion. A conclusion that can't be committed leaves the call as "outcome
     /// unknown" for later resends, which is true for them.
     pub async fn finish(&self, attempt: Attempt, outcome: Outcome) {
+        if let Err(error) = self.conclude(&attempt, outcome).await {
+            warn!("the conclusion of a keyed call could not be committed: {error}");
+        }
+    }
+
+    async fn conclude(&self, attempt: &Attempt, outcome: Outcome) -> Result<Reply, Error> {
         let conclusion = Conclusion {
-            key: attempt.key,
+            key: attempt.key.clone(),
             attempt: attempt.id,
             outcome,
         };
-        if let Err(error) = self
-            .control
+        self.control
             .propose(Command::Finish(conclusion), FINISH_TIMEOUT)
             .await
-        {
-            warn!("the conclusion of a keyed call could not be committed: {error}");
-        }
     }
 
     /// Frees the key of an intent that may have been committed although no reply came. The call
-    /// was not sent, so the key may run later.
+    /// was not sent, so the key may run later. The intent may still be committed when the quorum
+    /// is back, so this goes on until the record is found or its deadline has passed.
     fn release(&self, error: &Error, attempt: Attempt) {
         if error.is_not_committed() {
             return;
         }
         let intents = self.clone();
-        tokio::spawn(async move { intents.finish(attempt, Outcome::NotRun).await });
+        tokio::spawn(async move {
+            let since = Instant::now();
+            while since.elapsed() < CALL_TIMEOUT + DEADLINE_MARGIN {
+                let reply = intents.conclude(&attempt, Outcome::NotRun).await;
+                if let Ok(Reply::Finished(Finish::Recorded)) = reply {
+                    return;
+                }
+                sleep(RELEASE_PAUSE).await;
+            }
+        });
     }
 }
 
--- a/crates/sardinerelayd/tests/e2e/harness.rs
+++ b/crates/sardinerelayd/tests/e2e/harness.rs
@@ -157,16 +157,14 @@
 /// gives to outgoing connections, which would otherwise take a port before it is used.
 const FIRST_PORT: u16 = 12_000;
 
-/// Ports that one test process may use before another process's range begins.
-const PORTS: u16 = 160;
-
-/// A loopback address that no other test of this process gets.
+/// A loopback address that no other test gets. Each test process has an IP address of its own,
+/// because two processes with the same range of ports took each other's.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let base = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
     loop {
-        let port = base + NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS * 10);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % 20_000;
+        let address = SocketAddr::from(([127, 2, high, low], port));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
