Use one loop for calls to services, and the library's types where they stood twice

Found by reading the whole change once more: - Repeatable, unkeyed and keyed calls had three copies of the loop over servers. One loop now takes the rule for going on. A failed unkeyed call is logged like the others, which it was not before. - Every answer of a service was copied for the ledger, also when no key was involved, and a body that the ledger drops above 64 KiB travelled to the voters first. The copy is made for keyed calls only, and without such a body. - The settings defined the policies and objectives of the library again. - sheet.check rebuilt what CheckReport::new does. One difference: before the first sheet it now lists the whole new sheet as changes, as that function documents. - Each token built its metric labels, two allocations; a stream builds them once.

--- a/crates/sardinerelayd/src/config.rs
+++ b/crates/sardinerelayd/src/config.rs
@@ -4,8 +4,10 @@
     clap::ArgMatches,
     compact_str::CompactString,
     sardinerelay::{
+        admission::Objective,
         id::{Host, Zone},
         orders::Store,
+        scheduler::Policy,
     },
     std::{
         fmt::Display,
@@ -93,26 +95,6 @@
     pub address: SocketAddr,
 }
 
-/// How requests are scheduled.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// Admission and routing by estimated length and corrected load.
-    Adaptive,
-    /// Baseline: targets in turn, without admission.
-    RoundRobin,
-    /// Baseline: the target with the fewest requests in flight, without admission.
-    LeastInFlight,
-}
-
-/// What admission keeps low first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Objective {
-    /// Stall time.
-    Stall,
-    /// Preemptions.
-    Preemption,
-}
-
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
--- a/crates/sardinerelayd/src/filter/identify.rs
+++ b/crates/sardinerelayd/src/filter/identify.rs
@@ -204,7 +204,7 @@
             format_compact!("the body is not valid: {error}"),
         )
     })?;
-    check(shape, &fields)?;
+    let prompt = prompt(shape, &fields)?;
     let (model, adapter) = fields.model.split_once(':').unwrap_or((&fields.model, ""));
     let deployment = view.model(model).ok_or_else(|| {
         Refusal::new(
@@ -218,11 +218,6 @@
         return Err(Refusal::new(Code::UnknownModel, message).param("model"));
     }
     let class = class(view, caller, headers)?;
-    let input = match shape {
-        Shape::Chat => &fields.messages,
-        Shape::Text => &fields.prompt,
-    };
-    let prompt = input.as_ref().map(Value::to_string).unwrap_or_default();
     Ok(Call {
         id: request_id(headers),
         organisation: caller.organisation.clone(),
@@ -246,15 +241,16 @@
     })
 }
 
-fn check(shape: Shape, fields: &Fields) -> Result<(), Refusal> {
+/// Checks the fields and returns the prompt as JSON text, which engines count and hash.
+fn prompt(shape: Shape, fields: &Fields) -> Result<String, Refusal> {
     let (name, input) = match shape {
         Shape::Chat => ("messages", &fields.messages),
         Shape::Text => ("prompt", &fields.prompt),
     };
-    if input.is_none() {
+    let Some(input) = input else {
         let message = format_compact!("'{name}' is required");
         return Err(Refusal::new(Code::InvalidRequest, message).param(name));
-    }
+    };
     if fields.n.is_some_and(|n| n != 1) {
         return Err(Refusal::new(Code::InvalidRequest, "only n = 1 is supported").param("n"));
     }
@@ -263,7 +259,7 @@
             Refusal::new(Code::InvalidRequest, "the output must allow a token").param("max_tokens"),
         );
     }
-    Ok(())
+    Ok(input.to_string())
 }
 
 /// The class from `x-sardinerelay-class`, or the organisation's first.
--- a/crates/sardinerelayd/src/filter/relay.rs
+++ b/crates/sardinerelayd/src/filter/relay.rs
@@ -8,7 +8,7 @@
     crate::{
         engine::{Event, Lost},
         filter::{Answer, Shape},
-        metrics::Metrics,
+        metrics::{Labels, Metrics, labels},
         refusal::{Code, Refusal},
     },
     axum::body::Body,
@@ -307,8 +307,7 @@
 /// Observes the timing of one stream.
 struct Watch {
     metrics: Arc<Metrics>,
-    organisation: CompactString,
-    class: CompactString,
+    labels: Labels,
     received: Instant,
     last: Option<Instant>,
     tokens: u64,
@@ -318,8 +317,7 @@
     fn new(answer: &Answer, metrics: Arc<Metrics>) -> Self {
         Self {
             metrics,
-            organisation: answer.call.organisation.clone(),
-            class: answer.call.class.clone(),
+            labels: labels(&answer.call.organisation, &answer.call.class),
             received: answer.call.received,
             last: None,
             tokens: 0,
@@ -329,18 +327,13 @@
     fn token(&mut self) {
         let now = Instant::now();
         match self.last.replace(now) {
-            None => self
-                .metrics
-                .first_token(&self.organisation, &self.class, now - self.received),
-            Some(last) => self
-                .metrics
-                .between_tokens(&self.organisation, &self.class, now - last),
+            None => self.metrics.first_token(&self.labels, now - self.received),
+            Some(last) => self.metrics.between_tokens(&self.labels, now - last),
         }
         self.tokens += 1;
     }
 
     fn end(&self, outcome: &'static str) {
-        self.metrics
-            .ended(&self.organisation, &self.class, self.tokens, outcome);
+        self.metrics.ended(&self.labels, self.tokens, outcome);
     }
 }
--- a/crates/sardinerelayd/src/metrics.rs
+++ b/crates/sardinerelayd/src/metrics.rs
@@ -27,6 +27,9 @@
     8.0, 32.0, 128.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0, 65536.0,
 ];
 
+/// Organisation and class, in this order.
+pub type Labels = [KeyValue; 2];
+
 /// All instruments.
 pub struct Metrics {
     registry: Registry,
@@ -92,17 +95,15 @@
     }
 
     /// Observes the first token.
-    pub fn first_token(&self, organisation: &str, class: &str, elapsed: Duration) {
-        self.first_token
-            .record(elapsed.as_secs_f64(), &labels(organisation, class));
+    pub fn first_token(&self, labels: &Labels, elapsed: Duration) {
+        self.first_token.record(elapsed.as_secs_f64(), labels);
     }
 
     /// Observes the time between two tokens, and the stall within it.
-    pub fn between_tokens(&self, organisation: &str, class: &str, elapsed: Duration) {
-        let labels = labels(organisation, class);
-        self.between_tokens.record(elapsed.as_secs_f64(), &labels);
+    pub fn between_tokens(&self, labels: &Labels, elapsed: Duration) {
+        self.between_tokens.record(elapsed.as_secs_f64(), labels);
         if let Some(stall) = elapsed.checked_sub(STALL_AFTER) {
-            self.stall.record(stall.as_secs_f64(), &labels);
+            self.stall.record(stall.as_secs_f64(), labels);
         }
     }
 
@@ -113,15 +114,12 @@
     }
 
     /// Observes the end of an answer.
-    pub fn ended(&self, organisation: &str, class: &str, tokens: u64, outcome: &'static str) {
-        self.output
-            .record(tokens as f64, &labels(organisation, class));
+    pub fn ended(&self, labels: &Labels, tokens: u64, outcome: &'static str) {
+        self.output.record(tokens as f64, labels);
+        let [organisation, _] = labels;
         self.streams.add(
             1,
-            &[
-                KeyValue::new("organisation", organisation.to_owned()),
-                KeyValue::new("outcome", outcome),
-            ],
+            &[organisation.clone(), KeyValue::new("outcome", outcome)],
         );
     }
 
@@ -181,7 +179,9 @@
         .build()
 }
 
-fn labels(organisation: &str, class: &str) -> [KeyValue; 2] {
+/// The labels of one organisation and class. A stream builds them once, since building them takes
+/// two allocations and a stream observes each of its tokens.
+pub fn labels(organisation: &str, class: &str) -> Labels {
     [
         KeyValue::new("organisation", organisation.to_owned()),
         KeyValue::new("class", class.to_owned()),
--- a/crates/sardinerelayd/src/operator.rs
+++ b/crates/sardinerelayd/src/operator.rs
@@ -113,27 +113,8 @@
 impl Desk {
     fn check(&self, request: &CheckRequest) -> Answer<CheckReport> {
         let published = self.control.published().borrow().clone();
-        let warnings = sheet::warnings(&request.toml)
-            .iter()
-            .map(FaultRow::from)
-            .collect();
-        let (faults, changes) = match sheet::parse(&request.toml) {
-            Ok(new) => (
-                Vec::new(),
-                published
-                    .sheet
-                    .as_ref()
-                    .map(|old| sheet::diff(old, &new))
-                    .unwrap_or_default(),
-            ),
-            Err(faults) => (faults.iter().map(FaultRow::from).collect(), Vec::new()),
-        };
-        Ok(CheckReport {
-            current: report::in_force(&published),
-            faults,
-            warnings,
-            changes,
-        })
+        let current = report::in_force(&published).zip(published.sheet.as_deref());
+        Ok(CheckReport::new(&request.toml, current))
     }
 
     async fn submit(&self, submission: Submission) -> Answer<Verdict> {
--- a/crates/sardinerelayd/src/schedule.rs
+++ b/crates/sardinerelayd/src/schedule.rs
@@ -12,7 +12,7 @@
 use {
     self::{inner::Inner, refusal::explain, ticket::Waiting},
     crate::{
-        config::{self, Config},
+        config::Config,
         engine::{CacheAction, CacheEvent, Load, Loaded},
         filter::Call,
         inventory,
@@ -25,7 +25,6 @@
     log::{info, warn},
     rand::{SeedableRng, rngs::StdRng},
     sardinerelay::{
-        admission,
         fleet::{Entry, Incarnation},
         id::{Generation, Model, Target},
         retry::{self, Budget},
@@ -110,8 +109,8 @@
         let settings = Settings {
             zone: config.zone.clone(),
             hosts: (config.voters.len() + config.hosts.len()).max(1),
-            policy: policy(config.policy),
-            objective: objective(config.objective),
+            policy: config.policy,
+            objective: config.objective,
             queue_limit: QUEUE_LIMIT,
         };
         let inner = Inner {
@@ -490,18 +489,3 @@
             .expect("no thread panics while it holds the lock")
     }
 }
-
-fn policy(policy: config::Policy) -> scheduler::Policy {
-    match policy {
-        config::Policy::Adaptive => scheduler::Policy::Adaptive,
-        config::Policy::RoundRobin => scheduler::Policy::RoundRobin,
-        config::Policy::LeastInFlight => scheduler::Policy::LeastInFlight,
-    }
-}
-
-fn objective(objective: config::Objective) -> admission::Objective {
-    match objective {
-        config::Objective::Stall => admission::Objective::Stall,
-        config::Objective::Preemption => admission::Objective::Preemption,
-    }
-}
--- a/crates/sardinerelayd/src/service.rs
+++ b/crates/sardinerelayd/src/service.rs
@@ -25,7 +25,7 @@
     rand::seq::SliceRandom,
     sardinerelay::{
         id::Target,
-        ledger::{Answer, Outcome},
+        ledger::{ANSWER_BYTES, Answer, Outcome},
         sheet::{PlainService, Server},
     },
     std::{
@@ -151,14 +151,64 @@
             .iter()
             .any(|repeatable| repeatable == method)
         {
-            return self.repeatable(&view, service, &call).await;
+            let servers = self.servers(&view, service);
+            let servers = &servers[..servers.len().min(MAX_ATTEMPTS)];
+            return self.answer(service, servers, &call, |_| true).await;
         }
         match key(&call.parts.headers)? {
             Some(key) => self.keyed(&view, service, &caller, call, key).await,
-            None => self.once(&view, service, &call).await,
+            None => {
+                let servers = self.servers(&view, service);
+                self.answer(service, &servers, &call, Failure::not_run)
+                    .await
+            }
         }
     }
 
+    async fn answer<Next>(
+        &self,
+        service: &PlainService,
+        servers: &[&Server],
+        call: &Call,
+        next: Next,
+    ) -> Result<Response<Body>, Refusal>
+    where
+        Next: Fn(&Failure) -> bool,
+    {
+        match self.attempt(servers, call, next).await {
+            Ok((_, response)) => Ok(response.map(Body::from)),
+            Err(failures) => Err(refuse(service, &failures)),
+        }
+    }
+
+    /// Sends a call to one server after another, as long as `next` allows another one after a
+    /// failure.
+    async fn attempt<'a, Next>(
+        &self,
+        servers: &[&'a Server],
+        call: &Call,
+        next: Next,
+    ) -> Result<(&'a Server, Response<Bytes>), Vec<Failure>>
+    where
+        Next: Fn(&Failure) -> bool,
+    {
+        let mut failures = Vec::new();
+        for server in servers {
+            match self.send(server, call).await {
+                Ok(response) => return Ok((server, response)),
+                Err(failure) => {
+                    warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = server.name.as_str(); "{failure}");
+                    let stop = !next(&failure);
+                    failures.push(failure);
+                    if stop {
+                        break;
+                    }
+                }
+            }
+        }
+        Err(failures)
+    }
+
     /// Calls in flight on each server.
     pub fn in_flight(&self) -> BTreeMap<Target, u64> {
         let mut in_flight = self.lock();
@@ -185,46 +235,6 @@
         self.view.load().service(path).is_some()
     }
 
-    async fn repeatable(
-        &self,
-        view: &View,
-        service: &PlainService,
-        call: &Call,
-    ) -> Result<Response<Body>, Refusal> {
-        let mut failures = Vec::new();
-        for server in self.servers(view, service).into_iter().take(MAX_ATTEMPTS) {
-            match self.send(server, call).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => {
-                    warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = server.name.as_str(); "{failure}");
-                    failures.push(failure);
-                }
-            }
-        }
-        Err(refuse(service, &failures))
-    }
-
-    /// Sends a call without a key. Only servers that certainly got no byte of it are passed over.
-    async fn once(
-        &self,
-        view: &View,
-        service: &PlainService,
-        call: &Call,
-    ) -> Result<Response<Body>, Refusal> {
-        let mut failures = Vec::new();
-        for server in self.servers(view, service) {
-            match self.send(server, call).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure @ Failure::Unreachable(_)) => failures.push(failure),
-                Err(failure @ Failure::Unanswered(_)) => {
-                    failures.push(failure);
-                    break;
-                }
-            }
-        }
-        Err(refuse(service, &failures))
-    }
-
     /// Runs a call under its key, at most once among all entry hosts.
     async fn keyed(
         &self,
@@ -255,16 +265,21 @@
         let service = service.clone();
         // The call goes on to its conclusion even if the caller disconnects.
         let run = tokio::spawn(async move {
-            let result = proxy.once_on(&servers, &call).await;
+            let servers: Vec<&Server> = servers.iter().collect();
+            let result = proxy.attempt(&servers, &call, Failure::not_run).await;
             let outcome = match &result {
-                Ok((_, answer)) => Outcome::Done(answer.clone()),
+                Ok((server, response)) => {
+                    info!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = server.name.as_str(); "keyed call ran");
+                    Outcome::Done(stored(response))
+                }
                 Err(failures) if failures.iter().all(Failure::not_run) => Outcome::NotRun,
                 Err(_) => Outcome::Unknown,
             };
             proxy.intents.finish(attempt, outcome).await;
-            result
-                .map(|(response, _)| response)
-                .map_err(|failures| refuse(&service, &failures))
+            match result {
+                Ok((_, response)) => Ok(response.map(Body::from)),
+                Err(failures) => Err(refuse(&service, &failures)),
+            }
         });
         run.await.unwrap_or_else(|_| {
             Err(Refusal::new(
@@ -275,43 +290,8 @@
         })
     }
 
-    async fn once_on(
-        &self,
-        servers: &[Server],
-        call: &Call,
-    ) -> Result<(Response<Body>, Answer), Vec<Failure>> {
-        let mut failures = Vec::new();
-        for server in servers {
-            match self.send_whole(server, call).await {
-                Ok(answer) => {
-                    info!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = server.name.as_str(); "keyed call ran");
-                    return Ok(answer);
-                }
-                Err(failure) => {
-                    let stop = !failure.not_run();
-                    warn!(request = call.id.as_str(), organisation = call.organisation.as_str(), target = server.name.as_str(); "{failure}");
-                    failures.push(failure);
-                    if stop {
-                        break;
-                    }
-                }
-            }
-        }
-        Err(failures)
-    }
-
-    async fn send(&self, server: &Server, call: &Call) -> Result<Response<Body>, Failure> {
-        self.send_whole(server, call)
-            .await
-            .map(|(response, _)| response)
-    }
-
     /// Sends the call and reads the whole answer.
-    async fn send_whole(
-        &self,
-        server: &Server,
-        call: &Call,
-    ) -> Result<(Response<Body>, Answer), Failure> {
+    async fn send(&self, server: &Server, call: &Call) -> Result<Response<Bytes>, Failure> {
         let _counted = self.count(&server.name);
         let exchange = async {
             let response = self
@@ -330,19 +310,10 @@
                 .await
                 .map_err(|_| Failure::Unanswered(server.name.clone()))?
                 .to_bytes();
-            let content_type = parts.headers.get(header::CONTENT_TYPE);
-            let answer = Answer {
-                status: parts.status.as_u16(),
-                content_type: content_type
-                    .and_then(|value| value.to_str().ok())
-                    .unwrap_or_default()
-                    .into(),
-                body: Some(body.to_vec()),
-            };
-            let mut response = Response::new(Body::from(body));
+            let mut response = Response::new(body);
             *response.status_mut() = parts.status;
             *response.headers_mut() = without_hop_by_hop(&parts.headers);
-            Ok((response, answer))
+            Ok(response)
         };
         timeout(CALL_TIMEOUT, exchange)
             .await
@@ -440,6 +411,21 @@
     kept
 }
 
+/// What the ledger keeps of an answer. A body that it would not keep is left out before it travels
+/// to the voters.
+fn stored(response: &Response<Bytes>) -> Answer {
+    let content_type = response.headers().get(header::CONTENT_TYPE);
+    let body = response.body();
+    Answer {
+        status: response.status().as_u16(),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .into(),
+        body: (body.len() <= ANSWER_BYTES).then(|| body.to_vec()),
+    }
+}
+
 /// The stored answer of an earlier run.
 fn replay(answer: Answer) -> Response<Body> {
     let stored = answer.body.is_some();
--- a/crates/sardinerelayd/tests/e2e/cuts.rs
+++ b/crates/sardinerelayd/tests/e2e/cuts.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
+        calls::{self, runs},
         client::{self, assert_whole},
-        harness::{Process, System, engine, eventually, in_force, key, sheet, standin},
+        harness::{System, engine, eventually, in_force, key, sheet, standin},
         wires::Wires,
     },
-    http::Method,
     rstest::rstest,
     sardinerelay::operator::Verdict,
     serde_json::Value,
@@ -14,27 +14,12 @@
     uuid::Uuid,
 };
 
+/// Places the tests' order and returns status and answer.
 async fn order(address: SocketAddr, id: &str) -> (u16, Value) {
-    let authorization = format!("Bearer {}", key("brakeline"));
-    let headers = [
-        ("authorization", authorization.as_str()),
-        ("idempotency-key", id),
-    ];
-    let (status, text) =
-        client::send(address, Method::POST, "/shop/orders", &headers, "punch 7").await;
+    let (status, _, text) = calls::order(address, "brakeline", id, "punch 7").await;
     (status, serde_json::from_str(&text).unwrap_or_default())
 }
 
-async fn runs(service: &Process, id: &str) -> u64 {
-    let (_, text) = client::get(service.address, "/record").await;
-    let records: Vec<Value> = serde_json::from_str(&text).expect("the record is JSON");
-    records
-        .iter()
-        .filter(|record| record["key"] == id)
-        .filter_map(|record| record["count"].as_u64())
-        .sum()
-}
-
 /// Guards against a cut zone that stops serving generations, runs what it can't run safely, accepts
 /// a sheet, reverts, or does not come back by itself (G3, G4, G7).
 #[rstest]
