--- /dev/null
+++ b/crates/sardinerelay-gateway/src/board.rs
@@ -0,0 +1,127 @@
+//! What hosts with a replica observe of targets, on behalf of all entry hosts.
+//!
+//! Each of them reads the platform's list and the targets' load reports, and entry hosts follow
+//! one or more of these boards. That keeps the number of readers independent of the number of
+//! entry hosts. See `docs/design/platform.md`.
+
+use {
+    compact_str::CompactString,
+    sardinerelay::id::{Incarnation, Service, Target, Zone},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+/// One start of a target, as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its name.
+    pub target: Target,
+    /// When it started, in milliseconds since 1970. A target may start again under its name.
+    pub incarnation: Incarnation,
+    /// The service that it belongs to.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// A target's report of its own load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Tokens of memory that can't yield.
+    pub used: u64,
+    /// Tokens of memory in all.
+    pub total: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// A load report with its age.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// The target.
+    pub target: Target,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// What it reported.
+    pub load: Load,
+    /// Milliseconds since the report was read.
+    pub age_ms: u64,
+}
+
+/// Everything that one host observed.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Board {
+    /// Changes with every change of the board; 0 before the first one.
+    pub stamp: u64,
+    /// The platform's list.
+    pub instances: Vec<Instance>,
+    /// Milliseconds since the list was read.
+    pub list_age_ms: u64,
+    /// The newest load report of each target.
+    pub loads: Vec<Observation>,
+    /// Entry hosts that follow this host, or followed it lately.
+    pub entries: u32,
+    /// When ages were last brought up to date.
+    #[serde(skip)]
+    pub made: Option<Instant>,
+}
+
+/// The newest board of this host.
+pub type Published = Arc<watch::Sender<Arc<Board>>>;
+
+impl Board {
+    /// The board with its ages as of now.
+    pub fn aged(&self) -> Self {
+        let mut board = self.clone();
+        let since = self.made.map_or(Duration::ZERO, |made| made.elapsed());
+        let since = since.as_millis() as u64;
+        board.list_age_ms += since;
+        for observation in &mut board.loads {
+            observation.age_ms += since;
+        }
+        board.made = None;
+        board
+    }
+}
+
+/// Time after which an entry host that is not heard counts no longer.
+const FOLLOWER_LIFETIME: Duration = Duration::from_secs(15);
+
+/// The entry hosts that follow this host.
+#[derive(Debug, Default)]
+pub struct Followers {
+    seen: Mutex<HashMap<CompactString, Instant>>,
+}
+
+impl Followers {
+    /// Records that an entry host was heard.
+    pub fn seen(&self, host: &CompactString) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.insert(host.clone(), Instant::now());
+    }
+
+    /// The number of entry hosts that were heard lately.
+    pub fn count(&self) -> u32 {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.retain(|_, at| at.elapsed() < FOLLOWER_LIFETIME);
+        seen.len() as u32
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -0,0 +1,101 @@
+//! What a request is, independent of how it is written on the wire.
+
+use {
+    compact_str::CompactString,
+    sardinerelay::id::Model,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Number of an event within a stream.
+pub type EventId = u64;
+
+/// The facts of a caller's request that decide what happens to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The attempt's id, drawn by the caller.
+    pub id: CompactString,
+    /// The host that the caller names, without a port.
+    pub host: CompactString,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The API key.
+    pub key: Option<CompactString>,
+    /// The last event that the caller has of this stream.
+    pub after: Option<EventId>,
+    /// What is to be generated.
+    pub generation: Option<Generation>,
+}
+
+/// What is to be generated.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Generation {
+    /// The model.
+    pub model: Model,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Most tokens of output.
+    pub most: u64,
+    /// Parts of the prompt, from the first one on.
+    pub parts: Vec<Part>,
+    /// The caller's estimate of the tokens of output.
+    pub hint: Option<u64>,
+}
+
+/// A part of a prompt. Requests share parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Its id.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// What the relay adds to a request that goes to a target.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Forward {
+    /// The target that is meant; another one at its address must not run the request.
+    pub target: CompactString,
+    /// Time that the target has.
+    pub left: Option<Duration>,
+    /// The organisation that holds the caller's key.
+    pub organisation: Option<CompactString>,
+    /// Urgency at the target; 0 comes first.
+    pub urgency: Option<u8>,
+    /// An engine that receives a copy of the generation's memory as it grows.
+    pub backup: Option<SocketAddr>,
+    /// The last event that the caller has.
+    pub after: Option<EventId>,
+    /// The copy that the generation goes on from.
+    pub copy: Option<Copy>,
+}
+
+/// A copy of a generation's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Copy {
+    /// The engine by whose address the copy is named.
+    pub address: SocketAddr,
+    /// The copy's name there.
+    pub name: CompactString,
+}
+
+/// The facts of a target's answer head.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// The id of the attempt that it answers.
+    pub id: Option<CompactString>,
+    /// Whether it bears the target's signature.
+    pub signed: bool,
+    /// Whether the target says that it did not run the request.
+    pub not_run: bool,
+    /// Whether the body is encoded, which targets never do.
+    pub encoded: bool,
+}
+
+/// What an operator asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OperatorCall {
+    /// Store a configuration.
+    Submit,
+    /// Read the newest configuration.
+    Read,
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -0,0 +1,104 @@
+//! The operator's API on hosts with a replica: submit a configuration, read the newest one.
+
+use {
+    crate::{
+        call::OperatorCall,
+        dialect::Dialect,
+        group::{Document, Handle},
+        http,
+        table::Table,
+    },
+    ::http::{HeaderValue, Request, Response, StatusCode, header},
+    axum::body::Body,
+    bytes::Bytes,
+    http_body_util::{BodyExt as _, Limited},
+    hyper::body::Incoming,
+    log::{info, warn},
+    std::{
+        io,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for a request of an operator. Operators move on to another host after a second, and more
+/// for large bodies.
+const DEADLINE: Duration = Duration::from_millis(900);
+/// Largest configuration, in bytes.
+const BODY_BYTES: usize = 4 << 20;
+
+/// Listens for operators.
+///
+/// # Errors
+///
+/// The error of binding the address.
+pub async fn listen(address: SocketAddr, dialect: Dialect, handle: Handle) -> io::Result<()> {
+    http::listen(address, move |request| {
+        serve(dialect, handle.clone(), request)
+    })
+    .await
+}
+
+async fn serve(dialect: Dialect, handle: Handle, request: Request<Incoming>) -> Response<Body> {
+    let call = (dialect.operator)(request.method(), request.uri().path());
+    match call {
+        Some(OperatorCall::Submit) => submit(dialect, &handle, request.into_body()).await,
+        Some(OperatorCall::Read) => read(&handle).await,
+        None => http::text(StatusCode::NOT_FOUND, "there is no such call\n"),
+    }
+}
+
+async fn submit(dialect: Dialect, handle: &Handle, body: Incoming) -> Response<Body> {
+    let began = Instant::now();
+    let body = match Limited::new(body, BODY_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            warn!(reason:% = error; "a submission was not read to its end");
+            return http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
+        }
+    };
+    let table = match check(dialect, &body) {
+        Ok(table) => table,
+        Err(reason) => {
+            info!(reason = reason.as_str(); "configuration refused");
+            return http::text(StatusCode::BAD_REQUEST, reason);
+        }
+    };
+    let version = table.version();
+    let submitted = handle.submit(Document { version, body }, DEADLINE).await;
+    let took = began.elapsed().as_millis() as u64;
+    match submitted {
+        Ok(held) => {
+            info!(version = version, held = held, took_ms = took; "configuration accepted");
+            http::text(StatusCode::OK, "")
+        }
+        Err(error) => {
+            warn!(version = version, reason:% = error, took_ms = took; "configuration unconfirmed");
+            http::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n"))
+        }
+    }
+}
+
+fn check(dialect: Dialect, body: &[u8]) -> Result<Table, String> {
+    let draft = (dialect.configuration)(body).map_err(|unreadable| format!("{unreadable}\n"))?;
+    Table::check(draft).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("{fault}\n"));
+        lines.collect()
+    })
+}
+
+async fn read(handle: &Handle) -> Response<Body> {
+    match handle.read(DEADLINE).await {
+        Ok(document) => {
+            info!(version = document.version; "configuration read");
+            let mut response = http::text(StatusCode::OK, Bytes::clone(&document.body));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => {
+            info!(reason:% = error; "configuration not read");
+            http::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -0,0 +1,349 @@
+//! What all requests on an entry host share.
+
+use {
+    crate::{
+        board::{Board, Instance},
+        budget::Budget,
+        dialect::Dialect,
+        forecast::Forecast,
+        gate::{Decision, Gate, Refusal, Ticket, Waiting},
+        metrics::Metrics,
+        placement::{self, Choice, Need},
+        pool::Pool,
+        settings,
+        table::Table,
+        targets::{Change, Held, RunId, Targets},
+    },
+    arc_swap::ArcSwapOption,
+    log::info,
+    sardinerelay::id::{Organisation, Service, Target},
+    sardinerelayd::stop::Drain,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{sync::oneshot, time::sleep},
+};
+
+/// Interval in which waiting requests are looked at without an event.
+const LOOK: Duration = Duration::from_millis(40);
+/// Interval of the pool's cleaning.
+const CLEAN: Duration = Duration::from_secs(1);
+/// Entry hosts that are assumed before their number was told.
+const ASSUMED_ENTRIES: u32 = 100;
+
+/// The shared state.
+#[derive(Debug)]
+pub struct Entry {
+    /// The settings.
+    pub settings: settings::Entry,
+    /// The wire.
+    pub dialect: Dialect,
+    /// The configuration in force.
+    pub table: ArcSwapOption<Table>,
+    /// Kept connections.
+    pub pool: Pool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The planned stop.
+    pub drain: Drain,
+    state: Mutex<State>,
+    next_run: AtomicU64,
+}
+
+/// State that decisions are made from.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Targets.
+    pub targets: Targets,
+    /// Lengths of generations.
+    pub forecast: Forecast,
+    gate: Gate,
+    placed: HashMap<Ticket, oneshot::Sender<Decision>>,
+    budgets: HashMap<Service, Budget>,
+}
+
+/// A request's place among the running ones. It is given up when this is dropped.
+#[derive(Debug)]
+pub struct Place {
+    entry: Arc<Entry>,
+    /// The request's number.
+    pub run: RunId,
+    organisation: Organisation,
+    /// Where it runs, and who keeps a copy.
+    pub choice: Choice,
+    need: Need,
+}
+
+/// A request that waits. It is withdrawn when this is dropped, unless its place was taken over.
+struct Wait<'a> {
+    entry: &'a Arc<Entry>,
+    ticket: Ticket,
+    organisation: Organisation,
+    taken_over: bool,
+}
+
+impl Entry {
+    /// The state of a host that has started.
+    pub fn new(settings: settings::Entry, dialect: Dialect, metrics: Metrics) -> Self {
+        Self {
+            settings,
+            dialect,
+            table: ArcSwapOption::empty(),
+            pool: Pool::default(),
+            metrics,
+            drain: Drain::default(),
+            state: Mutex::default(),
+            next_run: AtomicU64::new(1),
+        }
+    }
+
+    /// The state. Nobody holds it for longer than a decision takes.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A number for a request.
+    pub fn run_id(&self) -> RunId {
+        self.next_run.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Takes over a board.
+    pub fn merge(&self, board: &Board) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let changes = state.targets.merge(board, now);
+        for change in &changes {
+            match change {
+                Change::Joined(target) => info!(target_id = target.as_str(); "target listed"),
+                Change::Leaving(target) => {
+                    info!(target_id = target.as_str(), list_age_ms = board.list_age_ms; "target leaves");
+                }
+                Change::Gone(target) => {
+                    info!(target_id = target.as_str(), list_age_ms = board.list_age_ms; "target gone");
+                }
+            }
+        }
+        self.decide(&mut state, now);
+    }
+
+    /// Waits for room and takes it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, and when the caller should come back.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        need: Need,
+        organisation: Organisation,
+        until: Instant,
+    ) -> Result<Place, (Refusal, Duration)> {
+        let now = Instant::now();
+        let ticket = self.run_id();
+        let (reply, decided) = oneshot::channel();
+        {
+            let mut state = self.state();
+            let waiting = Waiting {
+                ticket,
+                need: need.clone(),
+                organisation: organisation.clone(),
+                arrived: now,
+                until,
+            };
+            state.gate.offer(waiting, now)?;
+            state.placed.insert(ticket, reply);
+            self.decide(&mut state, now);
+        }
+        let mut wait = Wait {
+            entry: self,
+            ticket,
+            organisation: organisation.clone(),
+            taken_over: false,
+        };
+        match decided.await {
+            Ok(Decision::Placed(choice)) => {
+                wait.taken_over = true;
+                Ok(Place {
+                    entry: Arc::clone(self),
+                    run: ticket,
+                    organisation,
+                    choice,
+                    need,
+                })
+            }
+            Ok(Decision::Refused(refusal, retry)) => Err((refusal, retry)),
+            // The gate answers every ticket that it doesn't withdraw.
+            Err(_) => Err((Refusal::Expired, LOOK)),
+        }
+    }
+
+    /// Counts a first attempt at a service.
+    pub fn count_request(&self, service: &Service) {
+        self.budget(&mut self.state(), service)
+            .request(Instant::now());
+    }
+
+    /// Takes one repeat of the service's budget.
+    pub fn may_repeat(&self, service: &Service) -> bool {
+        let mut state = self.state();
+        let entries = match state.targets.entries() {
+            0 => ASSUMED_ENTRIES,
+            entries => entries,
+        };
+        self.budget(&mut state, service)
+            .repeat(entries, Instant::now())
+    }
+
+    fn budget<'a>(&self, state: &'a mut State, service: &Service) -> &'a mut Budget {
+        let limit = self.settings.retries;
+        let budget = state.budgets.entry(service.clone());
+        budget.or_insert_with(|| Budget::new(limit, Instant::now()))
+    }
+
+    /// The platform's entry for a target.
+    pub fn instance(&self, target: &str) -> Option<Instance> {
+        let state = self.state();
+        state
+            .targets
+            .get(target)
+            .map(|state| state.instance.clone())
+    }
+
+    /// Looks at waiting requests and cleans up, for ever.
+    pub async fn run(self: Arc<Self>) {
+        let mut cleaned = Instant::now();
+        loop {
+            sleep(LOOK).await;
+            let now = Instant::now();
+            let mut state = self.state();
+            if !state.gate.is_empty() {
+                self.decide(&mut state, now);
+            }
+            if now.saturating_duration_since(cleaned) > CLEAN {
+                cleaned = now;
+                let targets = &state.targets;
+                self.pool.keep(|target| targets.get(target).is_some());
+            }
+        }
+    }
+
+    fn decide(&self, state: &mut State, now: Instant) {
+        let zone = &self.settings.common.zone;
+        let State {
+            targets,
+            gate,
+            placed,
+            ..
+        } = state;
+        let decisions = gate.decide(now, |waiting| {
+            let need = &waiting.need;
+            let choice = placement::choose(targets, need, (zone, &[]), &mut rand::rng(), now)?;
+            // Held at once, so that the next placement sees it.
+            hold(targets, waiting.ticket, need, &choice, now);
+            Some(choice)
+        });
+        for (ticket, decision) in decisions {
+            if let Some(reply) = placed.remove(&ticket) {
+                // Whoever stops waiting gives up what was placed for it.
+                let _ = reply.send(decision);
+            }
+        }
+    }
+}
+
+fn hold(targets: &mut Targets, run: RunId, need: &Need, choice: &Choice, now: Instant) {
+    let held = Held {
+        tokens: need.prompt,
+        expected: need.prompt + need.output,
+        since: now,
+    };
+    targets.hold(&choice.target, run, held);
+    if let Some(copy) = &choice.copy {
+        targets.hold(copy, run, held);
+    }
+}
+
+impl Place {
+    /// Records how much memory the request holds by now.
+    pub fn progress(&self, output: u64) {
+        let tokens = self.need.prompt + output;
+        let mut state = self.entry.state();
+        state
+            .targets
+            .progress(&self.choice.target, self.run, tokens);
+        if let Some(copy) = &self.choice.copy {
+            state.targets.progress(copy, self.run, tokens);
+        }
+    }
+
+    /// Chooses another engine, without waiting.
+    pub fn move_elsewhere(&mut self, avoid: &[Target]) -> bool {
+        let now = Instant::now();
+        let zone = &self.entry.settings.common.zone;
+        let mut state = self.entry.state();
+        let place = (zone, avoid);
+        let choice = placement::choose(&state.targets, &self.need, place, &mut rand::rng(), now);
+        let Some(choice) = choice else {
+            return false;
+        };
+        self.give_up(&mut state.targets);
+        hold(&mut state.targets, self.run, &self.need, &choice, now);
+        drop(state);
+        self.choice = choice;
+        true
+    }
+
+    /// Makes the engine with the copy the one that runs the request, and chooses a new one for
+    /// the next copy.
+    pub fn move_to_copy(&mut self) -> bool {
+        let Some(target) = self.choice.copy.clone() else {
+            return false;
+        };
+        let now = Instant::now();
+        let mut state = self.entry.state();
+        let copy = state
+            .targets
+            .get(&target)
+            .and_then(|primary| placement::choose_copy(&state.targets, &self.need, primary, now));
+        self.give_up(&mut state.targets);
+        let choice = Choice { target, copy };
+        hold(&mut state.targets, self.run, &self.need, &choice, now);
+        drop(state);
+        self.choice = choice;
+        true
+    }
+
+    fn give_up(&self, targets: &mut Targets) {
+        targets.release(&self.choice.target, self.run);
+        if let Some(copy) = &self.choice.copy {
+            targets.release(copy, self.run);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.entry.state();
+        self.give_up(&mut state.targets);
+        state.gate.ended(&self.organisation);
+        self.entry.decide(&mut state, Instant::now());
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        if self.taken_over {
+            return;
+        }
+        let mut state = self.entry.state();
+        state.gate.withdraw(self.ticket);
+        state.placed.remove(&self.ticket);
+        if state.targets.release_everywhere(self.ticket) {
+            state.gate.ended(&self.organisation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -0,0 +1,231 @@
+//! The listener for callers: identifies a request, lets it through, and hands it on.
+
+use {
+    crate::{
+        answer::Refusal,
+        entry::Entry,
+        generation, plain,
+        request::Job,
+        table::{Denial, Kind, Limits},
+    },
+    axum::body::Body,
+    http::{HeaderValue, Request, Response, header},
+    http_body_util::{BodyExt as _, LengthLimitError, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    log::{debug, info, warn},
+    sardinerelayd::stop::Open,
+    std::{convert::Infallible, sync::Arc, time::Duration, time::Instant},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::sleep,
+    },
+};
+
+/// Time to wait after a failed accept, which happens when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller should come back to a host without a configuration.
+const NO_TABLE: Duration = Duration::from_millis(800);
+/// When a caller should come back to a host that stops.
+const STOPPING: Duration = Duration::from_millis(100);
+/// Smallest read buffer that the HTTP library allows, in bytes.
+const LEAST_BUFFER: usize = 8192;
+/// Bounds on callers while no configuration is known.
+const FIRST_LIMITS: Limits = Limits {
+    header_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Accepts callers' connections until `closing` holds true.
+pub async fn run(entry: Arc<Entry>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let mut stop = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed(&mut stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(Arc::clone(&entry), stream, closing.clone()));
+            }
+            Err(error) => {
+                warn!("a caller's connection was not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(entry: Arc<Entry>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("a caller's connection broke: {error}");
+        return;
+    }
+    let limits = limits(&entry);
+    let service = service_fn(|request| {
+        let entry = Arc::clone(&entry);
+        async move { Ok::<_, Infallible>(serve(entry, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time between two requests as time to read a head.
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closed(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("a caller's connection ended: {error}");
+    }
+}
+
+/// Waits until this host closes its connections, for ever if its sender is gone.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn limits(entry: &Entry) -> Limits {
+    let table = entry.table.load();
+    table.as_ref().map_or(FIRST_LIMITS, |table| table.limits())
+}
+
+async fn serve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let open = entry.drain.enter();
+    let stopping = entry.drain.draining();
+    let mut response = match open {
+        Some(open) => answer(Arc::clone(&entry), request, arrived, open).await,
+        None => {
+            let refusal = Refusal::NotRun {
+                reason: "this host stops",
+                retry_after: STOPPING,
+            };
+            let call = (entry.dialect.call)(&request.into_parts().0).ok();
+            refusal.response(&entry.dialect, call.as_ref().map(|call| &call.id))
+        }
+    };
+    if stopping {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+    arrived: Instant,
+    open: Open,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let call = match (entry.dialect.call)(&head) {
+        Ok(call) => call,
+        Err(unreadable) => {
+            let refusal = Refusal::Unreadable(unreadable.to_string());
+            info!(reason:% = unreadable; "request unreadable");
+            return refusal.response(&entry.dialect, None);
+        }
+    };
+    let id = call.id.clone();
+    let identified = identify(&entry, &head, call, arrived);
+    let served = match identified {
+        Ok(job) => match read_body(body, limits(&entry).body_bytes).await {
+            Ok(body) => hand_on(Job { body, ..job }).await,
+            Err(refusal) => Err(refusal),
+        },
+        Err(refusal) => Err(refusal),
+    };
+    match served {
+        Ok(response) => response.map(|body| open.hold(body)),
+        Err(refusal) => {
+            let took = arrived.elapsed();
+            entry.metrics.ended("", refusal.name(), took);
+            info!(
+                request = id.as_str(), reason:% = refusal, status = refusal.status().as_u16(),
+                took_ms = took.as_millis() as u64;
+                "request refused"
+            );
+            refusal.response(&entry.dialect, Some(&id))
+        }
+    }
+}
+
+/// Finds the route and the organisation.
+fn identify(
+    entry: &Arc<Entry>,
+    head: &http::request::Parts,
+    call: crate::call::Call,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
+    let table = entry.table.load();
+    let Some(table) = table.as_ref() else {
+        return Err(Refusal::NotRun {
+            reason: "this host has no configuration yet",
+            retry_after: NO_TABLE,
+        });
+    };
+    let denied = |denial: Denial| {
+        info!(
+            request = call.id.as_str(), host = call.host.as_str(), path = head.uri.path(),
+            version = table.version(), reason:% = denial;
+            "request denied"
+        );
+        match denial {
+            Denial::NoRoute => Refusal::NoRoute,
+            Denial::UnknownKey => Refusal::UnknownKey,
+        }
+    };
+    let route = table.route(&call.host, head.uri.path()).map_err(denied)?;
+    let holder = table.holder(route, call.key.as_deref()).map_err(denied)?;
+    let service = route.service(&mut rand::rng()).cloned();
+    let priority = holder.and_then(|holder| holder.priority);
+    Ok(Job {
+        entry: Arc::clone(entry),
+        head: head.clone(),
+        body: bytes::Bytes::new(),
+        route: route.clone(),
+        service: service.unwrap_or_default(),
+        organisation: holder.map(|holder| holder.name.clone()),
+        priority: priority.unwrap_or(route.priority),
+        call,
+        arrived,
+    })
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<bytes::Bytes, Refusal> {
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
+        Err(error) => Err(Refusal::Unreadable(error.to_string())),
+    }
+}
+
+async fn hand_on(job: Job) -> Result<Response<Body>, Refusal> {
+    match job.route.kind {
+        Kind::Generation { .. } => generation::serve(job).await,
+        Kind::Repeatable | Kind::Once => {
+            let served = plain::serve(&job).await;
+            if let Ok(response) = &served {
+                let took = job.arrived.elapsed();
+                let outcome = if response.status().is_success() {
+                    "success"
+                } else {
+                    "failure"
+                };
+                job.entry.metrics.ended(&job.route.name, outcome, took);
+            }
+            served
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -0,0 +1,167 @@
+//! Generations: waiting for room, placement, and the stream to the caller.
+//!
+//! Load pattern that it answers: a sixth of the engines is reclaimed every few seconds, while
+//! generations run for many seconds and must not run twice. Each long generation has a copy of
+//! its memory on another engine, and goes on there as the same run when its engine ends. See
+//! `docs/design/platform.md`.
+
+mod open;
+mod pump;
+
+use {
+    self::open::Opened,
+    crate::{
+        answer::Refusal,
+        gate,
+        placement::{self, Need},
+        request::{Job, end_to_end},
+        table::Kind,
+    },
+    axum::body::Body,
+    http::{Response, response},
+    log::info,
+    rand::Rng as _,
+    std::time::{Duration, Instant},
+    tokio::sync::mpsc::channel,
+    tokio_stream::wrappers::ReceiverStream,
+};
+
+/// Share of its objective that a request may wait for room.
+const WAIT_SHARE: f64 = 0.55;
+/// Standard deviations above the estimated length that are reserved.
+const MARGIN: f64 = 0.3;
+/// Tokens of output from which on a copy pays: shorter generations are over before they would use
+/// it.
+const COPY_OUTPUT: u64 = 64;
+/// Sends until one is taken.
+const MOST_SENDS: usize = 4;
+/// Mean time after which a caller should come back when no engine takes its generation.
+const COME_BACK: Duration = Duration::from_millis(600);
+/// Chunks that wait for a caller that reads slowly.
+const CHUNKS: usize = 32;
+/// Urgency of the first rank at engines.
+const FIRST_URGENCY: u8 = 2;
+/// Urgency of the last rank.
+const LAST_URGENCY: u8 = 8;
+
+/// Serves a generation.
+///
+/// # Errors
+///
+/// The relay's own answer.
+pub async fn serve(job: Job) -> Result<Response<Body>, Refusal> {
+    job.entry.count_request(&job.service);
+    let need = need(&job);
+    let until = job.arrived + job.route.objective.mul_f64(WAIT_SHARE);
+    let until = until.min(job.end());
+    let organisation = job.organisation.clone().unwrap_or_default();
+    let place = job.entry.acquire(need.clone(), organisation, until).await;
+    let waited = job.arrived.elapsed();
+    let mut place = match place {
+        Ok(place) => place,
+        Err((refusal, retry_after)) => return Err(refused(&job, &need, refusal, retry_after)),
+    };
+    job.entry.metrics.placed(&job.route.name, waited);
+    let mut tried = Vec::new();
+    for send in 0..MOST_SENDS {
+        note_placement(&job, &need, &place.choice, send);
+        let opened = open::open(&job, &place, job.call.after, None).await;
+        open::note(&job, &place.choice.target, &opened);
+        match opened {
+            Opened::Stream(head, source) => {
+                let (chunks, stream) = channel(CHUNKS);
+                let response = answer(head, Body::from_stream(ReceiverStream::new(stream)));
+                tokio::spawn(pump::run(job, place, source, chunks));
+                return Ok(response);
+            }
+            Opened::Failure(head, body) => return Ok(answer(head, Body::from(body))),
+            Opened::NotRun(_) => {}
+            Opened::Lost if place.choice.copy.is_some() || resumable(&job) => {
+                return Ok(pump::start_without_source(job, place).await?);
+            }
+            Opened::Lost => return Err(Refusal::Unknown("the engine broke off")),
+            Opened::Late => return Err(Refusal::Timeout),
+        }
+        tried.push(place.choice.target.clone());
+        if !job.entry.may_repeat(&job.service) || !place.move_elsewhere(&tried) {
+            break;
+        }
+        job.entry.metrics.repeated(&job.route.name);
+    }
+    let jitter = rand::rng().random_range(0.5..1.5);
+    Err(Refusal::NotRun {
+        reason: "no engine takes the generation",
+        retry_after: COME_BACK.mul_f64(jitter),
+    })
+}
+
+/// Urgency at engines, by the request's rank.
+fn urgency(priority: u8) -> u8 {
+    priority.saturating_add(FIRST_URGENCY).min(LAST_URGENCY)
+}
+
+fn resumable(job: &Job) -> bool {
+    matches!(job.route.kind, Kind::Generation { resumable: true })
+}
+
+fn need(job: &Job) -> Need {
+    let generation = job.call.generation.as_ref();
+    let prompt = generation.map_or(0, |generation| generation.prompt);
+    let most = generation.map_or(u64::MAX, |generation| generation.most);
+    let hint = generation.and_then(|generation| generation.hint);
+    let parts = generation.map_or(&[][..], |generation| &generation.parts);
+    let state = job.entry.state();
+    let output = state.forecast.output(&job.route.name, most, hint, MARGIN);
+    drop(state);
+    let table = job.entry.table.load();
+    let spec = table.as_ref().and_then(|table| table.service(&job.service));
+    let engine = spec.and_then(|spec| spec.engine);
+    let backups = engine.is_some_and(|engine| engine.backups);
+    Need {
+        service: job.service.clone(),
+        memory: engine.map_or(0, |engine| engine.memory),
+        prompt,
+        output,
+        priority: job.priority,
+        prefix: placement::prefix(parts),
+        copy: backups && !resumable(job) && output >= COPY_OUTPUT,
+    }
+}
+
+fn answer(mut head: response::Parts, body: Body) -> Response<Body> {
+    end_to_end(&mut head.headers);
+    Response::from_parts(head, body)
+}
+
+fn refused(job: &Job, need: &Need, refusal: gate::Refusal, retry_after: Duration) -> Refusal {
+    info!(
+        request = job.call.id.as_str(), route = job.route.name.as_str(),
+        prompt = need.prompt, output = need.output, priority = need.priority,
+        reason:% = refusal, retry_after_ms = retry_after.as_millis() as u64,
+        waited_ms = job.arrived.elapsed().as_millis() as u64;
+        "generation refused"
+    );
+    Refusal::NotRun {
+        reason: "the engines are full",
+        retry_after,
+    }
+}
+
+fn note_placement(job: &Job, need: &Need, choice: &placement::Choice, send: usize) {
+    let now = Instant::now();
+    let state = job.entry.state();
+    let seen = state.targets.get(&choice.target);
+    let load = seen.and_then(|seen| seen.load);
+    let age = load.map_or(0, |(_, read)| {
+        now.saturating_duration_since(read).as_millis() as u64
+    });
+    let used = load.map_or(0, |(load, _)| load.used);
+    info!(
+        request = job.call.id.as_str(), route = job.route.name.as_str(), send = send,
+        target_id = choice.target.as_str(),
+        copy_id = choice.copy.as_ref().map_or("", |copy| copy.as_str()),
+        prompt = need.prompt, output = need.output, used = used, report_age_ms = age,
+        waited_ms = job.arrived.elapsed().as_millis() as u64;
+        "generation placed"
+    );
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -0,0 +1,176 @@
+//! Sends a generation to an engine and reads the head of its answer.
+
+use {
+    super::urgency,
+    crate::{
+        call::{Copy, EventId},
+        entry::{Entry, Place},
+        pool::{Exchange, Fault},
+        request::{Extra, Job, Verdict},
+    },
+    bytes::Bytes,
+    http::response,
+    http_body_util::{BodyExt as _, Limited},
+    hyper::body::Incoming,
+    log::info,
+    sardinerelay::id::Target,
+    std::time::{Duration, Instant},
+    tokio::time::{Instant as Deadline, sleep, timeout_at},
+};
+
+/// Largest failure of an engine that is passed on, in bytes.
+const FAILURE_BYTES: usize = 1 << 20;
+/// Longest idle time of a connection that a generation is sent on.
+const YOUNG: Duration = Duration::from_millis(1500);
+/// Urgency of a generation that goes on elsewhere: its caller is waiting in the middle of it.
+const CONTINUED_URGENCY: u8 = 0;
+/// Interval between looks at whether an engine is still there.
+const LOOK: Duration = Duration::from_millis(150);
+/// Age of an engine's load report from which on it counts as dead, if others' are younger.
+const DEAD_REPORT: Duration = Duration::from_millis(1800);
+/// Age below which another engine's report shows that reports arrive at all.
+const LIVE_REPORT: Duration = Duration::from_millis(1000);
+
+/// A stream of an engine.
+#[derive(Debug)]
+pub(super) struct Source {
+    pub(super) exchange: Exchange,
+    pub(super) body: Incoming,
+}
+
+/// How a send began.
+pub(super) enum Opened {
+    /// The engine streams.
+    Stream(response::Parts, Source),
+    /// The engine ran it and failed.
+    Failure(response::Parts, Bytes),
+    /// It certainly did not run.
+    NotRun(Skipped),
+    /// It may run or have run.
+    Lost,
+    /// The caller's time is over.
+    Late,
+}
+
+/// Why an engine did not run a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum Skipped {
+    #[error("the engine has gone")]
+    Gone,
+    #[error("the engine can't be reached")]
+    Unreachable,
+    #[error("the engine says that it did not run it")]
+    Refused,
+}
+
+/// Sends the generation to the place's engine, to go on after an event and from a copy if given.
+pub(super) async fn open(
+    job: &Job,
+    place: &Place,
+    after: Option<EventId>,
+    copy: Option<Copy>,
+) -> Opened {
+    let target = &place.choice.target;
+    let Some(instance) = job.entry.instance(target) else {
+        return Opened::NotRun(Skipped::Gone);
+    };
+    let backup = place.choice.copy.as_ref();
+    let backup = backup.and_then(|copy| job.entry.instance(copy));
+    let urgency = match after.is_some() || copy.is_some() {
+        true => CONTINUED_URGENCY,
+        false => urgency(job.priority),
+    };
+    let extra = Extra {
+        urgency: Some(urgency),
+        backup: backup.map(|instance| instance.address),
+        after,
+        copy,
+    };
+    let request = job.outgoing(target, extra);
+    let end = Deadline::from_std(job.end());
+    let sent = job.entry.pool.send(&instance, request, YOUNG);
+    let answered = timeout_at(end, async {
+        tokio::select! {
+            answered = sent => answered.map(Some),
+            () = dead(&job.entry, target) => Ok(None),
+        }
+    });
+    let (exchange, response) = match answered.await {
+        Ok(Ok(Some(answered))) => answered,
+        Ok(Ok(None)) => return Opened::Lost,
+        Ok(Err(Fault::Unsent(_))) => return Opened::NotRun(Skipped::Unreachable),
+        Ok(Err(Fault::Lost(_))) => return Opened::Lost,
+        Err(_) => return Opened::Late,
+    };
+    let verdict = job.verdict(&response);
+    let (parts, body) = response.into_parts();
+    match verdict {
+        Verdict::Success => Opened::Stream(parts, Source { exchange, body }),
+        Verdict::NotRun => {
+            if Limited::new(body, FAILURE_BYTES).collect().await.is_ok() {
+                job.entry.pool.give_back(exchange);
+            }
+            Opened::NotRun(Skipped::Refused)
+        }
+        Verdict::Failure => match Limited::new(body, FAILURE_BYTES).collect().await {
+            Ok(body) => {
+                job.entry.pool.give_back(exchange);
+                Opened::Failure(parts, body.to_bytes())
+            }
+            Err(_) => Opened::Lost,
+        },
+        Verdict::Foreign => Opened::Lost,
+    }
+}
+
+/// Ends when the engine is gone, or silent while others report.
+pub(super) async fn dead(entry: &Entry, target: &Target) {
+    loop {
+        sleep(LOOK).await;
+        if is_dead(entry, target) {
+            return;
+        }
+    }
+}
+
+pub(super) fn is_dead(entry: &Entry, target: &Target) -> bool {
+    let now = Instant::now();
+    let state = entry.state();
+    let Some(seen) = state.targets.get(target) else {
+        return true;
+    };
+    let age = |read: Instant| now.saturating_duration_since(read);
+    let silent = seen.load.is_some_and(|(_, read)| age(read) > DEAD_REPORT);
+    silent && {
+        let mut others = state.targets.all().filter_map(|other| other.load);
+        others.any(|(_, read)| age(read) < LIVE_REPORT)
+    }
+}
+
+/// Logs how a send began and records what it says of the engine.
+pub(super) fn note(job: &Job, target: &Target, opened: &Opened) {
+    let now = Instant::now();
+    let mut state = job.entry.state();
+    let (outcome, reason) = match opened {
+        Opened::Stream(..) => ("streams", String::new()),
+        Opened::Failure(parts, _) => ("failure", parts.status.to_string()),
+        Opened::NotRun(reason) => ("not_run", reason.to_string()),
+        Opened::Lost => ("lost", String::new()),
+        Opened::Late => ("late", String::new()),
+    };
+    if let Some(seen) = state.targets.get_mut(target) {
+        match opened {
+            Opened::Stream(..) => seen.health.ok(now),
+            Opened::NotRun(Skipped::Unreachable) => seen.health.unreachable(now),
+            _ => seen.health.failed(now),
+        }
+    }
+    let listed = state.targets.list_age(now).unwrap_or_default();
+    drop(state);
+    info!(
+        request = job.call.id.as_str(), target_id = target.as_str(), outcome = outcome,
+        reason = reason.as_str(), list_age_ms = listed.as_millis() as u64,
+        took_ms = job.arrived.elapsed().as_millis() as u64;
+        "generation sent"
+    );
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -0,0 +1,36 @@
+//! The gateway: entry hosts that serve callers, and hosts with replicas of the configuration, for
+//! deployments in which hosts are told only seeds.
+//!
+//! Decisions are apart from input and output: [`placement`], [`gate`], [`budget`], [`forecast`],
+//! [`health`], [`targets`], [`table`] and [`group::repair`] open no socket and read no clock. How
+//! things are written on the wire is the affair of a [`dialect::Dialect`]. The design is described
+//! in `docs/design/platform.md`.
+
+pub mod answer;
+pub mod board;
+pub mod budget;
+pub mod call;
+pub mod control;
+pub mod dialect;
+pub mod entry;
+pub mod events;
+pub mod exit_code;
+pub mod follow;
+pub mod forecast;
+pub mod front;
+pub mod gate;
+pub mod generation;
+pub mod group;
+pub mod health;
+pub mod http;
+pub mod metrics;
+pub mod placement;
+pub mod plain;
+pub mod pool;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod sse;
+pub mod table;
+pub mod targets;
+pub mod watch;
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -0,0 +1,171 @@
+//! Runs a process until it is stopped.
+
+use {
+    crate::{
+        board::{Board, Followers, Published},
+        control,
+        dialect::Dialect,
+        entry::Entry,
+        exit_code::ExitCode,
+        follow, front, group, http,
+        metrics::Metrics,
+        settings,
+        watch::Observer,
+    },
+    ::http::{Method, Request, Response, StatusCode},
+    anyhow::{Context as _, Result},
+    axum::body::Body,
+    hyper::body::Incoming,
+    log::{error, info, warn},
+    sardinerelayd::stop,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, runtime::Builder, sync::watch, time::sleep},
+};
+
+/// Time for which a stopping entry host still takes new connections: the balancer asks once a
+/// second, and notices at the second answer.
+const ROTATE: Duration = Duration::from_millis(2600);
+/// Part of the grace time that is left for the end of the process.
+const RESERVE: Duration = Duration::from_millis(500);
+/// Time in which a stopping voter hands over leadership.
+const TRANSFER: Duration = Duration::from_millis(600);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Runs an entry host.
+///
+/// # Errors
+///
+/// What prevents it from starting.
+pub async fn entry(settings: settings::Entry, dialect: Dialect) -> Result<ExitCode> {
+    let began = Instant::now();
+    let listener = TcpListener::bind(settings.front)
+        .await
+        .with_context(|| format!("listening on {}", settings.front))?;
+    let (ready, grace) = (settings.ready, settings.grace);
+    let metrics_at = SocketAddr::from((settings.common.address, settings.common.metrics_port));
+    let host = settings.common.host.clone();
+    let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?));
+    let shared = Arc::clone(&entry);
+    let answer = move |request| {
+        let response = readiness(&shared, &request);
+        async move { response }
+    };
+    http::listen(ready, answer.clone())
+        .await
+        .with_context(|| format!("listening on {ready}"))?;
+    if metrics_at != ready {
+        http::listen(metrics_at, answer)
+            .await
+            .with_context(|| format!("listening on {metrics_at}"))?;
+    }
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(front::run(Arc::clone(&entry), listener, closing));
+    tokio::spawn(Arc::clone(&entry).run());
+    follow(&entry)?;
+    info!(host = host.as_str(), took_ms = began.elapsed().as_millis() as u64; "entry host started");
+    stop::signalled().await.context("listening for signals")?;
+    info!(host = host.as_str(), open = entry.drain.open() as u64; "stop requested");
+    let deadline = grace.saturating_sub(ROTATE + RESERVE);
+    let drained = entry.drain.run(ROTATE, deadline).await;
+    // Kept connections are closed once their request, if any, was answered.
+    close.send_replace(true);
+    sleep(RESERVE / 5).await;
+    match drained {
+        Ok(()) => {
+            info!(host = host.as_str(); "stopped");
+            Ok(ExitCode::Success)
+        }
+        Err(unfinished) => {
+            warn!(host = host.as_str(); "{unfinished}");
+            Ok(ExitCode::Forced)
+        }
+    }
+}
+
+/// Follows the group on a thread of its own, so that traffic can't delay a configuration.
+fn follow(entry: &Arc<Entry>) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.context("starting the control thread's runtime")?;
+    let entry = Arc::clone(entry);
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(follow::run(entry)))
+        .context("starting the control thread")?;
+    Ok(())
+}
+
+fn readiness(entry: &Entry, request: &Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path();
+    if request.method() != Method::GET {
+        return http::text(StatusCode::METHOD_NOT_ALLOWED, "");
+    }
+    if path == METRICS_PATH {
+        return match entry.metrics.text() {
+            Ok(text) => http::text(StatusCode::OK, text),
+            Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+        };
+    }
+    if path != entry.dialect.ready_path {
+        return http::text(StatusCode::NOT_FOUND, "");
+    }
+    match (entry.drain.draining(), entry.table.load().is_some()) {
+        (true, _) => http::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        (false, false) => http::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n"),
+        (false, true) => http::text(StatusCode::OK, "ready\n"),
+    }
+}
+
+/// Runs a host with a replica.
+///
+/// # Errors
+///
+/// What prevents it from starting.
+pub async fn voter(settings: settings::Voter, dialect: Dialect) -> Result<ExitCode> {
+    let began = Instant::now();
+    let common = &settings.common;
+    let board: Published = Arc::new(watch::Sender::new(Arc::new(Board::default())));
+    let followers = Arc::new(Followers::default());
+    let replica = group::Settings {
+        address: common.address,
+        peer_port: common.peer_port,
+        seeds: common.seeds.clone(),
+        founding: settings.founding,
+        data: settings.data.clone(),
+    };
+    let observed = (Arc::clone(&board), Arc::clone(&followers));
+    let mut running = group::start(replica, observed.clone()).await?;
+    let handle = running.handle.clone();
+    control::listen(settings.control, dialect, handle.clone())
+        .await
+        .with_context(|| format!("listening on {}", settings.control))?;
+    let list = (settings.list, settings.list_rate);
+    let observer = Arc::new(Observer::new(dialect, list, observed));
+    tokio::spawn(observer.run(handle.newest()));
+    let host = common.host.as_str();
+    info!(host = host, took_ms = began.elapsed().as_millis() as u64; "voter started");
+    tokio::select! {
+        signalled = stop::signalled() => {
+            signalled.context("listening for signals")?;
+            info!(host = host; "stop requested");
+            handle.transfer().await;
+            sleep(TRANSFER.min(settings.grace / 2)).await;
+            info!(host = host; "stopped");
+            Ok(ExitCode::Success)
+        }
+        ended = &mut running.driver => {
+            let reason = match ended {
+                Ok(Ok(())) => "its input ended".to_owned(),
+                Ok(Err(failure)) => failure.to_string(),
+                Err(panic) => panic.to_string(),
+            };
+            error!(host = host, reason = reason.as_str(); "the replica ended");
+            Ok(ExitCode::Replica)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -0,0 +1,63 @@
+//! The resolved settings of one process.
+
+use {
+    crate::budget,
+    compact_str::CompactString,
+    sardinerelay::id::Zone,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        time::Duration,
+    },
+};
+
+/// What every process knows.
+#[derive(Debug, Clone)]
+pub struct Common {
+    /// This host's name, for logs.
+    pub host: CompactString,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Port of the peer servers of all hosts.
+    pub peer_port: u16,
+    /// Port at which metrics are served.
+    pub metrics_port: u16,
+    /// Hosts that probably hold replicas.
+    pub seeds: Vec<Ipv4Addr>,
+}
+
+/// An entry host.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// What every process knows.
+    pub common: Common,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where the balancer asks whether this host takes new connections.
+    pub ready: SocketAddr,
+    /// Limit of repeats to a service's targets, over all entry hosts.
+    pub retries: budget::Limit,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// A host with a replica.
+#[derive(Debug, Clone)]
+pub struct Voter {
+    /// What every process knows.
+    pub common: Common,
+    /// Where operators connect.
+    pub control: SocketAddr,
+    /// Directory for durable state.
+    pub data: PathBuf,
+    /// Whether the whole system starts for the first time.
+    pub founding: bool,
+    /// Where the platform's list is served.
+    pub list: SocketAddr,
+    /// Calls to the list that all hosts together may make in a second.
+    pub list_rate: f64,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -0,0 +1,287 @@
+//! Targets as one entry host sees them: boards of several hosts merged, and its own requests.
+//!
+//! A target that is about to stop never gets new work again in that incarnation, whatever an
+//! older list says.
+
+use {
+    crate::{
+        board::{Board, Instance, Load},
+        health::Health,
+    },
+    sardinerelay::id::{Incarnation, Target},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+/// Number of a request of this host while it runs.
+pub type RunId = u64;
+
+/// Time by which a target's report of itself lags when it is read.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Time for which it is remembered that an incarnation is leaving.
+const LEAVE_MEMORY: Duration = Duration::from_secs(120);
+/// Age of a load report above which the target's load counts as unknown.
+const STALE: Duration = Duration::from_secs(3);
+
+/// Memory of a target that one of this host's requests takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// Tokens that it holds by now.
+    pub tokens: u64,
+    /// Tokens that it is expected to hold at its end.
+    pub expected: u64,
+    /// Since when.
+    pub since: Instant,
+}
+
+/// One target.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// What the platform says of it.
+    pub instance: Instance,
+    /// Since when it is known to be leaving.
+    pub leaving: Option<Instant>,
+    /// Its last load report, and when that was read.
+    pub load: Option<(Load, Instant)>,
+    /// This host's requests on it, and copies kept there.
+    pub held: HashMap<RunId, Held>,
+    /// Its failures.
+    pub health: Health,
+    /// Until when it is slow after its start.
+    pub cold_until: Instant,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Targets {
+    states: BTreeMap<Target, State>,
+    list_read: Option<Instant>,
+    left: HashMap<(Target, Incarnation), Instant>,
+    entries: u32,
+}
+
+/// Something that changed by a board, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A target appeared.
+    Joined(Target),
+    /// A target is about to stop.
+    Leaving(Target),
+    /// A target is no longer listed.
+    Gone(Target),
+}
+
+impl Targets {
+    /// Takes over a board. Anything in it that is older than what is known changes nothing.
+    pub fn merge(&mut self, board: &Board, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.entries = self.entries.max(board.entries);
+        let read = past(now, board.list_age_ms);
+        if self.list_read.is_none_or(|known| read > known) && !board.instances.is_empty() {
+            self.list_read = Some(read);
+            self.merge_list(board, now, &mut changes);
+        }
+        for observation in &board.loads {
+            let read = past(now, observation.age_ms);
+            let Some(state) = self.states.get_mut(&observation.target) else {
+                continue;
+            };
+            let older = state.load.is_some_and(|(_, known)| known >= read);
+            if state.instance.incarnation != observation.incarnation || older {
+                continue;
+            }
+            state.load = Some((observation.load, read));
+            if observation.load.leaving && state.leaving.is_none() {
+                state.leaving = Some(now);
+                changes.push(Change::Leaving(observation.target.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Number of entry hosts, this one included; 0 if none was told yet.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
+    /// Age of the list, if one was read.
+    pub fn list_age(&self, now: Instant) -> Option<Duration> {
+        self.list_read
+            .map(|read| now.saturating_duration_since(read))
+    }
+
+    /// A target.
+    pub fn get(&self, target: &str) -> Option<&State> {
+        self.states.get(target)
+    }
+
+    /// A target, to record something.
+    pub fn get_mut(&mut self, target: &str) -> Option<&mut State> {
+        self.states.get_mut(target)
+    }
+
+    /// All targets.
+    pub fn all(&self) -> impl Iterator<Item = &State> {
+        self.states.values()
+    }
+
+    /// Targets of a service that may get work.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a State> + 'a {
+        self.states.values().filter(move |state| {
+            state.instance.service == service
+                && state.leaving.is_none()
+                && !state.health.is_down(now)
+        })
+    }
+
+    /// Records that a target says or shows that it is about to stop.
+    pub fn leaving(&mut self, target: &str, now: Instant) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.leaving.get_or_insert(now);
+            let incarnation = state.instance.incarnation;
+            self.left.insert((target.into(), incarnation), now);
+        }
+    }
+
+    /// Records that a request takes memory of a target.
+    pub fn hold(&mut self, target: &str, run: RunId, held: Held) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.held.insert(run, held);
+        }
+    }
+
+    /// Records how much memory a request holds by now.
+    pub fn progress(&mut self, target: &str, run: RunId, tokens: u64) {
+        let state = self.states.get_mut(target);
+        if let Some(held) = state.and_then(|state| state.held.get_mut(&run)) {
+            held.tokens = tokens;
+            held.expected = held.expected.max(tokens);
+        }
+    }
+
+    /// Records that a request no longer takes memory of a target.
+    pub fn release(&mut self, target: &str, run: RunId) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.held.remove(&run);
+        }
+    }
+
+    /// Records that a request takes no memory anywhere, and returns whether it did.
+    pub fn release_everywhere(&mut self, run: RunId) -> bool {
+        let states = self.states.values_mut();
+        let released = states.filter_map(|state| state.held.remove(&run));
+        released.count() > 0
+    }
+
+    fn merge_list(&mut self, board: &Board, now: Instant, changes: &mut Vec<Change>) {
+        self.left
+            .retain(|_, since| now.saturating_duration_since(*since) < LEAVE_MEMORY);
+        for instance in &board.instances {
+            self.merge_instance(instance, now, changes);
+        }
+        let listed = |target: &Target| {
+            let mut listed = board.instances.iter();
+            listed.any(|instance| instance.target == *target)
+        };
+        let gone: Vec<Target> = self
+            .states
+            .keys()
+            .filter(|target| !listed(target))
+            .cloned()
+            .collect();
+        for target in gone {
+            if let Some(state) = self.states.remove(&target) {
+                let incarnation = state.instance.incarnation;
+                self.left.insert((target.clone(), incarnation), now);
+            }
+            changes.push(Change::Gone(target));
+        }
+    }
+
+    fn merge_instance(&mut self, instance: &Instance, now: Instant, changes: &mut Vec<Change>) {
+        let target = &instance.target;
+        let key = (target.clone(), instance.incarnation);
+        let known = self.states.get(target);
+        let same = known.is_some_and(|state| state.instance.incarnation == instance.incarnation);
+        if !same {
+            let left = self.left.get(&key).copied();
+            let state = State {
+                instance: instance.clone(),
+                leaving: left,
+                load: None,
+                held: HashMap::new(),
+                health: Health::default(),
+                cold_until: now,
+            };
+            self.states.insert(target.clone(), state);
+            changes.push(Change::Joined(target.clone()));
+        }
+        let Some(state) = self.states.get_mut(target) else {
+            return;
+        };
+        state.instance = instance.clone();
+        state.cold_until = now + Duration::from_millis(instance.cold_ms);
+        if instance.leaving && state.leaving.is_none() {
+            state.leaving = Some(now);
+            self.left.insert(key, now);
+            changes.push(Change::Leaving(target.clone()));
+        }
+    }
+}
+
+impl State {
+    /// Tokens that the target is expected to need for what it has: its report, corrected by what
+    /// this host knows to be newer, and the growth of what runs.
+    pub fn committed(&self, growth: u64, now: Instant) -> u64 {
+        let own: u64 = self.held.values().map(|held| held.expected).sum();
+        let Some((load, read)) = self.fresh_load(now) else {
+            return own;
+        };
+        let taken = read.checked_sub(REPORT_LAG).unwrap_or(read);
+        let mut tokens = load.used;
+        let mut reported_own = 0;
+        for held in self.held.values() {
+            if held.since > taken {
+                tokens += held.expected;
+            } else {
+                tokens += held.expected.saturating_sub(held.tokens);
+                reported_own += 1;
+            }
+        }
+        let others = u64::from(load.running).saturating_sub(reported_own);
+        tokens + others * growth + u64::from(load.waiting) * growth * WAITING_GROWTHS
+    }
+
+    /// The load report, unless it is too old.
+    pub fn fresh_load(&self, now: Instant) -> Option<(Load, Instant)> {
+        self.load
+            .filter(|(_, read)| now.saturating_duration_since(*read) < STALE)
+    }
+
+    /// Requests that run or wait on it, as far as this host knows.
+    pub fn busy(&self, now: Instant) -> usize {
+        let reported = self
+            .fresh_load(now)
+            .map_or(0, |(load, _)| load.running + load.waiting);
+        self.held.len().max(reported as usize)
+    }
+
+    /// Whether it is still slow after its start.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+}
+
+/// A waiting request needs its prompt too, which is several times the growth of a running one.
+const WAITING_GROWTHS: u64 = 6;
+
+fn past(now: Instant, age_ms: u64) -> Instant {
+    now.checked_sub(Duration::from_millis(age_ms))
+        .unwrap_or(now)
+}
--- a/crates/sardinerelayd/examples/control_cost.rs
+++ b/crates/sardinerelayd/examples/control_cost.rs
@@ -333,6 +333,7 @@
         let plain = serde_json::to_vec(&messages)?.len();
         let step = Step {
             from: 1,
+            to: 2,
             messages: Packed(messages),
         };
         let packed = serde_json::to_vec(&step)?.len();
--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -17,7 +17,7 @@
 mod sheet;
 mod start;
 mod view_file;
-mod writer;
+pub mod writer;
 
 pub use self::{
     handle::{Handle, spawn},
--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -337,8 +337,9 @@
         let Some(meta) = self.replica.snapshot_meta(self.applied) else {
             return;
         };
-        let machine = Box::new(self.machine.clone());
-        self.writer.queue(Job::Save(meta, machine));
+        let machine = self.machine.clone();
+        let encode = Box::new(move || machine.snapshot());
+        self.writer.queue(Job::Save(meta, encode));
         self.uncompacted = (0, 0);
         self.saving = true;
     }
--- a/crates/sardinerelayd/src/control/rpc.rs
+++ b/crates/sardinerelayd/src/control/rpc.rs
@@ -97,14 +97,21 @@
 }
 
 /// Hands messages to the replica. They are dropped while its queue is full, as on a lossy link.
-pub(super) fn receiver(local: Option<Sender<Input>>, counters: SharedCounters) -> Receiver {
+pub(super) fn receiver(
+    host: Host,
+    local: Option<Sender<Input>>,
+    counters: SharedCounters,
+) -> Receiver {
     Receiver::new(move |method, parameters| {
         counters.count_received();
         if method != STEP {
             return;
         }
         match serde_json::from_str::<(Step,)>(parameters) {
-            Ok((Step { from, messages },)) => {
+            Ok((Step { from, to, .. },)) if to != host => {
+                debug!("messages from host {from} are for host {to}, which ran here before");
+            }
+            Ok((Step { from, messages, .. },)) => {
                 let input = Input::Step(from, messages.0);
                 if let Some(Err(_)) = local.as_ref().map(|local| local.try_send(input)) {
                     debug!("messages from host {from} are dropped");
--- a/crates/sardinerelayd/src/control/start.rs
+++ b/crates/sardinerelayd/src/control/start.rs
@@ -181,7 +181,7 @@
     let address = settings.listen;
     let failed = |source| Failure::Listen { address, source };
     let counters = Arc::clone(&context.counters);
-    let receiver = rpc::receiver(context.local.clone(), Arc::clone(&counters));
+    let receiver = rpc::receiver(settings.host, context.local.clone(), Arc::clone(&counters));
     let methods = rpc::methods(context).map_err(|error| failed(std::io::Error::other(error)))?;
     let server = Server::start(address, Some(secrets), (methods, receiver), counters)
         .await
@@ -213,7 +213,11 @@
     for (&host, client) in clients {
         let outbox = Arc::new(Outbox::default());
         let sending = Arc::clone(&outbox);
-        tokio::spawn(sending.run(settings.host, Arc::clone(client), settings.heartbeat));
+        tokio::spawn(sending.run(
+            (settings.host, host),
+            Arc::clone(client),
+            settings.heartbeat,
+        ));
         outboxes.insert(host, outbox);
     }
     let board = Arc::clone(board);
--- a/crates/sardinerelayd/src/control/writer.rs
+++ b/crates/sardinerelayd/src/control/writer.rs
@@ -6,10 +6,11 @@
     sardinerelay::{
         id::Index,
         raft::{Persist, Snapshot, SnapshotMeta},
-        state::Machine,
+        state,
         wal::Store,
     },
     std::{
+        fmt,
         sync::mpsc::{Receiver, Sender, channel},
         thread::{Builder, JoinHandle},
     },
@@ -19,15 +20,33 @@
 /// Writes that one sync covers at most.
 const GROUP: usize = 256;
 
-pub(super) enum Job {
+/// Encodes the state that a snapshot contains.
+pub type Encode = Box<dyn FnOnce() -> Result<Vec<u8>, state::Error> + Send>;
+
+/// A job for the thread.
+pub enum Job {
+    /// Appends and syncs.
     Persist(Persist),
     /// Encodes and saves a snapshot. Encoding takes too long for the control thread.
-    Save(SnapshotMeta, Box<Machine>),
+    Save(SnapshotMeta, Encode),
+    /// Removes what a snapshot up to this index contains.
     Compact(Index),
 }
 
+impl fmt::Debug for Job {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            Self::Persist(_) => "Persist",
+            Self::Save(..) => "Save",
+            Self::Compact(_) => "Compact",
+        };
+        formatter.debug_struct(name).finish_non_exhaustive()
+    }
+}
+
+/// What became of jobs.
 #[derive(Debug)]
-pub(super) enum Written {
+pub enum Written {
     /// Everything up to this sequence is synced.
     Persisted(u64),
     /// The snapshot is synced.
@@ -38,13 +57,18 @@
 
 /// The thread. Dropping it waits until it has released the store.
 #[derive(Debug)]
-pub(super) struct Writer {
+pub struct Writer {
     jobs: Option<Sender<Job>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Writer {
-    pub(super) fn start(store: Store) -> Result<(Self, UnboundedReceiver<Written>), Failure> {
+    /// Starts the thread, which owns the store from here on.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Thread`].
+    pub fn start(store: Store) -> Result<(Self, UnboundedReceiver<Written>), Failure> {
         let (jobs, queue) = channel();
         let (report, written) = unbounded_channel();
         let thread = Builder::new()
@@ -64,7 +88,7 @@
     }
 
     /// Queues a job. A failure shows as [`Written::Failed`].
-    pub(super) fn queue(&self, job: Job) {
+    pub fn queue(&self, job: Job) {
         if let Some(jobs) = &self.jobs {
             let _ = jobs.send(job);
         }
@@ -106,9 +130,8 @@
             let _ = report.send(Written::Persisted(sequence));
         }
         match other {
-            Some(Job::Save(meta, machine)) => {
-                let data = Bytes::from(machine.snapshot()?);
-                drop(machine);
+            Some(Job::Save(meta, encode)) => {
+                let data = Bytes::from(encode()?);
                 let snapshot = Snapshot { meta, data };
                 store.save_snapshot(&snapshot)?;
                 let _ = report.send(Written::Saved(snapshot));
--- a/crates/sardinerelayd/src/logging.rs
+++ b/crates/sardinerelayd/src/logging.rs
@@ -45,7 +45,8 @@
     out.finish(format_args!("{time} {:5} {message}{pairs}", record.level()));
 }
 
-fn json_line(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+/// Formats a record as one line of JSON.
+pub fn json_line(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
     let mut fields = Fields::default();
     let _ = record.key_values().visit(&mut fields);
     let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
--- a/crates/sardinerelayd/src/peer.rs
+++ b/crates/sardinerelayd/src/peer.rs
@@ -157,11 +157,13 @@
         }
     }
 
-    pub(crate) fn count_sent(&self) {
+    /// Counts a message sent.
+    pub fn count_sent(&self) {
         self.sent.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(crate) fn count_received(&self) {
+    /// Counts a message received.
+    pub fn count_received(&self) {
         self.received.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/sardinerelayd/src/peer/client.rs
+++ b/crates/sardinerelayd/src/peer/client.rs
@@ -18,7 +18,7 @@
 /// A client for one other host. It opens a connection when it needs one.
 pub struct Client {
     address: SocketAddr,
-    secrets: Secrets,
+    secrets: Option<Secrets>,
     limits: Limits,
     counters: SharedCounters,
     connection: Mutex<Option<Arc<WsClient>>>,
@@ -34,16 +34,19 @@
 }
 
 impl Client {
-    /// A client for the host at `address`.
-    pub fn new(
+    /// A client for the host at `address`. Without secrets it reaches only servers that have none.
+    pub fn new<Given>(
         address: SocketAddr,
-        secrets: Secrets,
+        secrets: Given,
         limits: Limits,
         counters: SharedCounters,
-    ) -> Self {
+    ) -> Self
+    where
+        Given: Into<Option<Secrets>>,
+    {
         Self {
             address,
-            secrets,
+            secrets: secrets.into(),
             limits,
             counters,
             connection: Mutex::new(None),
@@ -145,8 +148,10 @@
             .ping_interval(self.limits.silence / 3)
             .inactive_limit(self.limits.silence)
             .max_failures(1);
+        let headers = self.secrets.as_ref().map(Secrets::headers);
+        let headers = headers.unwrap_or_default();
         let client = WsClientBuilder::new()
-            .set_headers(self.secrets.headers())
+            .set_headers(headers)
             .max_request_size(REQUEST_BYTES)
             .max_response_size(RESPONSE_BYTES)
             .enable_ws_ping(ping)
--- a/crates/sardinerelayd/src/peer/outbox.rs
+++ b/crates/sardinerelayd/src/peer/outbox.rs
@@ -33,6 +33,8 @@
 pub struct Step {
     /// The sender.
     pub from: Host,
+    /// The replica that the messages are for. Another one may run at its address by now.
+    pub to: Host,
     /// The messages, in the order in which they were sent.
     pub messages: Packed<Vec<Message>>,
 }
@@ -64,7 +66,12 @@
     }
 
     /// Sends what is queued, for ever. `pause` is the time to wait after a failure.
-    pub async fn run(self: Arc<Self>, from: Host, client: Arc<Client>, pause: Duration) {
+    pub async fn run(
+        self: Arc<Self>,
+        (from, to): (Host, Host),
+        client: Arc<Client>,
+        pause: Duration,
+    ) {
         loop {
             let messages = self.batch();
             if messages.is_empty() {
@@ -73,6 +80,7 @@
             }
             let step = Step {
                 from,
+                to,
                 messages: Packed(messages),
             };
             if let Err(error) = client.notify(STEP, &step, pause * 10).await {
