--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -49,7 +49,8 @@
 /// Follows, for ever.
 pub async fn run(entry: Arc<Entry>) {
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
-    let mut addresses: BTreeSet<Ipv4Addr> = entry.settings.common.seeds.iter().copied().collect();
+    let changing = Arc::clone(&entry.settings.common.changing);
+    let mut addresses: BTreeSet<Ipv4Addr> = changing.seeds().into_iter().collect();
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let heard = Arc::new(watch::Sender::new(Heard::default()));
     loop {
@@ -73,8 +74,9 @@
         sleep(MEMBERS_EVERY).await;
         if let Some(members) = members(&clients, &addresses).await {
             addresses = members;
-            addresses.extend(&entry.settings.common.seeds);
         }
+        // Seeds may be newer than what the members that were asked know.
+        addresses.extend(changing.seeds());
     }
 }
 
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -18,7 +18,10 @@
 };
 
 use {
-    crate::board::{Followers, Published},
+    crate::{
+        board::{Followers, Published},
+        reload,
+    },
     driver::{Driver, Input},
     links::Links,
     log::{info, warn},
@@ -73,8 +76,8 @@
     pub address: Ipv4Addr,
     /// Port of the peer servers of all hosts.
     pub peer_port: u16,
-    /// Hosts that probably hold replicas.
-    pub seeds: Vec<Ipv4Addr>,
+    /// Names hosts that probably hold replicas.
+    pub changing: Arc<reload::Current>,
     /// Whether the whole system starts for the first time, with empty disks.
     pub founding: bool,
     /// Directory for durable state.
@@ -174,10 +177,11 @@
 
 /// Creates the files of a founding voter, or of a learner under a number that was never used.
 fn create(settings: &Settings, path: &Path) -> Result<(), Failure> {
-    let founder = settings.founding && settings.seeds.contains(&settings.address);
+    let seeds = settings.changing.seeds();
+    let founder = settings.founding && seeds.contains(&settings.address);
     let (replica, durable) = match founder {
         true => {
-            let voters = settings.seeds.iter().copied().map(member::founder);
+            let voters = seeds.into_iter().map(member::founder);
             (member::founder(settings.address), Durable::founding(voters))
         }
         false => {
@@ -197,7 +201,7 @@
 /// Asks to join until this replica votes. A replica that was removed while it was away gives up
 /// its files and lets the process end; it comes back as a newcomer.
 async fn keep_membership(settings: Settings, own: Host, path: PathBuf, handle: Handle) {
-    let mut joining = !(settings.founding && settings.seeds.contains(&settings.address));
+    let mut joining = own != member::founder(settings.address);
     loop {
         let pause = if joining { JOIN_EVERY } else { STANDING_EVERY };
         sleep(pause).await;
@@ -348,7 +352,7 @@
     /// answer counts.
     async fn ask(&self, settings: &Settings, own: Host, joining: bool) -> Option<Standing> {
         let known = self.standing.borrow().clone();
-        let mut addresses = settings.seeds.clone();
+        let mut addresses = settings.changing.seeds();
         addresses.extend(known.members.iter().copied().map(member::address));
         addresses.sort_unstable();
         addresses.dedup();
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod plain;
 pub mod pool;
+pub mod reload;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -9,7 +9,7 @@
         exit_code::ExitCode,
         follow, front, group, http,
         metrics::Metrics,
-        settings,
+        reload, settings,
         watch::Observer,
     },
     ::http::{Method, Request, Response, StatusCode},
@@ -50,6 +50,9 @@
     let (ready, grace) = (settings.ready, settings.grace);
     let metrics_at = SocketAddr::from((settings.common.address, settings.common.metrics_port));
     let host = settings.common.host.clone();
+    let common = &settings.common;
+    reload::start(Arc::clone(&common.changing), Arc::clone(&common.read))
+        .context("listening for signals")?;
     let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?));
     let shared = Arc::clone(&entry);
     let answer = move |request| {
@@ -134,11 +137,13 @@
     let replica = group::Settings {
         address: common.address,
         peer_port: common.peer_port,
-        seeds: common.seeds.clone(),
+        changing: Arc::clone(&common.changing),
         founding: settings.founding,
         data: settings.data.clone(),
     };
     let observed = (Arc::clone(&board), Arc::clone(&followers));
+    reload::start(Arc::clone(&common.changing), Arc::clone(&common.read))
+        .context("listening for signals")?;
     let mut running = group::start(replica, observed.clone()).await?;
     let handle = running.handle.clone();
     control::listen(settings.control, dialect, handle.clone())
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -1,18 +1,20 @@
 //! The resolved settings of one process.
 
 use {
-    crate::budget,
+    crate::{budget, reload},
     compact_str::CompactString,
     sardinerelay::id::Zone,
     std::{
+        fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
+        sync::Arc,
         time::Duration,
     },
 };
 
 /// What every process knows.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Common {
     /// This host's name, for logs.
     pub host: CompactString,
@@ -24,8 +26,10 @@
     pub peer_port: u16,
     /// Port at which metrics are served.
     pub metrics_port: u16,
-    /// Hosts that probably hold replicas.
-    pub seeds: Vec<Ipv4Addr>,
+    /// Settings that may change.
+    pub changing: Arc<reload::Current>,
+    /// Reads those again.
+    pub read: reload::Read,
 }
 
 /// An entry host.
@@ -61,3 +65,14 @@
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
 }
+
+impl fmt::Debug for Common {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Common")
+            .field("host", &self.host)
+            .field("zone", &self.zone)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
