Move generations off leaving engines; place on the better of two random engines

Cause of late first events: every host chose the least loaded engine of the same stale reports, five prompts within 0.6 s on one new engine.

--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -99,3 +99,28 @@
     /// Read the newest configuration.
     Read,
 }
+
+/// Asks an engine to copy a running generation's memory to another engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Transfer {
+    /// The attempt's id.
+    pub run: CompactString,
+    /// The engine that receives the memory.
+    pub to: SocketAddr,
+    /// Whether the run stops first, so that it can go on elsewhere.
+    pub last: bool,
+}
+
+/// What an engine answers to a [`Transfer`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transferred {
+    /// The copy is complete; its name at the source.
+    Done(CompactString),
+    /// There is no room, or the other engine can't be reached. The source keeps the memory under
+    /// this name if the run was stopped.
+    NoRoom(Option<CompactString>),
+    /// The engine runs no such generation.
+    Unknown,
+    /// A transfer of this generation is under way.
+    Busy,
+}
--- a/crates/sardinerelay-gateway/src/dialect.rs
+++ b/crates/sardinerelay-gateway/src/dialect.rs
@@ -6,11 +6,11 @@
 use {
     crate::{
         board::{Instance, Load},
-        call::{Answer, Call, Forward, OperatorCall},
+        call::{Answer, Call, Forward, OperatorCall, Transfer, Transferred},
         table::Draft,
     },
     bytes::Bytes,
-    http::{HeaderMap, Method, Request, request},
+    http::{HeaderMap, Method, Request, StatusCode, request},
     http_body_util::Full,
     std::net::SocketAddr,
     thiserror::Error,
@@ -74,6 +74,10 @@
     pub report_request: fn(SocketAddr) -> Request<Full<Bytes>>,
     /// Reads a load report.
     pub report: fn(&[u8]) -> Result<Load, Unreadable>,
+    /// The request for a transfer at the engine with this address.
+    pub transfer_request: fn(SocketAddr, &Transfer) -> Request<Full<Bytes>>,
+    /// Reads the answer to a transfer.
+    pub transfer: fn(StatusCode, &[u8]) -> Result<Transferred, Unreadable>,
     /// The path that asks whether this host takes new connections.
     pub ready_path: &'static str,
 }
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -36,6 +36,10 @@
 /// Entry hosts that are assumed before their number was told.
 const ASSUMED_ENTRIES: u32 = 100;
 
+/// Time for which an engine that is known to leave is still sent generations that go on there.
+/// It is well below the time that the platform lets a leaving target work.
+const LEAVING_USED: Duration = Duration::from_millis(1000);
+
 /// The shared state.
 #[derive(Debug)]
 pub struct Entry {
@@ -260,9 +264,14 @@
         tokens: need.prompt,
         expected: need.prompt + need.output,
         since: now,
+        runs: true,
     };
     targets.hold(&choice.target, run, held);
     if let Some(copy) = &choice.copy {
+        let held = Held {
+            runs: false,
+            ..held
+        };
         targets.hold(copy, run, held);
     }
 }
@@ -297,24 +306,65 @@
         true
     }
 
-    /// Makes the engine with the copy the one that runs the request, and chooses a new one for
-    /// the next copy.
-    pub fn move_to_copy(&mut self) -> bool {
-        let Some(target) = self.choice.copy.clone() else {
-            return false;
-        };
+    /// Makes another engine, which has a copy of the memory, the one that runs the request, and
+    /// chooses a new one for the next copy.
+    pub fn switch_to(&mut self, target: Target) {
         let now = Instant::now();
         let mut state = self.entry.state();
-        let copy = state
-            .targets
-            .get(&target)
+        let primary = state.targets.get(&target).filter(|_| self.need.copy);
+        let copy = primary
             .and_then(|primary| placement::choose_copy(&state.targets, &self.need, primary, now));
         self.give_up(&mut state.targets);
+        state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
         hold(&mut state.targets, self.run, &self.need, &choice, now);
         drop(state);
         self.choice = choice;
-        true
+    }
+
+    /// The engine with the copy, if it can be relied on: an engine that has been leaving for a
+    /// while may end at any moment.
+    pub fn sound_copy(&self) -> Option<Target> {
+        let copy = self.choice.copy.as_ref()?;
+        let now = Instant::now();
+        let state = self.entry.state();
+        let seen = state.targets.get(copy)?;
+        let leaving = seen
+            .leaving
+            .map(|since| now.saturating_duration_since(since));
+        let sound = !seen.health.is_down(now) && leaving.is_none_or(|age| age < LEAVING_USED);
+        sound.then(|| copy.clone())
+    }
+
+    /// Whether its engine is leaving and no copy is kept on one that stays.
+    pub fn needs_move(&self) -> bool {
+        let state = self.entry.state();
+        let leaving = |target: &Target| {
+            let seen = state.targets.get(target);
+            seen.is_none_or(|seen| seen.leaving.is_some())
+        };
+        leaving(&self.choice.target) && self.choice.copy.as_ref().is_none_or(leaving)
+    }
+
+    /// Chooses an engine to move to and keeps room for the request there.
+    pub fn plan_move(&self) -> Option<Target> {
+        let now = Instant::now();
+        let mut state = self.entry.state();
+        let primary = state.targets.get(&self.choice.target)?;
+        let target = placement::choose_copy(&state.targets, &self.need, primary, now)?;
+        let held = Held {
+            tokens: self.need.prompt,
+            expected: self.need.prompt + self.need.output,
+            since: now,
+            runs: false,
+        };
+        state.targets.hold(&target, self.run, held);
+        Some(target)
+    }
+
+    /// Gives up the room on an engine that the request was not moved to.
+    pub fn drop_move(&self, target: &Target) {
+        self.entry.state().targets.release(target, self.run);
     }
 
     fn give_up(&self, targets: &mut Targets) {
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -7,6 +7,8 @@
 
 mod open;
 mod pump;
+mod resume;
+mod transfer;
 
 use {
     self::open::Opened,
@@ -110,6 +112,7 @@
     let most = generation.map_or(u64::MAX, |generation| generation.most);
     let hint = generation.and_then(|generation| generation.hint);
     let parts = generation.map_or(&[][..], |generation| &generation.parts);
+    let (shared, prefix) = placement::shared(parts);
     let state = job.entry.state();
     let output = state.forecast.output(&job.route.name, most, hint, MARGIN);
     drop(state);
@@ -123,7 +126,8 @@
         prompt,
         output,
         priority: job.priority,
-        prefix: placement::prefix(parts),
+        shared,
+        prefix,
         copy: backups && !resumable(job) && output >= COPY_OUTPUT,
     }
 }
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -9,7 +9,7 @@
         request::{Extra, Job, Verdict},
     },
     bytes::Bytes,
-    http::response,
+    http::{header, response},
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     log::info,
@@ -36,6 +36,8 @@
 pub(super) struct Source {
     pub(super) exchange: Exchange,
     pub(super) body: Incoming,
+    /// Whether the end of the body can be told from the end of the connection.
+    pub(super) framed: bool,
 }
 
 /// How a send began.
@@ -105,7 +107,15 @@
     let verdict = job.verdict(&response);
     let (parts, body) = response.into_parts();
     match verdict {
-        Verdict::Success => Opened::Stream(parts, Source { exchange, body }),
+        Verdict::Success => {
+            let framed = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
+            let source = Source {
+                exchange,
+                body,
+                framed: framed.iter().any(|name| parts.headers.contains_key(name)),
+            };
+            Opened::Stream(parts, source)
+        }
         Verdict::NotRun => {
             if Limited::new(body, FAILURE_BYTES).collect().await.is_ok() {
                 job.entry.pool.give_back(exchange);
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -3,23 +3,28 @@
 use {
     super::{
         answer,
-        open::{self, Opened, Source},
+        open::{self, Source},
         resumable,
+        transfer::{self, Moved},
     },
     crate::{
         answer::Refusal,
-        call::{Copy, EventId},
+        call::EventId,
         entry::Place,
         request::Job,
         sse::{Event, Splitter},
     },
     axum::body::Body,
     bytes::{Bytes, BytesMut},
+    futures::future::BoxFuture,
     http::Response,
     http_body_util::BodyExt as _,
-    log::{info, warn},
+    log::info,
     sardinerelay::id::Target,
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     thiserror::Error,
     tokio::{
         sync::mpsc::{Sender, channel},
@@ -28,14 +33,16 @@
     tokio_stream::wrappers::ReceiverStream,
 };
 
-/// Interval between looks at a silent stream's engine.
-const LOOK: Duration = Duration::from_millis(150);
-/// Silence after which a stream's engine is looked at.
+/// Interval between looks at a stream's engine.
+const LOOK: Duration = Duration::from_millis(100);
+/// Silence after which a stream's engine may count as dead.
 const SILENT: Duration = Duration::from_millis(400);
 /// Events after which the memory that a stream holds is brought up to date.
 const PROGRESS_EVENTS: u64 = 8;
-/// Continuations of one stream at most.
-const MOST_CONTINUATIONS: u32 = 6;
+/// Moves that are tried for one stream on one engine.
+const MOST_MOVES: u32 = 3;
+/// Time in which the rest of a stream arrives after its generation was moved.
+const REST: Duration = Duration::from_millis(150);
 /// Tokens in an event, if the service doesn't say.
 const STRIDE: u64 = 1;
 
@@ -47,7 +54,7 @@
 type Chunks = Sender<Result<Bytes, Cut>>;
 
 /// Why a stream from one engine ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Ended {
     /// The engine ended it.
     Complete,
@@ -57,20 +64,29 @@
     Late,
     /// The engine broke off.
     Broken(&'static str),
+    /// The generation was moved to this engine, or stopped for it.
+    Moved(Moved, Target),
 }
 
-struct Stream {
-    job: Job,
-    place: Place,
+/// A stream to a caller.
+pub(super) struct Stream {
+    pub(super) job: Job,
+    pub(super) place: Place,
     chunks: Chunks,
-    delivered: Option<EventId>,
+    pub(super) delivered: Option<EventId>,
     events: u64,
     started: bool,
-    continuations: u32,
-    ran: u32,
+    pub(super) continuations: u32,
+    pub(super) ran: u32,
     stride: u64,
 }
 
+/// A move under way.
+struct Moving {
+    task: BoxFuture<'static, Result<Moved, transfer::Failure>>,
+    to: Target,
+}
+
 /// Passes a stream on to its end.
 pub(super) async fn run(job: Job, place: Place, source: Source, chunks: Chunks) {
     Stream::new(job, place, chunks).run(Some(source)).await;
@@ -127,6 +143,13 @@
                         self.cut(reason).await;
                     }
                 }
+                Ended::Moved(moved, to) => {
+                    source = self.reopen_moved(moved, to).await.map(|(_, source)| source);
+                    if source.is_none() {
+                        self.cut("the engine that it was moved to did not go on")
+                            .await;
+                    }
+                }
             }
         };
         let tokens = self.events * self.stride;
@@ -150,24 +173,54 @@
 
     /// Passes events on until the stream ends.
     async fn pass_on(&mut self, source: Source) -> Ended {
-        let Source { exchange, mut body } = source;
+        let Source {
+            exchange,
+            mut body,
+            framed,
+        } = source;
         let mut splitter = Splitter::default();
         let mut heard = Instant::now();
-        let end = Deadline::from_std(self.job.end());
+        let mut end = Deadline::from_std(self.job.end());
         let mut look = interval(LOOK);
         let caller = self.chunks.clone();
+        let mut moving: Option<Moving> = None;
+        let mut moves = 0;
+        let mut moved: Option<(Moved, Target)> = None;
+        let mut open = true;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = caller.closed() => return Ended::Left,
-                frame = body.frame() => frame,
-                () = sleep_until(end) => return Ended::Late,
+                frame = body.frame(), if open => frame,
+                result = finish(&mut moving) => {
+                    match result {
+                        (Ok(done), to) => {
+                            // What the engine made before it stopped is still on its way.
+                            end = end.min(Deadline::now() + REST);
+                            moved = Some((done, to));
+                        }
+                        (Err(_), to) => self.place.drop_move(&to),
+                    }
+                    if !open {
+                        return ended(moved, "the engine's connection broke");
+                    }
+                    continue;
+                }
+                () = sleep_until(end) => match moved {
+                    Some((done, to)) => return Ended::Moved(done, to),
+                    None => return Ended::Late,
+                },
                 _ = look.tick() => {
-                    let silent = heard.elapsed() > SILENT;
-                    let target = &self.place.choice.target;
-                    if silent && open::is_dead(&self.job.entry, target) {
+                    if moved.is_some() || moving.is_some() {
+                        continue;
+                    }
+                    if heard.elapsed() > SILENT && open::is_dead(&self.job.entry, &self.place.choice.target) {
                         return Ended::Broken("the engine is silent");
                     }
+                    if moves < MOST_MOVES && self.place.needs_move() {
+                        moves += 1;
+                        moving = self.start_move();
+                    }
                     continue;
                 }
             };
@@ -184,18 +237,44 @@
                         return ended;
                     }
                 }
-                Some(Err(_)) => return Ended::Broken("the engine's connection broke"),
-                None if !splitter.is_empty() => {
-                    return Ended::Broken("the engine ended in the middle of an event");
-                }
-                None => {
+                None if splitter.is_empty() && (framed || moving.is_none() && moved.is_none()) => {
                     self.job.entry.pool.give_back(exchange);
                     return Ended::Complete;
                 }
+                // An engine closes the stream of a generation that it has stopped for a move.
+                _ if moving.is_some() => open = false,
+                Some(Err(_)) => return ended(moved, "the engine's connection broke"),
+                None => return ended(moved, "the engine ended in the middle of an event"),
             }
         }
     }
 
+    /// Starts to move the generation, if another engine has room and the service allows it.
+    fn start_move(&self) -> Option<Moving> {
+        let table = self.job.entry.table.load();
+        let spec = table
+            .as_ref()
+            .and_then(|table| table.service(&self.job.service));
+        let moves = spec
+            .and_then(|spec| spec.engine)
+            .is_some_and(|engine| engine.moves);
+        if !moves || resumable(&self.job) {
+            return None;
+        }
+        let from = self.job.entry.instance(&self.place.choice.target)?;
+        let to = self.place.plan_move()?;
+        let Some(instance) = self.job.entry.instance(&to) else {
+            self.place.drop_move(&to);
+            return None;
+        };
+        let entry = Arc::clone(&self.job.entry);
+        let task = transfer::run(entry, self.job.call.id.clone(), (from, instance));
+        Some(Moving {
+            task: Box::pin(task),
+            to,
+        })
+    }
+
     /// Sends the whole events that have arrived. Returns why the stream ends, if it does.
     async fn forward(&mut self, splitter: &mut Splitter, end: Deadline) -> Option<Ended> {
         let mut bytes = BytesMut::new();
@@ -246,70 +325,6 @@
         }
     }
 
-    /// Opens the stream elsewhere, after the last event that was delivered: from the copy if there
-    /// is one, else as a new run if that is allowed.
-    async fn reopen(&mut self) -> Option<(http::response::Parts, Source)> {
-        let broken = self.place.choice.target.clone();
-        if self.continuations >= MOST_CONTINUATIONS {
-            return None;
-        }
-        self.continuations += 1;
-        if let Some(source) = self.reopen_from_copy().await {
-            self.job.entry.metrics.continued("copy");
-            return Some(source);
-        }
-        let source = self.reopen_anew(&broken).await;
-        let outcome = if source.is_some() { "anew" } else { "lost" };
-        self.job.entry.metrics.continued(outcome);
-        source
-    }
-
-    async fn reopen_from_copy(&mut self) -> Option<(http::response::Parts, Source)> {
-        let target = self.place.choice.copy.clone()?;
-        let instance = self.job.entry.instance(&target)?;
-        if !self.job.entry.may_repeat(&self.job.service) {
-            warn!(request = self.job.call.id.as_str(); "the retry budget is used up");
-            return None;
-        }
-        self.place.move_to_copy();
-        let copy = Copy {
-            address: instance.address,
-            name: self.job.call.id.clone(),
-        };
-        let opened = open::open(&self.job, &self.place, self.delivered, Some(copy)).await;
-        open::note(&self.job, &target, &opened);
-        match opened {
-            Opened::Stream(head, source) => Some((head, source)),
-            _ => None,
-        }
-    }
-
-    async fn reopen_anew(&mut self, broken: &Target) -> Option<(http::response::Parts, Source)> {
-        let mut tried = vec![broken.clone()];
-        while resumable(&self.job) && self.ran < self.job.route.attempts {
-            if !self.job.entry.may_repeat(&self.job.service) {
-                warn!(request = self.job.call.id.as_str(); "the retry budget is used up");
-                return None;
-            }
-            if !self.place.move_elsewhere(&tried) {
-                return None;
-            }
-            let opened = open::open(&self.job, &self.place, self.delivered, None).await;
-            let target = self.place.choice.target.clone();
-            open::note(&self.job, &target, &opened);
-            tried.push(target);
-            match opened {
-                Opened::Stream(head, source) => {
-                    self.ran += 1;
-                    return Some((head, source));
-                }
-                Opened::NotRun(_) => {}
-                _ => self.ran += 1,
-            }
-        }
-        None
-    }
-
     /// Ends the caller's connection, so that the answer doesn't look complete.
     async fn cut(&self, reason: &'static str) {
         // A caller that has left needs no end.
@@ -337,3 +352,21 @@
         );
     }
 }
+
+/// Waits for a move to end, for ever if there is none.
+async fn finish(moving: &mut Option<Moving>) -> (Result<Moved, transfer::Failure>, Target) {
+    let Some(current) = moving else {
+        return std::future::pending().await;
+    };
+    let result = current.task.as_mut().await;
+    let to = current.to.clone();
+    *moving = None;
+    (result, to)
+}
+
+fn ended(moved: Option<(Moved, Target)>, reason: &'static str) -> Ended {
+    match moved {
+        Some((done, to)) => Ended::Moved(done, to),
+        None => Ended::Broken(reason),
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/generation/transfer.rs
@@ -0,0 +1,103 @@
+//! Moves a running generation to another engine before its own one ends.
+//!
+//! The memory is copied while the generation goes on, and then once more, which copies only what
+//! is new, so that the caller sees a short pause.
+
+use {
+    crate::{
+        board::Instance,
+        call::{Copy, Transfer, Transferred},
+        entry::Entry,
+        pool::Fault,
+    },
+    compact_str::CompactString,
+    log::info,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    thiserror::Error,
+};
+
+/// Deadline of one copy. Engines that are reclaimed have about two seconds left.
+const DEADLINE: Duration = Duration::from_millis(1500);
+
+/// Where the generation can go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Moved {
+    /// At the other engine.
+    There(Copy),
+    /// At its own engine, which has stopped it and keeps its memory.
+    Here(Copy),
+}
+
+/// Why a generation was not moved.
+#[derive(Debug, Error)]
+pub(super) enum Failure {
+    #[error("the engine did not answer: {0}")]
+    Call(#[from] Fault),
+    #[error("the other engine has no room")]
+    NoRoom,
+    #[error("the engine does not run it")]
+    Unknown,
+    #[error("the engine moves it already")]
+    Busy,
+    #[error("the answer can't be read: {0}")]
+    Unreadable(#[from] crate::dialect::Unreadable),
+}
+
+/// Moves the generation `run` from one engine to another.
+pub(super) async fn run(
+    entry: Arc<Entry>,
+    run: CompactString,
+    (from, to): (Instance, Instance),
+) -> Result<Moved, Failure> {
+    let began = Instant::now();
+    let moved = both_copies(&entry, &run, (&from, &to)).await;
+    let outcome = match &moved {
+        Ok(Moved::There(_)) => "moved".to_owned(),
+        Ok(Moved::Here(_)) => "stopped".to_owned(),
+        Err(failure) => failure.to_string(),
+    };
+    info!(
+        request = run.as_str(), target_id = from.target.as_str(), to_id = to.target.as_str(),
+        outcome = outcome.as_str(), took_ms = began.elapsed().as_millis() as u64;
+        "generation moved"
+    );
+    moved
+}
+
+async fn both_copies(
+    entry: &Entry,
+    run: &CompactString,
+    (from, to): (&Instance, &Instance),
+) -> Result<Moved, Failure> {
+    copy(entry, run, (from, to), false).await?;
+    copy(entry, run, (from, to), true).await
+}
+
+async fn copy(
+    entry: &Entry,
+    run: &CompactString,
+    (from, to): (&Instance, &Instance),
+    last: bool,
+) -> Result<Moved, Failure> {
+    let transfer = Transfer {
+        run: run.clone(),
+        to: to.address,
+        last,
+    };
+    let request = (entry.dialect.transfer_request)(from.address, &transfer);
+    let answer = entry.pool.call(from, request, DEADLINE).await?;
+    let name = |name: CompactString| Copy {
+        address: from.address,
+        name,
+    };
+    match (entry.dialect.transfer)(answer.status(), answer.body())? {
+        Transferred::Done(handle) => Ok(Moved::There(name(handle))),
+        Transferred::NoRoom(Some(handle)) if last => Ok(Moved::Here(name(handle))),
+        Transferred::NoRoom(_) => Err(Failure::NoRoom),
+        Transferred::Unknown => Err(Failure::Unknown),
+        Transferred::Busy => Err(Failure::Busy),
+    }
+}
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -10,11 +10,11 @@
         call::Part,
         targets::{State, Targets},
     },
-    rand::Rng,
+    rand::{Rng, seq::SliceRandom as _},
     sardinerelay::id::{Target, Zone},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -30,10 +30,23 @@
 const COLD: f64 = 0.25;
 /// Load that a target counts for that fails all its requests.
 const FAILING: f64 = 3.0;
-/// Load by which an engine may exceed the others if it probably holds the prompt's last shared
-/// part, and the next one in the same order.
-const AFFINITY: [f64; 2] = [0.12, 0.05];
-/// Random part of the load, so that hosts with the same view don't choose the same engine.
+/// Engines that are compared. Reports are older than the time between two placements, so the
+/// least loaded engine by report is the one that all hosts would choose at once; of two random
+/// ones, the less loaded is almost as good and spreads them (Mitzenmacher, "The Power of Two
+/// Choices in Randomized Load Balancing", 2001).
+const SAMPLED: usize = 2;
+/// Load by which an engine may exceed the others if it probably holds the prompt's shared parts,
+/// for a prompt that is shared as a whole.
+const AFFINITY: f64 = 0.3;
+/// Share of a prompt's tokens in shared parts from which on engines are preferred that read them.
+const LEAST_SHARED: f64 = 0.15;
+/// Engines that are preferred for a prefix.
+const PREFERRED: usize = 2;
+/// Load that an engine counts for which this host has just given a prompt to read.
+const READING: f64 = 0.25;
+/// Time that reading a prompt takes.
+const READ_TIME: Duration = Duration::from_millis(400);
+/// Random part of the load of plain targets, so that hosts with the same view differ.
 const NOISE: f64 = 0.05;
 /// Waiting requests at which an engine counts as full.
 const FULL_WAITING: u32 = 2;
@@ -51,7 +64,9 @@
     pub output: u64,
     /// Rank; 0 comes first.
     pub priority: u8,
-    /// Names the prompt's parts, for affinity.
+    /// Tokens of the prompt in parts that other requests share.
+    pub shared: u64,
+    /// Names the shared parts.
     pub prefix: u64,
     /// Whether a copy is wanted.
     pub copy: bool,
@@ -66,13 +81,16 @@
     pub copy: Option<Target>,
 }
 
-/// Names a prompt by its parts.
-pub fn prefix(parts: &[Part]) -> u64 {
+/// The shared parts of a prompt: their tokens and a name for them. The last part belongs to the
+/// request itself.
+pub fn shared(parts: &[Part]) -> (u64, u64) {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let mut hasher = DefaultHasher::new();
-    for part in parts {
+    for part in shared {
         part.id.hash(&mut hasher);
     }
-    hasher.finish()
+    let tokens = shared.iter().map(|part| part.tokens).sum();
+    (tokens, hasher.finish())
 }
 
 /// Chooses an engine, other than those in `avoid`. `None` if none has room.
@@ -90,20 +108,18 @@
         .usable(&need.service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
         .collect();
-    let preferred = ranked(&candidates, need.prefix);
-    let best = candidates
+    let mut feasible: Vec<(f64, &State)> = candidates
         .iter()
-        .filter_map(|state| {
-            let load = room(state, need, now)?;
-            let mut load = load + rng.random::<f64>() * NOISE;
-            load += penalty(state, zone, now);
-            for (place, bonus) in preferred.iter().zip(AFFINITY) {
-                if *place == state.instance.target {
-                    load -= bonus;
-                }
-            }
-            Some((load, *state))
-        })
+        .filter_map(|state| Some((room(state, need, now)? + penalty(state, zone, now), *state)))
+        .collect();
+    feasible.shuffle(rng);
+    let shared = need.shared as f64 / need.prompt.max(1) as f64;
+    if shared >= LEAST_SHARED {
+        prefer(&mut feasible, &ranked(&candidates, need.prefix), shared);
+    }
+    let best = feasible
+        .iter()
+        .take(SAMPLED)
         .min_by(|left, right| left.0.total_cmp(&right.0))?;
     let target = best.1.instance.target.clone();
     let copy = match need.copy {
@@ -158,6 +174,12 @@
 
 fn penalty(state: &State, zone: &Zone, now: Instant) -> f64 {
     let mut penalty = FAILING * state.health.failing(now);
+    let reading = |since: Instant| now.saturating_duration_since(since) < READ_TIME;
+    let prompts = state
+        .held
+        .values()
+        .filter(|held| held.runs && reading(held.since));
+    penalty += READING * prompts.count() as f64;
     if state.instance.zone != *zone {
         penalty += FAR;
     }
@@ -167,8 +189,24 @@
     penalty
 }
 
+/// Moves the engines that should hold a prefix to the front, and lowers their load by what reading
+/// it again would cost.
+fn prefer(feasible: &mut [(f64, &State)], preferred: &[Target], shared: f64) {
+    for (place, target) in preferred.iter().enumerate() {
+        let found = feasible
+            .iter()
+            .position(|(_, state)| state.instance.target == *target);
+        if let Some(at) = found
+            && place < feasible.len()
+        {
+            feasible[at].0 -= AFFINITY * shared;
+            feasible.swap(place, at);
+        }
+    }
+}
+
 /// The engines that should hold a prefix, in the order of their rendezvous hashes: all hosts come
-/// to the same order without talking to each other.
+/// to the same order without talking to each other (Thaler and Ravishankar, 1998).
 fn ranked(candidates: &[&State], prefix: u64) -> Vec<Target> {
     let mut ranked: Vec<(u64, &State)> = candidates
         .iter()
@@ -179,7 +217,7 @@
         })
         .collect();
     ranked.sort_unstable_by_key(|(rank, _)| *rank);
-    let ranked = ranked.into_iter().take(AFFINITY.len());
+    let ranked = ranked.into_iter().take(PREFERRED);
     ranked
         .map(|(_, state)| state.instance.target.clone())
         .collect()
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -153,6 +153,7 @@
         tokens: 0,
         expected: 0,
         since: now,
+        runs: true,
     };
     job.entry.state().targets.hold(target, run, held);
     let _held = Release { job, target, run };
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -34,6 +34,8 @@
     pub expected: u64,
     /// Since when.
     pub since: Instant,
+    /// Whether it runs there; else a copy of its memory is kept.
+    pub runs: bool,
 }
 
 /// One target.
