Let entry hosts hear what others send to engines, and count prompts still to be read

Cause: load reports are 0.5 to 0.9 s old and show a prompt only when it has been read; several hosts chose the same engine.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -5,8 +5,10 @@
         board::{Board, Instance},
         budget::Budget,
         dialect::Dialect,
+        feed,
         forecast::Forecast,
         gate::{Decision, Gate, Refusal, Ticket, Waiting},
+        group::Note,
         metrics::Metrics,
         placement::{self, Choice, Need},
         pool::Pool,
@@ -26,7 +28,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::sleep},
+    tokio::{
+        sync::{mpsc::UnboundedSender, oneshot},
+        time::sleep,
+    },
 };
 
 /// Interval in which waiting requests are looked at without an event.
@@ -57,6 +62,7 @@
     pub drain: Drain,
     state: Mutex<State>,
     next_run: AtomicU64,
+    notes: UnboundedSender<Note>,
 }
 
 /// State that decisions are made from.
@@ -93,8 +99,16 @@
 
 impl Entry {
     /// The state of a host that has started.
-    pub fn new(settings: settings::Entry, dialect: Dialect, metrics: Metrics) -> Self {
+    ///
+    /// `notes` tells other hosts what this one sends to engines.
+    pub fn new(
+        settings: settings::Entry,
+        dialect: Dialect,
+        metrics: Metrics,
+        notes: UnboundedSender<Note>,
+    ) -> Self {
         Self {
+            notes,
             settings,
             dialect,
             table: ArcSwapOption::empty(),
@@ -235,6 +249,42 @@
         }
     }
 
+    /// Counts a generation that is sent to an engine, which has to read `prompt` tokens for it, and
+    /// tells other hosts.
+    fn note(
+        &self,
+        targets: &mut Targets,
+        target: &Target,
+        (need, prompt): (&Need, u64),
+        now: Instant,
+    ) {
+        targets.reads(target, prompt, now);
+        let note = Note {
+            from: feed::name(&self.settings.common.host),
+            target: target.clone(),
+            prompt: u32::try_from(prompt).unwrap_or(u32::MAX),
+            memory: u32::try_from(need.prompt + need.output).unwrap_or(u32::MAX),
+        };
+        // Without a reader the process is ending.
+        let _ = self.notes.send(note);
+    }
+
+    /// Takes over what other hosts sent to engines.
+    pub fn heard<'a, Notes>(&self, notes: Notes)
+    where
+        Notes: Iterator<Item = &'a Note>,
+    {
+        let now = Instant::now();
+        let mut state = self.state();
+        for note in notes {
+            let target = note.target.as_str();
+            state.targets.reads(target, u64::from(note.prompt), now);
+            state
+                .targets
+                .others_sent(target, u64::from(note.memory), now);
+        }
+    }
+
     fn decide(&self, state: &mut State, now: Instant) {
         let zone = &self.settings.common.zone;
         let State {
@@ -248,6 +298,7 @@
             let choice = placement::choose(targets, need, (zone, &[]), &mut rand::rng(), now)?;
             // Held at once, so that the next placement sees it.
             hold(targets, waiting.ticket, need, &choice, now);
+            self.note(targets, &choice.target, (need, need.prompt), now);
             Some(choice)
         });
         for (ticket, decision) in decisions {
@@ -301,6 +352,9 @@
         };
         self.give_up(&mut state.targets);
         hold(&mut state.targets, self.run, &self.need, &choice, now);
+        let prompt = (&self.need, self.need.prompt);
+        self.entry
+            .note(&mut state.targets, &choice.target, prompt, now);
         drop(state);
         self.choice = choice;
         true
@@ -312,8 +366,10 @@
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&target).filter(|_| self.need.copy);
-        let copy = primary
-            .and_then(|primary| placement::choose_copy(&state.targets, &self.need, primary, now));
+        let copy = primary.and_then(|primary| {
+            let place = (primary, &[][..]);
+            placement::choose_copy(&state.targets, &self.need, place, &mut rand::rng(), now)
+        });
         self.give_up(&mut state.targets);
         state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
@@ -336,22 +392,34 @@
         sound.then(|| copy.clone())
     }
 
-    /// Whether its engine is leaving and no copy is kept on one that stays.
-    pub fn needs_move(&self) -> bool {
+    /// Whether its engine, and the one with the copy, stay. Without a copy the latter is false.
+    pub fn stays(&self) -> (bool, bool) {
         let state = self.entry.state();
-        let leaving = |target: &Target| {
+        let stays = |target: &Target| {
             let seen = state.targets.get(target);
-            seen.is_none_or(|seen| seen.leaving.is_some())
+            seen.is_some_and(|seen| seen.leaving.is_none())
         };
-        leaving(&self.choice.target) && self.choice.copy.as_ref().is_none_or(leaving)
+        let copy = self.choice.copy.as_ref();
+        (stays(&self.choice.target), copy.is_some_and(stays))
+    }
+
+    /// Records that another engine has a copy now.
+    pub fn copied_to(&mut self, target: Target) {
+        if let Some(old) = self.choice.copy.replace(target.clone())
+            && old != target
+        {
+            self.entry.state().targets.release(&old, self.run);
+        }
     }
 
-    /// Chooses an engine to move to and keeps room for the request there.
-    pub fn plan_move(&self) -> Option<Target> {
+    /// Chooses an engine for a copy, other than those in `avoid`, and keeps room there.
+    pub fn plan_copy(&self, avoid: &[Target]) -> Option<Target> {
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&self.choice.target)?;
-        let target = placement::choose_copy(&state.targets, &self.need, primary, now)?;
+        let place = (primary, avoid);
+        let targets = &state.targets;
+        let target = placement::choose_copy(targets, &self.need, place, &mut rand::rng(), now)?;
         let held = Held {
             tokens: self.need.prompt,
             expected: self.need.prompt + self.need.output,
@@ -362,8 +430,8 @@
         Some(target)
     }
 
-    /// Gives up the room on an engine that the request was not moved to.
-    pub fn drop_move(&self, target: &Target) {
+    /// Gives up the room on an engine that got no copy.
+    pub fn drop_copy(&self, target: &Target) {
         self.entry.state().targets.release(target, self.run);
     }
 
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -7,9 +7,10 @@
     crate::{
         board::Board,
         entry::Entry,
+        feed,
         group::{
             Clients, Document, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FollowBoard,
-            FollowConfiguration, STANDING, Standing, member,
+            FollowConfiguration, Note, STANDING, Standing, member,
         },
         table::Table,
     },
@@ -25,7 +26,7 @@
         time::Duration,
     },
     tokio::{
-        sync::watch,
+        sync::{mpsc::UnboundedReceiver, watch},
         task::JoinHandle,
         time::{Instant, sleep},
     },
@@ -47,10 +48,14 @@
 const BOARD_SILENT: Duration = Duration::from_millis(1200);
 
 /// Follows, for ever.
-pub async fn run(entry: Arc<Entry>) {
+pub async fn run(entry: Arc<Entry>, notes: UnboundedReceiver<Note>) {
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
     let changing = Arc::clone(&entry.settings.common.changing);
     let mut addresses: BTreeSet<Ipv4Addr> = changing.seeds().into_iter().collect();
+    let (known, members_known) = watch::channel(addresses.clone());
+    let (sending, hearing) = (Arc::clone(&clients), Arc::clone(&clients));
+    tokio::spawn(feed::send(sending, members_known.clone(), notes));
+    tokio::spawn(feed::hear(Arc::clone(&entry), hearing, members_known));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let heard = Arc::new(watch::Sender::new(Heard::default()));
     loop {
@@ -73,6 +78,7 @@
         }
         sleep(MEMBERS_EVERY).await;
         if let Some(members) = members(&clients, &addresses).await {
+            known.send_replace(members.clone());
             addresses = members;
         }
         // Seeds may be newer than what the members that were asked know.
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -5,11 +5,11 @@
         answer,
         open::{self, Source},
         resumable,
-        transfer::{self, Moved},
+        transfer::{self, Moved, Purpose},
     },
     crate::{
         answer::Refusal,
-        call::EventId,
+        call::{self, EventId},
         entry::Place,
         request::Job,
         sse::{Event, Splitter},
@@ -39,8 +39,10 @@
 const SILENT: Duration = Duration::from_millis(400);
 /// Events after which the memory that a stream holds is brought up to date.
 const PROGRESS_EVENTS: u64 = 8;
-/// Moves that are tried for one stream on one engine.
-const MOST_MOVES: u32 = 3;
+/// Age at which a copy is brought up to date. Engines keep a copy for a few seconds after that.
+const REFRESH: Duration = Duration::from_millis(2200);
+/// Pause before another copy is tried where none could be made.
+const COPY_PAUSE: Duration = Duration::from_millis(700);
 /// Time in which the rest of a stream arrives after its generation was moved.
 const REST: Duration = Duration::from_millis(150);
 /// Tokens in an event, if the service doesn't say.
@@ -78,11 +80,19 @@
     started: bool,
     pub(super) continuations: u32,
     pub(super) ran: u32,
+    pub(super) copied: Option<Copied>,
     stride: u64,
 }
 
-/// A move under way.
+/// A copy that was made while the generation ran.
+pub(super) struct Copied {
+    pub(super) copy: call::Copy,
+    at: Instant,
+}
+
+/// A transfer under way.
 struct Moving {
+    purpose: Purpose,
     task: BoxFuture<'static, Result<Moved, transfer::Failure>>,
     to: Target,
 }
@@ -121,6 +131,7 @@
             started: false,
             continuations: 0,
             ran: 1,
+            copied: None,
         }
     }
 
@@ -184,7 +195,8 @@
         let mut look = interval(LOOK);
         let caller = self.chunks.clone();
         let mut moving: Option<Moving> = None;
-        let mut moves = 0;
+        let mut refused: Vec<Target> = Vec::new();
+        let mut copies_from = heard;
         let mut moved: Option<(Moved, Target)> = None;
         let mut open = true;
         loop {
@@ -194,12 +206,21 @@
                 frame = body.frame(), if open => frame,
                 result = finish(&mut moving) => {
                     match result {
-                        (Ok(done), to) => {
+                        (Purpose::Move, Ok(done), to) => {
                             // What the engine made before it stopped is still on its way.
                             end = end.min(Deadline::now() + REST);
                             moved = Some((done, to));
                         }
-                        (Err(_), to) => self.place.drop_move(&to),
+                        (Purpose::Copy, Ok(Moved::There(copy) | Moved::Here(copy)), to) => {
+                            self.place.copied_to(to);
+                            let at = Instant::now();
+                            self.copied = Some(Copied { copy, at });
+                        }
+                        (_, Err(_), to) => {
+                            self.place.drop_copy(&to);
+                            copies_from = Instant::now() + COPY_PAUSE;
+                            refused.push(to);
+                        }
                     }
                     if !open {
                         return ended(moved, "the engine's connection broke");
@@ -217,10 +238,7 @@
                     if heard.elapsed() > SILENT && open::is_dead(&self.job.entry, &self.place.choice.target) {
                         return Ended::Broken("the engine is silent");
                     }
-                    if moves < MOST_MOVES && self.place.needs_move() {
-                        moves += 1;
-                        moving = self.start_move();
-                    }
+                    moving = self.start_transfer(&refused, copies_from);
                     continue;
                 }
             };
@@ -237,20 +255,47 @@
                         return ended;
                     }
                 }
-                None if splitter.is_empty() && (framed || moving.is_none() && moved.is_none()) => {
+                None if splitter.is_empty()
+                    && (framed || !is_move(moving.as_ref()) && moved.is_none()) =>
+                {
                     self.job.entry.pool.give_back(exchange);
                     return Ended::Complete;
                 }
                 // An engine closes the stream of a generation that it has stopped for a move.
-                _ if moving.is_some() => open = false,
+                _ if is_move(moving.as_ref()) => open = false,
                 Some(Err(_)) => return ended(moved, "the engine's connection broke"),
                 None => return ended(moved, "the engine ended in the middle of an event"),
             }
         }
     }
 
-    /// Starts to move the generation, if another engine has room and the service allows it.
-    fn start_move(&self) -> Option<Moving> {
+    /// Starts a transfer if one is needed: a move off an engine that leaves, unless a copy is kept
+    /// on one that stays; else a copy, if there is none or if it has to be brought up to date.
+    fn start_transfer(&self, refused: &[Target], copies_from: Instant) -> Option<Moving> {
+        let (stays, copy_stays) = self.place.stays();
+        let now = Instant::now();
+        let purpose = match (stays, copy_stays) {
+            (false, false) => Purpose::Move,
+            (false, true) => return None,
+            (true, false) if false && now >= copies_from => Purpose::Copy,
+            (true, false) => return None,
+            (true, true) => {
+                let copied = self.copied.as_ref()?;
+                let due = now.saturating_duration_since(copied.at) > REFRESH;
+                let copy = self.place.choice.copy.clone();
+                return copy
+                    .filter(|_| due)
+                    .and_then(|to| self.transfer(Purpose::Copy, to));
+            }
+        };
+        if !self.can_transfer() {
+            return None;
+        }
+        let to = self.place.plan_copy(refused)?;
+        self.transfer(purpose, to)
+    }
+
+    fn can_transfer(&self) -> bool {
         let table = self.job.entry.table.load();
         let spec = table
             .as_ref()
@@ -258,18 +303,23 @@
         let moves = spec
             .and_then(|spec| spec.engine)
             .is_some_and(|engine| engine.moves);
-        if !moves || resumable(&self.job) {
-            return None;
-        }
-        let from = self.job.entry.instance(&self.place.choice.target)?;
-        let to = self.place.plan_move()?;
-        let Some(instance) = self.job.entry.instance(&to) else {
-            self.place.drop_move(&to);
+        moves && !resumable(&self.job)
+    }
+
+    fn transfer(&self, purpose: Purpose, to: Target) -> Option<Moving> {
+        let engines = self
+            .job
+            .entry
+            .instance(&self.place.choice.target)
+            .zip(self.job.entry.instance(&to));
+        let Some(engines) = engines else {
+            self.place.drop_copy(&to);
             return None;
         };
         let entry = Arc::clone(&self.job.entry);
-        let task = transfer::run(entry, self.job.call.id.clone(), (from, instance));
+        let task = transfer::run(entry, self.job.call.id.clone(), engines, purpose);
         Some(Moving {
+            purpose,
             task: Box::pin(task),
             to,
         })
@@ -353,15 +403,21 @@
     }
 }
 
-/// Waits for a move to end, for ever if there is none.
-async fn finish(moving: &mut Option<Moving>) -> (Result<Moved, transfer::Failure>, Target) {
+/// Waits for a transfer to end, for ever if there is none.
+async fn finish(
+    moving: &mut Option<Moving>,
+) -> (Purpose, Result<Moved, transfer::Failure>, Target) {
     let Some(current) = moving else {
         return std::future::pending().await;
     };
     let result = current.task.as_mut().await;
-    let to = current.to.clone();
+    let (purpose, to) = (current.purpose, current.to.clone());
     *moving = None;
-    (result, to)
+    (purpose, result, to)
+}
+
+fn is_move(moving: Option<&Moving>) -> bool {
+    moving.is_some_and(|moving| moving.purpose == Purpose::Move)
 }
 
 fn ended(moved: Option<(Moved, Target)>, reason: &'static str) -> Ended {
--- a/crates/sardinerelay-gateway/src/generation/transfer.rs
+++ b/crates/sardinerelay-gateway/src/generation/transfer.rs
@@ -1,12 +1,13 @@
-//! Moves a running generation to another engine before its own one ends.
+//! Copies the memory of a running generation to another engine, or moves the generation there
+//! before its own engine ends.
 //!
-//! The memory is copied while the generation goes on, and then once more, which copies only what
-//! is new, so that the caller sees a short pause.
+//! For a move the memory is copied while the generation goes on, and then once more, which copies
+//! only what is new, so that the caller sees a short pause.
 
 use {
     crate::{
         board::Instance,
-        call::{Copy, Transfer, Transferred},
+        call::{self, Transfer, Transferred},
         entry::Entry,
         pool::Fault,
     },
@@ -26,12 +27,21 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Moved {
     /// At the other engine.
-    There(Copy),
+    There(call::Copy),
     /// At its own engine, which has stopped it and keeps its memory.
-    Here(Copy),
+    Here(call::Copy),
 }
 
-/// Why a generation was not moved.
+/// What memory is transferred for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// The generation goes on, and has a copy in case that its engine ends.
+    Copy,
+    /// The generation is to go on at the other engine.
+    Move,
+}
+
+/// Why memory was not transferred.
 #[derive(Debug, Error)]
 pub(super) enum Failure {
     #[error("the engine did not answer: {0}")]
@@ -46,23 +56,29 @@
     Unreadable(#[from] crate::dialect::Unreadable),
 }
 
-/// Moves the generation `run` from one engine to another.
+/// Copies the memory of the generation `run` to another engine, or moves the generation there.
 pub(super) async fn run(
     entry: Arc<Entry>,
     run: CompactString,
     (from, to): (Instance, Instance),
+    purpose: Purpose,
 ) -> Result<Moved, Failure> {
     let began = Instant::now();
-    let moved = both_copies(&entry, &run, (&from, &to)).await;
+    let engines = (&from, &to);
+    let moved = match purpose {
+        Purpose::Copy => copy(&entry, &run, engines, false).await,
+        Purpose::Move => both_copies(&entry, &run, engines).await,
+    };
     let outcome = match &moved {
-        Ok(Moved::There(_)) => "moved".to_owned(),
+        Ok(Moved::There(_)) => "done".to_owned(),
         Ok(Moved::Here(_)) => "stopped".to_owned(),
         Err(failure) => failure.to_string(),
     };
     info!(
         request = run.as_str(), target_id = from.target.as_str(), to_id = to.target.as_str(),
-        outcome = outcome.as_str(), took_ms = began.elapsed().as_millis() as u64;
-        "generation moved"
+        purpose:? = purpose, outcome = outcome.as_str(),
+        took_ms = began.elapsed().as_millis() as u64;
+        "memory transferred"
     );
     moved
 }
@@ -70,10 +86,10 @@
 async fn both_copies(
     entry: &Entry,
     run: &CompactString,
-    (from, to): (&Instance, &Instance),
+    engines: (&Instance, &Instance),
 ) -> Result<Moved, Failure> {
-    copy(entry, run, (from, to), false).await?;
-    copy(entry, run, (from, to), true).await
+    copy(entry, run, engines, false).await?;
+    copy(entry, run, engines, true).await
 }
 
 async fn copy(
@@ -89,7 +105,7 @@
     };
     let request = (entry.dialect.transfer_request)(from.address, &transfer);
     let answer = entry.pool.call(from, request, DEADLINE).await?;
-    let name = |name: CompactString| Copy {
+    let name = |name: CompactString| call::Copy {
         address: from.address,
         name,
     };
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -4,6 +4,7 @@
 //! learner. See `docs/design/platform.md`.
 
 pub mod driver;
+pub mod hub;
 pub mod links;
 pub mod member;
 pub mod register;
@@ -12,9 +13,13 @@
 
 pub use self::{
     driver::{Outcome, Standing},
+    hub::{News, Note},
     links::Clients,
     register::Document,
-    rpc::{FOLLOW_BOARD, FOLLOW_CONFIGURATION, FollowBoard, FollowConfiguration, STANDING},
+    rpc::{
+        FOLLOW_BOARD, FOLLOW_CONFIGURATION, FOLLOW_NOTES, FollowBoard, FollowConfiguration,
+        FollowNotes, NOTE, STANDING,
+    },
 };
 
 use {
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -4,6 +4,7 @@
     super::{
         Handle,
         driver::{Input, Outcome, Standing},
+        hub::{Hub, Note},
         register::Document,
     },
     crate::board::{Board, Followers, Published},
@@ -33,6 +34,11 @@
 /// Waits for newer observations of targets.
 pub const FOLLOW_BOARD: &str = "board.follow";
 
+/// Tells what was sent to engines.
+pub const NOTE: &str = "notes.add";
+/// Waits for such notes.
+pub const FOLLOW_NOTES: &str = "notes.follow";
+
 /// The longest time that a follower waits for news.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
 
@@ -68,10 +74,20 @@
     pub wait_ms: u64,
 }
 
+/// Parameters of [`FOLLOW_NOTES`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FollowNotes {
+    /// The number of the first note that the follower lacks.
+    pub since: u64,
+    /// Time to wait for it, in milliseconds.
+    pub wait_ms: u64,
+}
+
 struct Context {
     handle: Handle,
     board: Published,
     followers: Arc<Followers>,
+    hub: Arc<Hub>,
     counters: SharedCounters,
 }
 
@@ -84,11 +100,13 @@
     (board, followers): (Published, Arc<Followers>),
 ) -> Result<Server, Failure> {
     let counters = handle.clients.counters();
-    let receiver = receiver(own, handle.clone(), Arc::clone(&counters));
+    let hub = Arc::new(Hub::default());
+    let receiver = receiver(own, handle.clone(), Arc::clone(&hub), Arc::clone(&counters));
     let context = Context {
         handle,
         board,
         followers,
+        hub,
         counters: Arc::clone(&counters),
     };
     // Registering fails only for a name that is used twice.
@@ -124,6 +142,11 @@
         let follow: FollowBoard = context.read(&parameters)?;
         Answer::Ok(board(&context.board, &follow).await)
     })?;
+    module.register_async_method(FOLLOW_NOTES, |parameters, context, _| async move {
+        let follow: FollowNotes = context.read(&parameters)?;
+        let wait = wait(follow.wait_ms);
+        Answer::Ok(Packed(context.hub.follow(follow.since, wait).await))
+    })?;
     Ok(module)
 }
 
@@ -163,9 +186,16 @@
 }
 
 /// Hands messages to the replica. They are dropped while its queue is full, as on a lossy link.
-fn receiver(own: Host, handle: Handle, counters: SharedCounters) -> Receiver {
+fn receiver(own: Host, handle: Handle, hub: Arc<Hub>, counters: SharedCounters) -> Receiver {
     Receiver::new(move |method, parameters| {
         counters.count_received();
+        if method == NOTE {
+            match serde_json::from_str::<(Packed<Vec<Note>>,)>(parameters) {
+                Ok((Packed(notes),)) => hub.add(notes),
+                Err(error) => warn!("notes of an entry host can't be read: {error}"),
+            }
+            return;
+        }
         if method != STEP {
             return;
         }
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! in `docs/design/platform.md`.
 
 pub mod answer;
+pub mod backlog;
 pub mod board;
 pub mod budget;
 pub mod call;
@@ -15,6 +16,7 @@
 pub mod entry;
 pub mod events;
 pub mod exit_code;
+pub mod feed;
 pub mod follow;
 pub mod forecast;
 pub mod front;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -14,7 +14,7 @@
     sardinerelay::id::{Target, Zone},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
@@ -24,7 +24,8 @@
 const COPY_FILL: f64 = 0.8;
 /// Tokens by which a generation of another host is expected to grow.
 const GROWTH: u64 = 350;
-/// Load that another availability zone counts for.
+/// Load that another availability zone counts for. A generation whose engine and copy are in its
+/// caller's zone survives a partition between zones.
 const FAR: f64 = 0.04;
 /// Load that the first seconds after a start count for.
 const COLD: f64 = 0.25;
@@ -34,7 +35,7 @@
 /// least loaded engine by report is the one that all hosts would choose at once; of two random
 /// ones, the less loaded is almost as good and spreads them (Mitzenmacher, "The Power of Two
 /// Choices in Randomized Load Balancing", 2001).
-const SAMPLED: usize = 2;
+const SAMPLED: usize = 4;
 /// Load by which an engine may exceed the others if it probably holds the prompt's shared parts,
 /// for a prompt that is shared as a whole.
 const AFFINITY: f64 = 0.3;
@@ -42,10 +43,8 @@
 const LEAST_SHARED: f64 = 0.15;
 /// Engines that are preferred for a prefix.
 const PREFERRED: usize = 2;
-/// Load that an engine counts for which this host has just given a prompt to read.
-const READING: f64 = 0.25;
-/// Time that reading a prompt takes.
-const READ_TIME: Duration = Duration::from_millis(400);
+/// Load that a second of waiting for the prompt to be read counts for.
+const WAITING: f64 = 1.0;
 /// Random part of the load of plain targets, so that hosts with the same view differ.
 const NOISE: f64 = 0.05;
 /// Waiting requests at which an engine counts as full.
@@ -110,7 +109,11 @@
         .collect();
     let mut feasible: Vec<(f64, &State)> = candidates
         .iter()
-        .filter_map(|state| Some((room(state, need, now)? + penalty(state, zone, now), *state)))
+        .filter_map(|state| {
+            let wait = state.backlog.wait(need.prompt, targets.rate, now);
+            let load = room(state, need, now)? + penalty(state, zone, now);
+            Some((load + WAITING * wait.as_secs_f64(), *state))
+        })
         .collect();
     feasible.shuffle(rng);
     let shared = need.shared as f64 / need.prompt.max(1) as f64;
@@ -123,29 +126,42 @@
         .min_by(|left, right| left.0.total_cmp(&right.0))?;
     let target = best.1.instance.target.clone();
     let copy = match need.copy {
-        true => choose_copy(targets, need, best.1, now),
+        true => choose_copy(targets, need, (best.1, &[]), rng, now),
         false => None,
     };
     Some(Choice { target, copy })
 }
 
-/// Chooses the engine that keeps a copy of a generation that runs on `primary`.
-pub fn choose_copy(
+/// Chooses the engine that keeps a copy of a generation that runs on `primary`, other than those
+/// in `avoid`. Copies in the same availability zone take half the time.
+pub fn choose_copy<R>(
     targets: &Targets,
     need: &Need,
-    primary: &State,
+    (primary, avoid): (&State, &[Target]),
+    rng: &mut R,
     now: Instant,
-) -> Option<Target> {
-    let other = |state: &&State| state.instance.target != primary.instance.target;
-    targets
+) -> Option<Target>
+where
+    R: Rng + ?Sized,
+{
+    let mut feasible: Vec<(f64, &State)> = targets
         .usable(&need.service, now)
-        .filter(other)
+        .filter(|state| state.instance.target != primary.instance.target)
+        .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = used(state, need, now) + share(state, need, need.prompt + need.output);
             let fits = load <= COPY_FILL && !state.is_cold(now);
             let load = load + penalty(state, &primary.instance.zone, now);
             fits.then_some((load, state))
         })
+        .collect();
+    feasible.shuffle(rng);
+    let (near, far): (Vec<_>, Vec<_>) = feasible
+        .into_iter()
+        .partition(|(_, state)| state.instance.zone == primary.instance.zone);
+    let sampled = near.into_iter().take(SAMPLED);
+    sampled
+        .chain(far.into_iter().take(SAMPLED))
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, state)| state.instance.target.clone())
 }
@@ -174,12 +190,6 @@
 
 fn penalty(state: &State, zone: &Zone, now: Instant) -> f64 {
     let mut penalty = FAILING * state.health.failing(now);
-    let reading = |since: Instant| now.saturating_duration_since(since) < READ_TIME;
-    let prompts = state
-        .held
-        .values()
-        .filter(|held| held.runs && reading(held.since));
-    penalty += READING * prompts.count() as f64;
     if state.instance.zone != *zone {
         penalty += FAR;
     }
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -7,7 +7,9 @@
         dialect::Dialect,
         entry::Entry,
         exit_code::ExitCode,
-        follow, front, group, http,
+        follow, front,
+        group::{self, Note},
+        http,
         metrics::Metrics,
         reload, settings,
         watch::Observer,
@@ -24,7 +26,15 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, runtime::Builder, sync::watch, time::sleep},
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        sync::{
+            mpsc::{UnboundedReceiver, unbounded_channel},
+            watch,
+        },
+        time::sleep,
+    },
 };
 
 /// Time for which a stopping entry host still takes new connections: the balancer asks once a
@@ -53,7 +63,8 @@
     let common = &settings.common;
     reload::start(Arc::clone(&common.changing), Arc::clone(&common.read))
         .context("listening for signals")?;
-    let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?));
+    let (notes, noted) = unbounded_channel();
+    let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?, notes));
     let shared = Arc::clone(&entry);
     let answer = move |request| {
         let response = readiness(&shared, &request);
@@ -70,7 +81,7 @@
     let (close, closing) = watch::channel(false);
     tokio::spawn(front::run(Arc::clone(&entry), listener, closing));
     tokio::spawn(Arc::clone(&entry).run());
-    follow(&entry)?;
+    follow(&entry, noted)?;
     info!(host = host.as_str(), took_ms = began.elapsed().as_millis() as u64; "entry host started");
     stop::signalled().await.context("listening for signals")?;
     info!(host = host.as_str(), open = entry.drain.open() as u64; "stop requested");
@@ -92,13 +103,13 @@
 }
 
 /// Follows the group on a thread of its own, so that traffic can't delay a configuration.
-fn follow(entry: &Arc<Entry>) -> Result<()> {
+fn follow(entry: &Arc<Entry>, notes: UnboundedReceiver<Note>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.context("starting the control thread's runtime")?;
     let entry = Arc::clone(entry);
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || runtime.block_on(follow::run(entry)))
+        .spawn(move || runtime.block_on(follow::run(entry, notes)))
         .context("starting the control thread")?;
     Ok(())
 }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -5,12 +5,13 @@
 
 use {
     crate::{
+        backlog::{Backlog, Rate},
         board::{Board, Instance, Load},
         health::Health,
     },
     sardinerelay::id::{Incarnation, Target},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -49,6 +50,10 @@
     pub load: Option<(Load, Instant)>,
     /// This host's requests on it, and copies kept there.
     pub held: HashMap<RunId, Held>,
+    /// What other hosts sent there lately: when, and the memory that it will take.
+    pub others: VecDeque<(Instant, u64)>,
+    /// Prompts that it has to read.
+    pub backlog: Backlog,
     /// Its failures.
     pub health: Health,
     /// Until when it is slow after its start.
@@ -62,6 +67,8 @@
     list_read: Option<Instant>,
     left: HashMap<(Target, Incarnation), Instant>,
     entries: u32,
+    /// The rate at which engines read prompts.
+    pub rate: Rate,
 }
 
 /// Something that changed by a board, for the log.
@@ -158,6 +165,26 @@
         }
     }
 
+    /// Records that an engine got a prompt to read, from this host or another one.
+    pub fn reads(&mut self, target: &str, prompt: u64, now: Instant) {
+        let rate = self.rate;
+        if let Some(state) = self.states.get_mut(target) {
+            state.backlog.add(prompt, rate, now);
+        }
+    }
+
+    /// Records that another host sent a generation to an engine.
+    pub fn others_sent(&mut self, target: &str, memory: u64, now: Instant) {
+        let Some(state) = self.states.get_mut(target) else {
+            return;
+        };
+        state.others.push_back((now, memory));
+        let old = |(at, _): &(Instant, u64)| now.saturating_duration_since(*at) > STALE;
+        while state.others.front().is_some_and(old) {
+            state.others.pop_front();
+        }
+    }
+
     /// Records how much memory a request holds by now.
     pub fn progress(&mut self, target: &str, run: RunId, tokens: u64) {
         let state = self.states.get_mut(target);
@@ -218,6 +245,8 @@
                 leaving: left,
                 load: None,
                 held: HashMap::new(),
+                others: VecDeque::new(),
+                backlog: Backlog::default(),
                 health: Health::default(),
                 cold_until: now,
             };
@@ -247,6 +276,8 @@
         };
         let taken = read.checked_sub(REPORT_LAG).unwrap_or(read);
         let mut tokens = load.used;
+        let unreported = self.others.iter().filter(|(at, _)| *at > taken);
+        tokens += unreported.map(|(_, memory)| memory).sum::<u64>();
         let mut reported_own = 0;
         for held in self.held.values() {
             if held.since > taken {
