--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -367,13 +367,16 @@
         let mut state = self.entry.state();
         let primary = state.targets.get(&target).filter(|_| self.need.copy);
         let copy = primary.and_then(|primary| {
-            let place = (primary, &[][..]);
+            let place = (&self.entry.settings.common.zone, primary, &[][..]);
             placement::choose_copy(&state.targets, &self.need, place, &mut rand::rng(), now)
         });
         self.give_up(&mut state.targets);
         state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
         hold(&mut state.targets, self.run, &self.need, &choice, now);
+        // It has the prompt already.
+        self.entry
+            .note(&mut state.targets, &choice.target, (&self.need, 0), now);
         drop(state);
         self.choice = choice;
     }
@@ -417,7 +420,7 @@
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&self.choice.target)?;
-        let place = (primary, avoid);
+        let place = (&self.entry.settings.common.zone, primary, avoid);
         let targets = &state.targets;
         let target = placement::choose_copy(targets, &self.need, place, &mut rand::rng(), now)?;
         let held = Held {
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -45,7 +45,7 @@
 /// Deadline of such a look.
 const MEMBERS_DEADLINE: Duration = Duration::from_millis(500);
 /// Board time without news after which another host's board is followed too.
-const BOARD_SILENT: Duration = Duration::from_millis(1200);
+const BOARD_SILENT: Duration = Duration::from_millis(700);
 
 /// Follows, for ever.
 pub async fn run(entry: Arc<Entry>, notes: UnboundedReceiver<Note>) {
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -26,10 +26,8 @@
 const CONTINUED_URGENCY: u8 = 0;
 /// Interval between looks at whether an engine is still there.
 const LOOK: Duration = Duration::from_millis(150);
-/// Age of an engine's load report from which on it counts as dead, if others' are younger.
-const DEAD_REPORT: Duration = Duration::from_millis(1800);
-/// Age below which another engine's report shows that reports arrive at all.
-const LIVE_REPORT: Duration = Duration::from_millis(1000);
+/// Least time that an engine has to answer, also if it seems to be dead.
+const LEAST_WAIT: Duration = Duration::from_millis(500);
 
 /// A stream of an engine.
 #[derive(Debug)]
@@ -133,8 +131,9 @@
     }
 }
 
-/// Ends when the engine is gone, or silent while others report.
-pub(super) async fn dead(entry: &Entry, target: &Target) {
+/// Ends when the engine is gone or silent.
+async fn dead(entry: &Entry, target: &Target) {
+    sleep(LEAST_WAIT).await;
     loop {
         sleep(LOOK).await;
         if is_dead(entry, target) {
@@ -144,17 +143,7 @@
 }
 
 pub(super) fn is_dead(entry: &Entry, target: &Target) -> bool {
-    let now = Instant::now();
-    let state = entry.state();
-    let Some(seen) = state.targets.get(target) else {
-        return true;
-    };
-    let age = |read: Instant| now.saturating_duration_since(read);
-    let silent = seen.load.is_some_and(|(_, read)| age(read) > DEAD_REPORT);
-    silent && {
-        let mut others = state.targets.all().filter_map(|other| other.load);
-        others.any(|(_, read)| age(read) < LIVE_REPORT)
-    }
+    entry.state().targets.is_silent(target, Instant::now())
 }
 
 /// Logs how a send began and records what it says of the engine.
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -37,6 +37,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Silence after which a stream's engine may count as dead.
 const SILENT: Duration = Duration::from_millis(400);
+/// Silence after which a stream is given up. Callers wait about as long.
+const LOST: Duration = Duration::from_secs(7);
 /// Events after which the memory that a stream holds is brought up to date.
 const PROGRESS_EVENTS: u64 = 8;
 /// Age at which a copy is brought up to date. Engines keep a copy for a few seconds after that.
@@ -235,7 +237,7 @@
                     if moved.is_some() || moving.is_some() {
                         continue;
                     }
-                    if heard.elapsed() > SILENT && open::is_dead(&self.job.entry, &self.place.choice.target) {
+                    if self.gives_up(heard.elapsed()) {
                         return Ended::Broken("the engine is silent");
                     }
                     moving = self.start_transfer(&refused, copies_from);
@@ -269,6 +271,18 @@
         }
     }
 
+    /// Whether to leave an engine that has been silent for a while. Without another one to go on
+    /// at, the engine may still come back before the caller gives up.
+    fn gives_up(&self, silent: Duration) -> bool {
+        let entry = &self.job.entry;
+        if silent < SILENT || !open::is_dead(entry, &self.place.choice.target) {
+            return false;
+        }
+        let copy = self.place.sound_copy();
+        let elsewhere = copy.is_some_and(|copy| !open::is_dead(entry, &copy));
+        elsewhere || resumable(&self.job) || silent > LOST
+    }
+
     /// Starts a transfer if one is needed: a move off an engine that leaves, unless a copy is kept
     /// on one that stays; else a copy, if there is none or if it has to be brought up to date.
     fn start_transfer(&self, refused: &[Target], copies_from: Instant) -> Option<Moving> {
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -24,9 +24,11 @@
 const COPY_FILL: f64 = 0.8;
 /// Tokens by which a generation of another host is expected to grow.
 const GROWTH: u64 = 350;
-/// Load that another availability zone counts for. A generation whose engine and copy are in its
-/// caller's zone survives a partition between zones.
+/// Load that another availability zone counts for.
 const FAR: f64 = 0.04;
+/// The same for copies. If the engine and the copy are in different zones and one of them in the
+/// caller's, a partition between zones leaves one of them within reach.
+const COPY_FAR: f64 = 0.3;
 /// Load that the first seconds after a start count for.
 const COLD: f64 = 0.25;
 /// Load that a target counts for that fails all its requests.
@@ -126,18 +128,18 @@
         .min_by(|left, right| left.0.total_cmp(&right.0))?;
     let target = best.1.instance.target.clone();
     let copy = match need.copy {
-        true => choose_copy(targets, need, (best.1, &[]), rng, now),
+        true => choose_copy(targets, need, (zone, best.1, &[]), rng, now),
         false => None,
     };
     Some(Choice { target, copy })
 }
 
 /// Chooses the engine that keeps a copy of a generation that runs on `primary`, other than those
-/// in `avoid`. Copies in the same availability zone take half the time.
+/// in `avoid`, for a caller in `zone`.
 pub fn choose_copy<R>(
     targets: &Targets,
     need: &Need,
-    (primary, avoid): (&State, &[Target]),
+    (zone, primary, avoid): (&Zone, &State, &[Target]),
     rng: &mut R,
     now: Instant,
 ) -> Option<Target>
@@ -151,14 +153,15 @@
         .filter_map(|state| {
             let load = used(state, need, now) + share(state, need, need.prompt + need.output);
             let fits = load <= COPY_FILL && !state.is_cold(now);
-            let load = load + penalty(state, &primary.instance.zone, now);
-            fits.then_some((load, state))
+            let load = load + penalty(state, zone, now);
+            let far = f64::from(state.instance.zone != *zone) * COPY_FAR;
+            fits.then_some((load + far, state))
         })
         .collect();
     feasible.shuffle(rng);
     let (near, far): (Vec<_>, Vec<_>) = feasible
         .into_iter()
-        .partition(|(_, state)| state.instance.zone == primary.instance.zone);
+        .partition(|(_, state)| state.instance.zone == *zone);
     let sampled = near.into_iter().take(SAMPLED);
     sampled
         .chain(far.into_iter().take(SAMPLED))
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -23,6 +23,10 @@
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time for which it is remembered that an incarnation is leaving.
 const LEAVE_MEMORY: Duration = Duration::from_secs(120);
+/// Age of a target's load report from which on it counts as silent, if others' are younger.
+const SILENT_REPORT: Duration = Duration::from_millis(1300);
+/// Age below which another target's report shows that reports arrive at all.
+const LIVE_REPORT: Duration = Duration::from_millis(800);
 /// Age of a load report above which the target's load counts as unknown.
 const STALE: Duration = Duration::from_secs(3);
 
@@ -136,6 +140,26 @@
         self.states.values()
     }
 
+    /// Whether a target shows no sign of life: it does not report, while others do. Without any
+    /// fresh report, the reports themselves are what is lost.
+    pub fn is_silent(&self, target: &str, now: Instant) -> bool {
+        let Some(state) = self.states.get(target) else {
+            return true;
+        };
+        self.is_state_silent(state, now)
+    }
+
+    fn is_state_silent(&self, state: &State, now: Instant) -> bool {
+        let age = |read: Instant| now.saturating_duration_since(read);
+        let silent = state
+            .load
+            .is_some_and(|(_, read)| age(read) > SILENT_REPORT);
+        silent && {
+            let mut loads = self.states.values().filter_map(|other| other.load);
+            loads.any(|(_, read)| age(read) < LIVE_REPORT)
+        }
+    }
+
     /// Targets of a service that may get work.
     pub fn usable<'a>(
         &'a self,
@@ -146,6 +170,7 @@
             state.instance.service == service
                 && state.leaving.is_none()
                 && !state.health.is_down(now)
+                && !self.is_state_silent(state, now)
         })
     }
 
