Tell other hosts of copies too; take copies up to 0.65 of memory

What binds is found in the log: when a report shows room, all hosts with waiting requests choose it at once, ten placements on one engine within 2 ms.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -250,15 +250,22 @@
     }
 
     /// Counts a generation that is sent to an engine, which has to read `prompt` tokens for it, and
-    /// tells other hosts.
+    /// tells other hosts of it and its copy.
     fn note(
         &self,
         targets: &mut Targets,
-        target: &Target,
+        choice: &Choice,
         (need, prompt): (&Need, u64),
         now: Instant,
     ) {
-        targets.reads(target, prompt, now);
+        targets.reads(&choice.target, prompt, now);
+        self.tell(&choice.target, need, prompt);
+        if let Some(copy) = &choice.copy {
+            self.tell(copy, need, 0);
+        }
+    }
+
+    fn tell(&self, target: &Target, need: &Need, prompt: u64) {
         let note = Note {
             from: feed::name(&self.settings.common.host),
             target: target.clone(),
@@ -298,7 +305,7 @@
             let choice = placement::choose(targets, need, (zone, &[]), &mut rand::rng(), now)?;
             // Held at once, so that the next placement sees it.
             hold(targets, waiting.ticket, need, &choice, now);
-            self.note(targets, &choice.target, (need, need.prompt), now);
+            self.note(targets, &choice, (need, need.prompt), now);
             Some(choice)
         });
         for (ticket, decision) in decisions {
@@ -353,8 +360,7 @@
         self.give_up(&mut state.targets);
         hold(&mut state.targets, self.run, &self.need, &choice, now);
         let prompt = (&self.need, self.need.prompt);
-        self.entry
-            .note(&mut state.targets, &choice.target, prompt, now);
+        self.entry.note(&mut state.targets, &choice, prompt, now);
         drop(state);
         self.choice = choice;
         true
@@ -376,7 +382,7 @@
         hold(&mut state.targets, self.run, &self.need, &choice, now);
         // It has the prompt already.
         self.entry
-            .note(&mut state.targets, &choice.target, (&self.need, 0), now);
+            .note(&mut state.targets, &choice, (&self.need, 0), now);
         drop(state);
         self.choice = choice;
     }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -21,7 +21,7 @@
 /// Share of an engine's memory that may be committed, for the first priority and for others.
 const FILL: [f64; 2] = [1.0, 0.92];
 /// Share of an engine's memory up to which it takes copies.
-const COPY_FILL: f64 = 0.8;
+const COPY_FILL: f64 = 0.65;
 /// Tokens by which a generation of another host is expected to grow.
 const GROWTH: u64 = 350;
 /// Load that another availability zone counts for.
