--- /dev/null
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -0,0 +1,236 @@
+//! Gives generations their engines.
+//!
+//! One host of the group allocates for all entry hosts, so that waiting requests form one queue
+//! and no two hosts give away the same room. An entry host that can't reach it allocates for
+//! itself, with an allocator of its own.
+//!
+//! Load pattern that it answers: more generations than fit wait on many hosts, and a load report
+//! shows room on an engine. Each host alone would send its first waiting request there in the same
+//! millisecond.
+
+use {
+    crate::{
+        board::Board,
+        gate::{Decision, Gate, Refusal, Waiting},
+        placement::{self, Choice, Need},
+        targets::{Change, Held, RunId, Targets},
+    },
+    log::info,
+    rand::rng,
+    sardinerelay::id::Target,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
+};
+
+/// Interval in which waiting requests are looked at without an event.
+const LOOK: Duration = Duration::from_millis(40);
+/// Time for which a decision is kept for a host that doesn't wait for it at the moment.
+const KEPT: Duration = Duration::from_millis(800);
+/// Time after which a place is given up whose host has not said that it ended.
+const MOST_HELD: Duration = Duration::from_secs(60);
+
+/// What is answered to a request for a place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It goes to an engine.
+    Placed(Choice),
+    /// It is refused and should come back after this time.
+    Refused(Refusal, Duration),
+    /// It still waits; asking again goes on with the same wait.
+    Waiting,
+}
+
+/// Whose view an allocator has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All requests pass through it, so it knows what every engine got.
+    All,
+    /// It knows of other hosts' requests only by hearsay.
+    Own,
+}
+
+/// An allocator.
+#[derive(Debug)]
+pub struct Allocator {
+    scope: Scope,
+    state: Mutex<State>,
+}
+
+/// What an allocator decides from.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Targets.
+    pub targets: Targets,
+    gate: Gate,
+    asking: HashMap<RunId, oneshot::Sender<Decision>>,
+    ready: HashMap<RunId, (Instant, Decision)>,
+}
+
+impl Allocator {
+    /// An allocator that knows no target.
+    pub fn new(scope: Scope) -> Self {
+        Self {
+            scope,
+            state: Mutex::default(),
+        }
+    }
+
+    /// The state. Nobody holds it for longer than a decision takes.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over a board.
+    pub fn merge(&self, board: &Board) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let changes = state.targets.merge(board, now);
+        for change in &changes {
+            log_change(change, board.list_age_ms);
+        }
+        self.decide(&mut state, now);
+    }
+
+    /// Asks for a place for the request `run`, which may wait until `until`. Waits for `wait` at
+    /// most; asking again with the same number goes on with the same request.
+    pub async fn acquire(&self, run: RunId, need: Need, until: Instant, wait: Duration) -> Answer {
+        let now = Instant::now();
+        let decided = {
+            let mut state = self.state();
+            if let Some((_, decision)) = state.ready.remove(&run) {
+                return decision.into();
+            }
+            if !state.gate.contains(run) {
+                let waiting = Waiting {
+                    run,
+                    need,
+                    arrived: now,
+                    until,
+                };
+                if let Err((refusal, retry)) = state.gate.offer(waiting, now) {
+                    return Answer::Refused(refusal, retry);
+                }
+            }
+            let (reply, decided) = oneshot::channel();
+            state.asking.insert(run, reply);
+            self.decide(&mut state, now);
+            decided
+        };
+        if let Ok(Ok(decision)) = timeout(wait, decided).await {
+            return decision.into();
+        }
+        let mut state = self.state();
+        state.asking.remove(&run);
+        match state.ready.remove(&run) {
+            Some((_, decision)) => decision.into(),
+            None => Answer::Waiting,
+        }
+    }
+
+    /// Gives up a request's place, or its wait.
+    pub fn release(&self, run: RunId) {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.gate.withdraw(run);
+        state.ready.remove(&run);
+        state.asking.remove(&run);
+        state.targets.release_everywhere(run);
+        state.gate.ended(run);
+        self.decide(&mut state, now);
+    }
+
+    /// Looks at waiting requests and cleans up, for ever.
+    pub async fn run(&self) {
+        loop {
+            sleep(LOOK).await;
+            let now = Instant::now();
+            let mut state = self.state();
+            if !state.gate.is_empty() {
+                self.decide(&mut state, now);
+            }
+            let old = |at: &Instant| now.saturating_duration_since(*at) > KEPT;
+            let unclaimed = state.ready.iter().filter(|(_, (at, _))| old(at));
+            let unclaimed: Vec<RunId> = unclaimed.map(|(run, _)| *run).collect();
+            for run in unclaimed {
+                state.ready.remove(&run);
+                state.targets.release_everywhere(run);
+                state.gate.ended(run);
+            }
+            for run in state.targets.expire(MOST_HELD, now) {
+                state.gate.ended(run);
+            }
+        }
+    }
+
+    fn decide(&self, state: &mut State, now: Instant) {
+        let State {
+            targets,
+            gate,
+            asking,
+            ready,
+        } = state;
+        let decisions = gate.decide(now, |waiting| {
+            let need = &waiting.need;
+            let choice = placement::choose(targets, need, (self.scope, &[]), &mut rng(), now)?;
+            // Held at once, so that the next placement sees it.
+            hold(targets, waiting.run, need, &choice, now);
+            targets.reads(&choice.target, need.prompt, now);
+            Some(choice)
+        });
+        for (run, decision) in decisions {
+            let unsent = match asking.remove(&run) {
+                Some(reply) => reply.send(decision).err(),
+                None => Some(decision),
+            };
+            if let Some(decision) = unsent {
+                ready.insert(run, (now, decision));
+            }
+        }
+    }
+}
+
+/// Records that a request takes memory of its engine, and of the one with its copy.
+pub fn hold(targets: &mut Targets, run: RunId, need: &Need, choice: &Choice, now: Instant) {
+    let held = Held {
+        tokens: need.prompt,
+        expected: need.prompt + need.output,
+        since: now,
+        runs: true,
+    };
+    targets.hold(&choice.target, run, held);
+    if let Some(copy) = &choice.copy {
+        let held = Held {
+            runs: false,
+            ..held
+        };
+        targets.hold(copy, run, held);
+    }
+}
+
+fn log_change(change: &Change, list_age_ms: u64) {
+    let log = |target: &Target, event: &str| {
+        info!(target_id = target.as_str(), list_age_ms = list_age_ms; "target {event}");
+    };
+    match change {
+        Change::Joined(target) => log(target, "listed"),
+        Change::Leaving(target) => log(target, "leaves"),
+        Change::Gone(target) => log(target, "gone"),
+    }
+}
+
+impl From<Decision> for Answer {
+    fn from(decision: Decision) -> Self {
+        match decision {
+            Decision::Placed(choice) => Self::Placed(choice),
+            Decision::Refused(refusal, retry) => Self::Refused(refusal, retry),
+        }
+    }
+}
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -2,23 +2,25 @@
 
 use {
     crate::{
-        board::{Board, Instance},
+        allocator::{Allocator, Answer, Scope, State, hold},
+        board::Instance,
         budget::Budget,
         dialect::Dialect,
-        feed,
+        feed::{self, Outgoing},
         forecast::Forecast,
-        gate::{Decision, Gate, Refusal, Ticket, Waiting},
-        group::Note,
+        gate::Refusal,
+        group::{Note, Report},
         metrics::Metrics,
         placement::{self, Choice, Need},
         pool::Pool,
+        remote::Remote,
         settings,
         table::Table,
-        targets::{Change, Held, RunId, Targets},
+        targets::{Held, RunId, Targets},
     },
     arc_swap::ArcSwapOption,
-    log::info,
-    sardinerelay::id::{Organisation, Service, Target},
+    rand::rng,
+    sardinerelay::id::{Service, Target},
     sardinerelayd::stop::Drain,
     std::{
         collections::HashMap,
@@ -28,22 +30,19 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{
-        sync::{mpsc::UnboundedSender, oneshot},
-        time::sleep,
-    },
+    tokio::{sync::mpsc::UnboundedSender, time::sleep},
 };
 
-/// Interval in which waiting requests are looked at without an event.
-const LOOK: Duration = Duration::from_millis(40);
 /// Interval of the pool's cleaning.
 const CLEAN: Duration = Duration::from_secs(1);
 /// Entry hosts that are assumed before their number was told.
 const ASSUMED_ENTRIES: u32 = 100;
-
 /// Time for which an engine that is known to leave is still sent generations that go on there.
 /// It is well below the time that the platform lets a leaving target work.
 const LEAVING_USED: Duration = Duration::from_millis(1000);
+/// Bits of a request's number that count; those above them are drawn at the start, so that numbers
+/// differ between processes.
+const COUNTING_BITS: u32 = 32;
 
 /// The shared state.
 #[derive(Debug)]
@@ -60,21 +59,14 @@
     pub metrics: Metrics,
     /// The planned stop.
     pub drain: Drain,
-    state: Mutex<State>,
+    /// Targets, and places while the group's allocator can't be reached.
+    pub allocator: Allocator,
+    /// The group's allocator.
+    pub remote: Remote,
+    forecast: Mutex<Forecast>,
+    budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
-    notes: UnboundedSender<Note>,
-}
-
-/// State that decisions are made from.
-#[derive(Debug, Default)]
-pub struct State {
-    /// Targets.
-    pub targets: Targets,
-    /// Lengths of generations.
-    pub forecast: Forecast,
-    gate: Gate,
-    placed: HashMap<Ticket, oneshot::Sender<Decision>>,
-    budgets: HashMap<Service, Budget>,
+    outgoing: UnboundedSender<Outgoing>,
 }
 
 /// A request's place among the running ones. It is given up when this is dropped.
@@ -83,7 +75,6 @@
     entry: Arc<Entry>,
     /// The request's number.
     pub run: RunId,
-    organisation: Organisation,
     /// Where it runs, and who keeps a copy.
     pub choice: Choice,
     need: Need,
@@ -91,38 +82,46 @@
 
 /// A request that waits. It is withdrawn when this is dropped, unless its place was taken over.
 struct Wait<'a> {
-    entry: &'a Arc<Entry>,
-    ticket: Ticket,
-    organisation: Organisation,
+    entry: &'a Entry,
+    run: RunId,
     taken_over: bool,
 }
 
 impl Entry {
     /// The state of a host that has started.
     ///
-    /// `notes` tells other hosts what this one sends to engines.
+    /// `outgoing` tells other hosts what this one sends to engines.
     pub fn new(
         settings: settings::Entry,
         dialect: Dialect,
         metrics: Metrics,
-        notes: UnboundedSender<Note>,
+        outgoing: UnboundedSender<Outgoing>,
     ) -> Self {
+        let prefix = u64::from(rand::random::<u32>()) << COUNTING_BITS;
         Self {
-            notes,
+            outgoing,
             settings,
             dialect,
             table: ArcSwapOption::empty(),
             pool: Pool::default(),
             metrics,
             drain: Drain::default(),
-            state: Mutex::default(),
-            next_run: AtomicU64::new(1),
+            allocator: Allocator::new(Scope::Own),
+            remote: Remote::default(),
+            forecast: Mutex::default(),
+            budgets: Mutex::default(),
+            next_run: AtomicU64::new(prefix),
         }
     }
 
-    /// The state. Nobody holds it for longer than a decision takes.
+    /// What is known of targets.
     pub fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.allocator.state()
+    }
+
+    /// Lengths of generations.
+    pub fn forecast(&self) -> MutexGuard<'_, Forecast> {
+        self.forecast.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A number for a request.
@@ -130,25 +129,6 @@
         self.next_run.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Takes over a board.
-    pub fn merge(&self, board: &Board) {
-        let now = Instant::now();
-        let mut state = self.state();
-        let changes = state.targets.merge(board, now);
-        for change in &changes {
-            match change {
-                Change::Joined(target) => info!(target_id = target.as_str(); "target listed"),
-                Change::Leaving(target) => {
-                    info!(target_id = target.as_str(), list_age_ms = board.list_age_ms; "target leaves");
-                }
-                Change::Gone(target) => {
-                    info!(target_id = target.as_str(), list_age_ms = board.list_age_ms; "target gone");
-                }
-            }
-        }
-        self.decide(&mut state, now);
-    }
-
     /// Waits for room and takes it.
     ///
     /// # Errors
@@ -157,69 +137,66 @@
     pub async fn acquire(
         self: &Arc<Self>,
         need: Need,
-        organisation: Organisation,
         until: Instant,
     ) -> Result<Place, (Refusal, Duration)> {
-        let now = Instant::now();
-        let ticket = self.run_id();
-        let (reply, decided) = oneshot::channel();
-        {
-            let mut state = self.state();
-            let waiting = Waiting {
-                ticket,
-                need: need.clone(),
-                organisation: organisation.clone(),
-                arrived: now,
-                until,
-            };
-            state.gate.offer(waiting, now)?;
-            state.placed.insert(ticket, reply);
-            self.decide(&mut state, now);
-        }
+        let run = self.run_id();
         let mut wait = Wait {
             entry: self,
-            ticket,
-            organisation: organisation.clone(),
+            run,
             taken_over: false,
         };
-        match decided.await {
-            Ok(Decision::Placed(choice)) => {
+        let (answer, by) = match self.remote.acquire(run, &need, until).await {
+            Some((answer, by)) => (answer, by),
+            None => (self.acquire_here(run, &need, until).await, 0),
+        };
+        match answer {
+            Answer::Placed(choice) => {
                 wait.taken_over = true;
+                let mut state = self.state();
+                hold(&mut state.targets, run, &need, &choice, Instant::now());
+                self.note(&mut state.targets, (&choice, by), (&need, need.prompt));
+                drop(state);
                 Ok(Place {
                     entry: Arc::clone(self),
-                    run: ticket,
-                    organisation,
+                    run,
                     choice,
                     need,
                 })
             }
-            Ok(Decision::Refused(refusal, retry)) => Err((refusal, retry)),
-            // The gate answers every ticket that it doesn't withdraw.
-            Err(_) => Err((Refusal::Expired, LOOK)),
+            Answer::Refused(refusal, retry) => Err((refusal, retry)),
+            Answer::Waiting => Err((Refusal::Expired, placement::LEAST_RETRY)),
         }
     }
 
+    /// Allocates without the group, of which no host can be reached.
+    async fn acquire_here(&self, run: RunId, need: &Need, until: Instant) -> Answer {
+        let left = until.saturating_duration_since(Instant::now());
+        let answer = self.allocator.acquire(run, need.clone(), until, left);
+        answer.await
+    }
+
     /// Counts a first attempt at a service.
     pub fn count_request(&self, service: &Service) {
-        self.budget(&mut self.state(), service)
-            .request(Instant::now());
+        self.with_budget(service, |budget| budget.request(Instant::now()));
     }
 
     /// Takes one repeat of the service's budget.
     pub fn may_repeat(&self, service: &Service) -> bool {
-        let mut state = self.state();
-        let entries = match state.targets.entries() {
+        let entries = match self.state().targets.entries() {
             0 => ASSUMED_ENTRIES,
             entries => entries,
         };
-        self.budget(&mut state, service)
-            .repeat(entries, Instant::now())
+        self.with_budget(service, |budget| budget.repeat(entries, Instant::now()))
     }
 
-    fn budget<'a>(&self, state: &'a mut State, service: &Service) -> &'a mut Budget {
+    fn with_budget<Use, Output>(&self, service: &Service, with: Use) -> Output
+    where
+        Use: FnOnce(&mut Budget) -> Output,
+    {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let limit = self.settings.retries;
-        let budget = state.budgets.entry(service.clone());
-        budget.or_insert_with(|| Budget::new(limit, Instant::now()))
+        let budget = budgets.entry(service.clone());
+        with(budget.or_insert_with(|| Budget::new(limit, Instant::now())))
     }
 
     /// The platform's entry for a target.
@@ -231,106 +208,41 @@
             .map(|state| state.instance.clone())
     }
 
-    /// Looks at waiting requests and cleans up, for ever.
+    /// Cleans up, for ever.
     pub async fn run(self: Arc<Self>) {
-        let mut cleaned = Instant::now();
         loop {
-            sleep(LOOK).await;
-            let now = Instant::now();
-            let mut state = self.state();
-            if !state.gate.is_empty() {
-                self.decide(&mut state, now);
-            }
-            if now.saturating_duration_since(cleaned) > CLEAN {
-                cleaned = now;
-                let targets = &state.targets;
-                self.pool.keep(|target| targets.get(target).is_some());
-            }
+            sleep(CLEAN).await;
+            let state = self.state();
+            let targets = &state.targets;
+            self.pool.keep(|target| targets.get(target).is_some());
         }
     }
 
     /// Counts a generation that is sent to an engine, which has to read `prompt` tokens for it, and
-    /// tells other hosts of it and its copy.
-    fn note(
-        &self,
-        targets: &mut Targets,
-        choice: &Choice,
-        (need, prompt): (&Need, u64),
-        now: Instant,
-    ) {
-        targets.reads(&choice.target, prompt, now);
-        self.tell(&choice.target, need, prompt);
+    /// tells other hosts of it and its copy. `by` is the host that allocated it.
+    fn note(&self, targets: &mut Targets, choice: (&Choice, u32), (need, prompt): (&Need, u64)) {
+        let (choice, by) = choice;
+        targets.reads(&choice.target, prompt, Instant::now());
+        self.tell((&choice.target, by), need, prompt);
         if let Some(copy) = &choice.copy {
-            self.tell(copy, need, 0);
+            self.tell((copy, by), need, 0);
         }
     }
 
-    fn tell(&self, target: &Target, need: &Need, prompt: u64) {
+    fn tell(&self, (target, by): (&Target, u32), need: &Need, prompt: u64) {
         let note = Note {
             from: feed::name(&self.settings.common.host),
             target: target.clone(),
             prompt: u32::try_from(prompt).unwrap_or(u32::MAX),
             memory: u32::try_from(need.prompt + need.output).unwrap_or(u32::MAX),
+            by,
         };
-        // Without a reader the process is ending.
-        let _ = self.notes.send(note);
+        // Without a reader the process is ending, here and below.
+        let _ = self.outgoing.send(Outgoing::Note(note));
     }
 
-    /// Takes over what other hosts sent to engines.
-    pub fn heard<'a, Notes>(&self, notes: Notes)
-    where
-        Notes: Iterator<Item = &'a Note>,
-    {
-        let now = Instant::now();
-        let mut state = self.state();
-        for note in notes {
-            let target = note.target.as_str();
-            state.targets.reads(target, u64::from(note.prompt), now);
-            state
-                .targets
-                .others_sent(target, u64::from(note.memory), now);
-        }
-    }
-
-    fn decide(&self, state: &mut State, now: Instant) {
-        let zone = &self.settings.common.zone;
-        let State {
-            targets,
-            gate,
-            placed,
-            ..
-        } = state;
-        let decisions = gate.decide(now, |waiting| {
-            let need = &waiting.need;
-            let choice = placement::choose(targets, need, (zone, &[]), &mut rand::rng(), now)?;
-            // Held at once, so that the next placement sees it.
-            hold(targets, waiting.ticket, need, &choice, now);
-            self.note(targets, &choice, (need, need.prompt), now);
-            Some(choice)
-        });
-        for (ticket, decision) in decisions {
-            if let Some(reply) = placed.remove(&ticket) {
-                // Whoever stops waiting gives up what was placed for it.
-                let _ = reply.send(decision);
-            }
-        }
-    }
-}
-
-fn hold(targets: &mut Targets, run: RunId, need: &Need, choice: &Choice, now: Instant) {
-    let held = Held {
-        tokens: need.prompt,
-        expected: need.prompt + need.output,
-        since: now,
-        runs: true,
-    };
-    targets.hold(&choice.target, run, held);
-    if let Some(copy) = &choice.copy {
-        let held = Held {
-            runs: false,
-            ..held
-        };
-        targets.hold(copy, run, held);
+    fn report(&self, report: Report) {
+        let _ = self.outgoing.send(Outgoing::Report(report));
     }
 }
 
@@ -350,17 +262,13 @@
     /// Chooses another engine, without waiting.
     pub fn move_elsewhere(&mut self, avoid: &[Target]) -> bool {
         let now = Instant::now();
-        let zone = &self.entry.settings.common.zone;
         let mut state = self.entry.state();
-        let place = (zone, avoid);
-        let choice = placement::choose(&state.targets, &self.need, place, &mut rand::rng(), now);
+        let place = (Scope::Own, avoid);
+        let choice = placement::choose(&state.targets, &self.need, place, &mut rng(), now);
         let Some(choice) = choice else {
             return false;
         };
-        self.give_up(&mut state.targets);
-        hold(&mut state.targets, self.run, &self.need, &choice, now);
-        let prompt = (&self.need, self.need.prompt);
-        self.entry.note(&mut state.targets, &choice, prompt, now);
+        self.take(&mut state.targets, choice.clone(), self.need.prompt);
         drop(state);
         self.choice = choice;
         true
@@ -373,16 +281,13 @@
         let mut state = self.entry.state();
         let primary = state.targets.get(&target).filter(|_| self.need.copy);
         let copy = primary.and_then(|primary| {
-            let place = (&self.entry.settings.common.zone, primary, &[][..]);
-            placement::choose_copy(&state.targets, &self.need, place, &mut rand::rng(), now)
+            let place = (Scope::Own, primary, &[][..]);
+            placement::choose_copy(&state.targets, &self.need, place, &mut rng(), now)
         });
-        self.give_up(&mut state.targets);
         state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
-        hold(&mut state.targets, self.run, &self.need, &choice, now);
         // It has the prompt already.
-        self.entry
-            .note(&mut state.targets, &choice, (&self.need, 0), now);
+        self.take(&mut state.targets, choice.clone(), 0);
         drop(state);
         self.choice = choice;
     }
@@ -412,23 +317,14 @@
         (stays(&self.choice.target), copy.is_some_and(stays))
     }
 
-    /// Records that another engine has a copy now.
-    pub fn copied_to(&mut self, target: Target) {
-        if let Some(old) = self.choice.copy.replace(target.clone())
-            && old != target
-        {
-            self.entry.state().targets.release(&old, self.run);
-        }
-    }
-
     /// Chooses an engine for a copy, other than those in `avoid`, and keeps room there.
     pub fn plan_copy(&self, avoid: &[Target]) -> Option<Target> {
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&self.choice.target)?;
-        let place = (&self.entry.settings.common.zone, primary, avoid);
+        let place = (Scope::Own, primary, avoid);
         let targets = &state.targets;
-        let target = placement::choose_copy(targets, &self.need, place, &mut rand::rng(), now)?;
+        let target = placement::choose_copy(targets, &self.need, place, &mut rng(), now)?;
         let held = Held {
             tokens: self.need.prompt,
             expected: self.need.prompt + self.need.output,
@@ -436,6 +332,7 @@
             runs: false,
         };
         state.targets.hold(&target, self.run, held);
+        self.entry.tell((&target, 0), &self.need, 0);
         Some(target)
     }
 
@@ -444,33 +341,30 @@
         self.entry.state().targets.release(target, self.run);
     }
 
-    fn give_up(&self, targets: &mut Targets) {
+    /// Takes a place that this host chose itself, instead of the present one.
+    fn take(&self, targets: &mut Targets, choice: Choice, prompt: u64) {
         targets.release(&self.choice.target, self.run);
         if let Some(copy) = &self.choice.copy {
             targets.release(copy, self.run);
         }
+        hold(targets, self.run, &self.need, &choice, Instant::now());
+        self.entry.note(targets, (&choice, 0), (&self.need, prompt));
+        self.entry.report(Report::Ended(self.run));
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let mut state = self.entry.state();
-        self.give_up(&mut state.targets);
-        state.gate.ended(&self.organisation);
-        self.entry.decide(&mut state, Instant::now());
+        self.entry.allocator.release(self.run);
+        self.entry.report(Report::Ended(self.run));
     }
 }
 
 impl Drop for Wait<'_> {
     fn drop(&mut self) {
-        if self.taken_over {
-            return;
-        }
-        let mut state = self.entry.state();
-        state.gate.withdraw(self.ticket);
-        state.placed.remove(&self.ticket);
-        if state.targets.release_everywhere(self.ticket) {
-            state.gate.ended(&self.organisation);
+        if !self.taken_over {
+            self.entry.allocator.release(self.run);
+            self.entry.report(Report::Ended(self.run));
         }
     }
 }
--- a/crates/sardinerelay-gateway/src/feed.rs
+++ b/crates/sardinerelay-gateway/src/feed.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         entry::Entry,
-        group::{Clients, FOLLOW_NOTES, FollowNotes, NOTE, News, Note},
+        group::{Clients, FOLLOW_NOTES, FollowNotes, NOTE, News, Note, REPORT, Report},
     },
     log::debug,
     sardinerelayd::peer::Packed,
@@ -12,7 +12,7 @@
         hash::{DefaultHasher, Hash as _, Hasher as _},
         net::Ipv4Addr,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc::UnboundedReceiver, watch},
@@ -45,14 +45,43 @@
     members.borrow().iter().take(HUBS).copied().collect()
 }
 
-/// Sends notes to the hubs, for ever.
-pub async fn send(clients: Arc<Clients>, members: Members, mut notes: UnboundedReceiver<Note>) {
-    while let Some(first) = notes.recv().await {
-        let mut batch = vec![first];
-        while let Ok(note) = notes.try_recv() {
-            batch.push(note);
+/// What an entry host tells others.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// To all entry hosts: it sent a generation to an engine.
+    Note(Note),
+    /// To the allocating host.
+    Report(Report),
+}
+
+/// Sends notes to the hubs and reports to the allocating host, for ever.
+pub async fn send(
+    entry: Arc<Entry>,
+    clients: Arc<Clients>,
+    members: Members,
+    mut outgoing: UnboundedReceiver<Outgoing>,
+) {
+    while let Some(first) = outgoing.recv().await {
+        let mut notes = Vec::new();
+        let mut reports = Vec::new();
+        let mut next = Some(first);
+        while let Some(out) = next {
+            match out {
+                Outgoing::Note(note) => notes.push(note),
+                Outgoing::Report(report) => reports.push(report),
+            }
+            next = outgoing.try_recv().ok();
+        }
+        if let Some(client) = entry.remote.client()
+            && !reports.is_empty()
+            && let Err(error) = client.notify(REPORT, &Packed(reports), SEND).await
+        {
+            debug!("reports to {} are lost: {error}", client.address());
+        }
+        if notes.is_empty() {
+            continue;
         }
-        let batch = Packed(batch);
+        let batch = Packed(notes);
         let sent = hubs(&members).into_iter().map(|hub| {
             let client = clients.get(hub);
             let batch = &batch;
@@ -90,7 +119,7 @@
             Ok(Packed(news)) => {
                 since = news.next;
                 let others = news.notes.iter().filter(|note| note.from != own);
-                entry.heard(others);
+                entry.state().targets.heard(others, Instant::now());
             }
             Err(error) => {
                 debug!("no notes from {hub}: {error}");
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -7,10 +7,10 @@
     crate::{
         board::Board,
         entry::Entry,
-        feed,
+        feed::{self, Outgoing},
         group::{
             Clients, Document, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FollowBoard,
-            FollowConfiguration, Note, STANDING, Standing, member,
+            FollowConfiguration, STANDING, Standing, member,
         },
         table::Table,
     },
@@ -48,13 +48,18 @@
 const BOARD_SILENT: Duration = Duration::from_millis(700);
 
 /// Follows, for ever.
-pub async fn run(entry: Arc<Entry>, notes: UnboundedReceiver<Note>) {
+pub async fn run(entry: Arc<Entry>, outgoing: UnboundedReceiver<Outgoing>) {
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
     let changing = Arc::clone(&entry.settings.common.changing);
     let mut addresses: BTreeSet<Ipv4Addr> = changing.seeds().into_iter().collect();
     let (known, members_known) = watch::channel(addresses.clone());
     let (sending, hearing) = (Arc::clone(&clients), Arc::clone(&clients));
-    tokio::spawn(feed::send(sending, members_known.clone(), notes));
+    tokio::spawn(feed::send(
+        Arc::clone(&entry),
+        sending,
+        members_known.clone(),
+        outgoing,
+    ));
     tokio::spawn(feed::hear(Arc::clone(&entry), hearing, members_known));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let heard = Arc::new(watch::Sender::new(Heard::default()));
@@ -77,9 +82,10 @@
             });
         }
         sleep(MEMBERS_EVERY).await;
-        if let Some(members) = members(&clients, &addresses).await {
+        if let Some((leader, members)) = members(&clients, &addresses).await {
             known.send_replace(members.clone());
             addresses = members;
+            entry.remote.set(Some(clients.get(leader)));
         }
         // Seeds may be newer than what the members that were asked know.
         addresses.extend(changing.seeds());
@@ -105,8 +111,11 @@
     ranked.map(|(_, address)| address).collect()
 }
 
-/// The addresses of the group's members, from whoever knows a leader.
-async fn members(clients: &Clients, known: &BTreeSet<Ipv4Addr>) -> Option<BTreeSet<Ipv4Addr>> {
+/// The addresses of the group's leader and members, from whoever knows a leader.
+async fn members(
+    clients: &Clients,
+    known: &BTreeSet<Ipv4Addr>,
+) -> Option<(Ipv4Addr, BTreeSet<Ipv4Addr>)> {
     #[derive(Serialize)]
     struct Ask {
         host: Host,
@@ -123,11 +132,12 @@
         let answer = client.call(STANDING, &ask, MEMBERS_DEADLINE).await;
         match answer {
             Ok(Standing {
-                leader: Some(_),
+                leader: Some(leader),
                 members,
                 ..
             }) if !members.is_empty() => {
-                return Some(members.into_iter().map(member::address).collect());
+                let members = members.into_iter().map(member::address);
+                return Some((member::address(leader), members.collect()));
             }
             Ok(_) => {}
             Err(error) => debug!("the members are not known from {address}: {error}"),
@@ -224,7 +234,7 @@
         match answer {
             Ok(Some(Packed(board))) => {
                 stamp = board.stamp;
-                entry.merge(&board);
+                entry.allocator.merge(&board);
                 let fresh = board.list_age_ms < BOARD_SILENT.as_millis() as u64;
                 if fresh {
                     heard.send_replace(Heard(Some(Instant::now())));
--- a/crates/sardinerelay-gateway/src/gate.rs
+++ b/crates/sardinerelay-gateway/src/gate.rs
@@ -7,18 +7,19 @@
 //! from the rate at which room becomes free.
 
 use {
-    crate::placement::{Choice, Need},
+    crate::{
+        placement::{Choice, LEAST_RETRY, Need},
+        targets::RunId,
+    },
     sardinerelay::id::Organisation,
+    serde::{Deserialize, Serialize},
     std::{
-        collections::HashMap,
+        collections::{HashMap, hash_map::Entry},
         time::{Duration, Instant},
     },
     thiserror::Error,
 };
 
-/// Number of a waiting request.
-pub type Ticket = u64;
-
 /// Requests that wait on one host at most.
 const MOST_WAITING: usize = 256;
 /// Weight of a new interval in the mean interval between placements.
@@ -26,17 +27,15 @@
 /// Longest mean interval between placements, in seconds.
 const SLOWEST: f64 = 2.0;
 /// Least and longest time after which a refused caller should come back.
-const RETRY: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(8)];
+const RETRY: [Duration; 2] = [LEAST_RETRY, Duration::from_secs(8)];
 
 /// A request that waits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Waiting {
     /// Its number.
-    pub ticket: Ticket,
+    pub run: RunId,
     /// What it needs.
     pub need: Need,
-    /// The calling organisation.
-    pub organisation: Organisation,
     /// When it came.
     pub arrived: Instant,
     /// Until when it may wait.
@@ -44,7 +43,7 @@
 }
 
 /// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum Refusal {
     /// Too many wait already, or more than can be placed in its time.
     #[error("the requests before it leave no room in time")]
@@ -67,7 +66,9 @@
 #[derive(Debug)]
 pub struct Gate {
     waiting: Vec<Waiting>,
-    running: HashMap<Organisation, u32>,
+    running: HashMap<RunId, Organisation>,
+    /// Number of running requests by organisation.
+    counts: HashMap<Organisation, u32>,
     placed: Option<Instant>,
     /// Mean seconds between two placements while requests waited.
     interval: f64,
@@ -78,6 +79,7 @@
         Self {
             waiting: Vec::new(),
             running: HashMap::new(),
+            counts: HashMap::new(),
             placed: None,
             interval: 0.1,
         }
@@ -101,12 +103,17 @@
     }
 
     /// Removes a request whose caller has left.
-    pub fn withdraw(&mut self, ticket: Ticket) {
-        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    pub fn withdraw(&mut self, run: RunId) {
+        self.waiting.retain(|waiting| waiting.run != run);
+    }
+
+    /// Whether a request waits.
+    pub fn contains(&self, run: RunId) -> bool {
+        self.waiting.iter().any(|waiting| waiting.run == run)
     }
 
     /// Places what can be placed and refuses what has waited for too long.
-    pub fn decide<Place>(&mut self, now: Instant, mut place: Place) -> Vec<(Ticket, Decision)>
+    pub fn decide<Place>(&mut self, now: Instant, mut place: Place) -> Vec<(RunId, Decision)>
     where
         Place: FnMut(&Waiting) -> Option<Choice>,
     {
@@ -122,14 +129,14 @@
             };
             match choice {
                 Some(choice) => {
-                    *self.running.entry(waiting.organisation).or_default() += 1;
+                    self.started(waiting.run, waiting.need.organisation);
                     self.note_placement(waiting.arrived, now);
-                    decisions.push((waiting.ticket, Decision::Placed(choice)));
+                    decisions.push((waiting.run, Decision::Placed(choice)));
                 }
                 None if now >= waiting.until => {
                     let retry = self.retry_after(Duration::ZERO);
                     let refused = Decision::Refused(Refusal::Expired, retry);
-                    decisions.push((waiting.ticket, refused));
+                    decisions.push((waiting.run, refused));
                 }
                 None => {
                     full.push(service.clone());
@@ -142,15 +149,24 @@
     }
 
     /// Records that a placed request has ended.
-    pub fn ended(&mut self, organisation: &Organisation) {
-        if let Some(running) = self.running.get_mut(organisation) {
-            *running = running.saturating_sub(1);
-            if *running == 0 {
-                self.running.remove(organisation);
+    pub fn ended(&mut self, run: RunId) {
+        let Some(organisation) = self.running.remove(&run) else {
+            return;
+        };
+        let count = self.counts.entry(organisation);
+        if let Entry::Occupied(mut count) = count {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
             }
         }
     }
 
+    fn started(&mut self, run: RunId, organisation: Organisation) {
+        *self.counts.entry(organisation.clone()).or_default() += 1;
+        self.running.insert(run, organisation);
+    }
+
     /// Number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -167,9 +183,9 @@
     }
 
     fn sort(&mut self) {
-        let running = &self.running;
+        let running = &self.counts;
         self.waiting.sort_by_key(|waiting| {
-            let running = running.get(&waiting.organisation).copied();
+            let running = running.get(&waiting.need.organisation).copied();
             let priority = waiting.need.priority;
             (priority, running.unwrap_or_default(), waiting.arrived)
         });
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -56,8 +56,7 @@
     let need = need(&job);
     let until = job.arrived + job.route.objective.mul_f64(WAIT_SHARE);
     let until = until.min(job.end());
-    let organisation = job.organisation.clone().unwrap_or_default();
-    let place = job.entry.acquire(need.clone(), organisation, until).await;
+    let place = job.entry.acquire(need.clone(), until).await;
     let waited = job.arrived.elapsed();
     let mut place = match place {
         Ok(place) => place,
@@ -113,15 +112,17 @@
     let hint = generation.and_then(|generation| generation.hint);
     let parts = generation.map_or(&[][..], |generation| &generation.parts);
     let (shared, prefix) = placement::shared(parts);
-    let state = job.entry.state();
-    let output = state.forecast.output(&job.route.name, most, hint, MARGIN);
-    drop(state);
+    let forecast = job.entry.forecast();
+    let output = forecast.output(&job.route.name, most, hint, MARGIN);
+    drop(forecast);
     let table = job.entry.table.load();
     let spec = table.as_ref().and_then(|table| table.service(&job.service));
     let engine = spec.and_then(|spec| spec.engine);
     let backups = engine.is_some_and(|engine| engine.backups);
     Need {
         service: job.service.clone(),
+        organisation: job.organisation.clone().unwrap_or_default(),
+        zone: job.entry.settings.common.zone.clone(),
         memory: engine.map_or(0, |engine| engine.memory),
         prompt,
         output,
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -167,8 +167,8 @@
         };
         let tokens = self.events * self.stride;
         if outcome == "complete" && self.job.call.after.is_none() {
-            let mut state = self.job.entry.state();
-            state.forecast.learn(&self.job.route.name, tokens);
+            let mut forecast = self.job.entry.forecast();
+            forecast.learn(&self.job.route.name, tokens);
         }
         let took = self.job.arrived.elapsed();
         self.job
@@ -213,11 +213,7 @@
                             end = end.min(Deadline::now() + REST);
                             moved = Some((done, to));
                         }
-                        (Purpose::Copy, Ok(Moved::There(copy) | Moved::Here(copy)), to) => {
-                            self.place.copied_to(to);
-                            let at = Instant::now();
-                            self.copied = Some(Copied { copy, at });
-                        }
+                        (Purpose::Copy, Ok(_), to) => self.place.drop_copy(&to),
                         (_, Err(_), to) => {
                             self.place.drop_copy(&to);
                             copies_from = Instant::now() + COPY_PAUSE;
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -13,20 +13,17 @@
 
 pub use self::{
     driver::{Outcome, Standing},
-    hub::{News, Note},
+    hub::{News, Note, Report},
     links::Clients,
     register::Document,
     rpc::{
-        FOLLOW_BOARD, FOLLOW_CONFIGURATION, FOLLOW_NOTES, FollowBoard, FollowConfiguration,
-        FollowNotes, NOTE, STANDING,
+        ACQUIRE, Acquire, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FOLLOW_NOTES, FollowBoard,
+        FollowConfiguration, FollowNotes, NOTE, Observed, REPORT, STANDING,
     },
 };
 
 use {
-    crate::{
-        board::{Followers, Published},
-        reload,
-    },
+    crate::reload,
     driver::{Driver, Input},
     links::Links,
     log::{info, warn},
@@ -124,10 +121,7 @@
 /// # Errors
 ///
 /// [`Failure`].
-pub async fn start(
-    settings: Settings,
-    board: (Published, Arc<Followers>),
-) -> Result<Running, Failure> {
+pub async fn start(settings: Settings, observed: Observed) -> Result<Running, Failure> {
     let path = settings.data.join("replica");
     let (own, files) = open(&settings, &path)?;
     let clients = Arc::new(Clients::new(settings.peer_port));
@@ -147,7 +141,7 @@
     };
     let driver = Driver::new(config, files, links, (newest, standing))?;
     let listen = SocketAddr::from((settings.address, settings.peer_port));
-    let server = rpc::serve(listen, own, handle.clone(), board).await?;
+    let server = rpc::serve(listen, own, handle.clone(), observed).await?;
     let driver = tokio::spawn(driver.run(queue));
     tokio::spawn(keep_membership(settings, own, path, handle.clone()));
     Ok(Running {
--- a/crates/sardinerelay-gateway/src/group/hub.rs
+++ b/crates/sardinerelay-gateway/src/group/hub.rs
@@ -34,6 +34,15 @@
     pub prompt: u32,
     /// Tokens of memory that the generation is expected to take.
     pub memory: u32,
+    /// The host that allocated it, which knows of it already; 0 if the entry host did itself.
+    pub by: u32,
+}
+
+/// What became of a request that this host gave a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Report {
+    /// It has ended, or takes another place.
+    Ended(crate::targets::RunId),
 }
 
 /// Notes with the number after the last one.
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -4,10 +4,16 @@
     super::{
         Handle,
         driver::{Input, Outcome, Standing},
-        hub::{Hub, Note},
+        hub::{Hub, Note, Report},
+        member,
         register::Document,
     },
-    crate::board::{Board, Followers, Published},
+    crate::{
+        allocator::Allocator,
+        board::{Board, Followers, Published},
+        placement::Need,
+        targets::RunId,
+    },
     compact_str::CompactString,
     jsonrpsee::{
         RpcModule,
@@ -21,7 +27,11 @@
         peer::{Packed, Receiver, STEP, Server, SharedCounters, Step},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{sync::oneshot, time::timeout},
 };
 
@@ -36,6 +46,10 @@
 
 /// Tells what was sent to engines.
 pub const NOTE: &str = "notes.add";
+/// Asks for a place for a generation.
+pub const ACQUIRE: &str = "place.acquire";
+/// Tells what became of places.
+pub const REPORT: &str = "place.report";
 /// Waits for such notes.
 pub const FOLLOW_NOTES: &str = "notes.follow";
 
@@ -83,10 +97,33 @@
     pub wait_ms: u64,
 }
 
+/// Parameters of [`ACQUIRE`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Acquire {
+    /// The request's number, unique among all hosts.
+    pub run: RunId,
+    /// What it needs.
+    pub need: Need,
+    /// Time that it may wait.
+    pub left: Duration,
+    /// Time to wait in this call.
+    pub wait: Duration,
+}
+
+/// What a host with a replica observes, for entry hosts.
+#[derive(Debug, Clone)]
+pub struct Observed {
+    /// Its board.
+    pub board: Published,
+    /// The entry hosts that follow it.
+    pub followers: Arc<Followers>,
+    /// Its allocator.
+    pub allocator: Arc<Allocator>,
+}
+
 struct Context {
     handle: Handle,
-    board: Published,
-    followers: Arc<Followers>,
+    observed: Observed,
     hub: Arc<Hub>,
     counters: SharedCounters,
 }
@@ -97,15 +134,20 @@
     listen: SocketAddr,
     own: Host,
     handle: Handle,
-    (board, followers): (Published, Arc<Followers>),
+    observed: Observed,
 ) -> Result<Server, Failure> {
     let counters = handle.clients.counters();
     let hub = Arc::new(Hub::default());
-    let receiver = receiver(own, handle.clone(), Arc::clone(&hub), Arc::clone(&counters));
+    let incoming = Incoming {
+        own,
+        handle: handle.clone(),
+        hub: Arc::clone(&hub),
+        allocator: Arc::clone(&observed.allocator),
+    };
+    let receiver = receiver(incoming, Arc::clone(&counters));
     let context = Context {
         handle,
-        board,
-        followers,
+        observed,
         hub,
         counters: Arc::clone(&counters),
     };
@@ -135,12 +177,24 @@
     })?;
     module.register_async_method(FOLLOW_CONFIGURATION, |parameters, context, _| async move {
         let follow: FollowConfiguration = context.read(&parameters)?;
-        context.followers.seen(&follow.host);
+        context.observed.followers.seen(&follow.host);
         Answer::Ok(configuration(&context.handle, &follow).await)
     })?;
     module.register_async_method(FOLLOW_BOARD, |parameters, context, _| async move {
         let follow: FollowBoard = context.read(&parameters)?;
-        Answer::Ok(board(&context.board, &follow).await)
+        Answer::Ok(board(&context.observed.board, &follow).await)
+    })?;
+    module.register_async_method(ACQUIRE, |parameters, context, _| async move {
+        let Packed(acquire): Packed<Acquire> = context.read(&parameters)?;
+        let Acquire {
+            run,
+            need,
+            left,
+            wait,
+        } = acquire;
+        let until = Instant::now() + left;
+        let answer = context.observed.allocator.acquire(run, need, until, wait);
+        Answer::Ok(Packed(answer.await))
     })?;
     module.register_async_method(FOLLOW_NOTES, |parameters, context, _| async move {
         let follow: FollowNotes = context.read(&parameters)?;
@@ -185,32 +239,65 @@
     Duration::from_millis(wait_ms).min(LONGEST_WAIT)
 }
 
-/// Hands messages to the replica. They are dropped while its queue is full, as on a lossy link.
-fn receiver(own: Host, handle: Handle, hub: Arc<Hub>, counters: SharedCounters) -> Receiver {
+/// Whom notifications are for.
+struct Incoming {
+    own: Host,
+    handle: Handle,
+    hub: Arc<Hub>,
+    allocator: Arc<Allocator>,
+}
+
+/// Hands notifications on. Messages to the replica are dropped while its queue is full, as on a
+/// lossy link.
+fn receiver(incoming: Incoming, counters: SharedCounters) -> Receiver {
     Receiver::new(move |method, parameters| {
         counters.count_received();
-        if method == NOTE {
-            match serde_json::from_str::<(Packed<Vec<Note>>,)>(parameters) {
-                Ok((Packed(notes),)) => hub.add(notes),
-                Err(error) => warn!("notes of an entry host can't be read: {error}"),
-            }
-            return;
+        let taken = match method {
+            STEP => incoming.step(parameters),
+            NOTE => incoming.notes(parameters),
+            REPORT => incoming.reports(parameters),
+            _ => Ok(()),
+        };
+        if let Err(error) = taken {
+            warn!(method = method, reason:% = error; "a notification can't be read");
         }
-        if method != STEP {
-            return;
+    })
+}
+
+impl Incoming {
+    fn step(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (step,): (Step,) = serde_json::from_str(parameters)?;
+        let Step { from, to, messages } = step;
+        if to != self.own {
+            debug!("messages from replica {from} are for replica {to}, which ran here before");
+            return Ok(());
         }
-        match serde_json::from_str::<(Step,)>(parameters) {
-            Ok((Step { from, to, .. },)) if to != own => {
-                debug!("messages from replica {from} are for replica {to}, which ran here before");
-            }
-            Ok((Step { from, messages, .. },)) => {
-                if let Err(error) = handle.inputs.try_send(Input::Step(from, messages.0)) {
-                    debug!("messages from replica {from} are dropped: {error}");
-                }
+        if let Err(error) = self.handle.inputs.try_send(Input::Step(from, messages.0)) {
+            debug!("messages from replica {from} are dropped: {error}");
+        }
+        Ok(())
+    }
+
+    fn notes(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(notes),): (Packed<Vec<Note>>,) = serde_json::from_str(parameters)?;
+        let own = member::address(self.own).to_bits();
+        let unknown = notes.iter().filter(|note| note.by != own);
+        let mut state = self.allocator.state();
+        state.targets.heard(unknown, Instant::now());
+        drop(state);
+        self.hub.add(notes);
+        Ok(())
+    }
+
+    fn reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(reports),): (Packed<Vec<Report>>,) = serde_json::from_str(parameters)?;
+        for report in reports {
+            match report {
+                Report::Ended(run) => self.allocator.release(run),
             }
-            Err(error) => warn!("messages of another host can't be read: {error}"),
         }
-    })
+        Ok(())
+    }
 }
 
 impl Context {
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! things are written on the wire is the affair of a [`dialect::Dialect`]. The design is described
 //! in `docs/design/platform.md`.
 
+pub mod allocator;
 pub mod answer;
 pub mod backlog;
 pub mod board;
@@ -30,6 +31,7 @@
 pub mod plain;
 pub mod pool;
 pub mod reload;
+pub mod remote;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -7,14 +7,16 @@
 
 use {
     crate::{
+        allocator::Scope,
         call::Part,
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
-    sardinerelay::id::{Target, Zone},
+    sardinerelay::id::{Organisation, Service, Target, Zone},
+    serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -33,7 +35,7 @@
 const COLD: f64 = 0.25;
 /// Load that a target counts for that fails all its requests.
 const FAILING: f64 = 3.0;
-/// Engines that are compared. Reports are older than the time between two placements, so the
+/// Engines that are compared by a host that doesn't know all placements. Reports are older than the time between two placements, so the
 /// least loaded engine by report is the one that all hosts would choose at once; of two random
 /// ones, the less loaded is almost as good and spreads them (Mitzenmacher, "The Power of Two
 /// Choices in Randomized Load Balancing", 2001).
@@ -49,14 +51,20 @@
 const WAITING: f64 = 1.0;
 /// Random part of the load of plain targets, so that hosts with the same view differ.
 const NOISE: f64 = 0.05;
+/// When a caller should come back at the earliest.
+pub const LEAST_RETRY: Duration = Duration::from_millis(300);
 /// Waiting requests at which an engine counts as full.
 const FULL_WAITING: u32 = 2;
 
 /// What has to be known of a generation to place it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Need {
     /// The service.
-    pub service: Target,
+    pub service: Service,
+    /// The calling organisation.
+    pub organisation: Organisation,
+    /// The caller's availability zone.
+    pub zone: Zone,
     /// Memory of each engine in tokens, if the engine doesn't report it.
     pub memory: u64,
     /// Tokens of the prompt.
@@ -74,7 +82,7 @@
 }
 
 /// Where a generation goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choice {
     /// The engine that runs it.
     pub target: Target,
@@ -98,7 +106,7 @@
 pub fn choose<R>(
     targets: &Targets,
     need: &Need,
-    (zone, avoid): (&Zone, &[Target]),
+    (scope, avoid): (Scope, &[Target]),
     rng: &mut R,
     now: Instant,
 ) -> Option<Choice>
@@ -113,7 +121,7 @@
         .iter()
         .filter_map(|state| {
             let wait = state.backlog.wait(need.prompt, targets.rate, now);
-            let load = room(state, need, now)? + penalty(state, zone, now);
+            let load = room(state, need, now)? + penalty(state, &need.zone, now);
             Some((load + WAITING * wait.as_secs_f64(), *state))
         })
         .collect();
@@ -124,22 +132,22 @@
     }
     let best = feasible
         .iter()
-        .take(SAMPLED)
+        .take(sampled(scope))
         .min_by(|left, right| left.0.total_cmp(&right.0))?;
     let target = best.1.instance.target.clone();
     let copy = match need.copy {
-        true => choose_copy(targets, need, (zone, best.1, &[]), rng, now),
+        true => choose_copy(targets, need, (scope, best.1, &[]), rng, now),
         false => None,
     };
     Some(Choice { target, copy })
 }
 
 /// Chooses the engine that keeps a copy of a generation that runs on `primary`, other than those
-/// in `avoid`, for a caller in `zone`.
+/// in `avoid`.
 pub fn choose_copy<R>(
     targets: &Targets,
     need: &Need,
-    (zone, primary, avoid): (&Zone, &State, &[Target]),
+    (scope, primary, avoid): (Scope, &State, &[Target]),
     rng: &mut R,
     now: Instant,
 ) -> Option<Target>
@@ -153,22 +161,31 @@
         .filter_map(|state| {
             let load = used(state, need, now) + share(state, need, need.prompt + need.output);
             let fits = load <= COPY_FILL && !state.is_cold(now);
-            let load = load + penalty(state, zone, now);
-            let far = f64::from(state.instance.zone != *zone) * COPY_FAR;
+            let load = load + penalty(state, &need.zone, now);
+            let far = f64::from(state.instance.zone != need.zone) * COPY_FAR;
             fits.then_some((load + far, state))
         })
         .collect();
     feasible.shuffle(rng);
     let (near, far): (Vec<_>, Vec<_>) = feasible
         .into_iter()
-        .partition(|(_, state)| state.instance.zone == *zone);
-    let sampled = near.into_iter().take(SAMPLED);
-    sampled
-        .chain(far.into_iter().take(SAMPLED))
+        .partition(|(_, state)| state.instance.zone == need.zone);
+    let most = sampled(scope);
+    near.into_iter()
+        .take(most)
+        .chain(far.into_iter().take(most))
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, state)| state.instance.target.clone())
 }
 
+/// Engines that are compared.
+fn sampled(scope: Scope) -> usize {
+    match scope {
+        Scope::All => usize::MAX,
+        Scope::Own => SAMPLED,
+    }
+}
+
 /// The load after the generation was added, if it fits.
 fn room(state: &State, need: &Need, now: Instant) -> Option<f64> {
     let waiting = state.fresh_load(now).map_or(0, |(load, _)| load.waiting);
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
+        allocator::{Allocator, Scope},
         board::{Board, Followers, Published},
         control,
         dialect::Dialect,
         entry::Entry,
         exit_code::ExitCode,
-        follow, front,
-        group::{self, Note},
-        http,
+        feed::Outgoing,
+        follow, front, group, http,
         metrics::Metrics,
         reload, settings,
         watch::Observer,
@@ -63,8 +63,8 @@
     let common = &settings.common;
     reload::start(Arc::clone(&common.changing), Arc::clone(&common.read))
         .context("listening for signals")?;
-    let (notes, noted) = unbounded_channel();
-    let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?, notes));
+    let (tell, outgoing) = unbounded_channel();
+    let entry = Arc::new(Entry::new(settings, dialect, Metrics::new()?, tell));
     let shared = Arc::clone(&entry);
     let answer = move |request| {
         let response = readiness(&shared, &request);
@@ -81,7 +81,9 @@
     let (close, closing) = watch::channel(false);
     tokio::spawn(front::run(Arc::clone(&entry), listener, closing));
     tokio::spawn(Arc::clone(&entry).run());
-    follow(&entry, noted)?;
+    let own = Arc::clone(&entry);
+    tokio::spawn(async move { own.allocator.run().await });
+    follow(&entry, outgoing)?;
     info!(host = host.as_str(), took_ms = began.elapsed().as_millis() as u64; "entry host started");
     stop::signalled().await.context("listening for signals")?;
     info!(host = host.as_str(), open = entry.drain.open() as u64; "stop requested");
@@ -103,13 +105,13 @@
 }
 
 /// Follows the group on a thread of its own, so that traffic can't delay a configuration.
-fn follow(entry: &Arc<Entry>, notes: UnboundedReceiver<Note>) -> Result<()> {
+fn follow(entry: &Arc<Entry>, outgoing: UnboundedReceiver<Outgoing>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.context("starting the control thread's runtime")?;
     let entry = Arc::clone(entry);
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || runtime.block_on(follow::run(entry, notes)))
+        .spawn(move || runtime.block_on(follow::run(entry, outgoing)))
         .context("starting the control thread")?;
     Ok(())
 }
@@ -152,16 +154,23 @@
         founding: settings.founding,
         data: settings.data.clone(),
     };
-    let observed = (Arc::clone(&board), Arc::clone(&followers));
+    let allocator = Arc::new(Allocator::new(Scope::All));
+    let observed = group::Observed {
+        board: Arc::clone(&board),
+        followers: Arc::clone(&followers),
+        allocator: Arc::clone(&allocator),
+    };
+    tokio::spawn(feed_allocator(Arc::clone(&allocator), board.subscribe()));
+    tokio::spawn(async move { allocator.run().await });
     reload::start(Arc::clone(&common.changing), Arc::clone(&common.read))
         .context("listening for signals")?;
-    let mut running = group::start(replica, observed.clone()).await?;
+    let mut running = group::start(replica, observed).await?;
     let handle = running.handle.clone();
     control::listen(settings.control, dialect, handle.clone())
         .await
         .with_context(|| format!("listening on {}", settings.control))?;
     let list = (settings.list, settings.list_rate);
-    let observer = Arc::new(Observer::new(dialect, list, observed));
+    let observer = Arc::new(Observer::new(dialect, list, (board, followers)));
     tokio::spawn(observer.run(handle.newest()));
     let host = common.host.as_str();
     info!(host = host, took_ms = began.elapsed().as_millis() as u64; "voter started");
@@ -185,3 +194,11 @@
         }
     }
 }
+
+/// Shows an allocator every board of its host.
+async fn feed_allocator(allocator: Arc<Allocator>, mut boards: watch::Receiver<Arc<Board>>) {
+    while boards.changed().await.is_ok() {
+        let board = boards.borrow_and_update().clone();
+        allocator.merge(&board.aged());
+    }
+}
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -7,6 +7,7 @@
     crate::{
         backlog::{Backlog, Rate},
         board::{Board, Instance, Load},
+        group::Note,
         health::Health,
     },
     sardinerelay::id::{Incarnation, Target},
@@ -198,8 +199,18 @@
         }
     }
 
-    /// Records that another host sent a generation to an engine.
-    pub fn others_sent(&mut self, target: &str, memory: u64, now: Instant) {
+    /// Takes over what other hosts sent to engines.
+    pub fn heard<'a, Notes>(&mut self, notes: Notes, now: Instant)
+    where
+        Notes: Iterator<Item = &'a Note>,
+    {
+        for note in notes {
+            self.reads(&note.target, u64::from(note.prompt), now);
+            self.others_sent(&note.target, u64::from(note.memory), now);
+        }
+    }
+
+    fn others_sent(&mut self, target: &str, memory: u64, now: Instant) {
         let Some(state) = self.states.get_mut(target) else {
             return;
         };
@@ -233,6 +244,21 @@
         released.count() > 0
     }
 
+    /// Gives up memory that was taken long ago, and returns the requests that took it.
+    pub fn expire(&mut self, most: Duration, now: Instant) -> Vec<RunId> {
+        let mut expired = Vec::new();
+        for state in self.states.values_mut() {
+            state.held.retain(|run, held| {
+                let old = now.saturating_duration_since(held.since) > most;
+                if old {
+                    expired.push(*run);
+                }
+                !old
+            });
+        }
+        expired
+    }
+
     fn merge_list(&mut self, board: &Board, now: Instant, changes: &mut Vec<Change>) {
         self.left
             .retain(|_, since| now.saturating_duration_since(*since) < LEAVE_MEMORY);
