--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -10,7 +10,7 @@
 
 use {
     crate::{
-        board::Board,
+        board::{Board, Instance},
         gate::{Decision, Gate, Refusal, Waiting},
         placement::{self, Choice, Need},
         targets::{Change, Held, RunId, Targets},
@@ -40,8 +40,8 @@
 /// What is answered to a request for a place.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// It goes to an engine.
-    Placed(Choice),
+    /// It goes to an engine. The engines come along, because the caller may not know them yet.
+    Placed(Choice, Vec<Instance>),
     /// It is refused and should come back after this time.
     Refused(Refusal, Duration),
     /// It still waits; asking again goes on with the same wait.
@@ -106,7 +106,7 @@
         let decided = {
             let mut state = self.state();
             if let Some((_, decision)) = state.ready.remove(&run) {
-                return decision.into();
+                return state.answer(decision);
             }
             if !state.gate.contains(run) {
                 let waiting = Waiting {
@@ -124,13 +124,14 @@
             self.decide(&mut state, now);
             decided
         };
-        if let Ok(Ok(decision)) = timeout(wait, decided).await {
-            return decision.into();
-        }
+        let decided = timeout(wait, decided).await;
         let mut state = self.state();
+        if let Ok(Ok(decision)) = decided {
+            return state.answer(decision);
+        }
         state.asking.remove(&run);
         match state.ready.remove(&run) {
-            Some((_, decision)) => decision.into(),
+            Some((_, decision)) => state.answer(decision),
             None => Answer::Waiting,
         }
     }
@@ -197,12 +198,28 @@
     }
 }
 
+impl State {
+    fn answer(&self, decision: Decision) -> Answer {
+        match decision {
+            Decision::Placed(choice) => {
+                let engines = [Some(&choice.target), choice.copy.as_ref()];
+                let engines = engines.into_iter().flatten();
+                let known = engines.filter_map(|target| self.targets.get(target));
+                let instances = known.map(|state| state.instance.clone()).collect();
+                Answer::Placed(choice, instances)
+            }
+            Decision::Refused(refusal, retry) => Answer::Refused(refusal, retry),
+        }
+    }
+}
+
 /// Records that a request takes memory of its engine, and of the one with its copy.
 pub fn hold(targets: &mut Targets, run: RunId, need: &Need, choice: &Choice, now: Instant) {
     let held = Held {
         tokens: need.prompt,
         expected: need.prompt + need.output,
         since: now,
+        recorded: now,
         runs: true,
     };
     targets.hold(&choice.target, run, held);
@@ -225,12 +242,3 @@
         Change::Gone(target) => log(target, "gone"),
     }
 }
-
-impl From<Decision> for Answer {
-    fn from(decision: Decision) -> Self {
-        match decision {
-            Decision::Placed(choice) => Self::Placed(choice),
-            Decision::Refused(refusal, retry) => Self::Refused(refusal, retry),
-        }
-    }
-}
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -150,9 +150,10 @@
             None => (self.acquire_here(run, &need, until).await, 0),
         };
         match answer {
-            Answer::Placed(choice) => {
+            Answer::Placed(choice, instances) => {
                 wait.taken_over = true;
                 let mut state = self.state();
+                state.targets.learn(instances, Instant::now());
                 hold(&mut state.targets, run, &need, &choice, Instant::now());
                 self.note(&mut state.targets, (&choice, by), (&need, need.prompt));
                 drop(state);
@@ -249,13 +250,14 @@
 impl Place {
     /// Records how much memory the request holds by now.
     pub fn progress(&self, output: u64) {
+        let now = Instant::now();
         let tokens = self.need.prompt + output;
         let mut state = self.entry.state();
         state
             .targets
-            .progress(&self.choice.target, self.run, tokens);
+            .progress(&self.choice.target, self.run, tokens, now);
         if let Some(copy) = &self.choice.copy {
-            state.targets.progress(copy, self.run, tokens);
+            state.targets.progress(copy, self.run, tokens, now);
         }
     }
 
@@ -317,18 +319,23 @@
         (stays(&self.choice.target), copy.is_some_and(stays))
     }
 
-    /// Chooses an engine for a copy, other than those in `avoid`, and keeps room there.
-    pub fn plan_copy(&self, avoid: &[Target]) -> Option<Target> {
+    /// Chooses an engine to move to, other than those in `avoid`, and keeps room there.
+    pub fn plan_move(&self, avoid: &[Target]) -> Option<Target> {
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&self.choice.target)?;
         let place = (Scope::Own, primary, avoid);
-        let targets = &state.targets;
-        let target = placement::choose_copy(targets, &self.need, place, &mut rng(), now)?;
+        // Memory moves twice as fast within a zone, and little time is left.
+        let need = Need {
+            zone: primary.instance.zone.clone(),
+            ..self.need.clone()
+        };
+        let target = placement::choose_move(&state.targets, &need, place, &mut rng(), now)?;
         let held = Held {
             tokens: self.need.prompt,
             expected: self.need.prompt + self.need.output,
             since: now,
+            recorded: now,
             runs: false,
         };
         state.targets.hold(&target, self.run, held);
@@ -336,8 +343,8 @@
         Some(target)
     }
 
-    /// Gives up the room on an engine that got no copy.
-    pub fn drop_copy(&self, target: &Target) {
+    /// Gives up the room on an engine that the request was not moved to.
+    pub fn drop_move(&self, target: &Target) {
         self.entry.state().targets.release(target, self.run);
     }
 
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -63,8 +63,9 @@
     tokio::spawn(feed::hear(Arc::clone(&entry), hearing, members_known));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let heard = Arc::new(watch::Sender::new(Heard::default()));
+    let mut leader = None;
     loop {
-        let followed = choose(&entry.settings.common.host, &addresses);
+        let followed = choose(&entry.settings.common.host, &addresses, leader);
         tasks.retain(|address, running| {
             let kept = followed.contains(address);
             if !kept {
@@ -82,10 +83,11 @@
             });
         }
         sleep(MEMBERS_EVERY).await;
-        if let Some((leader, members)) = members(&clients, &addresses).await {
+        if let Some((found, members)) = members(&clients, &addresses).await {
+            leader = Some(found);
             known.send_replace(members.clone());
             addresses = members;
-            entry.remote.set(Some(clients.get(leader)));
+            entry.remote.set(Some(clients.get(found)));
         }
         // Seeds may be newer than what the members that were asked know.
         addresses.extend(changing.seeds());
@@ -96,19 +98,20 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Heard(Option<Instant>);
 
-/// The hosts that this one follows: each entry host has its own order, so that they spread evenly.
-fn choose(host: &str, addresses: &BTreeSet<Ipv4Addr>) -> Vec<Ipv4Addr> {
-    let mut ranked: Vec<(u64, Ipv4Addr)> = addresses
+/// The hosts that this one follows: the leader, and others in an order of its own, so that entry
+/// hosts spread evenly.
+fn choose(host: &str, addresses: &BTreeSet<Ipv4Addr>, leader: Option<Ipv4Addr>) -> Vec<Ipv4Addr> {
+    let mut ranked: Vec<(bool, u64, Ipv4Addr)> = addresses
         .iter()
         .map(|address| {
             let mut hasher = DefaultHasher::new();
             (host, address).hash(&mut hasher);
-            (hasher.finish(), *address)
+            (Some(*address) != leader, hasher.finish(), *address)
         })
         .collect();
     ranked.sort_unstable();
     let ranked = ranked.into_iter().take(FOLLOWED);
-    ranked.map(|(_, address)| address).collect()
+    ranked.map(|(_, _, address)| address).collect()
 }
 
 /// The addresses of the group's leader and members, from whoever knows a leader.
@@ -209,8 +212,8 @@
     }
 }
 
-/// Follows one host's board. The first host's board is always followed, those of others only
-/// while no board is heard.
+/// Follows one host's board. The leader's board is always followed, those of others only while no
+/// board is heard.
 async fn boards(
     entry: Arc<Entry>,
     client: Arc<sardinerelayd::peer::Client>,
@@ -220,7 +223,12 @@
     let mut stamp = 0;
     loop {
         let silent = |heard: &Heard| heard.0.is_none_or(|at| at.elapsed() > BOARD_SILENT);
-        if rank > 0 && !silent(&heard.borrow()) {
+        let leader = entry.remote.client().map(|leader| leader.address());
+        let first = match leader {
+            Some(leader) => leader == client.address(),
+            None => rank == 0,
+        };
+        if !first && !silent(&heard.borrow()) {
             sleep(BOARD_SILENT / 4).await;
             continue;
         }
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -5,11 +5,11 @@
         answer,
         open::{self, Source},
         resumable,
-        transfer::{self, Moved, Purpose},
+        transfer::{self, Moved},
     },
     crate::{
         answer::Refusal,
-        call::{self, EventId},
+        call::EventId,
         entry::Place,
         request::Job,
         sse::{Event, Splitter},
@@ -41,10 +41,8 @@
 const LOST: Duration = Duration::from_secs(7);
 /// Events after which the memory that a stream holds is brought up to date.
 const PROGRESS_EVENTS: u64 = 8;
-/// Age at which a copy is brought up to date. Engines keep a copy for a few seconds after that.
-const REFRESH: Duration = Duration::from_millis(2200);
-/// Pause before another copy is tried where none could be made.
-const COPY_PAUSE: Duration = Duration::from_millis(700);
+/// Pause before another move is tried where one failed.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which the rest of a stream arrives after its generation was moved.
 const REST: Duration = Duration::from_millis(150);
 /// Tokens in an event, if the service doesn't say.
@@ -82,19 +80,11 @@
     started: bool,
     pub(super) continuations: u32,
     pub(super) ran: u32,
-    pub(super) copied: Option<Copied>,
     stride: u64,
 }
 
-/// A copy that was made while the generation ran.
-pub(super) struct Copied {
-    pub(super) copy: call::Copy,
-    at: Instant,
-}
-
-/// A transfer under way.
+/// A move under way.
 struct Moving {
-    purpose: Purpose,
     task: BoxFuture<'static, Result<Moved, transfer::Failure>>,
     to: Target,
 }
@@ -133,7 +123,6 @@
             started: false,
             continuations: 0,
             ran: 1,
-            copied: None,
         }
     }
 
@@ -198,7 +187,7 @@
         let caller = self.chunks.clone();
         let mut moving: Option<Moving> = None;
         let mut refused: Vec<Target> = Vec::new();
-        let mut copies_from = heard;
+        let mut moves_from = heard;
         let mut moved: Option<(Moved, Target)> = None;
         let mut open = true;
         loop {
@@ -208,15 +197,14 @@
                 frame = body.frame(), if open => frame,
                 result = finish(&mut moving) => {
                     match result {
-                        (Purpose::Move, Ok(done), to) => {
+                        (Ok(done), to) => {
                             // What the engine made before it stopped is still on its way.
                             end = end.min(Deadline::now() + REST);
                             moved = Some((done, to));
                         }
-                        (Purpose::Copy, Ok(_), to) => self.place.drop_copy(&to),
-                        (_, Err(_), to) => {
-                            self.place.drop_copy(&to);
-                            copies_from = Instant::now() + COPY_PAUSE;
+                        (Err(_), to) => {
+                            self.place.drop_move(&to);
+                            moves_from = Instant::now() + MOVE_PAUSE;
                             refused.push(to);
                         }
                     }
@@ -236,7 +224,7 @@
                     if self.gives_up(heard.elapsed()) {
                         return Ended::Broken("the engine is silent");
                     }
-                    moving = self.start_transfer(&refused, copies_from);
+                    moving = self.start_move(&refused, moves_from);
                     continue;
                 }
             };
@@ -253,14 +241,12 @@
                         return ended;
                     }
                 }
-                None if splitter.is_empty()
-                    && (framed || !is_move(moving.as_ref()) && moved.is_none()) =>
-                {
+                None if splitter.is_empty() && (framed || !moving.is_some() && moved.is_none()) => {
                     self.job.entry.pool.give_back(exchange);
                     return Ended::Complete;
                 }
                 // An engine closes the stream of a generation that it has stopped for a move.
-                _ if is_move(moving.as_ref()) => open = false,
+                _ if moving.is_some() => open = false,
                 Some(Err(_)) => return ended(moved, "the engine's connection broke"),
                 None => return ended(moved, "the engine ended in the middle of an event"),
             }
@@ -279,33 +265,29 @@
         elsewhere || resumable(&self.job) || silent > LOST
     }
 
-    /// Starts a transfer if one is needed: a move off an engine that leaves, unless a copy is kept
-    /// on one that stays; else a copy, if there is none or if it has to be brought up to date.
-    fn start_transfer(&self, refused: &[Target], copies_from: Instant) -> Option<Moving> {
+    /// Starts to move the generation off an engine that leaves, unless a copy is kept on one that
+    /// stays, or the service doesn't move.
+    fn start_move(&self, refused: &[Target], moves_from: Instant) -> Option<Moving> {
         let (stays, copy_stays) = self.place.stays();
-        let now = Instant::now();
-        let purpose = match (stays, copy_stays) {
-            (false, false) => Purpose::Move,
-            (false, true) => return None,
-            (true, false) if false && now >= copies_from => Purpose::Copy,
-            (true, false) => return None,
-            (true, true) => {
-                let copied = self.copied.as_ref()?;
-                let due = now.saturating_duration_since(copied.at) > REFRESH;
-                let copy = self.place.choice.copy.clone();
-                return copy
-                    .filter(|_| due)
-                    .and_then(|to| self.transfer(Purpose::Copy, to));
-            }
-        };
-        if !self.can_transfer() {
+        let due = !stays && !copy_stays && Instant::now() >= moves_from;
+        if !due || !self.can_move() {
             return None;
         }
-        let to = self.place.plan_copy(refused)?;
-        self.transfer(purpose, to)
+        let to = self.place.plan_move(refused)?;
+        let from = self.job.entry.instance(&self.place.choice.target);
+        let Some(engines) = from.zip(self.job.entry.instance(&to)) else {
+            self.place.drop_move(&to);
+            return None;
+        };
+        let entry = Arc::clone(&self.job.entry);
+        let task = transfer::run(entry, self.job.call.id.clone(), engines);
+        Some(Moving {
+            task: Box::pin(task),
+            to,
+        })
     }
 
-    fn can_transfer(&self) -> bool {
+    fn can_move(&self) -> bool {
         let table = self.job.entry.table.load();
         let spec = table
             .as_ref()
@@ -316,25 +298,6 @@
         moves && !resumable(&self.job)
     }
 
-    fn transfer(&self, purpose: Purpose, to: Target) -> Option<Moving> {
-        let engines = self
-            .job
-            .entry
-            .instance(&self.place.choice.target)
-            .zip(self.job.entry.instance(&to));
-        let Some(engines) = engines else {
-            self.place.drop_copy(&to);
-            return None;
-        };
-        let entry = Arc::clone(&self.job.entry);
-        let task = transfer::run(entry, self.job.call.id.clone(), engines, purpose);
-        Some(Moving {
-            purpose,
-            task: Box::pin(task),
-            to,
-        })
-    }
-
     /// Sends the whole events that have arrived. Returns why the stream ends, if it does.
     async fn forward(&mut self, splitter: &mut Splitter, end: Deadline) -> Option<Ended> {
         let mut bytes = BytesMut::new();
@@ -413,21 +376,15 @@
     }
 }
 
-/// Waits for a transfer to end, for ever if there is none.
-async fn finish(
-    moving: &mut Option<Moving>,
-) -> (Purpose, Result<Moved, transfer::Failure>, Target) {
+/// Waits for a move to end, for ever if there is none.
+async fn finish(moving: &mut Option<Moving>) -> (Result<Moved, transfer::Failure>, Target) {
     let Some(current) = moving else {
         return std::future::pending().await;
     };
     let result = current.task.as_mut().await;
-    let (purpose, to) = (current.purpose, current.to.clone());
+    let to = current.to.clone();
     *moving = None;
-    (purpose, result, to)
-}
-
-fn is_move(moving: Option<&Moving>) -> bool {
-    moving.is_some_and(|moving| moving.purpose == Purpose::Move)
+    (result, to)
 }
 
 fn ended(moved: Option<(Moved, Target)>, reason: &'static str) -> Ended {
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -28,12 +28,10 @@
         if let Some(target) = self.place.sound_copy()
             && let Some(instance) = self.job.entry.instance(&target)
         {
-            // An engine that was told to keep a copy names it by the attempt.
-            let copy = self.copied.take().map(|copied| copied.copy);
-            let copy = copy.unwrap_or_else(|| Copy {
+            let copy = Copy {
                 address: instance.address,
                 name: self.job.call.id.clone(),
-            });
+            };
             let source = self.reopen_from(copy, target, "copy").await;
             if source.is_some() {
                 return source;
@@ -55,7 +53,7 @@
         match moved {
             Moved::There(copy) => self.reopen_from(copy, to, "moved").await,
             Moved::Here(copy) => {
-                self.place.drop_copy(&to);
+                self.place.drop_move(&to);
                 let target = self.place.choice.target.clone();
                 self.reopen_from(copy, target, "stopped").await
             }
@@ -71,7 +69,6 @@
         if !self.may_repeat() {
             return None;
         }
-        self.copied = None;
         self.place.switch_to(target.clone());
         let opened = open::open(&self.job, &self.place, self.delivered, Some(copy)).await;
         open::note(&self.job, &target, &opened);
--- a/crates/sardinerelay-gateway/src/generation/transfer.rs
+++ b/crates/sardinerelay-gateway/src/generation/transfer.rs
@@ -1,8 +1,7 @@
-//! Copies the memory of a running generation to another engine, or moves the generation there
-//! before its own engine ends.
+//! Moves a running generation to another engine before its own one ends.
 //!
-//! For a move the memory is copied while the generation goes on, and then once more, which copies
-//! only what is new, so that the caller sees a short pause.
+//! The memory is copied while the generation goes on, and then once more, which copies only what
+//! is new, so that the caller sees a short pause.
 
 use {
     crate::{
@@ -32,16 +31,7 @@
     Here(call::Copy),
 }
 
-/// What memory is transferred for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Purpose {
-    /// The generation goes on, and has a copy in case that its engine ends.
-    Copy,
-    /// The generation is to go on at the other engine.
-    Move,
-}
-
-/// Why memory was not transferred.
+/// Why a generation was not moved.
 #[derive(Debug, Error)]
 pub(super) enum Failure {
     #[error("the engine did not answer: {0}")]
@@ -56,19 +46,15 @@
     Unreadable(#[from] crate::dialect::Unreadable),
 }
 
-/// Copies the memory of the generation `run` to another engine, or moves the generation there.
+/// Moves the generation `run` from one engine to another.
 pub(super) async fn run(
     entry: Arc<Entry>,
     run: CompactString,
     (from, to): (Instance, Instance),
-    purpose: Purpose,
 ) -> Result<Moved, Failure> {
     let began = Instant::now();
     let engines = (&from, &to);
-    let moved = match purpose {
-        Purpose::Copy => copy(&entry, &run, engines, false).await,
-        Purpose::Move => both_copies(&entry, &run, engines).await,
-    };
+    let moved = both_copies(&entry, &run, engines).await;
     let outcome = match &moved {
         Ok(Moved::There(_)) => "done".to_owned(),
         Ok(Moved::Here(_)) => "stopped".to_owned(),
@@ -76,9 +62,9 @@
     };
     info!(
         request = run.as_str(), target_id = from.target.as_str(), to_id = to.target.as_str(),
-        purpose:? = purpose, outcome = outcome.as_str(),
+        outcome = outcome.as_str(),
         took_ms = began.elapsed().as_millis() as u64;
-        "memory transferred"
+        "generation moved"
     );
     moved
 }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -29,7 +29,7 @@
     log::{info, warn},
     sardinerelay::{
         id::{Host, Version},
-        raft::{Config, Durable},
+        raft::{Config, Durable, Role, Soft},
         wal::{self, Identity, Recovered, Store},
     },
     sardinerelayd::{control::Failure, peer::Server},
@@ -103,6 +103,7 @@
     inputs: Sender<Input>,
     newest: watch::Receiver<Option<Arc<Document>>>,
     standing: watch::Receiver<Standing>,
+    lead: watch::Receiver<Soft>,
     clients: Arc<Clients>,
 }
 
@@ -132,14 +133,21 @@
     let links = Links::new(own, Arc::clone(&clients), HEARTBEAT);
     let newest = watch::Sender::new(None);
     let standing = watch::Sender::new(Standing::default());
+    let nobody = Soft {
+        role: Role::Follower,
+        leader: None,
+        term: 0,
+    };
+    let lead = watch::Sender::new(nobody);
     let (inputs, queue) = channel(INPUTS);
     let handle = Handle {
         inputs,
         newest: newest.subscribe(),
         standing: standing.subscribe(),
+        lead: lead.subscribe(),
         clients,
     };
-    let driver = Driver::new(config, files, links, (newest, standing))?;
+    let driver = Driver::new(config, files, links, (newest, standing, lead))?;
     let listen = SocketAddr::from((settings.address, settings.peer_port));
     let server = rpc::serve(listen, own, handle.clone(), observed).await?;
     let driver = tokio::spawn(driver.run(queue));
@@ -229,6 +237,23 @@
         self.newest.clone()
     }
 
+    /// Whether this replica leads or knows of no leader, and its changes.
+    pub fn acts(&self) -> watch::Receiver<bool> {
+        let mut lead = self.lead.clone();
+        let acts = |soft: &Soft| soft.role == Role::Leader || soft.leader.is_none();
+        let (sender, receiver) = watch::channel(true);
+        tokio::spawn(async move {
+            loop {
+                let acts = acts(&lead.borrow_and_update());
+                sender.send_if_modified(|held| std::mem::replace(held, acts) != acts);
+                if lead.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        receiver
+    }
+
     /// Clients for other members.
     pub fn clients(&self) -> &Arc<Clients> {
         &self.clients
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -94,6 +94,7 @@
     applied: Index,
     newest: watch::Sender<Option<Arc<Document>>>,
     standing: watch::Sender<Standing>,
+    lead: watch::Sender<raft::Soft>,
     links: Links,
     writer: Writer,
     written: UnboundedReceiver<Written>,
@@ -114,9 +115,10 @@
         config: raft::Config,
         (store, durable): (Store, Durable),
         links: Links,
-        (newest, standing): (
+        (newest, standing, lead): (
             watch::Sender<Option<Arc<Document>>>,
             watch::Sender<Standing>,
+            watch::Sender<raft::Soft>,
         ),
     ) -> Result<Self, Failure> {
         let register = decode(&durable.snapshot.data)?;
@@ -129,6 +131,7 @@
             applied,
             newest,
             standing,
+            lead,
             links,
             writer,
             written,
@@ -330,6 +333,7 @@
                 let _ = reply.send(Outcome::Unknown);
             }
         }
+        self.lead.send_replace(soft);
         info!(
             term = soft.term, leader = soft.leader.unwrap_or_default(), leads = leads;
             "leadership changed"
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -21,9 +21,11 @@
 };
 
 /// Share of an engine's memory that may be committed, for the first priority and for others.
-const FILL: [f64; 2] = [1.0, 0.92];
+const FILL: [f64; 2] = [1.3, 1.15];
 /// Share of an engine's memory up to which it takes copies.
-const COPY_FILL: f64 = 0.65;
+const COPY_FILL: f64 = 0.45;
+/// Share of an engine's memory up to which generations are moved to it.
+const MOVE_FILL: f64 = 0.9;
 /// Tokens by which a generation of another host is expected to grow.
 const GROWTH: u64 = 350;
 /// Load that another availability zone counts for.
@@ -143,11 +145,38 @@
 }
 
 /// Chooses the engine that keeps a copy of a generation that runs on `primary`, other than those
-/// in `avoid`.
+/// in `avoid`. A copy only takes memory that would be free anyway.
 pub fn choose_copy<R>(
     targets: &Targets,
     need: &Need,
-    (scope, primary, avoid): (Scope, &State, &[Target]),
+    place: (Scope, &State, &[Target]),
+    rng: &mut R,
+    now: Instant,
+) -> Option<Target>
+where
+    R: Rng + ?Sized,
+{
+    choose_second(targets, need, (place, COPY_FILL), rng, now)
+}
+
+/// Chooses the engine that a generation is moved to.
+pub fn choose_move<R>(
+    targets: &Targets,
+    need: &Need,
+    place: (Scope, &State, &[Target]),
+    rng: &mut R,
+    now: Instant,
+) -> Option<Target>
+where
+    R: Rng + ?Sized,
+{
+    choose_second(targets, need, (place, MOVE_FILL), rng, now)
+}
+
+fn choose_second<R>(
+    targets: &Targets,
+    need: &Need,
+    ((scope, primary, avoid), fill): ((Scope, &State, &[Target]), f64),
     rng: &mut R,
     now: Instant,
 ) -> Option<Target>
@@ -160,10 +189,9 @@
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = used(state, need, now) + share(state, need, need.prompt + need.output);
-            let fits = load <= COPY_FILL && !state.is_cold(now);
-            let load = load + penalty(state, &need.zone, now);
+            let load_there = load + penalty(state, &need.zone, now);
             let far = f64::from(state.instance.zone != need.zone) * COPY_FAR;
-            fits.then_some((load + far, state))
+            (load <= fill).then_some((load_there + far, state))
         })
         .collect();
     feasible.shuffle(rng);
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -153,6 +153,7 @@
         tokens: 0,
         expected: 0,
         since: now,
+        recorded: now,
         runs: true,
     };
     job.entry.state().targets.hold(target, run, held);
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -170,7 +170,12 @@
         .await
         .with_context(|| format!("listening on {}", settings.control))?;
     let list = (settings.list, settings.list_rate);
-    let observer = Arc::new(Observer::new(dialect, list, (board, followers)));
+    let observer = Arc::new(Observer::new(
+        dialect,
+        list,
+        (board, followers),
+        handle.acts(),
+    ));
     tokio::spawn(observer.run(handle.newest()));
     let host = common.host.as_str();
     info!(host = host, took_ms = began.elapsed().as_millis() as u64; "voter started");
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -34,8 +34,10 @@
 /// Memory of a target that one of this host's requests takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
-    /// Tokens that it holds by now.
+    /// Tokens that it held when that was recorded last.
     pub tokens: u64,
+    /// When it was recorded.
+    pub recorded: Instant,
     /// Tokens that it is expected to hold at its end.
     pub expected: u64,
     /// Since when.
@@ -115,6 +117,15 @@
         changes
     }
 
+    /// Takes over targets that another host knows already.
+    pub fn learn(&mut self, instances: Vec<Instance>, now: Instant) {
+        for instance in instances {
+            if !self.states.contains_key(&instance.target) {
+                self.merge_instance(&instance, now, &mut Vec::new());
+            }
+        }
+    }
+
     /// Number of entry hosts, this one included; 0 if none was told yet.
     pub fn entries(&self) -> u32 {
         self.entries
@@ -222,10 +233,11 @@
     }
 
     /// Records how much memory a request holds by now.
-    pub fn progress(&mut self, target: &str, run: RunId, tokens: u64) {
+    pub fn progress(&mut self, target: &str, run: RunId, tokens: u64, now: Instant) {
         let state = self.states.get_mut(target);
         if let Some(held) = state.and_then(|state| state.held.get_mut(&run)) {
             held.tokens = tokens;
+            held.recorded = now;
             held.expected = held.expected.max(tokens);
         }
     }
@@ -329,16 +341,16 @@
         let mut tokens = load.used;
         let unreported = self.others.iter().filter(|(at, _)| *at > taken);
         tokens += unreported.map(|(_, memory)| memory).sum::<u64>();
-        let mut reported_own = 0;
+        let mut running = 0;
         for held in self.held.values() {
             if held.since > taken {
                 tokens += held.expected;
             } else {
-                tokens += held.expected.saturating_sub(held.tokens);
-                reported_own += 1;
+                tokens += held.left(taken);
+                running += u64::from(held.runs);
             }
         }
-        let others = u64::from(load.running).saturating_sub(reported_own);
+        let others = u64::from(load.running).saturating_sub(running);
         tokens + others * growth + u64::from(load.waiting) * growth * WAITING_GROWTHS
     }
 
@@ -362,6 +374,21 @@
     }
 }
 
+impl Held {
+    /// Tokens by which it will still grow, as of `at`. A generation that is longer than expected
+    /// goes on for a while.
+    fn left(&self, at: Instant) -> u64 {
+        let since = at.saturating_duration_since(self.recorded).as_secs_f64();
+        let grown = (since * PACE) as u64;
+        let expected = self.expected.saturating_sub(self.tokens + grown);
+        expected.max(LEAST_LEFT)
+    }
+}
+
+/// Tokens of output that a generation makes in a second.
+const PACE: f64 = 80.0;
+/// Tokens by which a generation grows at least that is longer than expected.
+const LEAST_LEFT: u64 = 150;
 /// A waiting request needs its prompt too, which is several times the growth of a running one.
 const WAITING_GROWTHS: u64 = 6;
 
--- a/crates/sardinerelay-gateway/src/watch.rs
+++ b/crates/sardinerelay-gateway/src/watch.rs
@@ -1,4 +1,7 @@
 //! Reads the platform's list and the targets' load reports, and publishes them as a board.
+//!
+//! Only the group's leader reads, and hosts that know of no leader: the number of readers then
+//! doesn't grow with the group, and each side of a partition has one.
 
 use {
     crate::{
@@ -23,13 +26,13 @@
 };
 
 /// Interval between two reads of the list, unless the rate that is allowed is lower.
-const LIST_EVERY: Duration = Duration::from_millis(400);
+const LIST_EVERY: Duration = Duration::from_millis(250);
 /// Hosts that read the list at the same time at most.
 const READERS: f64 = 8.0;
 /// Share of the allowed rate that is used.
 const RATE_SHARE: f64 = 0.6;
 /// Interval between two reads of a target's report.
-const REPORT_EVERY: Duration = Duration::from_millis(350);
+const REPORT_EVERY: Duration = Duration::from_millis(300);
 /// Deadline of a read.
 const DEADLINE: Duration = Duration::from_millis(700);
 /// Pages of one read at most.
@@ -47,6 +50,8 @@
     followers: Arc<Followers>,
     board: Published,
     seen: Mutex<Seen>,
+    /// Whether this host reads at all.
+    active: watch::Receiver<bool>,
     changed: tokio::sync::Notify,
 }
 
@@ -64,6 +69,7 @@
         dialect: Dialect,
         (list, rate): (SocketAddr, f64),
         (board, followers): (Published, Arc<Followers>),
+        active: watch::Receiver<bool>,
     ) -> Self {
         let slowest = READERS / (rate * RATE_SHARE).max(0.1);
         Self {
@@ -83,6 +89,7 @@
             followers,
             board,
             seen: Mutex::default(),
+            active,
             changed: tokio::sync::Notify::new(),
         }
     }
@@ -99,7 +106,11 @@
 
     async fn read_lists(&self) {
         let mut failing = false;
+        let mut active = self.active.clone();
         loop {
+            if active.wait_for(|active| *active).await.is_err() {
+                return;
+            }
             let began = Instant::now();
             match self.read_list().await {
                 Ok(instances) => {
@@ -148,7 +159,11 @@
     /// Reads every engine's report in turn, spread over the interval.
     async fn read_reports(self: &Arc<Self>) {
         let mut next: BTreeMap<Target, Instant> = BTreeMap::new();
+        let mut active = self.active.clone();
         loop {
+            if active.wait_for(|active| *active).await.is_err() {
+                return;
+            }
             let now = Instant::now();
             let engines = self.engines();
             next.retain(|target, _| engines.iter().any(|engine| engine.target == *target));
