--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -148,6 +148,11 @@
         self.decide(&mut state, now);
     }
 
+    /// Records that a request's prompt was read.
+    pub fn started(&self, run: RunId) {
+        self.state().targets.started(run, Instant::now());
+    }
+
     /// Looks at waiting requests and cleans up, for ever.
     pub async fn run(&self) {
         loop {
@@ -183,7 +188,7 @@
             let choice = placement::choose(targets, need, (self.scope, &[]), &mut rng(), now)?;
             // Held at once, so that the next placement sees it.
             hold(targets, waiting.run, need, &choice, now);
-            targets.reads(&choice.target, need.prompt, now);
+            targets.sent(&choice.target, waiting.run, need.prompt, now);
             Some(choice)
         });
         for (run, decision) in decisions {
--- a/crates/sardinerelay-gateway/src/backlog.rs
+++ b/crates/sardinerelay-gateway/src/backlog.rs
@@ -2,71 +2,122 @@
 //!
 //! Load pattern that it answers: generations arrive in clumps, and an engine reads prompts one
 //! after another, a few thousand tokens in a few hundred milliseconds. A load report shows this
-//! only when it is over. Every host therefore counts the prompts that all hosts send, and assumes
-//! that an engine works them off at a steady rate.
+//! only when it is over. Prompts are therefore counted when they are sent. The host that allocates
+//! also hears when a prompt was read, so that an engine that is held up, for example because its
+//! memory is full, is seen to be; for other hosts' prompts a steady rate is assumed.
 
-use std::time::{Duration, Instant};
+use {
+    crate::targets::RunId,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
 
 /// Tokens that an engine reads in a second before that was measured.
 const FIRST_RATE: f64 = 7_000.0;
 /// Least and highest rate that is believed.
-const RATES: [f64; 2] = [1_000.0, 40_000.0];
+const RATES: [f64; 2] = [1_500.0, 20_000.0];
 /// Weight of a new measurement.
-const WEIGHT: f64 = 0.05;
+const WEIGHT: f64 = 0.15;
+/// Time after which a prompt counts as read although nobody said so.
+const FORGOTTEN: Duration = Duration::from_secs(8);
+/// Most of a prompt that is assumed to be read before somebody says so.
+const READ_SHARE: f64 = 0.9;
 
-/// Tokens that wait to be read by one engine.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Backlog {
+#[derive(Debug, Clone, Copy)]
+struct Unread {
+    run: RunId,
     tokens: f64,
-    at: Option<Instant>,
+    sent: Instant,
 }
 
-/// The rate at which engines read, measured from first events.
-#[derive(Debug, Clone, Copy)]
-pub struct Rate(f64);
+/// Tokens that wait to be read by one engine.
+#[derive(Debug, Clone)]
+pub struct Backlog {
+    rate: f64,
+    /// Prompts of which the end of reading will be heard.
+    unread: VecDeque<Unread>,
+    /// When the prompt before the first unread one was read.
+    read: Option<Instant>,
+    /// Tokens of other prompts, as of a time.
+    hearsay: f64,
+    heard: Option<Instant>,
+}
 
-impl Default for Rate {
+impl Default for Backlog {
     fn default() -> Self {
-        Self(FIRST_RATE)
+        Self {
+            rate: FIRST_RATE,
+            unread: VecDeque::new(),
+            read: None,
+            hearsay: 0.0,
+            heard: None,
+        }
     }
 }
 
-impl Rate {
-    /// Learns from a first event that came `took` after `tokens` had to be read.
-    pub fn learn(&mut self, tokens: f64, took: Duration) {
-        let seconds = took.as_secs_f64();
-        if seconds <= 0.0 || tokens <= 0.0 {
+impl Backlog {
+    /// Adds a prompt of a request of which [`Backlog::started`] will be told.
+    pub fn sent(&mut self, run: RunId, prompt: u64, now: Instant) {
+        let forgotten = |unread: &Unread| now.saturating_duration_since(unread.sent) > FORGOTTEN;
+        self.unread.retain(|unread| !forgotten(unread));
+        self.unread.push_back(Unread {
+            run,
+            tokens: prompt as f64,
+            sent: now,
+        });
+    }
+
+    /// Adds a prompt of which nothing more will be heard.
+    pub fn heard(&mut self, prompt: u64, now: Instant) {
+        self.hearsay = self.hearsay(now) + prompt as f64;
+        self.heard = Some(now);
+    }
+
+    /// Records that a prompt was read. Engines read in the order of arrival, except for more
+    /// urgent requests.
+    pub fn started(&mut self, run: RunId, now: Instant) {
+        let Some(at) = self.unread.iter().position(|unread| unread.run == run) else {
             return;
+        };
+        let Some(unread) = self.unread.remove(at) else {
+            return;
+        };
+        let began = self.read.map_or(unread.sent, |read| read.max(unread.sent));
+        let took = now.saturating_duration_since(began).as_secs_f64();
+        if took > 0.0 {
+            let measured = (unread.tokens / took).clamp(RATES[0], RATES[1]);
+            self.rate += WEIGHT * (measured - self.rate);
         }
-        let measured = (tokens / seconds).clamp(RATES[0], RATES[1]);
-        self.0 += WEIGHT * (measured - self.0);
+        self.read = Some(now);
     }
 
-    /// Tokens in a second.
-    pub fn per_second(self) -> f64 {
-        self.0
+    /// Records that a request ended, whether its prompt was read or not.
+    pub fn ended(&mut self, run: RunId) {
+        self.unread.retain(|unread| unread.run != run);
     }
-}
 
-impl Backlog {
-    /// Adds a prompt.
-    pub fn add(&mut self, prompt: u64, rate: Rate, now: Instant) {
-        self.tokens = self.tokens(rate, now) + prompt as f64;
-        self.at = Some(now);
+    /// Time until a prompt that is sent now is read.
+    pub fn wait(&self, prompt: u64, now: Instant) -> Duration {
+        let tokens = self.tokens(now) + prompt as f64;
+        Duration::from_secs_f64(tokens / self.rate)
     }
 
-    /// Tokens that are still to be read.
-    pub fn tokens(&self, rate: Rate, now: Instant) -> f64 {
-        let Some(at) = self.at else {
-            return 0.0;
-        };
-        let since = now.saturating_duration_since(at).as_secs_f64();
-        (self.tokens - rate.per_second() * since).max(0.0)
+    fn tokens(&self, now: Instant) -> f64 {
+        let unread: f64 = self.unread.iter().map(|unread| unread.tokens).sum();
+        let done = self.unread.front().map_or(0.0, |first| {
+            let began = self.read.map_or(first.sent, |read| read.max(first.sent));
+            let read = self.rate * now.saturating_duration_since(began).as_secs_f64();
+            read.min(READ_SHARE * first.tokens)
+        });
+        unread - done + self.hearsay(now)
     }
 
-    /// Time until a prompt that is sent now is read.
-    pub fn wait(&self, prompt: u64, rate: Rate, now: Instant) -> Duration {
-        let tokens = self.tokens(rate, now) + prompt as f64;
-        Duration::from_secs_f64(tokens / rate.per_second())
+    fn hearsay(&self, now: Instant) -> f64 {
+        let since = self
+            .heard
+            .map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard));
+        (self.hearsay - self.rate * since.as_secs_f64()).max(0.0)
     }
 }
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -155,7 +155,7 @@
                 let mut state = self.state();
                 state.targets.learn(instances, Instant::now());
                 hold(&mut state.targets, run, &need, &choice, Instant::now());
-                self.note(&mut state.targets, (&choice, by), (&need, need.prompt));
+                self.note(&mut state.targets, run, (&choice, by), (&need, need.prompt));
                 drop(state);
                 Ok(Place {
                     entry: Arc::clone(self),
@@ -221,9 +221,17 @@
 
     /// Counts a generation that is sent to an engine, which has to read `prompt` tokens for it, and
     /// tells other hosts of it and its copy. `by` is the host that allocated it.
-    fn note(&self, targets: &mut Targets, choice: (&Choice, u32), (need, prompt): (&Need, u64)) {
+    fn note(
+        &self,
+        targets: &mut Targets,
+        run: RunId,
+        choice: (&Choice, u32),
+        (need, prompt): (&Need, u64),
+    ) {
         let (choice, by) = choice;
-        targets.reads(&choice.target, prompt, Instant::now());
+        if prompt > 0 {
+            targets.sent(&choice.target, run, prompt, Instant::now());
+        }
         self.tell((&choice.target, by), need, prompt);
         if let Some(copy) = &choice.copy {
             self.tell((copy, by), need, 0);
@@ -248,6 +256,12 @@
 }
 
 impl Place {
+    /// Records that the prompt was read: the first event has come.
+    pub fn started(&self) {
+        self.entry.allocator.started(self.run);
+        self.entry.report(Report::Started(self.run));
+    }
+
     /// Records how much memory the request holds by now.
     pub fn progress(&self, output: u64) {
         let now = Instant::now();
@@ -355,7 +369,8 @@
             targets.release(copy, self.run);
         }
         hold(targets, self.run, &self.need, &choice, Instant::now());
-        self.entry.note(targets, (&choice, 0), (&self.need, prompt));
+        self.entry
+            .note(targets, self.run, (&choice, 0), (&self.need, prompt));
         self.entry.report(Report::Ended(self.run));
     }
 }
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -112,6 +112,7 @@
                 body,
                 framed: framed.iter().any(|name| parts.headers.contains_key(name)),
             };
+            place.started();
             Opened::Stream(parts, source)
         }
         Verdict::NotRun => {
--- a/crates/sardinerelay-gateway/src/group/hub.rs
+++ b/crates/sardinerelay-gateway/src/group/hub.rs
@@ -41,6 +41,8 @@
 /// What became of a request that this host gave a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
+    /// Its prompt was read.
+    Started(crate::targets::RunId),
     /// It has ended, or takes another place.
     Ended(crate::targets::RunId),
 }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -122,7 +122,7 @@
     let mut feasible: Vec<(f64, &State)> = candidates
         .iter()
         .filter_map(|state| {
-            let wait = state.backlog.wait(need.prompt, targets.rate, now);
+            let wait = state.backlog.wait(need.prompt, now);
             let load = room(state, need, now)? + penalty(state, &need.zone, now);
             Some((load + WAITING * wait.as_secs_f64(), *state))
         })
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        backlog::{Backlog, Rate},
+        backlog::Backlog,
         board::{Board, Instance, Load},
         group::Note,
         health::Health,
@@ -74,8 +74,6 @@
     list_read: Option<Instant>,
     left: HashMap<(Target, Incarnation), Instant>,
     entries: u32,
-    /// The rate at which engines read prompts.
-    pub rate: Rate,
 }
 
 /// Something that changed by a board, for the log.
@@ -202,11 +200,17 @@
         }
     }
 
-    /// Records that an engine got a prompt to read, from this host or another one.
-    pub fn reads(&mut self, target: &str, prompt: u64, now: Instant) {
-        let rate = self.rate;
+    /// Records that a request of this host was sent to an engine, which has to read its prompt.
+    pub fn sent(&mut self, target: &str, run: RunId, prompt: u64, now: Instant) {
         if let Some(state) = self.states.get_mut(target) {
-            state.backlog.add(prompt, rate, now);
+            state.backlog.sent(run, prompt, now);
+        }
+    }
+
+    /// Records that a request's prompt was read.
+    pub fn started(&mut self, run: RunId, now: Instant) {
+        for state in self.states.values_mut() {
+            state.backlog.started(run, now);
         }
     }
 
@@ -216,16 +220,16 @@
         Notes: Iterator<Item = &'a Note>,
     {
         for note in notes {
-            self.reads(&note.target, u64::from(note.prompt), now);
-            self.others_sent(&note.target, u64::from(note.memory), now);
+            self.others_sent(note, now);
         }
     }
 
-    fn others_sent(&mut self, target: &str, memory: u64, now: Instant) {
-        let Some(state) = self.states.get_mut(target) else {
+    fn others_sent(&mut self, note: &Note, now: Instant) {
+        let Some(state) = self.states.get_mut(&note.target) else {
             return;
         };
-        state.others.push_back((now, memory));
+        state.backlog.heard(u64::from(note.prompt), now);
+        state.others.push_back((now, u64::from(note.memory)));
         let old = |(at, _): &(Instant, u64)| now.saturating_duration_since(*at) > STALE;
         while state.others.front().is_some_and(old) {
             state.others.pop_front();
@@ -252,7 +256,10 @@
     /// Records that a request takes no memory anywhere, and returns whether it did.
     pub fn release_everywhere(&mut self, run: RunId) -> bool {
         let states = self.states.values_mut();
-        let released = states.filter_map(|state| state.held.remove(&run));
+        let released = states.filter_map(|state| {
+            state.backlog.ended(run);
+            state.held.remove(&run)
+        });
         released.count() > 0
     }
 
