--- a/crates/sardinerelay-gateway/src/group/repair.rs
+++ b/crates/sardinerelay-gateway/src/group/repair.rs
@@ -68,16 +68,29 @@
     /// Removes the replica that ran at a joiner's address before: its disk is gone for good.
     fn remove_predecessor(&self) -> Option<Step> {
         let lost = self.membership.hosts().find(|&old| {
-            let replaced =
-                |new: &Host| *new != old && member::address(*new) == member::address(old);
-            old != self.leader && self.joiners.keys().any(replaced)
+            let same = |new: Host| new != old && member::address(new) == member::address(old);
+            old != self.leader && self.newest_joiners().any(|(new, _)| same(new))
         })?;
         Some(Step::Change(Change::Remove(lost)))
     }
 
+    /// The joiner that asked last at each address: a host that lost its disk twice has asked under
+    /// a number that it no longer has.
+    fn newest_joiners(&self) -> impl Iterator<Item = (Host, &Joiner)> {
+        let newer = |host: Host, joiner: &Joiner| {
+            let mut others = self.joiners.iter();
+            others.any(|(other, later)| {
+                member::address(*other) == member::address(host)
+                    && (later.asked, *other) > (joiner.asked, host)
+            })
+        };
+        let joiners = self.joiners.iter().map(|(host, joiner)| (*host, joiner));
+        joiners.filter(move |(host, joiner)| !newer(*host, joiner))
+    }
+
     fn admit(&self, now: Instant) -> Option<Step> {
-        let (&host, _) = self.joiners.iter().find(|(host, joiner)| {
-            !self.membership.contains(**host) && now < joiner.asked + JOINER_LIFETIME
+        let (host, _) = self.newest_joiners().find(|(host, joiner)| {
+            !self.membership.contains(*host) && now < joiner.asked + JOINER_LIFETIME
         })?;
         Some(Step::Change(Change::AddLearner(host)))
     }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -21,7 +21,7 @@
 };
 
 /// Share of an engine's memory that may be committed, for the first priority and for others.
-const FILL: [f64; 2] = [1.3, 1.15];
+const FILL: [f64; 2] = [1.15, 1.0];
 /// Share of an engine's memory up to which it takes copies.
 const COPY_FILL: f64 = 0.45;
 /// Share of an engine's memory up to which generations are moved to it.
@@ -50,7 +50,7 @@
 /// Engines that are preferred for a prefix.
 const PREFERRED: usize = 2;
 /// Load that a second of waiting for the prompt to be read counts for.
-const WAITING: f64 = 1.0;
+const WAITING: f64 = 2.0;
 /// Random part of the load of plain targets, so that hosts with the same view differ.
 const NOISE: f64 = 0.05;
 /// When a caller should come back at the earliest.
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -0,0 +1,11 @@
+//! The gateway's decisions, without sockets and clocks.
+
+mod decisions {
+    mod placement;
+    mod register;
+    mod repair;
+    mod scene;
+    mod sse;
+    mod table;
+    mod waiting;
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -0,0 +1,255 @@
+//! Where generations go, replayed against the load patterns that the decisions answer.
+
+use {
+    super::scene::{MEMORY, SERVICE, board, instance, load, need, targets},
+    rand::{SeedableRng as _, rngs::StdRng},
+    sardinerelay_gateway::{
+        allocator::{Allocator, Answer, Scope, hold},
+        board::{Board, Observation},
+        call::Part,
+        gate::Refusal,
+        placement::{self, choose, choose_copy, choose_move},
+        targets::{Change, Held, Targets},
+    },
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+fn later(now: Instant, ms: u64) -> Instant {
+    now + Duration::from_millis(ms)
+}
+
+/// Load pattern: a burst of plans on engines whose reports are all the same age. The allocating
+/// host must spread them without a newer report.
+#[test]
+fn a_burst_is_spread_over_engines_by_the_allocators_own_placements() {
+    let now = Instant::now();
+    let mut targets = targets(&[2_000; 9], now);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut placed: HashMap<_, u32> = HashMap::new();
+    for run in 0..36 {
+        let choice = choose(&targets, &need(), (Scope::All, &[]), &mut rng, now).expect("room");
+        hold(&mut targets, run, &need(), &choice, now);
+        targets.sent(&choice.target, run, need().prompt, now);
+        *placed.entry(choice.target).or_default() += 1;
+    }
+    assert_eq!(placed.len(), 9);
+    assert!(placed.values().all(|count| *count == 4), "{placed:?}");
+}
+
+/// Load pattern: nine hosts with the same report, of which one engine looks empty, each place one
+/// plan at the same moment. Before the choice between a few random engines, all nine chose it.
+#[test]
+fn hosts_with_the_same_report_do_not_all_choose_the_same_engine() {
+    let now = Instant::now();
+    let mut used = [6_000; 9];
+    used[4] = 0;
+    let targets = targets(&used, now);
+    let mut chosen: HashMap<_, u32> = HashMap::new();
+    for host in 0..9 {
+        let mut rng = StdRng::seed_from_u64(host);
+        let choice = choose(&targets, &need(), (Scope::Own, &[]), &mut rng, now).expect("room");
+        *chosen.entry(choice.target).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or_default();
+    assert!(most <= 6, "{chosen:?}");
+}
+
+/// Load pattern: what other hosts sent within the age of the report fills the engine that the
+/// report shows as empty.
+#[test]
+fn what_other_hosts_sent_counts_before_a_report_shows_it() {
+    use sardinerelay_gateway::group::Note;
+    let now = Instant::now();
+    let mut targets = targets(&[0, 12_000], now);
+    let note = Note {
+        from: 7,
+        target: instance(0).target,
+        prompt: 3_000,
+        memory: 3_800,
+        by: 0,
+    };
+    targets.heard(std::iter::repeat_n(&note, 6), now);
+    let mut rng = StdRng::seed_from_u64(3);
+    let choice = choose(&targets, &need(), (Scope::All, &[]), &mut rng, now).expect("room");
+    assert_eq!(choice.target, instance(1).target);
+}
+
+#[test]
+fn a_request_waits_if_no_engine_has_room() {
+    let now = Instant::now();
+    let mut targets = targets(&[0; 2], now);
+    let held = |run| Held {
+        tokens: MEMORY,
+        recorded: now,
+        expected: MEMORY,
+        since: later(now, run),
+        runs: true,
+    };
+    for (run, number) in [(1, 0), (2, 1)] {
+        targets.hold(&instance(number).target, run, held(run));
+    }
+    let mut rng = StdRng::seed_from_u64(3);
+    let choice = choose(&targets, &need(), (Scope::All, &[]), &mut rng, now);
+    assert_eq!(choice, None);
+}
+
+/// Load pattern: a sixth of the engines leaves every few seconds. A leave is final for that start
+/// of the target, whatever an older or a lagging list says.
+#[test]
+fn a_leave_is_final_for_an_incarnation() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    let mut leaving = board(1, &[0, 0]);
+    leaving.instances[0].leaving = true;
+    let changes = targets.merge(&leaving, now);
+    assert!(changes.contains(&Change::Leaving(instance(0).target)));
+    targets.merge(&board(2, &[0, 0]), later(now, 500));
+    let usable: Vec<_> = targets
+        .usable(SERVICE, later(now, 500))
+        .map(|state| state.instance.target.clone())
+        .collect();
+    assert_eq!(usable, [instance(1).target]);
+    // Also after it was gone from one list and is back in the next.
+    targets.merge(
+        &Board {
+            instances: vec![instance(1)],
+            ..board(3, &[])
+        },
+        later(now, 900),
+    );
+    targets.merge(&board(4, &[0, 0]), later(now, 1300));
+    assert_eq!(targets.usable(SERVICE, later(now, 1300)).count(), 1);
+    // Another start of it is another target.
+    let mut restarted = board(5, &[0, 0]);
+    restarted.instances[0].incarnation = 2;
+    targets.merge(&restarted, later(now, 1700));
+    assert_eq!(targets.usable(SERVICE, later(now, 1700)).count(), 2);
+}
+
+#[test]
+fn a_list_that_is_older_changes_nothing() {
+    let now = Instant::now();
+    let mut targets = targets(&[0, 0, 0], now);
+    let mut old = board(2, &[0]);
+    old.list_age_ms = 3_000;
+    targets.merge(&old, later(now, 100));
+    assert_eq!(targets.usable(SERVICE, later(now, 100)).count(), 3);
+}
+
+/// Load pattern: a partition. Engines behind it no longer report, while others do; they must not
+/// get work, and must get it again afterwards.
+#[test]
+fn an_engine_that_is_silent_while_others_report_gets_no_work() {
+    let now = Instant::now();
+    let mut targets = targets(&[0, 0], now);
+    let reported = |number: usize| Observation {
+        target: instance(number).target,
+        incarnation: 1,
+        load: load(0),
+        age_ms: 0,
+    };
+    let at = later(now, 1_600);
+    let mut only_second = board(2, &[0, 0]);
+    only_second.loads = vec![reported(1)];
+    targets.merge(&only_second, at);
+    assert!(targets.is_silent(&instance(0).target, at));
+    assert_eq!(targets.usable(SERVICE, at).count(), 1);
+    let mut both = board(3, &[0, 0]);
+    both.loads = vec![reported(0), reported(1)];
+    targets.merge(&both, later(now, 2_000));
+    assert_eq!(targets.usable(SERVICE, later(now, 2_000)).count(), 2);
+}
+
+#[test]
+fn without_any_fresh_report_no_engine_counts_as_silent() {
+    let now = Instant::now();
+    let targets = targets(&[0, 0], now);
+    assert_eq!(targets.usable(SERVICE, later(now, 10_000)).count(), 2);
+}
+
+/// Load pattern: a partition between zones breaks streams whose engine and copy are both on the
+/// other side. With a caller in zone a, one of the two is in zone a.
+#[test]
+fn the_copy_is_in_the_callers_zone_if_the_engine_is_not() {
+    let now = Instant::now();
+    let targets = targets(&[0; 9], now);
+    let mut rng = StdRng::seed_from_u64(5);
+    let far = targets.get(&instance(1).target).expect("listed");
+    for _ in 0..20 {
+        let copy = choose_copy(&targets, &need(), (Scope::Own, far, &[]), &mut rng, now);
+        let copy = copy.expect("room");
+        let zone = &targets.get(&copy).expect("listed").instance.zone;
+        assert_eq!(zone, "a");
+    }
+}
+
+/// Load pattern: engines are nearly full of running generations. Copies must not displace them.
+#[test]
+fn copies_take_only_memory_that_would_be_free() {
+    let now = Instant::now();
+    let targets = targets(&[16_000; 9], now);
+    let mut rng = StdRng::seed_from_u64(5);
+    let primary = targets.get(&instance(0).target).expect("listed");
+    let place = (Scope::All, primary, &[][..]);
+    assert_eq!(choose_copy(&targets, &need(), place, &mut rng, now), None);
+    assert!(choose_move(&targets, &need(), place, &mut rng, now).is_some());
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_not_shared() {
+    let part = |id, tokens| Part { id, tokens };
+    let (tokens, first) = placement::shared(&[part(1, 79), part(2, 3_000)]);
+    let (_, second) = placement::shared(&[part(1, 79), part(3, 1_000)]);
+    assert_eq!(tokens, 79);
+    assert_eq!(first, second);
+}
+
+/// Load pattern: all engines are full, then a report shows room for one plan. Of all that wait,
+/// one is placed, and it is the one that came first.
+#[tokio::test]
+async fn room_for_one_is_given_to_one() {
+    let allocator = std::sync::Arc::new(Allocator::new(Scope::All));
+    allocator.merge(&board(1, &[29_000]));
+    let until = Instant::now() + Duration::from_secs(3);
+    let mut waiting = Vec::new();
+    for run in 0..5 {
+        let allocator = std::sync::Arc::clone(&allocator);
+        waiting.push(tokio::spawn(async move {
+            allocator
+                .acquire(run, need(), until, Duration::from_millis(400))
+                .await
+        }));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    allocator.merge(&board(2, &[24_000]));
+    let mut placed = Vec::new();
+    for (run, task) in waiting.into_iter().enumerate() {
+        match task.await.expect("no panic") {
+            Answer::Placed(..) => placed.push(run),
+            Answer::Waiting => {}
+            Answer::Refused(refusal, _) => assert_eq!(refusal, Refusal::Hopeless),
+        }
+    }
+    assert_eq!(placed, [0]);
+}
+
+#[tokio::test]
+async fn a_place_that_nobody_takes_over_is_free_again() {
+    let allocator = Allocator::new(Scope::All);
+    allocator.merge(&board(1, &[0]));
+    let until = Instant::now() + Duration::from_secs(3);
+    let wait = Duration::from_millis(50);
+    let answer = allocator.acquire(1, need(), until, wait).await;
+    assert!(matches!(answer, Answer::Placed(..)));
+    assert_eq!(held(&allocator), 1);
+    allocator.release(1);
+    assert_eq!(held(&allocator), 0);
+}
+
+fn held(allocator: &Allocator) -> usize {
+    let state = allocator.state();
+    state.targets.all().map(|state| state.held.len()).sum()
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions/repair.rs
@@ -0,0 +1,210 @@
+//! The repair of the group's membership.
+
+use {
+    rstest::rstest,
+    sardinerelay::{
+        id::Host,
+        raft::{Change, Membership},
+    },
+    sardinerelay_gateway::group::{
+        member,
+        repair::{Joiner, SILENT, Seen, Step, expire},
+    },
+    std::{
+        collections::BTreeMap,
+        net::Ipv4Addr,
+        time::{Duration, Instant},
+    },
+};
+
+const ADDRESSES: [Ipv4Addr; 4] = [
+    Ipv4Addr::new(10, 1, 0, 1),
+    Ipv4Addr::new(10, 2, 0, 1),
+    Ipv4Addr::new(10, 3, 0, 1),
+    Ipv4Addr::new(10, 3, 0, 9),
+];
+
+struct Group {
+    membership: Membership,
+    heard: BTreeMap<Host, Instant>,
+    joiners: BTreeMap<Host, Joiner>,
+    wanted: usize,
+    now: Instant,
+}
+
+impl Group {
+    fn of_three() -> Self {
+        let founders = ADDRESSES[..3].iter().copied().map(member::founder);
+        let now = Instant::now() + Duration::from_secs(60);
+        let membership = Membership::new(founders);
+        Self {
+            heard: membership.hosts().map(|host| (host, now)).collect(),
+            membership,
+            joiners: BTreeMap::new(),
+            wanted: 3,
+            now,
+        }
+    }
+
+    fn join(&mut self, address: Ipv4Addr, founding: bool) -> Host {
+        let host = member::newcomer(address, &mut rand::rng());
+        let asked = self.now;
+        self.joiners.insert(host, Joiner { asked, founding });
+        self.heard.insert(host, self.now);
+        host
+    }
+
+    fn silence(&mut self, host: Host, time: Duration) {
+        self.heard.insert(host, self.now - time);
+    }
+
+    fn next(&self) -> Option<Step> {
+        let seen = Seen {
+            membership: &self.membership,
+            leader: member::founder(ADDRESSES[0]),
+            wanted: self.wanted,
+            heard: &self.heard,
+            joiners: &self.joiners,
+        };
+        seen.next(self.now)
+    }
+
+    /// Takes steps until none is left.
+    fn settle(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        while let Some(step) = self.next() {
+            steps.push(step);
+            match step {
+                Step::Change(change) => {
+                    let changed = self.membership.changed(change);
+                    self.membership = changed.expect("the step applies");
+                }
+                Step::Grow(voters) => self.wanted = voters,
+            }
+            expire(&mut self.joiners, &self.membership, self.now);
+            assert!(
+                steps.len() < 20,
+                "the repair goes round in circles: {steps:?}"
+            );
+        }
+        steps
+    }
+}
+
+#[test]
+fn a_number_holds_the_address_and_is_never_used_again() {
+    let address = ADDRESSES[2];
+    let founder = member::founder(address);
+    let newcomer = member::newcomer(address, &mut rand::rng());
+    assert_eq!(member::address(founder), address);
+    assert_eq!(member::address(newcomer), address);
+    assert_ne!(founder, newcomer);
+}
+
+#[test]
+fn a_sound_group_is_left_alone() {
+    assert_eq!(Group::of_three().next(), None);
+}
+
+#[test]
+fn a_silent_voter_stays_without_a_replacement() {
+    let mut group = Group::of_three();
+    group.silence(member::founder(ADDRESSES[2]), SILENT * 10);
+    assert_eq!(group.next(), None);
+}
+
+#[test]
+fn a_lost_disk_is_replaced_at_its_own_address() {
+    let mut group = Group::of_three();
+    let lost = member::founder(ADDRESSES[2]);
+    let new = group.join(ADDRESSES[2], false);
+    let steps = group.settle();
+    assert_eq!(
+        steps,
+        [
+            Step::Change(Change::Remove(lost)),
+            Step::Change(Change::AddLearner(new)),
+            Step::Change(Change::Promote(new)),
+        ]
+    );
+    assert_eq!(group.membership.voters.len(), 3);
+}
+
+#[test]
+fn a_host_at_another_address_waits_until_a_voter_is_silent() {
+    let mut group = Group::of_three();
+    let gone = member::founder(ADDRESSES[1]);
+    let new = group.join(ADDRESSES[3], false);
+    assert_eq!(group.settle(), [Step::Change(Change::AddLearner(new))]);
+    group.silence(gone, SILENT + Duration::from_millis(1));
+    let steps = group.settle();
+    assert_eq!(
+        steps,
+        [
+            Step::Change(Change::Remove(gone)),
+            Step::Change(Change::Promote(new)),
+        ]
+    );
+    assert!(!group.membership.contains(gone));
+}
+
+#[test]
+fn of_two_silent_voters_the_one_that_is_silent_longest_is_replaced() {
+    let mut group = Group::of_three();
+    let frozen = member::founder(ADDRESSES[1]);
+    let gone = member::founder(ADDRESSES[2]);
+    group.silence(frozen, SILENT * 2);
+    group.silence(gone, SILENT * 3);
+    group.join(ADDRESSES[3], false);
+    group.settle();
+    assert!(group.membership.voters.contains(&frozen));
+    assert!(!group.membership.contains(gone));
+}
+
+#[test]
+fn hosts_that_start_with_the_system_become_voters() {
+    let mut group = Group::of_three();
+    let new = group.join(ADDRESSES[3], true);
+    group.settle();
+    assert_eq!(group.wanted, 4);
+    assert!(group.membership.voters.contains(&new));
+}
+
+#[test]
+fn a_silent_learner_is_not_promoted_but_forgotten() {
+    let mut group = Group::of_three();
+    let new = group.join(ADDRESSES[3], false);
+    group.settle();
+    group.silence(member::founder(ADDRESSES[1]), SILENT * 3);
+    group.silence(new, SILENT * 2);
+    group.joiners.clear();
+    assert_eq!(group.settle(), [Step::Change(Change::Remove(new))]);
+    assert_eq!(group.membership.voters.len(), 3);
+}
+
+/// A voter is only removed when another host takes its place, in every order of losses and joins.
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(42)]
+fn a_repair_never_ends_with_fewer_voters(#[case] seed: u64) {
+    use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut group = Group::of_three();
+    for _ in 0..200 {
+        group.now += Duration::from_secs(1);
+        let leader = member::founder(ADDRESSES[0]);
+        let hosts: Vec<Host> = group.membership.hosts().collect();
+        for host in hosts {
+            if host == leader || rng.random_bool(0.7) {
+                group.heard.insert(host, group.now);
+            }
+        }
+        if rng.random_bool(0.2) {
+            let address = ADDRESSES[rng.random_range(1..ADDRESSES.len())];
+            group.join(address, false);
+        }
+        group.settle();
+        assert!(group.membership.voters.len() >= 3, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions/scene.rs
@@ -0,0 +1,74 @@
+//! Engines, boards and needs for tests of decisions.
+
+use {
+    sardinerelay_gateway::{
+        board::{Board, Instance, Load, Observation},
+        placement::Need,
+        targets::Targets,
+    },
+    std::{net::SocketAddr, time::Instant},
+};
+
+pub const SERVICE: &str = "engines";
+pub const MEMORY: u64 = 30_000;
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+pub fn instance(number: usize) -> Instance {
+    Instance {
+        target: format!("e{number}").into(),
+        incarnation: 1,
+        service: SERVICE.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8000 + number as u16)),
+        zone: ZONES[number % ZONES.len()].into(),
+        slots: 64,
+        leaving: false,
+        cold_ms: 0,
+    }
+}
+
+pub fn load(used: u64) -> Load {
+    Load {
+        used,
+        total: MEMORY,
+        ..Load::default()
+    }
+}
+
+/// A board that lists engines with the memory that each reports, all as of now.
+pub fn board(stamp: u64, used: &[u64]) -> Board {
+    let loads = used.iter().enumerate().map(|(number, used)| Observation {
+        target: instance(number).target,
+        incarnation: 1,
+        load: load(*used),
+        age_ms: 0,
+    });
+    Board {
+        stamp,
+        instances: (0..used.len()).map(instance).collect(),
+        loads: loads.collect(),
+        entries: 9,
+        ..Board::default()
+    }
+}
+
+pub fn targets(used: &[u64], now: Instant) -> Targets {
+    let mut targets = Targets::default();
+    targets.merge(&board(1, used), now);
+    targets
+}
+
+/// A plan of 3,000 tokens that is expected to make 800.
+pub fn need() -> Need {
+    Need {
+        service: SERVICE.into(),
+        organisation: "org".into(),
+        zone: ZONES[0].into(),
+        memory: MEMORY,
+        prompt: 3_000,
+        output: 800,
+        priority: 1,
+        shared: 0,
+        prefix: 0,
+        copy: false,
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions/table.rs
@@ -0,0 +1,137 @@
+//! The configuration: checks and lookups.
+
+use {
+    rand::{SeedableRng as _, rngs::StdRng},
+    rstest::rstest,
+    sardinerelay_gateway::table::{Denial, Draft, Fault, Holder, Kind, Limits, Route, Spec, Table},
+    std::time::Duration,
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        kind: Kind::Once,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        gap: None,
+        priority: 0,
+        services: vec![("orders".into(), 1)],
+        attempts: 1,
+        public: false,
+    }
+}
+
+fn draft() -> Draft {
+    Draft {
+        version: 4,
+        routes: vec![route("all", "/a/"), route("part", "/a/b/")],
+        services: vec![Spec {
+            name: "orders".into(),
+            connections: 10,
+            engine: None,
+        }],
+        organisations: Some(vec![
+            Holder {
+                name: "north".into(),
+                keys: vec!["n1".into(), "n2".into()],
+                priority: Some(3),
+            },
+            Holder {
+                name: "south".into(),
+                keys: vec!["s1".into()],
+                priority: None,
+            },
+        ]),
+        limits: Limits {
+            header_bytes: 16_384,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = Table::check(draft()).expect("a sound draft");
+    let name = |path| {
+        table
+            .route("shop.example", path)
+            .map(|route| route.name.clone())
+    };
+    assert_eq!(name("/a/x"), Ok("all".into()));
+    assert_eq!(name("/a/b/x"), Ok("part".into()));
+    assert_eq!(name("/a/bc/x"), Ok("all".into()));
+    assert_eq!(name("/b/"), Err(Denial::NoRoute));
+    assert_eq!(
+        table.route("other.example", "/a/").map(|_| ()),
+        Err(Denial::NoRoute)
+    );
+}
+
+#[test]
+fn a_key_names_its_organisation_and_an_unknown_one_is_refused() {
+    let table = Table::check(draft()).expect("a sound draft");
+    let route = table.route("shop.example", "/a/").expect("a route");
+    let holder = |key| {
+        table
+            .holder(route, key)
+            .map(|holder| holder.map(|holder| &holder.name))
+    };
+    assert_eq!(holder(Some("n2")), Ok(Some(&"north".into())));
+    assert_eq!(holder(Some("s1")), Ok(Some(&"south".into())));
+    assert_eq!(holder(Some("x")), Err(Denial::UnknownKey));
+    assert_eq!(holder(None), Err(Denial::UnknownKey));
+}
+
+type Spoil = fn(&mut Draft);
+
+#[rstest]
+#[case::unknown_service(|draft: &mut Draft| draft.routes[0].services[0].0 = "none".into())]
+#[case::same_place(|draft: &mut Draft| draft.routes[1].prefix = "/a/".into())]
+#[case::no_weight(|draft: &mut Draft| draft.routes[0].services[0].1 = 0)]
+#[case::no_timeout(|draft: &mut Draft| draft.routes[1].timeout = Duration::ZERO)]
+#[case::shared_key(|draft: &mut Draft| {
+    if let Some(organisations) = &mut draft.organisations {
+        organisations[1].keys.push("n1".into());
+    }
+})]
+#[case::prefix(|draft: &mut Draft| draft.routes[1].prefix = "/a/b".into())]
+#[case::same_service(|draft: &mut Draft| {
+    let again = draft.services[0].clone();
+    draft.services.push(again);
+})]
+fn a_spoiled_draft_is_refused_with_its_place(#[case] spoil: Spoil) {
+    let mut spoiled = draft();
+    spoil(&mut spoiled);
+    let faults: Vec<Fault> = Table::check(spoiled).expect_err("a fault");
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(!faults[0].to_string().is_empty());
+}
+
+#[test]
+fn a_key_may_stand_twice_with_its_own_organisation() {
+    let mut draft = draft();
+    if let Some(organisations) = &mut draft.organisations {
+        organisations[0].keys.push("n1".into());
+    }
+    assert!(Table::check(draft).is_ok());
+}
+
+#[test]
+fn requests_are_split_by_weight() {
+    let mut route = route("split", "/");
+    route.services = vec![
+        ("large".into(), 90),
+        ("none".into(), 0),
+        ("small".into(), 10),
+    ];
+    let mut rng = StdRng::seed_from_u64(1);
+    let drawn: Vec<_> = (0..2_000).filter_map(|_| route.service(&mut rng)).collect();
+    let count = |name: &str| drawn.iter().filter(|service| **service == name).count();
+    assert_eq!(count("none"), 0);
+    assert!((120..=280).contains(&count("small")), "{}", count("small"));
+    assert_eq!(drawn.len(), 2_000);
+}
