--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -11,7 +11,11 @@
     axum::body::Body,
     http::{HeaderValue, Request, Response, header},
     http_body_util::{BodyExt as _, LengthLimitError, Limited},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::{Body as _, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     log::{debug, info, warn},
     sardinerelayd::stop::Open,
@@ -204,6 +208,10 @@
 }
 
 async fn read_body(body: Incoming, most: usize) -> Result<bytes::Bytes, Refusal> {
+    // A declared length is known before any of the body arrives.
+    if body.size_hint().lower() > most as u64 {
+        return Err(Refusal::TooLong);
+    }
     match Limited::new(body, most).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
