--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -67,6 +67,8 @@
     pub after: Option<EventId>,
     /// The copy that the generation goes on from.
     pub copy: Option<Copy>,
+    /// Room that was reserved at the target.
+    pub reservation: Option<CompactString>,
 }
 
 /// A copy of a generation's memory.
@@ -124,3 +126,12 @@
     /// A transfer of this generation is under way.
     Busy,
 }
+
+/// Asks an engine to reserve room for a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reserve {
+    /// Tokens of memory.
+    pub tokens: u64,
+    /// How long the reservation lasts if it isn't used.
+    pub lifetime: Duration,
+}
--- a/crates/sardinerelay-gateway/src/dialect.rs
+++ b/crates/sardinerelay-gateway/src/dialect.rs
@@ -6,10 +6,11 @@
 use {
     crate::{
         board::{Instance, Load},
-        call::{Answer, Call, Forward, OperatorCall, Transfer, Transferred},
+        call::{Answer, Call, Forward, OperatorCall, Reserve, Transfer, Transferred},
         table::Draft,
     },
     bytes::Bytes,
+    compact_str::CompactString,
     http::{HeaderMap, Method, Request, StatusCode, request},
     http_body_util::Full,
     std::net::SocketAddr,
@@ -78,6 +79,10 @@
     pub transfer_request: fn(SocketAddr, &Transfer) -> Request<Full<Bytes>>,
     /// Reads the answer to a transfer.
     pub transfer: fn(StatusCode, &[u8]) -> Result<Transferred, Unreadable>,
+    /// The request for a reservation at the engine with this address.
+    pub reserve_request: fn(SocketAddr, Reserve) -> Request<Full<Bytes>>,
+    /// Reads the answer to a request for a reservation: its name, or nothing if there is no room.
+    pub reserve: fn(StatusCode, &[u8]) -> Result<Option<CompactString>, Unreadable>,
     /// The path that asks whether this host takes new connections.
     pub ready_path: &'static str,
 }
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -40,6 +40,9 @@
 /// Time for which an engine that is known to leave is still sent generations that go on there.
 /// It is well below the time that the platform lets a leaving target work.
 const LEAVING_USED: Duration = Duration::from_millis(1000);
+/// Tokens of output that are reserved at an engine together with the prompt. A reservation lasts for
+/// two seconds, in which a generation makes about as many.
+const RESERVED_OUTPUT: u64 = 200;
 /// Bits of a request's number that count; those above them are drawn at the start, so that numbers
 /// differ between processes.
 const COUNTING_BITS: u32 = 32;
@@ -275,6 +278,18 @@
         }
     }
 
+    /// Records that its engine has no room.
+    pub fn full(&self) {
+        let target = &self.choice.target;
+        self.entry.state().targets.full(target, Instant::now());
+        self.entry.report(Report::Full(target.clone()));
+    }
+
+    /// Tokens that are to be reserved at its engine.
+    pub fn reserved(&self) -> u64 {
+        self.need.prompt + self.need.output.min(RESERVED_OUTPUT)
+    }
+
     /// Chooses another engine, without waiting.
     pub fn move_elsewhere(&mut self, avoid: &[Target]) -> bool {
         let now = Instant::now();
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -7,11 +7,12 @@
 
 mod open;
 mod pump;
+mod reserve;
 mod resume;
 mod transfer;
 
 use {
-    self::open::Opened,
+    self::{open::Opened, reserve::Reserved},
     crate::{
         answer::Refusal,
         gate,
@@ -36,7 +37,7 @@
 /// it.
 const COPY_OUTPUT: u64 = 64;
 /// Sends until one is taken.
-const MOST_SENDS: usize = 4;
+const MOST_SENDS: usize = 6;
 /// Mean time after which a caller should come back when no engine takes its generation.
 const COME_BACK: Duration = Duration::from_millis(600);
 /// Chunks that wait for a caller that reads slowly.
@@ -66,7 +67,25 @@
     let mut tried = Vec::new();
     for send in 0..MOST_SENDS {
         note_placement(&job, &need, &place.choice, send);
-        let opened = open::open(&job, &place, job.call.after, None).await;
+        let reservation = match reserve::take(&job, &place).await {
+            Reserved::Taken(name) => Some(name),
+            Reserved::Unneeded => None,
+            Reserved::NoRoom => {
+                place.full();
+                drop(place);
+                place = match job.entry.acquire(need.clone(), until).await {
+                    Ok(place) => place,
+                    Err((refusal, retry)) => return Err(refused(&job, &need, refusal, retry)),
+                };
+                continue;
+            }
+        };
+        let extra = open::Start {
+            after: job.call.after,
+            copy: None,
+            reservation,
+        };
+        let opened = open::open(&job, &place, extra).await;
         open::note(&job, &place.choice.target, &opened);
         match opened {
             Opened::Stream(head, source) => {
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -9,6 +9,7 @@
         request::{Extra, Job, Verdict},
     },
     bytes::Bytes,
+    compact_str::CompactString,
     http::{header, response},
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
@@ -63,28 +64,35 @@
     Refused,
 }
 
-/// Sends the generation to the place's engine, to go on after an event and from a copy if given.
-pub(super) async fn open(
-    job: &Job,
-    place: &Place,
-    after: Option<EventId>,
-    copy: Option<Copy>,
-) -> Opened {
+/// Where a generation starts.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Start {
+    /// After this event.
+    pub(super) after: Option<EventId>,
+    /// From this copy.
+    pub(super) copy: Option<Copy>,
+    /// In room that was reserved.
+    pub(super) reservation: Option<CompactString>,
+}
+
+/// Sends the generation to the place's engine.
+pub(super) async fn open(job: &Job, place: &Place, start: Start) -> Opened {
     let target = &place.choice.target;
     let Some(instance) = job.entry.instance(target) else {
         return Opened::NotRun(Skipped::Gone);
     };
     let backup = place.choice.copy.as_ref();
     let backup = backup.and_then(|copy| job.entry.instance(copy));
-    let urgency = match after.is_some() || copy.is_some() {
+    let urgency = match start.after.is_some() || start.copy.is_some() {
         true => CONTINUED_URGENCY,
         false => urgency(job.priority),
     };
     let extra = Extra {
         urgency: Some(urgency),
         backup: backup.map(|instance| instance.address),
-        after,
-        copy,
+        after: start.after,
+        copy: start.copy,
+        reservation: start.reservation,
     };
     let request = job.outgoing(target, extra);
     let end = Deadline::from_std(job.end());
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        open::{self, Opened, Source},
+        open::{self, Opened, Source, Start},
         pump::Stream,
         resumable,
         transfer::Moved,
@@ -70,7 +70,12 @@
             return None;
         }
         self.place.switch_to(target.clone());
-        let opened = open::open(&self.job, &self.place, self.delivered, Some(copy)).await;
+        let start = Start {
+            after: self.delivered,
+            copy: Some(copy),
+            reservation: None,
+        };
+        let opened = open::open(&self.job, &self.place, start).await;
         open::note(&self.job, &target, &opened);
         match opened {
             Opened::Stream(head, source) => {
@@ -87,7 +92,11 @@
             if !self.may_repeat() || !self.place.move_elsewhere(&tried) {
                 return None;
             }
-            let opened = open::open(&self.job, &self.place, self.delivered, None).await;
+            let start = Start {
+                after: self.delivered,
+                ..Start::default()
+            };
+            let opened = open::open(&self.job, &self.place, start).await;
             let target = self.place.choice.target.clone();
             open::note(&self.job, &target, &opened);
             tried.push(target);
--- a/crates/sardinerelay-gateway/src/group/hub.rs
+++ b/crates/sardinerelay-gateway/src/group/hub.rs
@@ -39,8 +39,10 @@
 }
 
 /// What became of a request that this host gave a place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
+    /// An engine has no room for it.
+    Full(sardinerelay::id::Target),
     /// Its prompt was read.
     Started(crate::targets::RunId),
     /// It has ended, or takes another place.
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -293,6 +293,9 @@
         let (Packed(reports),): (Packed<Vec<Report>>,) = serde_json::from_str(parameters)?;
         for report in reports {
             match report {
+                Report::Full(target) => {
+                    self.allocator.state().targets.full(&target, Instant::now());
+                }
                 Report::Started(run) => self.allocator.started(run),
                 Report::Ended(run) => self.allocator.release(run),
             }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -217,7 +217,10 @@
 /// The load after the generation was added, if it fits.
 fn room(state: &State, need: &Need, now: Instant) -> Option<f64> {
     let waiting = state.fresh_load(now).map_or(0, |(load, _)| load.waiting);
-    if waiting >= FULL_WAITING || state.busy(now) >= state.instance.slots as usize {
+    if state.is_full(now)
+        || waiting >= FULL_WAITING
+        || state.busy(now) >= state.instance.slots as usize
+    {
         return None;
     }
     let fill = FILL[usize::from(need.priority > 0)];
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -56,6 +56,8 @@
     pub after: Option<EventId>,
     /// The copy to go on from.
     pub copy: Option<Copy>,
+    /// Room that was reserved at the target.
+    pub reservation: Option<CompactString>,
 }
 
 /// What an answer head says.
@@ -97,6 +99,7 @@
             backup: extra.backup,
             after: extra.after.or(self.call.after),
             copy: extra.copy,
+            reservation: extra.reservation,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/crates/sardinerelay-gateway/src/table.rs
+++ b/crates/sardinerelay-gateway/src/table.rs
@@ -66,6 +66,8 @@
     pub backups: bool,
     /// Whether an engine moves a running generation's memory to another one when asked.
     pub moves: bool,
+    /// Longest time for which an engine reserves room, if it does.
+    pub reserves: Option<Duration>,
     /// Tokens in one event of a stream.
     pub stride: u64,
 }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -22,6 +22,8 @@
 
 /// Time by which a target's report of itself lags when it is read.
 const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Time for which an engine that said so counts as full.
+const FULL: Duration = Duration::from_millis(250);
 /// Time for which it is remembered that an incarnation is leaving.
 const LEAVE_MEMORY: Duration = Duration::from_secs(120);
 /// Age of a target's load report from which on it counts as silent, if others' are younger.
@@ -65,6 +67,8 @@
     pub health: Health,
     /// Until when it is slow after its start.
     pub cold_until: Instant,
+    /// Until when it gets no generations because it said that it has no room.
+    pub full_until: Option<Instant>,
 }
 
 /// All targets.
@@ -207,6 +211,13 @@
         }
     }
 
+    /// Records that an engine said that it has no room.
+    pub fn full(&mut self, target: &str, now: Instant) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.full_until = Some(now + FULL);
+        }
+    }
+
     /// Records that a request's prompt was read.
     pub fn started(&mut self, run: RunId, now: Instant) {
         for state in self.states.values_mut() {
@@ -319,6 +330,7 @@
                 backlog: Backlog::default(),
                 health: Health::default(),
                 cold_until: now,
+                full_until: None,
             };
             self.states.insert(target.clone(), state);
             changes.push(Change::Joined(target.clone()));
@@ -375,6 +387,11 @@
         self.held.len().max(reported as usize)
     }
 
+    /// Whether it said lately that it has no room.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
