--- a/crates/sardinerelay-gateway/src/gate.rs
+++ b/crates/sardinerelay-gateway/src/gate.rs
@@ -29,6 +29,10 @@
 /// Least and longest time after which a refused caller should come back.
 const RETRY: [Duration; 2] = [LEAST_RETRY, Duration::from_secs(8)];
 
+/// Time beside the queue's after which a caller should come back that waited in vain: engines were
+/// full for all of its wait, and most generations take seconds.
+const EXPIRED_RETRY: Duration = Duration::from_millis(1200);
+
 /// A request that waits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Waiting {
@@ -134,7 +138,7 @@
                     decisions.push((waiting.run, Decision::Placed(choice)));
                 }
                 None if now >= waiting.until => {
-                    let retry = self.retry_after(Duration::ZERO);
+                    let retry = self.retry_after(EXPIRED_RETRY);
                     let refused = Decision::Refused(Refusal::Expired, retry);
                     decisions.push((waiting.run, refused));
                 }
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -165,9 +165,11 @@
         waited_ms = job.arrived.elapsed().as_millis() as u64;
         "generation refused"
     );
+    // Callers that were refused together should not come back together.
+    let jitter = rand::rng().random_range(0.75..1.4);
     Refusal::NotRun {
         reason: "the engines are full",
-        retry_after,
+        retry_after: retry_after.mul_f64(jitter),
     }
 }
 
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -21,7 +21,7 @@
 };
 
 /// Share of an engine's memory that may be committed, for the first priority and for others.
-const FILL: [f64; 2] = [1.15, 1.0];
+const FILL: [f64; 2] = [1.4, 1.25];
 /// Share of an engine's memory up to which it takes copies.
 const COPY_FILL: f64 = 0.45;
 /// Share of an engine's memory up to which generations are moved to it.
