--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -5,6 +5,7 @@
 //! its memory on another engine, and goes on there as the same run when its engine ends. See
 //! `docs/design/platform.md`.
 
+mod moving;
 mod open;
 mod pump;
 mod reserve;
@@ -12,15 +13,20 @@
 mod transfer;
 
 use {
-    self::{open::Opened, reserve::Reserved},
+    self::{
+        open::{Opened, Start},
+        reserve::Reserved,
+    },
     crate::{
         answer::Refusal,
+        entry::Place,
         gate,
         placement::{self, Need},
         request::{Job, end_to_end},
         table::Kind,
     },
     axum::body::Body,
+    compact_str::CompactString,
     http::{Response, response},
     log::info,
     rand::Rng as _,
@@ -37,7 +43,9 @@
 /// it.
 const COPY_OUTPUT: u64 = 64;
 /// Sends until one is taken.
-const MOST_SENDS: usize = 6;
+const MOST_SENDS: usize = 4;
+/// Places that are tried until an engine has room.
+const MOST_PLACES: usize = 8;
 /// Mean time after which a caller should come back when no engine takes its generation.
 const COME_BACK: Duration = Duration::from_millis(600);
 /// Chunks that wait for a caller that reads slowly.
@@ -55,37 +63,16 @@
 pub async fn serve(job: Job) -> Result<Response<Body>, Refusal> {
     job.entry.count_request(&job.service);
     let need = need(&job);
-    let until = job.arrived + job.route.objective.mul_f64(WAIT_SHARE);
-    let until = until.min(job.end());
-    let place = job.entry.acquire(need.clone(), until).await;
-    let waited = job.arrived.elapsed();
-    let mut place = match place {
-        Ok(place) => place,
-        Err((refusal, retry_after)) => return Err(refused(&job, &need, refusal, retry_after)),
-    };
-    job.entry.metrics.placed(&job.route.name, waited);
+    let (mut place, mut reservation) = find_place(&job, &need).await?;
     let mut tried = Vec::new();
     for send in 0..MOST_SENDS {
         note_placement(&job, &need, &place.choice, send);
-        let reservation = match reserve::take(&job, &place).await {
-            Reserved::Taken(name) => Some(name),
-            Reserved::Unneeded => None,
-            Reserved::NoRoom => {
-                place.full();
-                drop(place);
-                place = match job.entry.acquire(need.clone(), until).await {
-                    Ok(place) => place,
-                    Err((refusal, retry)) => return Err(refused(&job, &need, refusal, retry)),
-                };
-                continue;
-            }
-        };
-        let extra = open::Start {
+        let start = Start {
             after: job.call.after,
             copy: None,
-            reservation,
+            reservation: reservation.take(),
         };
-        let opened = open::open(&job, &place, extra).await;
+        let opened = open::open(&job, &place, start).await;
         open::note(&job, &place.choice.target, &opened);
         match opened {
             Opened::Stream(head, source) => {
@@ -97,7 +84,7 @@
             Opened::Failure(head, body) => return Ok(answer(head, Body::from(body))),
             Opened::NotRun(_) => {}
             Opened::Lost if place.choice.copy.is_some() || resumable(&job) => {
-                return Ok(pump::start_without_source(job, place).await?);
+                return pump::start_without_source(job, place).await;
             }
             Opened::Lost => return Err(Refusal::Unknown("the engine broke off")),
             Opened::Late => return Err(Refusal::Timeout),
@@ -108,11 +95,39 @@
         }
         job.entry.metrics.repeated(&job.route.name);
     }
+    Err(no_engine())
+}
+
+/// Waits for an engine that has room and says so itself.
+async fn find_place(job: &Job, need: &Need) -> Result<(Place, Option<CompactString>), Refusal> {
+    let until = job.arrived + job.route.objective.mul_f64(WAIT_SHARE);
+    let until = until.min(job.end());
+    for _ in 0..MOST_PLACES {
+        let place = job.entry.acquire(need.clone(), until).await;
+        let place = place.map_err(|(refusal, retry)| refused(job, need, refusal, retry))?;
+        let reservation = match reserve::take(job, &place).await {
+            Reserved::Taken(name) => Some(name),
+            Reserved::Unneeded => None,
+            Reserved::NoRoom => {
+                place.full();
+                continue;
+            }
+        };
+        job.entry
+            .metrics
+            .placed(&job.route.name, job.arrived.elapsed());
+        return Ok((place, reservation));
+    }
+    Err(no_engine())
+}
+
+fn no_engine() -> Refusal {
+    // Callers that were refused together should not come back together.
     let jitter = rand::rng().random_range(0.5..1.5);
-    Err(Refusal::NotRun {
+    Refusal::NotRun {
         reason: "no engine takes the generation",
         retry_after: COME_BACK.mul_f64(jitter),
-    })
+    }
 }
 
 /// Urgency at engines, by the request's rank.
@@ -134,9 +149,7 @@
     let forecast = job.entry.forecast();
     let output = forecast.output(&job.route.name, most, hint, MARGIN);
     drop(forecast);
-    let table = job.entry.table.load();
-    let spec = table.as_ref().and_then(|table| table.service(&job.service));
-    let engine = spec.and_then(|spec| spec.engine);
+    let engine = job.engine();
     let backups = engine.is_some_and(|engine| engine.backups);
     Need {
         service: job.service.clone(),
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         answer,
+        moving::Mover,
         open::{self, Source},
         resumable,
-        transfer::{self, Moved},
+        transfer::Moved,
     },
     crate::{
         answer::Refusal,
@@ -16,15 +17,12 @@
     },
     axum::body::Body,
     bytes::{Bytes, BytesMut},
-    futures::future::BoxFuture,
     http::Response,
     http_body_util::BodyExt as _,
+    hyper::body::Frame,
     log::info,
     sardinerelay::id::Target,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     thiserror::Error,
     tokio::{
         sync::mpsc::{Sender, channel},
@@ -41,8 +39,6 @@
 const LOST: Duration = Duration::from_secs(7);
 /// Events after which the memory that a stream holds is brought up to date.
 const PROGRESS_EVENTS: u64 = 8;
-/// Pause before another move is tried where one failed.
-const MOVE_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which the rest of a stream arrives after its generation was moved.
 const REST: Duration = Duration::from_millis(150);
 /// Tokens in an event, if the service doesn't say.
@@ -83,12 +79,6 @@
     stride: u64,
 }
 
-/// A move under way.
-struct Moving {
-    task: BoxFuture<'static, Result<Moved, transfer::Failure>>,
-    to: Target,
-}
-
 /// Passes a stream on to its end.
 pub(super) async fn run(job: Job, place: Place, source: Source, chunks: Chunks) {
     Stream::new(job, place, chunks).run(Some(source)).await;
@@ -110,9 +100,7 @@
 
 impl Stream {
     fn new(job: Job, place: Place, chunks: Chunks) -> Self {
-        let table = job.entry.table.load();
-        let spec = table.as_ref().and_then(|table| table.service(&job.service));
-        let engine = spec.and_then(|spec| spec.engine);
+        let engine = job.engine();
         Self {
             stride: engine.map_or(STRIDE, |engine| engine.stride.max(1)),
             delivered: job.call.after,
@@ -185,74 +173,72 @@
         let mut end = Deadline::from_std(self.job.end());
         let mut look = interval(LOOK);
         let caller = self.chunks.clone();
-        let mut moving: Option<Moving> = None;
-        let mut refused: Vec<Target> = Vec::new();
-        let mut moves_from = heard;
-        let mut moved: Option<(Moved, Target)> = None;
+        let mut mover = Mover::new();
         let mut open = true;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = caller.closed() => return Ended::Left,
                 frame = body.frame(), if open => frame,
-                result = finish(&mut moving) => {
-                    match result {
-                        (Ok(done), to) => {
-                            // What the engine made before it stopped is still on its way.
-                            end = end.min(Deadline::now() + REST);
-                            moved = Some((done, to));
-                        }
-                        (Err(_), to) => {
-                            self.place.drop_move(&to);
-                            moves_from = Instant::now() + MOVE_PAUSE;
-                            refused.push(to);
-                        }
-                    }
+                () = mover.ended(&self.place) => {
                     if !open {
-                        return ended(moved, "the engine's connection broke");
+                        return ended(&mut mover, "the engine's connection broke");
+                    }
+                    if mover.is_done() {
+                        // What the engine made before it stopped is still on its way.
+                        end = end.min(Deadline::now() + REST);
                     }
                     continue;
                 }
-                () = sleep_until(end) => match moved {
-                    Some((done, to)) => return Ended::Moved(done, to),
-                    None => return Ended::Late,
-                },
+                () = sleep_until(end) => {
+                    return mover.take().map_or(Ended::Late, |(moved, to)| Ended::Moved(moved, to));
+                }
                 _ = look.tick() => {
-                    if moved.is_some() || moving.is_some() {
+                    if mover.is_done() || mover.is_under_way() {
                         continue;
                     }
                     if self.gives_up(heard.elapsed()) {
                         return Ended::Broken("the engine is silent");
                     }
-                    moving = self.start_move(&refused, moves_from);
+                    mover.start_if_due(&self.job, &self.place);
                     continue;
                 }
             };
             heard = Instant::now();
+            let moving = mover.is_done() || mover.is_under_way();
             match frame {
                 Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    if splitter.push(&bytes).is_err() {
-                        return Ended::Broken("an event is too long");
-                    }
-                    if let Some(ended) = self.forward(&mut splitter, end).await {
+                    if let Some(ended) = self.take_in(frame, &mut splitter, end).await {
                         return ended;
                     }
                 }
-                None if splitter.is_empty() && (framed || !moving.is_some() && moved.is_none()) => {
+                None if splitter.is_empty() && (framed || !moving) => {
                     self.job.entry.pool.give_back(exchange);
                     return Ended::Complete;
                 }
                 // An engine closes the stream of a generation that it has stopped for a move.
-                _ if moving.is_some() => open = false,
-                Some(Err(_)) => return ended(moved, "the engine's connection broke"),
-                None => return ended(moved, "the engine ended in the middle of an event"),
+                _ if mover.is_under_way() => open = false,
+                Some(Err(_)) => return ended(&mut mover, "the engine's connection broke"),
+                None => return ended(&mut mover, "the engine ended in the middle of an event"),
             }
         }
     }
 
+    /// Takes in a part of the body. Returns why the stream ends, if it does.
+    async fn take_in(
+        &mut self,
+        frame: Frame<Bytes>,
+        splitter: &mut Splitter,
+        end: Deadline,
+    ) -> Option<Ended> {
+        // Trailers say nothing about a stream.
+        let bytes = frame.into_data().ok()?;
+        if splitter.push(&bytes).is_err() {
+            return Some(Ended::Broken("an event is too long"));
+        }
+        self.forward(splitter, end).await
+    }
+
     /// Whether to leave an engine that has been silent for a while. Without another one to go on
     /// at, the engine may still come back before the caller gives up.
     fn gives_up(&self, silent: Duration) -> bool {
@@ -265,39 +251,6 @@
         elsewhere || resumable(&self.job) || silent > LOST
     }
 
-    /// Starts to move the generation off an engine that leaves, unless a copy is kept on one that
-    /// stays, or the service doesn't move.
-    fn start_move(&self, refused: &[Target], moves_from: Instant) -> Option<Moving> {
-        let (stays, copy_stays) = self.place.stays();
-        let due = !stays && !copy_stays && Instant::now() >= moves_from;
-        if !due || !self.can_move() {
-            return None;
-        }
-        let to = self.place.plan_move(refused)?;
-        let from = self.job.entry.instance(&self.place.choice.target);
-        let Some(engines) = from.zip(self.job.entry.instance(&to)) else {
-            self.place.drop_move(&to);
-            return None;
-        };
-        let entry = Arc::clone(&self.job.entry);
-        let task = transfer::run(entry, self.job.call.id.clone(), engines);
-        Some(Moving {
-            task: Box::pin(task),
-            to,
-        })
-    }
-
-    fn can_move(&self) -> bool {
-        let table = self.job.entry.table.load();
-        let spec = table
-            .as_ref()
-            .and_then(|table| table.service(&self.job.service));
-        let moves = spec
-            .and_then(|spec| spec.engine)
-            .is_some_and(|engine| engine.moves);
-        moves && !resumable(&self.job)
-    }
-
     /// Sends the whole events that have arrived. Returns why the stream ends, if it does.
     async fn forward(&mut self, splitter: &mut Splitter, end: Deadline) -> Option<Ended> {
         let mut bytes = BytesMut::new();
@@ -376,19 +329,8 @@
     }
 }
 
-/// Waits for a move to end, for ever if there is none.
-async fn finish(moving: &mut Option<Moving>) -> (Result<Moved, transfer::Failure>, Target) {
-    let Some(current) = moving else {
-        return std::future::pending().await;
-    };
-    let result = current.task.as_mut().await;
-    let to = current.to.clone();
-    *moving = None;
-    (result, to)
-}
-
-fn ended(moved: Option<(Moved, Target)>, reason: &'static str) -> Ended {
-    match moved {
+fn ended(mover: &mut Mover, reason: &'static str) -> Ended {
+    match mover.take() {
         Some((done, to)) => Ended::Moved(done, to),
         None => Ended::Broken(reason),
     }
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -25,9 +25,7 @@
 }
 
 pub(super) async fn take(job: &Job, place: &Place) -> Reserved {
-    let table = job.entry.table.load();
-    let spec = table.as_ref().and_then(|table| table.service(&job.service));
-    let engine = spec.and_then(|spec| spec.engine);
+    let engine = job.engine();
     let Some(lifetime) = engine.and_then(|engine| engine.reserves) else {
         return Reserved::Unneeded;
     };
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -5,7 +5,7 @@
         answer::Refusal,
         call::{Answer, Call, Copy, EventId, Forward},
         entry::Entry,
-        table::Route,
+        table::{Engine, Route},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -83,6 +83,13 @@
         self.arrived + left
     }
 
+    /// What is known of the service's engines, if it generates.
+    pub fn engine(&self) -> Option<Engine> {
+        let table = self.entry.table.load();
+        let spec = table.as_ref()?.service(&self.service)?;
+        spec.engine
+    }
+
     /// Time that a target has from now on.
     pub fn left(&self, now: Instant) -> Option<Duration> {
         let deadline = self.call.deadline?.min(self.route.timeout);
--- a/crates/sardinerelayd/src/filter/identify.rs
+++ b/crates/sardinerelayd/src/filter/identify.rs
@@ -13,6 +13,7 @@
     futures::future::BoxFuture,
     http::{HeaderMap, Request, header},
     http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Body as _,
     serde::Deserialize,
     serde_json::Value,
     sha2::{Digest, Sha256},
@@ -156,13 +157,20 @@
 ///
 /// Refuses a body that is too large, too slow or broken off.
 pub async fn read_body(body: Body, max_body: usize) -> Result<Bytes, Refusal> {
+    let too_large = || {
+        Refusal::new(
+            Code::BodyTooLarge,
+            format_compact!("the body is larger than {max_body} bytes"),
+        )
+    };
+    // A declared length is known before any of the body arrives.
+    if body.size_hint().lower() > max_body as u64 {
+        return Err(too_large());
+    }
     let collected = timeout(BODY_TIMEOUT, Limited::new(body, max_body).collect()).await;
     match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(
-            Code::BodyTooLarge,
-            format_compact!("the body is larger than {max_body} bytes"),
-        )),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => Err(Refusal::new(Code::InvalidRequest, "the body broke off")),
         Err(_) => Err(Refusal::new(
             Code::InvalidRequest,
--- a/crates/sardinerelayd/tests/e2e/path.rs
+++ b/crates/sardinerelayd/tests/e2e/path.rs
@@ -8,6 +8,12 @@
     http::Method,
     rstest::rstest,
     serde_json::{Value, json},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+        time::timeout,
+    },
 };
 
 /// A system of three hosts with two engines, and the engines to keep alive.
@@ -164,3 +170,22 @@
         .expect("a stream");
     assert_whole(&stream.rest().await, "first", 0, 3);
 }
+
+/// Guards against waiting for a body that is known to be too long.
+#[tokio::test]
+async fn a_declared_length_over_the_limit_is_refused_at_once() {
+    let (system, _engines) = system().await;
+    let mut stream = TcpStream::connect(system.address(0))
+        .await
+        .expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: relay\r\nauthorization: Bearer {}\r\n\
+         content-type: application/json\r\ncontent-length: 99999999999\r\n\r\n",
+        key("brakeline")
+    );
+    stream.write_all(head.as_bytes()).await.expect("a write");
+    let mut answer = [0; 12];
+    let read = timeout(Duration::from_secs(4), stream.read_exact(&mut answer)).await;
+    read.expect("an answer in time").expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 413");
+}
