--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -48,6 +48,17 @@
     Waiting,
 }
 
+impl Answer {
+    /// A short name for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Placed(..) => "placed",
+            Self::Refused(..) => "refused",
+            Self::Waiting => "waiting",
+        }
+    }
+}
+
 /// Whose view an allocator has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -6,6 +6,7 @@
         dialect::Dialect,
         group::{Document, Handle},
         http,
+        metrics::Metrics,
         table::Table,
     },
     ::http::{HeaderValue, Request, Response, StatusCode, header},
@@ -17,6 +18,7 @@
     std::{
         io,
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -32,20 +34,42 @@
 /// # Errors
 ///
 /// The error of binding the address.
-pub async fn listen(address: SocketAddr, dialect: Dialect, handle: Handle) -> io::Result<()> {
+pub async fn listen(
+    address: SocketAddr,
+    dialect: Dialect,
+    handle: Handle,
+    metrics: Arc<Metrics>,
+) -> io::Result<()> {
     http::listen(address, move |request| {
-        serve(dialect, handle.clone(), request)
+        let (handle, metrics) = (handle.clone(), Arc::clone(&metrics));
+        async move { serve(dialect, handle, &metrics, request).await }
     })
     .await
 }
 
-async fn serve(dialect: Dialect, handle: Handle, request: Request<Incoming>) -> Response<Body> {
+async fn serve(
+    dialect: Dialect,
+    handle: Handle,
+    metrics: &Metrics,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let began = Instant::now();
     let call = (dialect.operator)(request.method(), request.uri().path());
-    match call {
-        Some(OperatorCall::Submit) => submit(dialect, &handle, request.into_body()).await,
-        Some(OperatorCall::Read) => read(&handle).await,
-        None => http::text(StatusCode::NOT_FOUND, "there is no such call\n"),
-    }
+    let (name, response) = match call {
+        Some(OperatorCall::Submit) => {
+            let submitted = submit(dialect, &handle, request.into_body());
+            ("submit", submitted.await)
+        }
+        Some(OperatorCall::Read) => ("read", read(&handle).await),
+        None => return http::text(StatusCode::NOT_FOUND, "there is no such call\n"),
+    };
+    let outcome = match response.status() {
+        StatusCode::OK => "done",
+        StatusCode::BAD_REQUEST => "invalid",
+        _ => "unconfirmed",
+    };
+    metrics.ended(name, outcome, began.elapsed());
+    response
 }
 
 async fn submit(dialect: Dialect, handle: &Handle, body: Incoming) -> Response<Body> {
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -11,6 +11,7 @@
     crate::{
         allocator::Allocator,
         board::{Board, Followers, Published},
+        metrics::Metrics,
         placement::Need,
         targets::RunId,
     },
@@ -50,6 +51,8 @@
 pub const ACQUIRE: &str = "place.acquire";
 /// Tells what became of places.
 pub const REPORT: &str = "place.report";
+/// The name of requests for a place in metrics.
+const PLACE: &str = "place";
 /// Waits for such notes.
 pub const FOLLOW_NOTES: &str = "notes.follow";
 
@@ -119,6 +122,8 @@
     pub followers: Arc<Followers>,
     /// Its allocator.
     pub allocator: Arc<Allocator>,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
 }
 
 struct Context {
@@ -192,9 +197,12 @@
             left,
             wait,
         } = acquire;
-        let until = Instant::now() + left;
-        let answer = context.observed.allocator.acquire(run, need, until, wait);
-        Answer::Ok(Packed(answer.await))
+        let began = Instant::now();
+        let allocator = &context.observed.allocator;
+        let answer = allocator.acquire(run, need, began + left, wait).await;
+        let metrics = &context.observed.metrics;
+        metrics.ended(PLACE, answer.name(), began.elapsed());
+        Answer::Ok(Packed(answer))
     })?;
     module.register_async_method(FOLLOW_NOTES, |parameters, context, _| async move {
         let follow: FollowNotes = context.read(&parameters)?;
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -122,10 +122,7 @@
         return http::text(StatusCode::METHOD_NOT_ALLOWED, "");
     }
     if path == METRICS_PATH {
-        return match entry.metrics.text() {
-            Ok(text) => http::text(StatusCode::OK, text),
-            Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
-        };
+        return show_metrics(&entry.metrics, request);
     }
     if path != entry.dialect.ready_path {
         return http::text(StatusCode::NOT_FOUND, "");
@@ -137,6 +134,16 @@
     }
 }
 
+fn show_metrics(metrics: &Metrics, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != METRICS_PATH {
+        return http::text(StatusCode::NOT_FOUND, "");
+    }
+    match metrics.text() {
+        Ok(text) => http::text(StatusCode::OK, text),
+        Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
 /// Runs a host with a replica.
 ///
 /// # Errors
@@ -154,11 +161,13 @@
         founding: settings.founding,
         data: settings.data.clone(),
     };
+    let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::All));
     let observed = group::Observed {
         board: Arc::clone(&board),
         followers: Arc::clone(&followers),
         allocator: Arc::clone(&allocator),
+        metrics: Arc::clone(&metrics),
     };
     tokio::spawn(feed_allocator(Arc::clone(&allocator), board.subscribe()));
     tokio::spawn(async move { allocator.run().await });
@@ -166,7 +175,15 @@
         .context("listening for signals")?;
     let mut running = group::start(replica, observed).await?;
     let handle = running.handle.clone();
-    control::listen(settings.control, dialect, handle.clone())
+    let shown = Arc::clone(&metrics);
+    let metrics_at = SocketAddr::from((common.address, common.metrics_port));
+    http::listen(metrics_at, move |request| {
+        let response = show_metrics(&shown, &request);
+        async move { response }
+    })
+    .await
+    .with_context(|| format!("listening on {metrics_at}"))?;
+    control::listen(settings.control, dialect, handle.clone(), metrics)
         .await
         .with_context(|| format!("listening on {}", settings.control))?;
     let list = (settings.list, settings.list_rate);
