--- a/crates/sardinerelay-gateway/src/exit_code.rs
+++ b/crates/sardinerelay-gateway/src/exit_code.rs
@@ -15,6 +15,8 @@
     Forced = 3,
     /// The replica ended, for example because a write failed.
     Replica = 4,
+    /// The replica was removed from the group while it was away; it comes back as a newcomer.
+    Removed = 5,
 }
 
 impl From<ExitCode> for process::ExitCode {
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -23,7 +23,7 @@
 };
 
 use {
-    crate::reload,
+    crate::{exit_code::ExitCode, reload},
     driver::{Driver, Input},
     links::Links,
     log::{info, warn},
@@ -223,14 +223,11 @@
                 warn!("removing {} failed: {error}", path.display());
                 continue;
             }
-            std::process::exit(REMOVED);
+            std::process::exit(ExitCode::Removed as i32);
         }
     }
 }
 
-/// Exit code of a replica that was removed from the group.
-const REMOVED: i32 = 7;
-
 impl Handle {
     /// The newest configuration that this replica knows to be committed, and its changes.
     pub fn newest(&self) -> watch::Receiver<Option<Arc<Document>>> {
