--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/reload.rs
@@ -0,0 +1,34 @@
+//! SIGHUP reads the settings again and does not end the process. It is the only test of its process,
+//! because a signal reaches all of it.
+
+use {
+    sardinerelay_gateway::reload::{self, Changing, Current},
+    std::{
+        net::Ipv4Addr,
+        process::{self, Command},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+const SEED: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 9);
+
+#[tokio::test]
+async fn a_hangup_reads_the_settings_again() {
+    let current = Arc::new(Current::default());
+    let read = Arc::new(|| Ok(Changing { seeds: vec![SEED] }));
+    reload::start(Arc::clone(&current), read).expect("a handler");
+    assert!(current.seeds().is_empty());
+    let id = process::id().to_string();
+    let sent = Command::new("kill").args(["-HUP", &id]).status();
+    assert!(sent.expect("kill").success());
+    // Well below the interval in which the file is looked at without a signal.
+    for _ in 0..100 {
+        if !current.seeds().is_empty() {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(current.seeds(), [SEED]);
+}
