--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -44,7 +44,7 @@
 const MEMBERS_EVERY: Duration = Duration::from_millis(1500);
 /// Deadline of such a look.
 const MEMBERS_DEADLINE: Duration = Duration::from_millis(500);
-/// Board time without news after which another host's board is followed too.
+/// Time without news from any board after which all followed hosts are asked for theirs.
 const BOARD_SILENT: Duration = Duration::from_millis(700);
 
 /// Follows, for ever.
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -20,7 +20,9 @@
     },
 };
 
-/// Share of an engine's memory that may be committed, for the first priority and for others.
+/// Share of an engine's memory that may be committed by estimate, for the first priority and for
+/// others. It is above 1 because not all generations reach their full length at the same time, and
+/// because the engine itself refuses a reservation for which it has no room.
 const FILL: [f64; 2] = [1.4, 1.25];
 /// Share of an engine's memory up to which it takes copies.
 const COPY_FILL: f64 = 0.45;
@@ -37,10 +39,10 @@
 const COLD: f64 = 0.25;
 /// Load that a target counts for that fails all its requests.
 const FAILING: f64 = 3.0;
-/// Engines that are compared by a host that doesn't know all placements. Reports are older than the time between two placements, so the
-/// least loaded engine by report is the one that all hosts would choose at once; of two random
-/// ones, the less loaded is almost as good and spreads them (Mitzenmacher, "The Power of Two
-/// Choices in Randomized Load Balancing", 2001).
+/// Engines that are compared by a host that doesn't know all placements. Reports are older than the
+/// time between two placements, so the least loaded engine by report is the one that all such
+/// hosts would choose at once. The best of a few random ones is almost as good and spreads them
+/// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
 const SAMPLED: usize = 4;
 /// Load by which an engine may exceed the others if it probably holds the prompt's shared parts,
 /// for a prompt that is shared as a whole.
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -106,8 +106,6 @@
     target: Target,
     connection: Option<Connection>,
     kept: Option<Duration>,
-    /// Whether the request went out on a connection that was used before.
-    pub reused: bool,
 }
 
 impl Pool {
@@ -126,7 +124,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take(&target.target, youngest) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(exchange(target, connection, response, true)),
+                Ok(response) => return Ok(exchange(target, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(Fault::Lost(error.into_error().into())),
@@ -135,7 +133,7 @@
         }
         let mut connection = open(target.address).await.map_err(Fault::Unsent)?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(exchange(target, connection, response, false)),
+            Ok(response) => Ok(exchange(target, connection, response)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().into();
@@ -225,13 +223,11 @@
     target: &Instance,
     connection: Connection,
     response: Response<Incoming>,
-    reused: bool,
 ) -> (Exchange, Response<Incoming>) {
     let exchange = Exchange {
         target: target.target.clone(),
         connection: Some(connection),
         kept: kept(response.headers()),
-        reused,
     };
     (exchange, response)
 }
