See an engine leave by the connections that it closes

Cause: the list tells of a reclaimed engine 0.6 to 1.0 s late (lag 0.8 s), which leaves 0.8 to 1.2 s of its 1.7 to 2.1 s for moves. An engine that is about to stop closes the connection of every answer, also of load reports; a logged trial showed that in the first report after the notice, at most 0.3 s late, and on no other.

Change: a report whose connection is closed is read again at once; two in a row mark the engine as closing. That counts as leaving for 1.5 s, by when the list or its report has confirmed it or it gets work again.

Ruled out: health checks of all engines (twice the probes); one closed connection as evidence (servers close some by chance).

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -254,6 +254,7 @@
     };
     match change {
         Change::Joined(target) => log(target, "listed"),
+        Change::Closing(target) => log(target, "closes its connections"),
         Change::Leaving(target) => log(target, "leaves"),
         Change::Gone(target) => log(target, "gone"),
     }
--- a/crates/sardinerelay-gateway/src/board.rs
+++ b/crates/sardinerelay-gateway/src/board.rs
@@ -64,6 +64,8 @@
     pub load: Load,
     /// Milliseconds since the report was read.
     pub age_ms: u64,
+    /// Milliseconds since the target began to close the connections of its answers, if it does.
+    pub closing_ms: Option<u64>,
 }
 
 /// Everything that one host observed.
@@ -96,6 +98,9 @@
         board.list_age_ms += since;
         for observation in &mut board.loads {
             observation.age_ms += since;
+            if let Some(closing) = &mut observation.closing_ms {
+                *closing += since;
+            }
         }
         board.made = None;
         board
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -331,7 +331,7 @@
         let state = self.entry.state();
         let seen = state.targets.get(copy)?;
         let leaving = seen
-            .leaving
+            .leaves(now)
             .map(|since| now.saturating_duration_since(since));
         let sound = !seen.health.is_down(now) && leaving.is_none_or(|age| age < LEAVING_USED);
         sound.then(|| copy.clone())
@@ -339,10 +339,11 @@
 
     /// Whether its engine, and the one with the copy, stay. Without a copy the latter is false.
     pub fn stays(&self) -> (bool, bool) {
+        let now = Instant::now();
         let state = self.entry.state();
         let stays = |target: &Target| {
             let seen = state.targets.get(target);
-            seen.is_some_and(|seen| seen.leaving.is_none())
+            seen.is_some_and(|seen| seen.leaves(now).is_none())
         };
         let copy = self.choice.copy.as_ref();
         (stays(&self.choice.target), copy.is_some_and(stays))
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -312,7 +312,7 @@
         let target = &self.place.choice.target;
         let mut state = self.job.entry.state();
         let seen = state.targets.get_mut(target);
-        let leaving = seen.as_ref().and_then(|seen| seen.leaving);
+        let leaving = seen.as_ref().and_then(|seen| seen.leaves(now));
         if let Some(seen) = seen
             && leaving.is_none()
         {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -26,6 +26,9 @@
 const FULL: Duration = Duration::from_millis(250);
 /// Time for which it is remembered that an incarnation is leaving.
 const LEAVE_MEMORY: Duration = Duration::from_secs(120);
+/// Time for which a target that closes its connections counts as leaving although neither the list
+/// nor its report says so. Both lag behind by less than that.
+const BELIEVED: Duration = Duration::from_millis(1500);
 /// Age of a target's load report from which on it counts as silent, if others' are younger.
 const SILENT_REPORT: Duration = Duration::from_millis(1300);
 /// Age below which another target's report shows that reports arrive at all.
@@ -55,6 +58,8 @@
     pub instance: Instance,
     /// Since when it is known to be leaving.
     pub leaving: Option<Instant>,
+    /// Since when it closes the connections of its answers, as one does that is about to stop.
+    pub closing: Option<Instant>,
     /// Its last load report, and when that was read.
     pub load: Option<(Load, Instant)>,
     /// This host's requests on it, and copies kept there.
@@ -85,6 +90,8 @@
 pub enum Change {
     /// A target appeared.
     Joined(Target),
+    /// A target closes its connections, and is probably about to stop.
+    Closing(Target),
     /// A target is about to stop.
     Leaving(Target),
     /// A target is no longer listed.
@@ -111,6 +118,11 @@
                 continue;
             }
             state.load = Some((observation.load, read));
+            let closing = observation.closing_ms.map(|age| past(now, age));
+            if closing.is_some() && state.closing.is_none() {
+                changes.push(Change::Closing(observation.target.clone()));
+            }
+            state.closing = closing;
             if observation.load.leaving && state.leaving.is_none() {
                 state.leaving = Some(now);
                 changes.push(Change::Leaving(observation.target.clone()));
@@ -182,7 +194,7 @@
     ) -> impl Iterator<Item = &'a State> + 'a {
         self.states.values().filter(move |state| {
             state.instance.service == service
-                && state.leaving.is_none()
+                && state.leaves(now).is_none()
                 && !state.health.is_down(now)
                 && !self.is_state_silent(state, now)
         })
@@ -324,6 +336,7 @@
             let state = State {
                 instance: instance.clone(),
                 leaving: left,
+                closing: None,
                 load: None,
                 held: HashMap::new(),
                 others: VecDeque::new(),
@@ -373,6 +386,13 @@
         tokens + others * growth + u64::from(load.waiting) * growth * WAITING_GROWTHS
     }
 
+    /// Since when it is leaving, as far as can be told: the list and its report lag behind the
+    /// connections that it closes.
+    pub fn leaves(&self, now: Instant) -> Option<Instant> {
+        let believed = |since: &Instant| now.saturating_duration_since(*since) < BELIEVED;
+        self.leaving.or(self.closing.filter(believed))
+    }
+
     /// The load report, unless it is too old.
     pub fn fresh_load(&self, now: Instant) -> Option<(Load, Instant)> {
         self.load
--- a/crates/sardinerelay-gateway/src/watch.rs
+++ b/crates/sardinerelay-gateway/src/watch.rs
@@ -11,6 +11,7 @@
         pool::Pool,
         table::Table,
     },
+    http::{HeaderMap, header},
     log::{debug, info, warn},
     sardinerelay::id::{Incarnation, Service, Target},
     std::{
@@ -31,6 +32,8 @@
 const READERS: f64 = 8.0;
 /// Share of the allowed rate that is used.
 const RATE_SHARE: f64 = 0.6;
+/// Answers in a row after which a target closes the connection from which on it counts as closing.
+const SURE: u32 = 2;
 /// Interval between two reads of a target's report.
 const REPORT_EVERY: Duration = Duration::from_millis(300);
 /// Deadline of a read.
@@ -60,9 +63,17 @@
     instances: Vec<Instance>,
     list_read: Option<Instant>,
     loads: HashMap<(Target, Incarnation), (Load, Instant)>,
+    closing: HashMap<(Target, Incarnation), Closing>,
     engines: HashSet<Service>,
 }
 
+/// A target that closes the connections of its answers.
+#[derive(Debug)]
+struct Closing {
+    since: Instant,
+    answers: u32,
+}
+
 impl Observer {
     /// An observer of the list at `list`, which all hosts together may read `rate` times a second.
     pub fn new(
@@ -184,29 +195,45 @@
         }
     }
 
+    /// Reads an engine's report. One that begins to close its connections is probably about to stop,
+    /// but a single answer may say so by chance: it is asked again at once.
     async fn read_report(&self, engine: &Instance) {
+        if self.read_report_once(engine).await {
+            self.read_report_once(engine).await;
+        }
+    }
+
+    /// Returns whether the engine has just begun to close its connections.
+    async fn read_report_once(&self, engine: &Instance) -> bool {
         let request = (self.dialect.report_request)(engine.address);
         let answer = match self.pool.call(engine, request, DEADLINE).await {
             Ok(answer) if answer.status().is_success() => answer,
             Ok(answer) => {
                 debug!("{} reports with status {}", engine.target, answer.status());
-                return;
+                return false;
             }
             Err(fault) => {
                 debug!("{} does not report: {fault}", engine.target);
-                return;
+                return false;
             }
         };
         match (self.dialect.report)(answer.body()) {
             Ok(load) => {
                 let key = (engine.target.clone(), engine.incarnation);
-                self.seen().loads.insert(key, (load, Instant::now()));
+                let mut seen = self.seen();
+                let begins = seen.note_closing(&key, closes(answer.headers()));
+                seen.loads.insert(key, (load, Instant::now()));
+                drop(seen);
                 self.changed.notify_one();
+                begins
+            }
+            Err(unreadable) => {
+                debug!(
+                    "the report of {} is unreadable: {unreadable}",
+                    engine.target
+                );
+                false
             }
-            Err(unreadable) => debug!(
-                "the report of {} is unreadable: {unreadable}",
-                engine.target
-            ),
         }
     }
 
@@ -232,12 +259,17 @@
             .map(|instance| (instance.target.clone(), instance.incarnation))
             .collect();
         seen.loads.retain(|key, _| listed.contains(key));
-        let loads = seen.loads.iter();
-        let loads = loads.map(|((target, incarnation), (load, read))| Observation {
-            target: target.clone(),
-            incarnation: *incarnation,
-            load: *load,
-            age_ms: age(*read),
+        seen.closing.retain(|key, _| listed.contains(key));
+        let loads = seen.loads.iter().map(|(key, (load, read))| {
+            let closing = seen.closing.get(key);
+            let closing = closing.filter(|closing| closing.answers >= SURE);
+            Observation {
+                target: key.0.clone(),
+                incarnation: key.1,
+                load: *load,
+                age_ms: age(*read),
+                closing_ms: closing.map(|closing| age(closing.since)),
+            }
         });
         Board {
             stamp,
@@ -282,3 +314,24 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Seen {
+    /// Records whether an answer closes its connection. Returns whether it is the first one.
+    fn note_closing(&mut self, key: &(Target, Incarnation), closes: bool) -> bool {
+        if !closes {
+            self.closing.remove(key);
+            return false;
+        }
+        let closing = self.closing.entry(key.clone()).or_insert_with(|| Closing {
+            since: Instant::now(),
+            answers: 0,
+        });
+        closing.answers += 1;
+        closing.answers == 1
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONNECTION);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! The gateway's decisions, without sockets and clocks.
 
 mod decisions {
+    mod leaving;
     mod placement;
     mod register;
     mod repair;
--- a/crates/sardinerelay-gateway/tests/decisions/placement.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -150,6 +150,7 @@
         incarnation: 1,
         load: load(0),
         age_ms: 0,
+        closing_ms: None,
     };
     let at = later(now, 1_600);
     let mut only_second = board(2, &[0, 0]);
--- a/crates/sardinerelay-gateway/tests/decisions/scene.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/scene.rs
@@ -41,6 +41,7 @@
         incarnation: 1,
         load: load(*used),
         age_ms: 0,
+        closing_ms: None,
     });
     Board {
         stamp,
