Order the moves off one engine, and keep engines from reading too many prompts at once

(2) On the grown sites 10 in 100 first events took over 1.3 s and 5 over 2.1 s: engines that were listed 10 to 30 ms before got all prompts that waited, and an engine reads its prompts side by side. (3) Generations were preempted because new ones took the room into which running ones grow.

Change: the allocating host gives moves their destination and turn (moves.rs), before new generations get room; an engine that needs over 0.5 s for its prompts gets no further one; 1,000 tokens of output are reserved with the prompt instead of 200; moves go up to the bound of new generations, since the engine itself says whether it has room. The end of a generation is logged with its longest pause.

The test of a burst placed four plans on each engine at one instant, which is what engines can't read in time; it now plays the burst over 2 s and checks every round.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -12,6 +12,7 @@
     crate::{
         board::{Board, Instance},
         gate::{Decision, Gate, Refusal, Waiting},
+        moves::{Departure, Moves},
         placement::{self, Choice, Need},
         targets::{Change, Held, RunId, Targets},
     },
@@ -81,6 +82,7 @@
     /// Targets.
     pub targets: Targets,
     gate: Gate,
+    moves: Moves,
     asking: HashMap<RunId, oneshot::Sender<Decision>>,
     ready: HashMap<RunId, (Instant, Decision)>,
 }
@@ -130,11 +132,41 @@
                     return Answer::Refused(refusal, retry);
                 }
             }
-            let (reply, decided) = oneshot::channel();
-            state.asking.insert(run, reply);
-            self.decide(&mut state, now);
-            decided
+            self.ask(&mut state, run, now)
         };
+        self.await_decision(run, decided, wait).await
+    }
+
+    /// Asks for an engine to which a generation moves whose engine is about to stop, and for its
+    /// turn to move. Waits for `wait` at most; asking again goes on with the same move.
+    pub async fn relocate(&self, departure: Departure, wait: Duration) -> Answer {
+        let run = departure.run;
+        let decided = {
+            let mut state = self.state();
+            if let Some((_, decision)) = state.ready.remove(&run) {
+                return state.answer(decision);
+            }
+            if let Some(failed) = state.moves.offer(departure) {
+                state.targets.release(&failed, run);
+            }
+            self.ask(&mut state, run, Instant::now())
+        };
+        self.await_decision(run, decided, wait).await
+    }
+
+    fn ask(&self, state: &mut State, run: RunId, now: Instant) -> oneshot::Receiver<Decision> {
+        let (reply, decided) = oneshot::channel();
+        state.asking.insert(run, reply);
+        self.decide(state, now);
+        decided
+    }
+
+    async fn await_decision(
+        &self,
+        run: RunId,
+        decided: oneshot::Receiver<Decision>,
+        wait: Duration,
+    ) -> Answer {
         let decided = timeout(wait, decided).await;
         let mut state = self.state();
         if let Ok(Ok(decision)) = decided {
@@ -154,11 +186,25 @@
         state.gate.withdraw(run);
         state.ready.remove(&run);
         state.asking.remove(&run);
+        state.moves.end(run);
         state.targets.release_everywhere(run);
         state.gate.ended(run);
         self.decide(&mut state, now);
     }
 
+    /// Records that a generation has moved, or could not be moved.
+    pub fn moved(&self, run: RunId, arrived: bool) {
+        let mut state = self.state();
+        let Some(to) = state.moves.end(run) else {
+            return;
+        };
+        match arrived {
+            true => state.targets.moved(&to, run),
+            false => state.targets.release(&to, run),
+        }
+        self.decide(&mut state, Instant::now());
+    }
+
     /// Records that a request's prompt was read.
     pub fn started(&self, run: RunId) {
         self.state().targets.started(run, Instant::now());
@@ -170,7 +216,7 @@
             sleep(LOOK).await;
             let now = Instant::now();
             let mut state = self.state();
-            if !state.gate.is_empty() {
+            if !state.gate.is_empty() || !state.moves.is_empty() {
                 self.decide(&mut state, now);
             }
             let old = |at: &Instant| now.saturating_duration_since(*at) > KEPT;
@@ -178,8 +224,13 @@
             let unclaimed: Vec<RunId> = unclaimed.map(|(run, _)| *run).collect();
             for run in unclaimed {
                 state.ready.remove(&run);
-                state.targets.release_everywhere(run);
-                state.gate.ended(run);
+                match state.moves.end(run) {
+                    Some(to) => state.targets.release(&to, run),
+                    None => {
+                        state.targets.release_everywhere(run);
+                        state.gate.ended(run);
+                    }
+                }
             }
             for run in state.targets.expire(MOST_HELD, now) {
                 state.gate.ended(run);
@@ -191,10 +242,23 @@
         let State {
             targets,
             gate,
+            moves,
             asking,
             ready,
         } = state;
-        let decisions = gate.decide(now, |waiting| {
+        // What already runs goes before what is new.
+        let moving = moves.decide(now, |departure| {
+            let from = targets.get(&departure.from)?;
+            let place = (self.scope, from, &departure.avoid[..]);
+            let to = placement::choose_move(targets, &departure.need, place, &mut rng(), now)?;
+            hold_move(targets, departure, &to, now);
+            Some(to)
+        });
+        let moving = moving.into_iter().map(|(run, target)| {
+            let choice = Choice { target, copy: None };
+            (run, Decision::Placed(choice))
+        });
+        let placed = gate.decide(now, |waiting| {
             let need = &waiting.need;
             let choice = placement::choose(targets, need, (self.scope, &[]), &mut rng(), now)?;
             // Held at once, so that the next placement sees it.
@@ -202,7 +266,7 @@
             targets.sent(&choice.target, waiting.run, need.prompt, now);
             Some(choice)
         });
-        for (run, decision) in decisions {
+        for (run, decision) in moving.chain(placed) {
             let unsent = match asking.remove(&run) {
                 Some(reply) => reply.send(decision).err(),
                 None => Some(decision),
@@ -248,6 +312,18 @@
     }
 }
 
+/// Records that a generation that moves takes memory of its destination.
+pub fn hold_move(targets: &mut Targets, departure: &Departure, to: &Target, now: Instant) {
+    let held = Held {
+        tokens: departure.tokens,
+        expected: departure.need.prompt + departure.need.output,
+        since: now,
+        recorded: now,
+        runs: false,
+    };
+    targets.hold(to, departure.run, held);
+}
+
 fn log_change(change: &Change, list_age_ms: u64) {
     let log = |target: &Target, event: &str| {
         info!(target_id = target.as_str(), list_age_ms = list_age_ms; "target {event}");
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        allocator::{Allocator, Answer, Scope, State, hold},
+        allocator::{Allocator, Answer, Scope, State, hold, hold_move},
         board::Instance,
         budget::Budget,
         dialect::Dialect,
@@ -11,12 +11,13 @@
         gate::Refusal,
         group::{Note, Report},
         metrics::Metrics,
+        moves::Departure,
         placement::{self, Choice, Need},
         pool::Pool,
         remote::Remote,
         settings,
         table::Table,
-        targets::{Held, RunId, Targets},
+        targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
     rand::rng,
@@ -40,9 +41,9 @@
 /// Time for which an engine that is known to leave is still sent generations that go on there.
 /// It is well below the time that the platform lets a leaving target work.
 const LEAVING_USED: Duration = Duration::from_millis(1000);
-/// Tokens of output that are reserved at an engine together with the prompt. A reservation lasts for
-/// two seconds, in which a generation makes about as many.
-const RESERVED_OUTPUT: u64 = 200;
+/// Tokens of output that are reserved at an engine together with the prompt. They are more than it
+/// makes in the two seconds of a reservation, so that those beside it can grow without displacing one.
+const RESERVED_OUTPUT: u64 = 1000;
 /// Bits of a request's number that count; those above them are drawn at the start, so that numbers
 /// differ between processes.
 const COUNTING_BITS: u32 = 32;
@@ -81,6 +82,8 @@
     /// Where it runs, and who keeps a copy.
     pub choice: Choice,
     need: Need,
+    /// Where it may move, and the host that allocated that.
+    destination: Option<(Target, u32)>,
 }
 
 /// A request that waits. It is withdrawn when this is dropped, unless its place was taken over.
@@ -165,6 +168,7 @@
                     run,
                     choice,
                     need,
+                    destination: None,
                 })
             }
             Answer::Refused(refusal, retry) => Err((refusal, retry)),
@@ -179,6 +183,33 @@
         answer.await
     }
 
+    /// Waits for an engine to which a generation moves, and for its turn. Returns the engine and a
+    /// number for the host that allocated it.
+    pub async fn relocate(self: Arc<Self>, departure: Departure) -> Option<(Target, u32)> {
+        let now = Instant::now();
+        let Some((answer, by)) = self.remote.relocate(&departure).await else {
+            return self.relocate_here(&departure, now).map(|to| (to, 0));
+        };
+        let Answer::Placed(choice, instances) = answer else {
+            return None;
+        };
+        let mut state = self.state();
+        state.targets.learn(instances, now);
+        hold_move(&mut state.targets, &departure, &choice.target, now);
+        Some((choice.target, by))
+    }
+
+    /// Allocates a move without the group, of which no host can be reached.
+    fn relocate_here(&self, departure: &Departure, now: Instant) -> Option<Target> {
+        let mut state = self.state();
+        let from = state.targets.get(&departure.from)?;
+        let place = (Scope::Own, from, &departure.avoid[..]);
+        let to = placement::choose_move(&state.targets, &departure.need, place, &mut rng(), now)?;
+        hold_move(&mut state.targets, departure, &to, now);
+        self.tell((&to, 0), &departure.need, 0);
+        Some(to)
+    }
+
     /// Counts a first attempt at a service.
     pub fn count_request(&self, service: &Service) {
         self.with_budget(service, |budget| budget.request(Instant::now()));
@@ -299,15 +330,17 @@
         let Some(choice) = choice else {
             return false;
         };
-        self.take(&mut state.targets, choice.clone(), self.need.prompt);
+        self.take(&mut state.targets, choice.clone(), (self.need.prompt, 0));
         drop(state);
         self.choice = choice;
         true
     }
 
-    /// Makes another engine, which has a copy of the memory, the one that runs the request, and
-    /// chooses a new one for the next copy.
+    /// Makes another engine, which has the memory, the one that runs the request, and chooses a new
+    /// one for the next copy.
     pub fn switch_to(&mut self, target: Target) {
+        let destination = self.destination.take().filter(|(to, _)| *to == target);
+        let by = destination.map_or(0, |(_, by)| by);
         let now = Instant::now();
         let mut state = self.entry.state();
         let primary = state.targets.get(&target).filter(|_| self.need.copy);
@@ -318,7 +351,7 @@
         state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
         // It has the prompt already.
-        self.take(&mut state.targets, choice.clone(), 0);
+        self.take(&mut state.targets, choice.clone(), (0, by));
         drop(state);
         self.choice = choice;
     }
@@ -349,45 +382,50 @@
         (stays(&self.choice.target), copy.is_some_and(stays))
     }
 
-    /// Chooses an engine to move to, other than those in `avoid`, and keeps room there.
-    pub fn plan_move(&self, avoid: &[Target]) -> Option<Target> {
-        let now = Instant::now();
-        let mut state = self.entry.state();
-        let primary = state.targets.get(&self.choice.target)?;
-        let place = (Scope::Own, primary, avoid);
-        // Memory moves twice as fast within a zone, and little time is left.
-        let need = Need {
-            zone: primary.instance.zone.clone(),
-            ..self.need.clone()
-        };
-        let target = placement::choose_move(&state.targets, &need, place, &mut rng(), now)?;
-        let held = Held {
-            tokens: self.need.prompt,
-            expected: self.need.prompt + self.need.output,
-            since: now,
-            recorded: now,
-            runs: false,
-        };
-        state.targets.hold(&target, self.run, held);
-        self.entry.tell((&target, 0), &self.need, 0);
-        Some(target)
+    /// What has to be known to move the request to another engine than those in `avoid`.
+    pub fn departure(&self, avoid: &[Target]) -> Option<Departure> {
+        let state = self.entry.state();
+        let from = state.targets.get(&self.choice.target)?;
+        let held = from.held.get(&self.run);
+        Some(Departure {
+            run: self.run,
+            from: self.choice.target.clone(),
+            need: Need {
+                zone: from.instance.zone.clone(),
+                ..self.need.clone()
+            },
+            tokens: held.map_or(self.need.prompt, |held| held.tokens),
+            avoid: avoid.to_vec(),
+        })
+    }
+
+    /// Records where the request may move.
+    pub fn may_move_to(&mut self, destination: (Target, u32)) {
+        self.destination = Some(destination);
     }
 
-    /// Gives up the room on an engine that the request was not moved to.
-    pub fn drop_move(&self, target: &Target) {
-        self.entry.state().targets.release(target, self.run);
+    /// Gives up the room on the engine to which the request was not moved.
+    pub fn drop_move(&mut self) {
+        if let Some((to, _)) = self.destination.take() {
+            self.entry.state().targets.release(&to, self.run);
+            self.entry.report(Report::Moved(self.run, false));
+        }
     }
 
-    /// Takes a place that this host chose itself, instead of the present one.
-    fn take(&self, targets: &mut Targets, choice: Choice, prompt: u64) {
+    /// Takes another place instead of the present one, for which `prompt` tokens have to be read.
+    /// `by` is the host that allocated it, 0 if this one did.
+    fn take(&self, targets: &mut Targets, choice: Choice, (prompt, by): (u64, u32)) {
         targets.release(&self.choice.target, self.run);
         if let Some(copy) = &self.choice.copy {
             targets.release(copy, self.run);
         }
         hold(targets, self.run, &self.need, &choice, Instant::now());
         self.entry
-            .note(targets, self.run, (&choice, 0), (&self.need, prompt));
-        self.entry.report(Report::Ended(self.run));
+            .note(targets, self.run, (&choice, by), (&self.need, prompt));
+        self.entry.report(match by {
+            0 => Report::Ended(self.run),
+            _ => Report::Moved(self.run, true),
+        });
     }
 }
 
--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -7,6 +7,7 @@
     },
     crate::{entry::Place, request::Job},
     futures::future::BoxFuture,
+    log::info,
     sardinerelay::id::Target,
     std::{
         sync::Arc,
@@ -17,6 +18,12 @@
 /// Pause before another move is tried where one failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// A request for a destination.
+struct Asking {
+    granted: BoxFuture<'static, Option<(Target, u32)>>,
+    since: Instant,
+}
+
 /// A move under way.
 struct Task {
     result: BoxFuture<'static, Result<Moved, transfer::Failure>>,
@@ -25,6 +32,7 @@
 
 /// The moves of one stream on one engine.
 pub(super) struct Mover {
+    asking: Option<Asking>,
     task: Option<Task>,
     /// Engines that had no room, or could not be reached.
     refused: Vec<Target>,
@@ -35,6 +43,7 @@
 impl Mover {
     pub(super) fn new() -> Self {
         Self {
+            asking: None,
             task: None,
             refused: Vec::new(),
             not_before: Instant::now(),
@@ -55,8 +64,18 @@
         self.done.take()
     }
 
-    /// Waits for the move under way to end, for ever if there is none.
-    pub(super) async fn ended(&mut self, place: &Place) {
+    /// Waits for the next step of the move, for ever if there is none.
+    pub(super) async fn step(&mut self, job: &Job, place: &mut Place) {
+        if let Some(asking) = &mut self.asking {
+            let granted = asking.granted.as_mut().await;
+            let waited = asking.since.elapsed();
+            self.asking = None;
+            match granted {
+                Some(destination) => self.start(job, place, (destination, waited)),
+                None => self.not_before = Instant::now() + PAUSE,
+            }
+            return;
+        }
         let Some(task) = &mut self.task else {
             return std::future::pending().await;
         };
@@ -67,27 +86,45 @@
             Ok(moved) => self.done = Some((moved, to)),
             // The transfer has logged why.
             Err(_) => {
-                place.drop_move(&to);
+                place.drop_move();
                 self.not_before = Instant::now() + PAUSE;
                 self.refused.push(to);
             }
         }
     }
 
-    /// Starts a move if the engine leaves, unless a copy is kept on one that stays, or the service
-    /// doesn't move.
-    pub(super) fn start_if_due(&mut self, job: &Job, place: &Place) {
+    /// Asks for a destination if the engine leaves, unless a copy is kept on one that stays, or the
+    /// service doesn't move.
+    pub(super) fn ask_if_due(&mut self, job: &Job, place: &Place) {
         let (stays, copy_stays) = place.stays();
         let early = Instant::now() < self.not_before;
-        if stays || copy_stays || early || self.is_under_way() || !can_move(job) {
+        let busy = self.asking.is_some() || self.is_under_way();
+        if stays || copy_stays || early || busy || !can_move(job) {
             return;
         }
-        let Some(to) = place.plan_move(&self.refused) else {
-            return;
-        };
+        if let Some(departure) = place.departure(&self.refused) {
+            self.asking = Some(Asking {
+                granted: Box::pin(Arc::clone(&job.entry).relocate(departure)),
+                since: Instant::now(),
+            });
+        }
+    }
+
+    fn start(
+        &mut self,
+        job: &Job,
+        place: &mut Place,
+        ((to, by), waited): ((Target, u32), Duration),
+    ) {
+        info!(
+            request = job.call.id.as_str(), target_id = place.choice.target.as_str(),
+            to_id = to.as_str(), by = by, waited_ms = waited.as_millis() as u64;
+            "move planned"
+        );
+        place.may_move_to((to.clone(), by));
         let from = job.entry.instance(&place.choice.target);
         let Some(engines) = from.zip(job.entry.instance(&to)) else {
-            place.drop_move(&to);
+            place.drop_move();
             return;
         };
         let result = transfer::run(Arc::clone(&job.entry), job.call.id.clone(), engines);
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -74,6 +74,9 @@
     pub(super) delivered: Option<EventId>,
     events: u64,
     started: bool,
+    /// When events were last passed on, and the longest time between two such times.
+    passed: Option<Instant>,
+    longest_pause: Duration,
     pub(super) continuations: u32,
     pub(super) ran: u32,
     stride: u64,
@@ -109,6 +112,8 @@
             chunks,
             events: 0,
             started: false,
+            passed: None,
+            longest_pause: Duration::ZERO,
             continuations: 0,
             ran: 1,
         }
@@ -156,6 +161,7 @@
             request = self.job.call.id.as_str(), route = self.job.route.name.as_str(),
             target_id = self.place.choice.target.as_str(), outcome = outcome,
             events = self.events, continuations = self.continuations,
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
             took_ms = took.as_millis() as u64;
             "generation ended"
         );
@@ -180,7 +186,7 @@
                 biased;
                 () = caller.closed() => return Ended::Left,
                 frame = body.frame(), if open => frame,
-                () = mover.ended(&self.place) => {
+                () = mover.step(&self.job, &mut self.place) => {
                     if !open {
                         return ended(&mut mover, "the engine's connection broke");
                     }
@@ -200,7 +206,7 @@
                     if self.gives_up(heard.elapsed()) {
                         return Ended::Broken("the engine is silent");
                     }
-                    mover.start_if_due(&self.job, &self.place);
+                    mover.ask_if_due(&self.job, &self.place);
                     continue;
                 }
             };
@@ -267,6 +273,11 @@
         if bytes.is_empty() {
             return None;
         }
+        let now = Instant::now();
+        if let Some(passed) = self.passed.replace(now) {
+            let pause = now.saturating_duration_since(passed);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
         if !self.started {
             self.started = true;
             let took = self.job.arrived.elapsed();
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -53,7 +53,7 @@
         match moved {
             Moved::There(copy) => self.reopen_from(copy, to, "moved").await,
             Moved::Here(copy) => {
-                self.place.drop_move(&to);
+                self.place.drop_move();
                 let target = self.place.choice.target.clone();
                 self.reopen_from(copy, target, "stopped").await
             }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -18,7 +18,7 @@
     register::Document,
     rpc::{
         ACQUIRE, Acquire, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FOLLOW_NOTES, FollowBoard,
-        FollowConfiguration, FollowNotes, NOTE, Observed, REPORT, STANDING,
+        FollowConfiguration, FollowNotes, NOTE, Observed, RELOCATE, REPORT, Relocate, STANDING,
     },
 };
 
--- a/crates/sardinerelay-gateway/src/group/hub.rs
+++ b/crates/sardinerelay-gateway/src/group/hub.rs
@@ -47,6 +47,8 @@
     Started(crate::targets::RunId),
     /// It has ended, or takes another place.
     Ended(crate::targets::RunId),
+    /// It arrived at the engine to which it was to move, or it can't be moved there.
+    Moved(crate::targets::RunId, bool),
 }
 
 /// Notes with the number after the last one.
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -12,6 +12,7 @@
         allocator::Allocator,
         board::{Board, Followers, Published},
         metrics::Metrics,
+        moves::Departure,
         placement::Need,
         targets::RunId,
     },
@@ -49,10 +50,14 @@
 pub const NOTE: &str = "notes.add";
 /// Asks for a place for a generation.
 pub const ACQUIRE: &str = "place.acquire";
+/// Asks for an engine to which a generation moves.
+pub const RELOCATE: &str = "place.relocate";
 /// Tells what became of places.
 pub const REPORT: &str = "place.report";
 /// The name of requests for a place in metrics.
 const PLACE: &str = "place";
+/// The name of requests for an engine to move to in metrics.
+const MOVE: &str = "move";
 /// Waits for such notes.
 pub const FOLLOW_NOTES: &str = "notes.follow";
 
@@ -113,6 +118,15 @@
     pub wait: Duration,
 }
 
+/// Parameters of [`RELOCATE`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Relocate {
+    /// What moves.
+    pub departure: Departure,
+    /// Time to wait in this call.
+    pub wait: Duration,
+}
+
 /// What a host with a replica observes, for entry hosts.
 #[derive(Debug, Clone)]
 pub struct Observed {
@@ -204,6 +218,15 @@
         metrics.ended(PLACE, answer.name(), began.elapsed());
         Answer::Ok(Packed(answer))
     })?;
+    module.register_async_method(RELOCATE, |parameters, context, _| async move {
+        let Packed(relocate): Packed<Relocate> = context.read(&parameters)?;
+        let Relocate { departure, wait } = relocate;
+        let began = Instant::now();
+        let answer = context.observed.allocator.relocate(departure, wait).await;
+        let metrics = &context.observed.metrics;
+        metrics.ended(MOVE, answer.name(), began.elapsed());
+        Answer::Ok(Packed(answer))
+    })?;
     module.register_async_method(FOLLOW_NOTES, |parameters, context, _| async move {
         let follow: FollowNotes = context.read(&parameters)?;
         let wait = wait(follow.wait_ms);
@@ -306,6 +329,7 @@
                 }
                 Report::Started(run) => self.allocator.started(run),
                 Report::Ended(run) => self.allocator.release(run),
+                Report::Moved(run, arrived) => self.allocator.moved(run, arrived),
             }
         }
         Ok(())
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! deployments in which hosts are told only seeds.
 //!
 //! Decisions are apart from input and output: [`placement`], [`gate`], [`budget`], [`forecast`],
-//! [`health`], [`targets`], [`table`] and [`group::repair`] open no socket and read no clock. How
+//! [`health`], [`moves`], [`targets`], [`table`] and [`group::repair`] open no socket and read no clock. How
 //! things are written on the wire is the affair of a [`dialect::Dialect`]. The design is described
 //! in `docs/design/platform.md`.
 
@@ -27,6 +27,7 @@
 pub mod health;
 pub mod http;
 pub mod metrics;
+pub mod moves;
 pub mod placement;
 pub mod plain;
 pub mod pool;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -27,7 +27,7 @@
 /// Share of an engine's memory up to which it takes copies.
 const COPY_FILL: f64 = 0.45;
 /// Share of an engine's memory up to which generations are moved to it.
-const MOVE_FILL: f64 = 0.9;
+const MOVE_FILL: f64 = 1.25;
 /// Tokens by which a generation of another host is expected to grow.
 const GROWTH: u64 = 350;
 /// Load that another availability zone counts for.
@@ -53,6 +53,9 @@
 const PREFERRED: usize = 2;
 /// Load that a second of waiting for the prompt to be read counts for.
 const WAITING: f64 = 2.0;
+/// Time that an engine may take to read the prompts that it has for it to get another one. It reads
+/// them side by side, so one more delays them all; a request that waits outside delays none.
+const MOST_READING: Duration = Duration::from_millis(500);
 /// Random part of the load of plain targets, so that hosts with the same view differ.
 const NOISE: f64 = 0.05;
 /// When a caller should come back at the earliest.
@@ -125,6 +128,9 @@
         .iter()
         .filter_map(|state| {
             let wait = state.backlog.wait(need.prompt, now);
+            if state.backlog.wait(0, now) > MOST_READING {
+                return None;
+            }
             let load = room(state, need, now)? + penalty(state, &need.zone, now);
             Some((load + WAITING * wait.as_secs_f64(), *state))
         })
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         allocator::Answer,
-        group::{ACQUIRE, Acquire},
+        group::{ACQUIRE, Acquire, RELOCATE, Relocate},
+        moves::Departure,
         placement::Need,
         targets::RunId,
     },
     log::{info, warn},
     sardinerelayd::peer::{Client, Packed},
+    serde::Serialize,
     std::{
         net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
@@ -63,7 +65,6 @@
     /// no host answers.
     pub async fn acquire(&self, run: RunId, need: &Need, until: Instant) -> Option<(Answer, u32)> {
         loop {
-            let client = self.client()?;
             let left = until.saturating_duration_since(Instant::now());
             let acquire = Packed(Acquire {
                 run,
@@ -71,15 +72,39 @@
                 left,
                 wait: WAIT.min(left + SLACK / 2),
             });
-            let answer = client.call::<_, Packed<Answer>>(ACQUIRE, &acquire, WAIT + SLACK);
-            match answer.await {
-                Ok(Packed(Answer::Waiting)) if !left.is_zero() => {}
-                Ok(Packed(answer)) => return Some((answer, number(client.address()))),
-                Err(error) => {
-                    warn!(address:% = client.address(), reason:% = error; "the allocating host is lost");
-                    self.lock().avoided_until = Some(Instant::now() + AVOIDED);
-                    return None;
-                }
+            match self.ask(ACQUIRE, &acquire).await? {
+                (Answer::Waiting, _) if !left.is_zero() => {}
+                answer => return Some(answer),
+            }
+        }
+    }
+
+    /// Asks for an engine to which a generation moves, until it is its turn to move.
+    pub async fn relocate(&self, departure: &Departure) -> Option<(Answer, u32)> {
+        let relocate = Packed(Relocate {
+            departure: departure.clone(),
+            wait: WAIT,
+        });
+        loop {
+            match self.ask(RELOCATE, &relocate).await? {
+                (Answer::Waiting, _) => {}
+                answer => return Some(answer),
+            }
+        }
+    }
+
+    async fn ask<Asked>(&self, method: &'static str, asked: &Asked) -> Option<(Answer, u32)>
+    where
+        Asked: Serialize + Sync,
+    {
+        let client = self.client()?;
+        let answer = client.call::<_, Packed<Answer>>(method, asked, WAIT + SLACK);
+        match answer.await {
+            Ok(Packed(answer)) => Some((answer, number(client.address()))),
+            Err(error) => {
+                warn!(address:% = client.address(), reason:% = error; "the allocating host is lost");
+                self.lock().avoided_until = Some(Instant::now() + AVOIDED);
+                None
             }
         }
     }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -276,6 +276,17 @@
         }
     }
 
+    /// Records that a request runs on a target now, to which its memory was moved.
+    pub fn moved(&mut self, to: &str, run: RunId) {
+        for (target, state) in &mut self.states {
+            if target != to {
+                state.held.remove(&run);
+            } else if let Some(held) = state.held.get_mut(&run) {
+                held.runs = true;
+            }
+        }
+    }
+
     /// Records that a request takes no memory anywhere, and returns whether it did.
     pub fn release_everywhere(&mut self, run: RunId) -> bool {
         let states = self.states.values_mut();
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod decisions {
     mod leaving;
+    mod moves;
     mod placement;
     mod register;
     mod repair;
--- a/crates/sardinerelay-gateway/tests/decisions/placement.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -22,7 +22,7 @@
 }
 
 /// Load pattern: a burst of plans on engines whose reports are all the same age. The allocating
-/// host must spread them without a newer report.
+/// host must spread them without a newer report, also while prompts are being read.
 #[test]
 fn a_burst_is_spread_over_engines_by_the_allocators_own_placements() {
     let now = Instant::now();
@@ -30,10 +30,22 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut placed: HashMap<_, u32> = HashMap::new();
     for run in 0..36 {
+        let round = run / 9;
+        let now = later(now, round * 600);
         let choice = choose(&targets, &need(), (Scope::All, &[]), &mut rng, now).expect("room");
         hold(&mut targets, run, &need(), &choice, now);
         targets.sent(&choice.target, run, need().prompt, now);
-        *placed.entry(choice.target).or_default() += 1;
+        let count = placed.entry(choice.target).or_default();
+        *count += 1;
+        assert_eq!(
+            u64::from(*count),
+            round + 1,
+            "each round goes to all engines"
+        );
+        if run % 9 == 8 {
+            let read = (round * 9..=run).rev();
+            read.for_each(|run| targets.started(run, later(now, 430)));
+        }
     }
     assert_eq!(placed.len(), 9);
     assert!(placed.values().all(|count| *count == 4), "{placed:?}");
@@ -261,3 +273,30 @@
     let state = allocator.state();
     state.targets.all().map(|state| state.held.len()).sum()
 }
+
+/// Load pattern: after a reclaim, empty engines appear while many prompts wait. An engine reads the
+/// prompts that it has side by side, so ten at once would all start after 3 s.
+#[test]
+fn a_new_engine_gets_no_more_prompts_than_it_reads_in_time() {
+    let now = Instant::now();
+    let mut targets = targets(&[0, 0, 29_000, 29_000], now);
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut placed = 0;
+    for run in 0..40 {
+        let place = (Scope::All, &[][..]);
+        let Some(choice) = choose(&targets, &need(), place, &mut rng, now) else {
+            continue;
+        };
+        hold(&mut targets, run, &need(), &choice, now);
+        targets.sent(&choice.target, run, need().prompt, now);
+        placed += 1;
+    }
+    let wait = |number: usize| {
+        let state = targets.get(&instance(number).target).expect("listed");
+        state.backlog.wait(0, now)
+    };
+    // Of the objective of 1.8 s the request may have waited 1 s before.
+    assert!(wait(0) < Duration::from_millis(950), "{:?}", wait(0));
+    assert!(wait(1) < Duration::from_millis(950), "{:?}", wait(1));
+    assert!(placed >= 4, "{placed}");
+}
