Move one generation at a time at both ends, where there is room by report

Cause: several engines that were reclaimed together sent their generations to the same empty engine, where copies queue as well; a destination without room was ruled out for good, and another was tried 0.1 s later although its report showed that it was full.

Change: a link takes one move at either end; a destination needs room for what the generation holds by its report and what it got since; one that had no room is tried again after 0.4 s.

--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -16,7 +16,10 @@
 };
 
 /// Pause before another move is tried where one failed.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time for which an engine to which a move failed is not tried again. Meanwhile other generations
+/// may end there.
+const AVOIDED: Duration = Duration::from_millis(400);
 
 /// A request for a destination.
 struct Asking {
@@ -35,7 +38,7 @@
     asking: Option<Asking>,
     task: Option<Task>,
     /// Engines that had no room, or could not be reached.
-    refused: Vec<Target>,
+    refused: Vec<(Target, Instant)>,
     not_before: Instant,
     done: Option<(Moved, Target)>,
 }
@@ -88,7 +91,7 @@
             Err(_) => {
                 place.drop_move();
                 self.not_before = Instant::now() + PAUSE;
-                self.refused.push(to);
+                self.refused.push((to, Instant::now()));
             }
         }
     }
@@ -102,7 +105,9 @@
         if stays || copy_stays || early || busy || !can_move(job) {
             return;
         }
-        if let Some(departure) = place.departure(&self.refused) {
+        self.refused.retain(|(_, at)| at.elapsed() < AVOIDED);
+        let avoid: Vec<Target> = self.refused.iter().map(|(to, _)| to.clone()).collect();
+        if let Some(departure) = place.departure(&avoid) {
             self.asking = Some(Asking {
                 granted: Box::pin(Arc::clone(&job.entry).relocate(departure)),
                 since: Instant::now(),
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -91,10 +91,11 @@
         let mut granted = Vec::new();
         for at in 0..self.planned.len() {
             let planned = &self.planned[at];
-            if planned.began.is_some() || self.is_busy(&planned.departure.from, now) {
+            let Some(to) = planned.to.clone() else {
                 continue;
-            }
-            if let Some(to) = planned.to.clone() {
+            };
+            let waits = planned.began.is_none();
+            if waits && !self.is_busy(&planned.departure.from, now) && !self.is_busy(&to, now) {
                 granted.push((planned.departure.run, to));
                 self.planned[at].began = Some(now);
             }
@@ -111,10 +112,12 @@
         self.planned.remove(at).to
     }
 
-    fn is_busy(&self, from: &Target, now: Instant) -> bool {
+    /// Whether a move takes the link of this engine, at either end.
+    fn is_busy(&self, engine: &Target, now: Instant) -> bool {
         self.planned.iter().any(|planned| {
             let lasts = |began: Instant| now.saturating_duration_since(began) < LONGEST_MOVE;
-            planned.departure.from == *from && planned.began.is_some_and(lasts)
+            let ends = [Some(&planned.departure.from), planned.to.as_ref()];
+            planned.began.is_some_and(lasts) && ends.contains(&Some(engine))
         })
     }
 }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -197,6 +197,9 @@
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = used(state, need, now) + share(state, need, need.prompt + need.output);
+            if !fits_now(state, need, now) {
+                return None;
+            }
             let load_there = load + penalty(state, &need.zone, now);
             let far = f64::from(state.instance.zone != need.zone) * COPY_FAR;
             (load <= fill).then_some((load_there + far, state))
@@ -237,6 +240,11 @@
     (load <= fill || idle).then_some(load)
 }
 
+/// Whether the engine probably has room for the prompt at this moment.
+fn fits_now(state: &State, need: &Need, now: Instant) -> bool {
+    share(state, need, state.taken(now) + need.prompt) <= 1.0
+}
+
 fn used(state: &State, need: &Need, now: Instant) -> f64 {
     share(state, need, state.committed(GROWTH, now))
 }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -404,6 +404,18 @@
         self.leaving.or(self.closing.filter(believed))
     }
 
+    /// Tokens of memory that are probably taken at this moment: its report, and what this host gave it
+    /// since.
+    pub fn taken(&self, now: Instant) -> u64 {
+        let reported = self.fresh_load(now);
+        let since = reported.and_then(|(_, read)| read.checked_sub(REPORT_LAG));
+        let newer = self.held.values().filter(|held| {
+            let known = since.is_some_and(|since| held.since <= since);
+            !known
+        });
+        reported.map_or(0, |(load, _)| load.used) + newer.map(|held| held.tokens).sum::<u64>()
+    }
+
     /// The load report, unless it is too old.
     pub fn fresh_load(&self, now: Instant) -> Option<(Load, Instant)> {
         self.load
