Entry hosts no longer tell each other what they send; boards go out less often

Cause: every entry host got a note of every generation of all others, and the whole board 8 times a second, although the allocating host alone places generations while it can be reached.

Change: hosts report only to the allocating host, and only what it doesn't know. A follower gets a board at once when a target appears, leaves or goes, else every third. Notes and their hubs are gone (hub.rs, half of feed.rs).

--- a/crates/sardinerelay-gateway/src/board.rs
+++ b/crates/sardinerelay-gateway/src/board.rs
@@ -79,6 +79,9 @@
     pub list_age_ms: u64,
     /// The newest load report of each target.
     pub loads: Vec<Observation>,
+    /// The stamp of the last board that listed another target, or another one that leaves.
+    #[serde(skip)]
+    pub changed: u64,
     /// Entry hosts that follow this host, or followed it lately.
     pub entries: u32,
     /// When ages were last brought up to date.
@@ -89,7 +92,37 @@
 /// The newest board of this host.
 pub type Published = Arc<watch::Sender<Arc<Board>>>;
 
+/// Boards of which a follower gets one if only loads have changed. The allocating host has all of
+/// them; others need loads only while they allocate for themselves.
+const SPARSE: u64 = 3;
+
 impl Board {
+    /// Whether a follower that has the board `stamp` should get this one.
+    pub fn is_news(&self, stamp: u64) -> bool {
+        let successor = stamp <= self.stamp && stamp + SPARSE > self.stamp;
+        self.stamp != 0 && (!successor || self.changed > stamp)
+    }
+
+    /// Whether this one lists other targets than `before`, or others that leave.
+    pub fn differs(&self, before: &Self) -> bool {
+        let listed = |board: &Self| -> Vec<_> {
+            let instances = board.instances.iter();
+            let key = |at: &Instance| (at.target.clone(), at.incarnation, at.leaving);
+            instances.map(key).collect()
+        };
+        let leaving = |board: &Self| -> Vec<Target> {
+            let loads = board.loads.iter();
+            let leaves = |seen: &&Observation| seen.load.leaving || seen.closing_ms.is_some();
+            let mut leaving: Vec<_> = loads
+                .filter(leaves)
+                .map(|seen| seen.target.clone())
+                .collect();
+            leaving.sort_unstable();
+            leaving
+        };
+        listed(self) != listed(before) || leaving(self) != leaving(before)
+    }
+
     /// The board with its ages as of now.
     pub fn aged(&self) -> Self {
         let mut board = self.clone();
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -6,7 +6,6 @@
         board::Instance,
         budget::Budget,
         dialect::Dialect,
-        feed::{self, Outgoing},
         forecast::Forecast,
         gate::Refusal,
         group::{Note, Report},
@@ -70,7 +69,7 @@
     forecast: Mutex<Forecast>,
     budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
-    outgoing: UnboundedSender<Outgoing>,
+    outgoing: UnboundedSender<Report>,
 }
 
 /// A request's place among the running ones. It is given up when this is dropped.
@@ -96,12 +95,12 @@
 impl Entry {
     /// The state of a host that has started.
     ///
-    /// `outgoing` tells other hosts what this one sends to engines.
+    /// `outgoing` tells the allocating host what becomes of places.
     pub fn new(
         settings: settings::Entry,
         dialect: Dialect,
         metrics: Metrics,
-        outgoing: UnboundedSender<Outgoing>,
+        outgoing: UnboundedSender<Report>,
     ) -> Self {
         let prefix = u64::from(rand::random::<u32>()) << COUNTING_BITS;
         Self {
@@ -254,7 +253,7 @@
     }
 
     /// Counts a generation that is sent to an engine, which has to read `prompt` tokens for it, and
-    /// tells other hosts of it and its copy. `by` is the host that allocated it.
+    /// tells the allocating host of it and its copy, unless that is the one, `by`, that gave it.
     fn note(
         &self,
         targets: &mut Targets,
@@ -272,20 +271,20 @@
         }
     }
 
+    /// Tells of a place that no other host gave.
     fn tell(&self, (target, by): (&Target, u32), need: &Need, prompt: u64) {
-        let note = Note {
-            from: feed::name(&self.settings.common.host),
-            target: target.clone(),
-            prompt: u32::try_from(prompt).unwrap_or(u32::MAX),
-            memory: u32::try_from(need.prompt + need.output).unwrap_or(u32::MAX),
-            by,
-        };
-        // Without a reader the process is ending, here and below.
-        let _ = self.outgoing.send(Outgoing::Note(note));
+        if by == 0 {
+            self.report(Report::Sent(Note {
+                target: target.clone(),
+                prompt: u32::try_from(prompt).unwrap_or(u32::MAX),
+                memory: u32::try_from(need.prompt + need.output).unwrap_or(u32::MAX),
+            }));
+        }
     }
 
     fn report(&self, report: Report) {
-        let _ = self.outgoing.send(Outgoing::Report(report));
+        // Without a reader the process is ending.
+        let _ = self.outgoing.send(report);
     }
 }
 
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -7,10 +7,10 @@
     crate::{
         board::Board,
         entry::Entry,
-        feed::{self, Outgoing},
+        feed,
         group::{
             Clients, Document, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FollowBoard,
-            FollowConfiguration, STANDING, Standing, member,
+            FollowConfiguration, Report, STANDING, Standing, member,
         },
         table::Table,
     },
@@ -48,19 +48,11 @@
 const BOARD_SILENT: Duration = Duration::from_millis(700);
 
 /// Follows, for ever.
-pub async fn run(entry: Arc<Entry>, outgoing: UnboundedReceiver<Outgoing>) {
+pub async fn run(entry: Arc<Entry>, outgoing: UnboundedReceiver<Report>) {
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
     let changing = Arc::clone(&entry.settings.common.changing);
     let mut addresses: BTreeSet<Ipv4Addr> = changing.seeds().into_iter().collect();
-    let (known, members_known) = watch::channel(addresses.clone());
-    let (sending, hearing) = (Arc::clone(&clients), Arc::clone(&clients));
-    tokio::spawn(feed::send(
-        Arc::clone(&entry),
-        sending,
-        members_known.clone(),
-        outgoing,
-    ));
-    tokio::spawn(feed::hear(Arc::clone(&entry), hearing, members_known));
+    tokio::spawn(feed::send(Arc::clone(&entry), outgoing));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let heard = Arc::new(watch::Sender::new(Heard::default()));
     let mut leader = None;
@@ -85,7 +77,6 @@
         sleep(MEMBERS_EVERY).await;
         if let Some((found, members)) = members(&clients, &addresses).await {
             leader = Some(found);
-            known.send_replace(members.clone());
             addresses = members;
             entry.remote.set(Some(clients.get(found)));
         }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -4,21 +4,21 @@
 //! learner. See `docs/design/platform.md`.
 
 pub mod driver;
-pub mod hub;
 pub mod links;
 pub mod member;
 pub mod register;
 pub mod repair;
+pub mod report;
 mod rpc;
 
 pub use self::{
     driver::{Outcome, Standing},
-    hub::{News, Note, Report},
     links::Clients,
     register::Document,
+    report::{Note, Report},
     rpc::{
-        ACQUIRE, Acquire, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FOLLOW_NOTES, FollowBoard,
-        FollowConfiguration, FollowNotes, NOTE, Observed, RELOCATE, REPORT, Relocate, STANDING,
+        ACQUIRE, Acquire, FOLLOW_BOARD, FOLLOW_CONFIGURATION, FollowBoard, FollowConfiguration,
+        Observed, RELOCATE, REPORT, Relocate, STANDING,
     },
 };
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -4,9 +4,8 @@
     super::{
         Handle,
         driver::{Input, Outcome, Standing},
-        hub::{Hub, Note, Report},
-        member,
         register::Document,
+        report::Report,
     },
     crate::{
         allocator::Allocator,
@@ -46,8 +45,6 @@
 /// Waits for newer observations of targets.
 pub const FOLLOW_BOARD: &str = "board.follow";
 
-/// Tells what was sent to engines.
-pub const NOTE: &str = "notes.add";
 /// Asks for a place for a generation.
 pub const ACQUIRE: &str = "place.acquire";
 /// Asks for an engine to which a generation moves.
@@ -58,8 +55,6 @@
 const PLACE: &str = "place";
 /// The name of requests for an engine to move to in metrics.
 const MOVE: &str = "move";
-/// Waits for such notes.
-pub const FOLLOW_NOTES: &str = "notes.follow";
 
 /// The longest time that a follower waits for news.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
@@ -96,15 +91,6 @@
     pub wait_ms: u64,
 }
 
-/// Parameters of [`FOLLOW_NOTES`].
-#[derive(Debug, Serialize, Deserialize)]
-pub struct FollowNotes {
-    /// The number of the first note that the follower lacks.
-    pub since: u64,
-    /// Time to wait for it, in milliseconds.
-    pub wait_ms: u64,
-}
-
 /// Parameters of [`ACQUIRE`].
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Acquire {
@@ -143,7 +129,6 @@
 struct Context {
     handle: Handle,
     observed: Observed,
-    hub: Arc<Hub>,
     counters: SharedCounters,
 }
 
@@ -156,18 +141,15 @@
     observed: Observed,
 ) -> Result<Server, Failure> {
     let counters = handle.clients.counters();
-    let hub = Arc::new(Hub::default());
     let incoming = Incoming {
         own,
         handle: handle.clone(),
-        hub: Arc::clone(&hub),
         allocator: Arc::clone(&observed.allocator),
     };
     let receiver = receiver(incoming, Arc::clone(&counters));
     let context = Context {
         handle,
         observed,
-        hub,
         counters: Arc::clone(&counters),
     };
     // Registering fails only for a name that is used twice.
@@ -227,11 +209,6 @@
         metrics.ended(MOVE, answer.name(), began.elapsed());
         Answer::Ok(Packed(answer))
     })?;
-    module.register_async_method(FOLLOW_NOTES, |parameters, context, _| async move {
-        let follow: FollowNotes = context.read(&parameters)?;
-        let wait = wait(follow.wait_ms);
-        Answer::Ok(Packed(context.hub.follow(follow.since, wait).await))
-    })?;
     Ok(module)
 }
 
@@ -260,7 +237,7 @@
 
 async fn board(published: &Published, follow: &FollowBoard) -> Option<Packed<Board>> {
     let mut boards = published.subscribe();
-    let newer = |board: &Arc<Board>| board.stamp != follow.stamp && board.stamp != 0;
+    let newer = |board: &Arc<Board>| board.is_news(follow.stamp);
     let found = timeout(wait(follow.wait_ms), boards.wait_for(newer)).await;
     let board = found.ok()?.ok()?.clone();
     Some(Packed(board.aged()))
@@ -274,7 +251,6 @@
 struct Incoming {
     own: Host,
     handle: Handle,
-    hub: Arc<Hub>,
     allocator: Arc<Allocator>,
 }
 
@@ -285,7 +261,6 @@
         counters.count_received();
         let taken = match method {
             STEP => incoming.step(parameters),
-            NOTE => incoming.notes(parameters),
             REPORT => incoming.reports(parameters),
             _ => Ok(()),
         };
@@ -309,21 +284,14 @@
         Ok(())
     }
 
-    fn notes(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(notes),): (Packed<Vec<Note>>,) = serde_json::from_str(parameters)?;
-        let own = member::address(self.own).to_bits();
-        let unknown = notes.iter().filter(|note| note.by != own);
-        let mut state = self.allocator.state();
-        state.targets.heard(unknown, Instant::now());
-        drop(state);
-        self.hub.add(notes);
-        Ok(())
-    }
-
     fn reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(reports),): (Packed<Vec<Report>>,) = serde_json::from_str(parameters)?;
         for report in reports {
             match report {
+                Report::Sent(note) => {
+                    let mut state = self.allocator.state();
+                    state.targets.heard(std::iter::once(&note), Instant::now());
+                }
                 Report::Full(target) => {
                     self.allocator.state().targets.full(&target, Instant::now());
                 }
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -8,8 +8,9 @@
         dialect::Dialect,
         entry::Entry,
         exit_code::ExitCode,
-        feed::Outgoing,
-        follow, front, group, http,
+        follow, front,
+        group::{self, Report},
+        http,
         metrics::Metrics,
         reload, settings,
         watch::Observer,
@@ -105,7 +106,7 @@
 }
 
 /// Follows the group on a thread of its own, so that traffic can't delay a configuration.
-fn follow(entry: &Arc<Entry>, outgoing: UnboundedReceiver<Outgoing>) -> Result<()> {
+fn follow(entry: &Arc<Entry>, outgoing: UnboundedReceiver<Report>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.context("starting the control thread's runtime")?;
     let entry = Arc::clone(entry);
--- a/crates/sardinerelay-gateway/src/watch.rs
+++ b/crates/sardinerelay-gateway/src/watch.rs
@@ -245,7 +245,13 @@
             ticks.tick().await;
             self.changed.notified().await;
             stamp += 1;
-            self.board.send_replace(Arc::new(self.make(stamp)));
+            let mut board = self.make(stamp);
+            let before = self.board.borrow().clone();
+            board.changed = match board.differs(&before) {
+                true => stamp,
+                false => before.changed,
+            };
+            self.board.send_replace(Arc::new(board));
         }
     }
 
@@ -278,6 +284,7 @@
             list_age_ms: seen.list_read.map_or(u64::MAX / 2, age),
             entries: self.followers.count(),
             made: Some(now),
+            changed: 0,
         }
     }
 
--- a/crates/sardinerelay-gateway/tests/decisions/leaving.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/leaving.rs
@@ -57,3 +57,29 @@
     targets.merge(&closing(3, None), later(now, 400));
     assert_eq!(usable(&targets, later(now, 400)), 2);
 }
+
+/// Followers get every board that shows a leave at once, and only some of those that show other
+/// loads, so that what a follower costs doesn't grow with the number of reports.
+#[test]
+fn a_leave_is_news_at_once_and_loads_are_later() {
+    let seen = closing(1, None);
+    let changed =
+        |board: &sardinerelay_gateway::board::Board, changed| sardinerelay_gateway::board::Board {
+            changed,
+            ..board.clone()
+        };
+    assert!(changed(&seen, 1).is_news(0), "the first one");
+    let mut colder = closing(2, None);
+    colder.instances[0].cold_ms = 400;
+    colder.loads[0].load.used = 9_000;
+    assert!(!colder.differs(&seen));
+    assert!(!changed(&colder, 1).is_news(1));
+    let mut later = changed(&colder, 1);
+    later.stamp = 4;
+    assert!(later.is_news(1), "loads are told in the end");
+    let leaves = closing(3, Some(20));
+    assert!(leaves.differs(&colder));
+    assert!(changed(&leaves, 3).is_news(2));
+    // Another host's stamps, or those of one that started again, say nothing.
+    assert!(changed(&seen, 1).is_news(700));
+}
