Forget a move that waits if its host no longer asks

Found in reading the diff: a host that was lost while its generations waited for their turn left them planned on the allocating host for ever, with the room that was kept for them. Hosts ask several times a second; after 2 s without one the move is forgotten.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -146,7 +146,7 @@
             if let Some((_, decision)) = state.ready.remove(&run) {
                 return state.answer(decision);
             }
-            if let Some(failed) = state.moves.offer(departure) {
+            if let Some(failed) = state.moves.offer(departure, Instant::now()) {
                 state.targets.release(&failed, run);
             }
             self.ask(&mut state, run, Instant::now())
@@ -232,6 +232,11 @@
                     }
                 }
             }
+            for (run, to) in state.moves.forget(now) {
+                if let Some(to) = to {
+                    state.targets.release(&to, run);
+                }
+            }
             for run in state.targets.expire(MOST_HELD, now) {
                 state.gate.ended(run);
             }
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //! deployments in which hosts are told only seeds.
 //!
 //! Decisions are apart from input and output: [`placement`], [`gate`], [`budget`], [`forecast`],
-//! [`health`], [`moves`], [`targets`], [`table`] and [`group::repair`] open no socket and read no clock. How
-//! things are written on the wire is the affair of a [`dialect::Dialect`]. The design is described
-//! in `docs/design/platform.md`.
+//! [`health`], [`moves`], [`targets`], [`table`] and [`group::repair`] open no socket and read no
+//! clock. How things are written on the wire is the affair of a [`dialect::Dialect`]. The design is
+//! described in `docs/design/platform.md`.
 
 pub mod allocator;
 pub mod answer;
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -4,7 +4,7 @@
 //! than two seconds of notice. Copies of memory queue on its link, so if all generations began to
 //! copy at once, none would have its last copy in time. They go one after another, the one with
 //! the most left to make first, and each has a destination from the start, so that its room is not
-//! given to new generations meanwhile. See `docs/design/platform.md`.
+//! given to new generations meanwhile. See `docs/design/migration.md`.
 
 use {
     crate::{placement::Need, targets::RunId},
@@ -20,6 +20,10 @@
 /// It is above the time of two copies between availability zones.
 const LONGEST_MOVE: Duration = Duration::from_millis(1200);
 
+/// Time after which a generation that waits is forgotten if its host doesn't ask again. Hosts ask
+/// several times a second until their turn comes.
+const FORGOTTEN: Duration = Duration::from_secs(2);
+
 /// A generation that has to leave its engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
@@ -39,6 +43,7 @@
 struct Planned {
     departure: Departure,
     to: Option<Target>,
+    asked: Instant,
     began: Option<Instant>,
 }
 
@@ -51,17 +56,21 @@
 impl Moves {
     /// Adds a generation, unless it waits already. One whose turn it was before asks anew because
     /// that move failed; its destination then is returned.
-    pub fn offer(&mut self, departure: Departure) -> Option<Target> {
-        let mut known = self.planned.iter();
+    pub fn offer(&mut self, departure: Departure, now: Instant) -> Option<Target> {
+        let mut known = self.planned.iter_mut();
         let known = known.find(|planned| planned.departure.run == departure.run);
         let failed = match known {
-            Some(planned) if planned.began.is_none() => return None,
+            Some(planned) if planned.began.is_none() => {
+                planned.asked = now;
+                return None;
+            }
             Some(_) => self.end(departure.run),
             None => None,
         };
         self.planned.push(Planned {
             departure,
             to: None,
+            asked: now,
             began: None,
         });
         self.planned.sort_by_key(|planned| {
@@ -103,6 +112,18 @@
         granted
     }
 
+    /// Forgets generations whose hosts no longer ask, and returns them with their destinations.
+    pub fn forget(&mut self, now: Instant) -> Vec<(RunId, Option<Target>)> {
+        let silent = |planned: &mut Planned| {
+            let asked = planned.began.unwrap_or(planned.asked);
+            now.saturating_duration_since(asked) > FORGOTTEN
+        };
+        let forgotten = self.planned.extract_if(.., silent);
+        forgotten
+            .map(|planned| (planned.departure.run, planned.to))
+            .collect()
+    }
+
     /// Forgets a generation that has moved, ended, or could not be moved. Returns its destination.
     pub fn end(&mut self, run: RunId) -> Option<Target> {
         let at = self
--- a/crates/sardinerelay-gateway/tests/decisions/moves.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/moves.rs
@@ -80,7 +80,7 @@
     let unordered = saved(|_| all_at_once.take().unwrap_or_default());
     let mut moves = Moves::default();
     for run in 1..=5 {
-        moves.offer(departure(run, 500 + run));
+        moves.offer(departure(run, 500 + run), began);
     }
     let mut moving = None;
     let ordered = saved(|at| {
@@ -113,7 +113,7 @@
     let now = Instant::now();
     let mut moves = Moves::default();
     for (run, left) in [(1, 100), (2, 900), (3, 400)] {
-        moves.offer(departure(run, left));
+        moves.offer(departure(run, left), now);
     }
     for wanted in [2, 3, 1] {
         assert_eq!(granted(&mut moves, now), [wanted]);
@@ -127,11 +127,14 @@
 fn engines_dont_wait_for_each_other() {
     let now = Instant::now();
     let mut moves = Moves::default();
-    moves.offer(departure(1, 100));
-    moves.offer(Departure {
-        from: instance(2).target,
-        ..departure(2, 50)
-    });
+    moves.offer(departure(1, 100), now);
+    moves.offer(
+        Departure {
+            from: instance(2).target,
+            ..departure(2, 50)
+        },
+        now,
+    );
     let mut other = 3..;
     let granted = moves.decide(now, |_| other.next().map(|number| instance(number).target));
     assert_eq!(granted.len(), 2);
@@ -143,11 +146,14 @@
 fn an_engine_receives_one_at_a_time() {
     let now = Instant::now();
     let mut moves = Moves::default();
-    moves.offer(departure(1, 100));
-    moves.offer(Departure {
-        from: instance(2).target,
-        ..departure(2, 50)
-    });
+    moves.offer(departure(1, 100), now);
+    moves.offer(
+        Departure {
+            from: instance(2).target,
+            ..departure(2, 50)
+        },
+        now,
+    );
     assert_eq!(granted(&mut moves, now), [1]);
     moves.end(1);
     assert_eq!(granted(&mut moves, now), [2]);
@@ -158,8 +164,8 @@
 fn a_move_whose_end_nobody_tells_holds_up_the_next_for_a_while_only() {
     let now = Instant::now();
     let mut moves = Moves::default();
-    moves.offer(departure(1, 900));
-    moves.offer(departure(2, 100));
+    moves.offer(departure(1, 900), now);
+    moves.offer(departure(2, 100), now);
     assert_eq!(granted(&mut moves, now), [1]);
     assert_eq!(granted(&mut moves, now + ms(1_000)), [0; 0]);
     assert_eq!(granted(&mut moves, now + ms(1_250)), [2]);
@@ -169,9 +175,12 @@
 fn one_that_failed_asks_anew_and_gives_its_room_back() {
     let now = Instant::now();
     let mut moves = Moves::default();
-    assert_eq!(moves.offer(departure(1, 900)), None);
+    assert_eq!(moves.offer(departure(1, 900), now), None);
     assert_eq!(granted(&mut moves, now), [1]);
-    assert_eq!(moves.offer(departure(1, 900)), Some(instance(1).target));
+    assert_eq!(
+        moves.offer(departure(1, 900), now),
+        Some(instance(1).target)
+    );
     assert_eq!(granted(&mut moves, now), [1]);
 }
 
@@ -201,3 +210,19 @@
     let new = allocator.acquire(3, need(), until, wait).await;
     assert!(matches!(new, Answer::Placed(..)), "{new:?}");
 }
+
+/// A host that waits for its turn can be lost.
+#[test]
+fn one_that_nobody_asks_for_is_forgotten() {
+    let now = Instant::now();
+    let mut moves = Moves::default();
+    moves.offer(departure(1, 900), now);
+    moves.offer(departure(2, 100), now);
+    assert!(moves.decide(now, |_| None).is_empty(), "no room anywhere");
+    moves.offer(departure(2, 100), now + ms(1_500));
+    assert_eq!(moves.forget(now + ms(2_500)), [(1, None)]);
+    assert_eq!(granted(&mut moves, now + ms(2_500)), [2]);
+    let to = Some(instance(1).target);
+    assert_eq!(moves.forget(now + ms(5_000)), [(2, to)]);
+    assert!(moves.is_empty());
+}
