Export metrics in one place for all programs

The gateway and the daemon each registered, built and encoded in the same way; both use metrics::Export and its two makers of instruments now. Names, units, bounds and text stay as they are.

--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -4,11 +4,10 @@
     anyhow::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, MeterProvider as _},
+        metrics::{Counter, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder as _, Registry, TextEncoder},
-    std::{fmt, time::Duration},
+    sardinerelayd::metrics::{Export, counter, seconds},
+    std::time::Duration,
 };
 
 /// Bounds of latency histograms in seconds.
@@ -17,10 +16,9 @@
 ];
 
 /// All instruments.
+#[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    // Dropping the provider would end the export.
-    _provider: SdkMeterProvider,
+    export: Export,
     requests: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
@@ -29,12 +27,6 @@
     continued: Counter<u64>,
 }
 
-impl fmt::Debug for Metrics {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Metrics").finish_non_exhaustive()
-    }
-}
-
 impl Metrics {
     /// Registers the instruments.
     ///
@@ -42,35 +34,17 @@
     ///
     /// The exporter's error.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sardinerelay");
-        let seconds = |name: &'static str, about: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_description(about)
-                .with_unit("s")
-                .with_boundaries(SECONDS.to_vec())
-                .build()
-        };
-        let count = |name: &'static str, about: &'static str| {
-            meter.u64_counter(name).with_description(about).build()
-        };
+        let (export, meter) = Export::new()?;
+        let seconds = |name, about| seconds(&meter, &SECONDS, name, about);
+        let count = |name, about| counter(&meter, name, about);
         Ok(Self {
-            requests: count("sardinerelay_requests", "Requests by route and outcome"),
-            latency: seconds("sardinerelay_latency", "Time from request to end of answer"),
-            first_event: seconds(
-                "sardinerelay_first_event",
-                "Time from request to first event",
-            ),
-            waited: seconds("sardinerelay_waited", "Time from request to placement"),
-            repeats: count("sardinerelay_repeats", "Requests sent to a further target"),
-            continued: count("sardinerelay_continued", "Generations continued elsewhere"),
-            registry,
-            _provider: provider,
+            requests: count("requests", "Requests by route and outcome"),
+            latency: seconds("latency", "Time from request to end of answer"),
+            first_event: seconds("first_event", "Time from request to first event"),
+            waited: seconds("waited", "Time from request to placement"),
+            repeats: count("repeats", "Requests sent to a further target"),
+            continued: count("continued", "Generations continued elsewhere"),
+            export,
         })
     }
 
@@ -112,9 +86,7 @@
     /// # Errors
     ///
     /// The encoder's error.
-    pub fn text(&self) -> Result<String, prometheus::Error> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8_lossy(&text).into_owned())
+    pub fn text(&self) -> Result<Vec<u8>> {
+        self.export.text()
     }
 }
--- a/crates/sardinerelayd/src/metrics.rs
+++ b/crates/sardinerelayd/src/metrics.rs
@@ -2,16 +2,18 @@
 //!
 //! Histograms are kept for each organisation and class.
 
+mod export;
+
+pub use self::export::{Export, counter, seconds};
+
 use {
     crate::refusal::Code,
     anyhow::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, Meter, MeterProvider as _},
+        metrics::{Counter, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
-    std::{fmt, time::Duration},
+    std::time::Duration,
 };
 
 /// Silence between two tokens that counts as stall time, as docs/MEASUREMENTS.md defines it.
@@ -31,10 +33,9 @@
 pub type Labels = [KeyValue; 2];
 
 /// All instruments.
+#[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    // Dropping the provider would end the export.
-    _provider: SdkMeterProvider,
+    export: Export,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
     stall: Histogram<f64>,
@@ -47,12 +48,6 @@
     orders: Counter<u64>,
 }
 
-impl fmt::Debug for Metrics {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Metrics").finish_non_exhaustive()
-    }
-}
-
 impl Metrics {
     /// Registers the instruments.
     ///
@@ -60,22 +55,14 @@
     ///
     /// Returns the exporter's error.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sardinerelay");
+        let (export, meter) = Export::new()?;
+        let seconds = |name, description| seconds(&meter, &SECONDS, name, description);
         Ok(Self {
-            registry,
-            first_token: seconds(&meter, "first_token", "Time from request to first token"),
-            between_tokens: seconds(&meter, "between_tokens", "Time between two tokens"),
-            stall: seconds(
-                &meter,
-                "stall",
-                "Time beyond 250 ms in which a stream got no token",
-            ),
-            queue_wait: seconds(&meter, "queue_wait", "Time from request to dispatch"),
+            export,
+            first_token: seconds("first_token", "Time from request to first token"),
+            between_tokens: seconds("between_tokens", "Time between two tokens"),
+            stall: seconds("stall", "Time beyond 250 ms in which a stream got no token"),
+            queue_wait: seconds("queue_wait", "Time from request to dispatch"),
             output: meter
                 .f64_histogram("sardinerelay_output_tokens")
                 .with_description("Tokens of an answer")
@@ -90,7 +77,6 @@
             ),
             preemptions: counter(&meter, "preemptions", "Preemptions that engines reported"),
             orders: counter(&meter, "orders", "Orders to engines by action and outcome"),
-            _provider: provider,
         })
     }
 
@@ -157,28 +143,10 @@
     ///
     /// Returns the encoder's error.
     pub fn text(&self) -> Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.export.text()
     }
 }
 
-fn seconds(meter: &Meter, name: &str, description: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(format!("sardinerelay_{name}"))
-        .with_unit("s")
-        .with_description(description)
-        .with_boundaries(SECONDS.to_vec())
-        .build()
-}
-
-fn counter(meter: &Meter, name: &str, description: &'static str) -> Counter<u64> {
-    meter
-        .u64_counter(format!("sardinerelay_{name}"))
-        .with_description(description)
-        .build()
-}
-
 /// The labels of one organisation and class. A stream builds them once, since building them takes
 /// two allocations and a stream observes each of its tokens.
 pub fn labels(organisation: &str, class: &str) -> Labels {
