--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -22,30 +22,28 @@
     },
     sardinerelayd::control::{
         Failure,
-        writer::{Job, Writer, Written},
+        disk::{Compaction, Disk},
+        reads::Reads,
     },
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{
-            mpsc::{Receiver, UnboundedReceiver},
-            oneshot::Sender,
-            watch,
-        },
+        sync::{mpsc::Receiver, oneshot::Sender, watch},
         time::{Instant as Deadline, sleep_until},
     },
 };
 
 /// Inputs that are handled before the replica's work is done, so that one sync covers many.
 const GROUP: usize = 64;
-/// Bytes of entries after which a snapshot is taken. The disk holds some tens of them.
-const SNAPSHOT_BYTES: usize = 4 << 20;
-/// Entries after which a snapshot is taken.
-const SNAPSHOT_ENTRIES: u64 = 4096;
+/// When a snapshot is taken. The disk holds some tens of times as many bytes.
+const COMPACTION: Compaction = Compaction {
+    entries: 4096,
+    bytes: 4 << 20,
+};
 /// Interval between looks at the membership.
 const REPAIR_EVERY: Duration = Duration::from_millis(250);
 
@@ -96,18 +94,13 @@
     standing: watch::Sender<Standing>,
     lead: watch::Sender<raft::Soft>,
     links: Links,
-    writer: Writer,
-    written: UnboundedReceiver<Written>,
+    disk: Disk,
     pending: BTreeMap<Index, Sender<Outcome>>,
-    reads: HashMap<u64, Sender<Outcome>>,
-    next_read: u64,
+    reads: Reads<Outcome>,
     joiners: BTreeMap<Host, Joiner>,
     heard: BTreeMap<Host, Instant>,
     led_since: Option<Instant>,
     looked: Instant,
-    /// Entries and bytes applied since the last snapshot.
-    uncompacted: (u64, usize),
-    saving: bool,
 }
 
 impl Driver {
@@ -123,8 +116,9 @@
     ) -> Result<Self, Failure> {
         let register = decode(&durable.snapshot.data)?;
         let applied = durable.snapshot.meta.last.index;
+        let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
-        let (writer, written) = Writer::start(store)?;
+        let disk = Disk::start(store, snapshot_bytes)?;
         let driver = Self {
             replica,
             register,
@@ -133,17 +127,13 @@
             standing,
             lead,
             links,
-            writer,
-            written,
+            disk,
             pending: BTreeMap::new(),
-            reads: HashMap::new(),
-            next_read: 0,
+            reads: Reads::default(),
             joiners: BTreeMap::new(),
             heard: BTreeMap::new(),
             led_since: None,
             looked: Instant::now(),
-            uncompacted: (0, 0),
-            saving: false,
         };
         driver.publish();
         Ok(driver)
@@ -157,7 +147,7 @@
             let deadline = Deadline::from_std(self.replica.deadline().min(look));
             tokio::select! {
                 biased;
-                Some(written) = self.written.recv() => self.written(written)?,
+                Some(written) = self.disk.written() => self.disk.take_in(written, &mut self.replica)?,
                 input = inputs.recv() => match input {
                     Some(input) => self.inputs(input, &mut inputs),
                     None => return Ok(()),
@@ -195,7 +185,7 @@
                 }
             }
             Input::Submit(document, reply) => self.submit(document, reply),
-            Input::Confirm(reply) => self.confirm(reply),
+            Input::Confirm(reply) => self.reads.start(&mut self.replica, reply),
             Input::Join(host, founding, reply) => {
                 self.joiners.insert(
                     host,
@@ -230,7 +220,7 @@
                 }
             }
             Err(refusal) => {
-                let _ = reply.send(refused(refusal));
+                let _ = reply.send(refusal.into());
             }
         }
     }
@@ -241,18 +231,6 @@
         self.replica.propose(Bytes::from(data))
     }
 
-    fn confirm(&mut self, reply: Sender<Outcome>) {
-        self.next_read += 1;
-        match self.replica.read(self.next_read) {
-            Ok(()) => {
-                self.reads.insert(self.next_read, reply);
-            }
-            Err(refusal) => {
-                let _ = reply.send(refused(refusal));
-            }
-        }
-    }
-
     fn standing_of(&self, host: Host) -> Standing {
         let status = self.replica.status();
         Standing {
@@ -264,21 +242,6 @@
         }
     }
 
-    fn written(&mut self, written: Written) -> Result<(), Failure> {
-        match written {
-            Written::Persisted(sequence) => self.replica.persisted(sequence),
-            Written::Saved(snapshot) => {
-                self.saving = false;
-                let last = snapshot.meta.last.index;
-                debug!("took a snapshot at {last}");
-                self.replica.compact(snapshot);
-                self.writer.queue(Job::Compact(last));
-            }
-            Written::Failed(failure) => return Err(failure),
-        }
-        Ok(())
-    }
-
     fn work(&mut self) -> Result<(), Failure> {
         loop {
             let ready = self.replica.ready();
@@ -293,7 +256,7 @@
 
     fn handle(&mut self, ready: Ready) -> Result<(), Failure> {
         if let Some(persist) = ready.persist {
-            self.writer.queue(Job::Persist(persist));
+            self.disk.persist(persist);
         }
         for envelope in ready.messages {
             self.links.send(envelope.to, envelope.message);
@@ -305,10 +268,10 @@
             self.apply(entry)?;
         }
         for read in ready.reads {
-            if let Some(reply) = self.reads.remove(&read.token) {
+            if let Some(reply) = self.reads.end(read.token) {
                 let outcome = match read.outcome {
                     Ok(_) => Outcome::Done(self.register.version()),
-                    Err(refusal) => refused(refusal),
+                    Err(refusal) => refusal.into(),
                 };
                 let _ = reply.send(outcome);
             }
@@ -345,7 +308,7 @@
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Failure> {
         self.register = decode(&snapshot.data)?;
         self.applied = snapshot.meta.last.index;
-        self.uncompacted = (0, 0);
+        self.disk.restored(snapshot);
         info!(version = self.register.version(), index = self.applied; "snapshot restored");
         let later = self.pending.split_off(&(self.applied + 1));
         for (_, reply) in std::mem::replace(&mut self.pending, later) {
@@ -357,11 +320,14 @@
 
     fn apply(&mut self, entry: raft::Entry) -> Result<(), Failure> {
         let index = entry.position.index;
-        self.uncompacted.0 += 1;
+        let bytes = match &entry.payload {
+            Payload::Data(data) => data.len(),
+            _ => 0,
+        };
+        self.disk.applied(bytes);
         self.applied = index;
         match entry.payload {
             Payload::Data(data) => {
-                self.uncompacted.1 += data.len();
                 let command = postcard::from_bytes(&data).map_err(state::Error::from)?;
                 let held = self.register.apply(command);
                 info!(index = index, version = held; "command applied");
@@ -435,19 +401,12 @@
     }
 
     fn compact(&mut self) {
-        let (entries, bytes) = self.uncompacted;
-        let due = entries >= SNAPSHOT_ENTRIES || bytes >= SNAPSHOT_BYTES;
-        if self.saving || !due {
+        if !self.disk.is_due(COMPACTION) {
             return;
         }
-        let Some(meta) = self.replica.snapshot_meta(self.applied) else {
-            return;
-        };
         let register = self.register.clone();
         let encode = Box::new(move || Ok(postcard::to_stdvec(&register)?));
-        self.writer.queue(Job::Save(meta, encode));
-        self.uncompacted = (0, 0);
-        self.saving = true;
+        self.disk.save(&self.replica, self.applied, encode);
     }
 }
 
@@ -461,12 +420,14 @@
     Ok(postcard::from_bytes(data).map_err(state::Error::from)?)
 }
 
-fn refused(refusal: Refusal) -> Outcome {
-    match refusal {
-        Refusal::NotLeader { leader } => Outcome::NotLeader(leader),
-        refusal => {
-            warn!(reason:% = refusal; "the request to the leader is not taken");
-            Outcome::NotLeader(None)
+impl From<Refusal> for Outcome {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::NotLeader { leader } => Self::NotLeader(leader),
+            refusal => {
+                warn!(reason:% = refusal; "the request to the leader is not taken");
+                Self::NotLeader(None)
+            }
         }
     }
 }
--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -5,19 +5,21 @@
 
 mod board;
 mod consensus;
+pub mod disk;
 mod guard;
 mod handle;
 mod leader;
 mod members;
 mod message;
 mod propose;
+pub mod reads;
 mod report;
 mod rpc;
 mod settings;
 mod sheet;
 mod start;
 mod view_file;
-pub mod writer;
+mod writer;
 
 pub use self::{
     handle::{Handle, spawn},
--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -8,9 +8,10 @@
     super::{
         Failure, Tenure,
         board::Board,
+        disk::{Compaction, Disk},
         members,
         message::{Input, Outcome},
-        writer::{Job, Writer, Written},
+        reads::Reads,
     },
     crate::peer::Outbox,
     bytes::Bytes,
@@ -23,15 +24,12 @@
         wal::Store,
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::BTreeMap,
         sync::Arc,
         time::{Instant, SystemTime},
     },
     tokio::{
-        sync::{
-            mpsc::{Receiver, UnboundedReceiver},
-            oneshot::Sender,
-        },
+        sync::{mpsc::Receiver, oneshot::Sender},
         time::{Instant as Deadline, sleep_until},
     },
 };
@@ -40,13 +38,6 @@
 /// proposals.
 const GROUP: usize = 256;
 
-/// When a snapshot is taken.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Compaction {
-    pub(super) entries: u64,
-    pub(super) bytes: usize,
-}
-
 struct Pending {
     term: Term,
     reply: Sender<Outcome<Reply>>,
@@ -60,17 +51,10 @@
     applied: Index,
     board: Arc<Board>,
     outboxes: BTreeMap<Host, Arc<Outbox>>,
-    writer: Writer,
-    written: UnboundedReceiver<Written>,
+    disk: Disk,
     pending: BTreeMap<Index, Pending>,
-    reads: HashMap<u64, Sender<Outcome<Version>>>,
-    next_read: u64,
+    reads: Reads<Outcome<Version>>,
     compaction: Compaction,
-    /// Entries and bytes applied since the last snapshot.
-    uncompacted: (u64, usize),
-    saving: bool,
-    /// Size of the last snapshot.
-    snapshot_bytes: usize,
 }
 
 impl Consensus {
@@ -88,7 +72,7 @@
         let applied = durable.snapshot.meta.last.index;
         let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
-        let (writer, written) = Writer::start(store)?;
+        let disk = Disk::start(store, snapshot_bytes)?;
         Ok(Self {
             replica,
             founders,
@@ -96,15 +80,10 @@
             applied,
             board,
             outboxes,
-            writer,
-            written,
+            disk,
             pending: BTreeMap::new(),
-            reads: HashMap::new(),
-            next_read: 0,
+            reads: Reads::default(),
             compaction,
-            uncompacted: (0, 0),
-            saving: false,
-            snapshot_bytes,
         })
     }
 
@@ -114,7 +93,7 @@
             let deadline = Deadline::from_std(self.replica.deadline());
             tokio::select! {
                 biased;
-                Some(written) = self.written.recv() => self.written(written)?,
+                Some(written) = self.disk.written() => self.disk.take_in(written, &mut self.replica)?,
                 input = inputs.recv() => match input {
                     Some(input) => self.inputs(input, &mut inputs),
                     None => return Ok(()),
@@ -145,7 +124,7 @@
                 }
             }
             Input::Propose(entry, reply) => self.propose(*entry, reply),
-            Input::Confirm(reply) => self.confirm(reply),
+            Input::Confirm(reply) => self.reads.start(&mut self.replica, reply),
             // Whoever asked may have given up meanwhile, here and below.
             Input::Change(change, reply) => {
                 let _ = reply.send(self.replica.change(change).map(|_| ()));
@@ -191,34 +170,6 @@
         }
     }
 
-    fn confirm(&mut self, reply: Sender<Outcome<Version>>) {
-        self.next_read += 1;
-        match self.replica.read(self.next_read) {
-            Ok(()) => {
-                self.reads.insert(self.next_read, reply);
-            }
-            Err(refusal) => {
-                let _ = reply.send(refusal.into());
-            }
-        }
-    }
-
-    fn written(&mut self, written: Written) -> Result<(), Failure> {
-        match written {
-            Written::Persisted(sequence) => self.replica.persisted(sequence),
-            Written::Saved(snapshot) => {
-                self.saving = false;
-                let last = snapshot.meta.last.index;
-                self.snapshot_bytes = snapshot.data.len();
-                debug!("took a snapshot at {last}");
-                self.replica.compact(snapshot);
-                self.writer.queue(Job::Compact(last));
-            }
-            Written::Failed(failure) => return Err(failure),
-        }
-        Ok(())
-    }
-
     fn work(&mut self) -> Result<(), Failure> {
         loop {
             let ready = self.replica.ready();
@@ -234,7 +185,7 @@
 
     fn handle(&mut self, ready: Ready) -> Result<(), Failure> {
         if let Some(persist) = ready.persist {
-            self.writer.queue(Job::Persist(persist));
+            self.disk.persist(persist);
         }
         for envelope in ready.messages {
             match self.outboxes.get(&envelope.to) {
@@ -268,9 +219,8 @@
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Failure> {
         info!("restoring a snapshot at {}", snapshot.meta.last.index);
         self.machine = Machine::restore(&snapshot.data)?;
-        self.snapshot_bytes = snapshot.data.len();
+        self.disk.restored(snapshot);
         self.applied = snapshot.meta.last.index;
-        self.uncompacted = (0, 0);
         let later = self.pending.split_off(&(self.applied + 1));
         for (_, pending) in std::mem::replace(&mut self.pending, later) {
             let _ = pending.reply.send(Outcome::Unknown);
@@ -281,12 +231,13 @@
     fn apply(&mut self, entry: raft::Entry) -> Result<(), Failure> {
         let Position { term, index } = entry.position;
         let mut reply = None;
-        self.uncompacted.0 += 1;
+        let mut bytes = 0;
         if let Payload::Data(data) = entry.payload {
-            self.uncompacted.1 += data.len();
+            bytes = data.len();
             let entry = postcard::from_bytes(&data).map_err(state::Error::from)?;
             reply = Some(self.machine.apply(index, &entry));
         }
+        self.disk.applied(bytes);
         self.applied = index;
         if let Some(pending) = self.pending.remove(&index) {
             let outcome = match reply {
@@ -299,7 +250,7 @@
     }
 
     fn answer(&mut self, read: Read) {
-        let Some(reply) = self.reads.remove(&read.token) else {
+        let Some(reply) = self.reads.end(read.token) else {
             return;
         };
         let _ = reply.send(match read.outcome {
@@ -325,22 +276,13 @@
     }
 
     fn compact(&mut self) {
-        let (entries, bytes) = self.uncompacted;
-        let limit = self.compaction;
-        let due = entries >= limit.entries || bytes >= limit.bytes;
         // Snapshots of a large state are taken less often, so that they cost at most about as many
         // written bytes as the log.
-        let due = due && bytes >= self.snapshot_bytes / 2;
-        if self.saving || !due {
+        if !self.disk.is_due(self.compaction) || !self.disk.outgrows_snapshot() {
             return;
         }
-        let Some(meta) = self.replica.snapshot_meta(self.applied) else {
-            return;
-        };
         let machine = self.machine.clone();
         let encode = Box::new(move || machine.snapshot());
-        self.writer.queue(Job::Save(meta, encode));
-        self.uncompacted = (0, 0);
-        self.saving = true;
+        self.disk.save(&self.replica, self.applied, encode);
     }
 }
--- a/crates/sardinerelayd/src/control/rpc.rs
+++ b/crates/sardinerelayd/src/control/rpc.rs
@@ -11,14 +11,9 @@
         sheet,
     },
     crate::peer::{Packed, Receiver, STEP, SharedCounters, Step},
-    jsonrpsee::{
-        RpcModule,
-        core::RegisterMethodError,
-        types::{ErrorObjectOwned, Params},
-    },
+    jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     log::{debug, warn},
     sardinerelay::id::Host,
-    serde::de::DeserializeOwned,
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc::Sender,
 };
@@ -43,19 +38,19 @@
 pub(super) fn methods(context: Context) -> Result<RpcModule<Context>, RegisterMethodError> {
     let mut module = RpcModule::new(context);
     module.register_async_method(PROPOSE, |parameters, context, _| async move {
-        let Propose { entry, wait_ms } = context.read(&parameters)?;
+        let Propose { entry, wait_ms } = context.counters.read(&parameters)?;
         let outcome = propose_here(context.local.as_ref(), entry.0, wait(wait_ms)).await;
         context.counters.count_sent();
         Answer::Ok(Packed(outcome))
     })?;
     module.register_async_method(CONFIRM, |parameters, context, _| async move {
-        let Confirm { wait_ms } = context.read(&parameters)?;
+        let Confirm { wait_ms } = context.counters.read(&parameters)?;
         let outcome = confirm_here(context.local.as_ref(), wait(wait_ms)).await;
         context.counters.count_sent();
         Answer::Ok(Packed(outcome))
     })?;
     module.register_async_method(PULL, |parameters, context, _| async move {
-        let pull: Pull = context.read(&parameters)?;
+        let pull: Pull = context.counters.read(&parameters)?;
         let pulled = sheet::serve(&context.board, pull, context.poll).await;
         context.counters.count_sent();
         Answer::Ok(pulled)
@@ -82,13 +77,13 @@
         Answer::Ok(voters)
     })?;
     module.register_async_method(REPLACE, |parameters, context, _| async move {
-        let request = context.read(&parameters)?;
+        let request = context.counters.read(&parameters)?;
         let answer = replace_here(context.local.as_ref(), request).await;
         context.counters.count_sent();
         Answer::Ok(answer)
     })?;
     module.register_async_method(STANDING, |parameters, context, _| async move {
-        let host: Host = context.read(&parameters)?;
+        let host: Host = context.counters.read(&parameters)?;
         let standing = guard::standing(context.local.as_ref(), &context.board, host).await;
         context.counters.count_sent();
         Answer::Ok(standing)
@@ -125,13 +120,3 @@
 fn wait(wait_ms: u64) -> Duration {
     Duration::from_millis(wait_ms).min(LONGEST_WAIT)
 }
-
-impl Context {
-    fn read<P>(&self, parameters: &Params<'_>) -> Answer<P>
-    where
-        P: DeserializeOwned,
-    {
-        self.counters.count_received();
-        parameters.parse::<(P,)>().map(|(parameter,)| parameter)
-    }
-}
--- a/crates/sardinerelayd/src/control/start.rs
+++ b/crates/sardinerelayd/src/control/start.rs
@@ -4,7 +4,8 @@
     super::{
         Failure, Published, Settings,
         board::Board,
-        consensus::{Compaction, Consensus},
+        consensus::Consensus,
+        disk::Compaction,
         guard,
         leader::Leader,
         message::Input,
