--- a/crates/sardinerelay-gateway/src/gate.rs
+++ b/crates/sardinerelay-gateway/src/gate.rs
@@ -181,11 +181,6 @@
         self.waiting.is_empty()
     }
 
-    /// When the next request's time to wait passes.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting.iter().map(|waiting| waiting.until).min()
-    }
-
     fn sort(&mut self) {
         let running = &self.counts;
         self.waiting.sort_by_key(|waiting| {
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -16,18 +16,14 @@
         targets::RunId,
     },
     compact_str::CompactString,
-    jsonrpsee::{
-        RpcModule,
-        core::RegisterMethodError,
-        types::{ErrorObjectOwned, Params},
-    },
+    jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     log::{debug, warn},
     sardinerelay::id::{Host, Version},
     sardinerelayd::{
         control::Failure,
         peer::{Packed, Receiver, STEP, Server, SharedCounters, Step},
     },
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -165,7 +161,7 @@
 fn methods(context: Context) -> Result<RpcModule<Context>, RegisterMethodError> {
     let mut module = RpcModule::new(context);
     module.register_async_method(SUBMIT, |parameters, context, _| async move {
-        let Submit { document } = context.read(&parameters)?;
+        let Submit { document } = context.counters.read(&parameters)?;
         let input = |reply| Input::Submit(document.0, reply);
         Answer::Ok(context.handle.local(input).await)
     })?;
@@ -173,20 +169,20 @@
         Answer::<Outcome>::Ok(context.handle.local(Input::Confirm).await)
     })?;
     module.register_async_method(STANDING, |parameters, context, _| async move {
-        let ask: Ask = context.read(&parameters)?;
+        let ask: Ask = context.counters.read(&parameters)?;
         Answer::Ok(standing(&context.handle, ask).await)
     })?;
     module.register_async_method(FOLLOW_CONFIGURATION, |parameters, context, _| async move {
-        let follow: FollowConfiguration = context.read(&parameters)?;
+        let follow: FollowConfiguration = context.counters.read(&parameters)?;
         context.observed.followers.seen(&follow.host);
         Answer::Ok(configuration(&context.handle, &follow).await)
     })?;
     module.register_async_method(FOLLOW_BOARD, |parameters, context, _| async move {
-        let follow: FollowBoard = context.read(&parameters)?;
+        let follow: FollowBoard = context.counters.read(&parameters)?;
         Answer::Ok(board(&context.observed.board, &follow).await)
     })?;
     module.register_async_method(ACQUIRE, |parameters, context, _| async move {
-        let Packed(acquire): Packed<Acquire> = context.read(&parameters)?;
+        let Packed(acquire): Packed<Acquire> = context.counters.read(&parameters)?;
         let Acquire {
             run,
             need,
@@ -201,7 +197,7 @@
         Answer::Ok(Packed(answer))
     })?;
     module.register_async_method(RELOCATE, |parameters, context, _| async move {
-        let Packed(relocate): Packed<Relocate> = context.read(&parameters)?;
+        let Packed(relocate): Packed<Relocate> = context.counters.read(&parameters)?;
         let Relocate { departure, wait } = relocate;
         let began = Instant::now();
         let answer = context.observed.allocator.relocate(departure, wait).await;
@@ -290,7 +286,7 @@
             match report {
                 Report::Sent(note) => {
                     let mut state = self.allocator.state();
-                    state.targets.heard(std::iter::once(&note), Instant::now());
+                    state.targets.heard(&note, Instant::now());
                 }
                 Report::Full(target) => {
                     self.allocator.state().targets.full(&target, Instant::now());
@@ -303,13 +299,3 @@
         Ok(())
     }
 }
-
-impl Context {
-    fn read<P>(&self, parameters: &Params<'_>) -> Answer<P>
-    where
-        P: DeserializeOwned,
-    {
-        self.counters.count_received();
-        parameters.parse::<(P,)>().map(|(parameter,)| parameter)
-    }
-}
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        answer::Refusal,
         call::{Answer, Call, Copy, EventId, Forward},
         entry::Entry,
         table::{Engine, Route},
@@ -120,11 +119,6 @@
         let answer = (self.entry.dialect.answer)(response.headers());
         judge(&self.call.id, response.status(), &answer)
     }
-
-    /// The relay's own answer.
-    pub fn refuse(&self, refusal: &Refusal) -> Response<axum::body::Body> {
-        refusal.response(&self.entry.dialect, Some(&self.call.id))
-    }
 }
 
 /// Judges the head of an answer to the attempt `id`.
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -237,17 +237,8 @@
         }
     }
 
-    /// Takes over what other hosts sent to engines.
-    pub fn heard<'a, Notes>(&mut self, notes: Notes, now: Instant)
-    where
-        Notes: Iterator<Item = &'a Note>,
-    {
-        for note in notes {
-            self.others_sent(note, now);
-        }
-    }
-
-    fn others_sent(&mut self, note: &Note, now: Instant) {
+    /// Takes over what another host sent to an engine.
+    pub fn heard(&mut self, note: &Note, now: Instant) {
         let Some(state) = self.states.get_mut(&note.target) else {
             return;
         };
--- a/crates/sardinerelayd/src/peer.rs
+++ b/crates/sardinerelayd/src/peer.rs
@@ -23,6 +23,8 @@
 };
 
 use {
+    jsonrpsee::types::{ErrorObjectOwned, Params},
+    serde::de::DeserializeOwned,
     std::{
         net::SocketAddr,
         sync::{
@@ -166,6 +168,19 @@
     pub fn count_received(&self) {
         self.received.fetch_add(1, Ordering::Relaxed);
     }
+
+    /// Counts a received call and reads its one parameter.
+    ///
+    /// # Errors
+    ///
+    /// The error that the caller gets if the parameter can't be read.
+    pub fn read<P>(&self, parameters: &Params<'_>) -> Result<P, ErrorObjectOwned>
+    where
+        P: DeserializeOwned,
+    {
+        self.count_received();
+        parameters.parse::<(P,)>().map(|(parameter,)| parameter)
+    }
 }
 
 /// Counters that several connections share.
