--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -13,7 +13,7 @@
         board::{Board, Instance},
         gate::{Decision, Gate, Refusal, Waiting},
         moves::{Departure, Moves},
-        placement::{self, Choice, Need},
+        placement::{self, Choice, Need, Second},
         targets::{Change, Held, RunId, Targets},
     },
     log::info,
@@ -254,8 +254,8 @@
         // What already runs goes before what is new.
         let moving = moves.decide(now, |departure| {
             let from = targets.get(&departure.from)?;
-            let place = (self.scope, from, &departure.avoid[..]);
-            let to = placement::choose_move(targets, &departure.need, place, &mut rng(), now)?;
+            let place = (Second::Move, self.scope, from, &departure.avoid[..]);
+            let to = placement::choose_second(targets, &departure.need, place, &mut rng(), now)?;
             hold_move(targets, departure, &to, now);
             Some(to)
         });
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -11,7 +11,7 @@
         group::{Note, Report},
         metrics::Metrics,
         moves::Departure,
-        placement::{self, Choice, Need},
+        placement::{self, Choice, Need, Second},
         pool::Pool,
         remote::Remote,
         settings,
@@ -202,8 +202,8 @@
     fn relocate_here(&self, departure: &Departure, now: Instant) -> Option<Target> {
         let mut state = self.state();
         let from = state.targets.get(&departure.from)?;
-        let place = (Scope::Own, from, &departure.avoid[..]);
-        let to = placement::choose_move(&state.targets, &departure.need, place, &mut rng(), now)?;
+        let place = (Second::Move, Scope::Own, from, &departure.avoid[..]);
+        let to = placement::choose_second(&state.targets, &departure.need, place, &mut rng(), now)?;
         hold_move(&mut state.targets, departure, &to, now);
         self.tell((&to, 0), &departure.need, 0);
         Some(to)
@@ -344,8 +344,8 @@
         let mut state = self.entry.state();
         let primary = state.targets.get(&target).filter(|_| self.need.copy);
         let copy = primary.and_then(|primary| {
-            let place = (Scope::Own, primary, &[][..]);
-            placement::choose_copy(&state.targets, &self.need, place, &mut rng(), now)
+            let place = (Second::Copy, Scope::Own, primary, &[][..]);
+            placement::choose_second(&state.targets, &self.need, place, &mut rng(), now)
         });
         state.targets.release(&target, self.run);
         let choice = Choice { target, copy };
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -146,51 +146,39 @@
         .min_by(|left, right| left.0.total_cmp(&right.0))?;
     let target = best.1.instance.target.clone();
     let copy = match need.copy {
-        true => choose_copy(targets, need, (scope, best.1, &[]), rng, now),
+        true => {
+            let place = (Second::Copy, scope, best.1, &[][..]);
+            choose_second(targets, need, place, rng, now)
+        }
         false => None,
     };
     Some(Choice { target, copy })
 }
 
-/// Chooses the engine that keeps a copy of a generation that runs on `primary`, other than those
-/// in `avoid`. A copy only takes memory that would be free anyway.
-pub fn choose_copy<R>(
-    targets: &Targets,
-    need: &Need,
-    place: (Scope, &State, &[Target]),
-    rng: &mut R,
-    now: Instant,
-) -> Option<Target>
-where
-    R: Rng + ?Sized,
-{
-    choose_second(targets, need, (place, COPY_FILL), rng, now)
-}
-
-/// Chooses the engine that a generation is moved to.
-pub fn choose_move<R>(
-    targets: &Targets,
-    need: &Need,
-    place: (Scope, &State, &[Target]),
-    rng: &mut R,
-    now: Instant,
-) -> Option<Target>
-where
-    R: Rng + ?Sized,
-{
-    choose_second(targets, need, (place, MOVE_FILL), rng, now)
+/// What a second engine is wanted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Second {
+    /// It keeps a copy, which only takes memory that would be free anyway.
+    Copy,
+    /// The generation moves there.
+    Move,
 }
 
-fn choose_second<R>(
+/// Chooses a second engine for a generation that runs on `primary`, other than those in `avoid`.
+pub fn choose_second<R>(
     targets: &Targets,
     need: &Need,
-    ((scope, primary, avoid), fill): ((Scope, &State, &[Target]), f64),
+    (second, scope, primary, avoid): (Second, Scope, &State, &[Target]),
     rng: &mut R,
     now: Instant,
 ) -> Option<Target>
 where
     R: Rng + ?Sized,
 {
+    let fill = match second {
+        Second::Copy => COPY_FILL,
+        Second::Move => MOVE_FILL,
+    };
     let mut feasible: Vec<(f64, &State)> = targets
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
--- a/crates/sardinerelay-gateway/tests/decisions/moves.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/moves.rs
@@ -13,7 +13,7 @@
     },
 };
 
-fn ms(ms: u64) -> Duration {
+const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -37,15 +37,11 @@
 }
 
 /// Time that a copy of a whole generation takes on the engine's link, and one of what is new.
-const COPIES: [Duration; 2] = [ms_const(190), ms_const(15)];
+const COPIES: [Duration; 2] = [ms(190), ms(15)];
 /// Time from the start of the moves until the engine ends.
-const LEFT: Duration = ms_const(900);
+const LEFT: Duration = ms(900);
 /// The longest pause between events that callers accept.
-const PAUSE: Duration = ms_const(180);
-
-const fn ms_const(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+const PAUSE: Duration = ms(180);
 
 /// Plays moves on a link that serves one copy after another. Each entry of `starts` is when a
 /// generation asks for its first copy; it asks for the last one when the first is complete.
@@ -123,18 +119,22 @@
     assert!(moves.is_empty());
 }
 
+/// One generation that leaves the first engine, and one that leaves the third.
+fn off_two_engines(now: Instant) -> Moves {
+    let mut moves = Moves::default();
+    moves.offer(departure(1, 100), now);
+    let other = Departure {
+        from: instance(2).target,
+        ..departure(2, 50)
+    };
+    moves.offer(other, now);
+    moves
+}
+
 #[test]
 fn engines_dont_wait_for_each_other() {
     let now = Instant::now();
-    let mut moves = Moves::default();
-    moves.offer(departure(1, 100), now);
-    moves.offer(
-        Departure {
-            from: instance(2).target,
-            ..departure(2, 50)
-        },
-        now,
-    );
+    let mut moves = off_two_engines(now);
     let mut other = 3..;
     let granted = moves.decide(now, |_| other.next().map(|number| instance(number).target));
     assert_eq!(granted.len(), 2);
@@ -145,15 +145,7 @@
 #[test]
 fn an_engine_receives_one_at_a_time() {
     let now = Instant::now();
-    let mut moves = Moves::default();
-    moves.offer(departure(1, 100), now);
-    moves.offer(
-        Departure {
-            from: instance(2).target,
-            ..departure(2, 50)
-        },
-        now,
-    );
+    let mut moves = off_two_engines(now);
     assert_eq!(granted(&mut moves, now), [1]);
     moves.end(1);
     assert_eq!(granted(&mut moves, now), [2]);
--- a/crates/sardinerelay-gateway/tests/decisions/placement.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -8,7 +8,7 @@
         board::{Board, Observation},
         call::Part,
         gate::Refusal,
-        placement::{self, choose, choose_copy, choose_move},
+        placement::{self, Second, choose, choose_second},
         targets::{Change, Held, Targets},
     },
     std::{
@@ -81,7 +81,7 @@
         prompt: 3_000,
         memory: 3_800,
     };
-    targets.heard(std::iter::repeat_n(&note, 6), now);
+    (0..6).for_each(|_| targets.heard(&note, now));
     let mut rng = StdRng::seed_from_u64(3);
     let choice = choose(&targets, &need(), (Scope::All, &[]), &mut rng, now).expect("room");
     assert_eq!(choice.target, instance(1).target);
@@ -190,7 +190,8 @@
     let mut rng = StdRng::seed_from_u64(5);
     let far = targets.get(&instance(1).target).expect("listed");
     for _ in 0..20 {
-        let copy = choose_copy(&targets, &need(), (Scope::Own, far, &[]), &mut rng, now);
+        let place = (Second::Copy, Scope::Own, far, &[][..]);
+        let copy = choose_second(&targets, &need(), place, &mut rng, now);
         let copy = copy.expect("room");
         let zone = &targets.get(&copy).expect("listed").instance.zone;
         assert_eq!(zone, "a");
@@ -204,9 +205,12 @@
     let targets = targets(&[16_000; 9], now);
     let mut rng = StdRng::seed_from_u64(5);
     let primary = targets.get(&instance(0).target).expect("listed");
-    let place = (Scope::All, primary, &[][..]);
-    assert_eq!(choose_copy(&targets, &need(), place, &mut rng, now), None);
-    assert!(choose_move(&targets, &need(), place, &mut rng, now).is_some());
+    let mut chosen = |second| {
+        let place = (second, Scope::All, primary, &[][..]);
+        choose_second(&targets, &need(), place, &mut rng, now)
+    };
+    assert_eq!(chosen(Second::Copy), None);
+    assert!(chosen(Second::Move).is_some());
 }
 
 #[test]
