--- a/crates/sardinerelay-standin/src/engine.rs
+++ b/crates/sardinerelay-standin/src/engine.rs
@@ -7,10 +7,9 @@
 
 use {
     crate::{
-        batch::Size,
         cache::{self, blocks},
         decoder::{Admission, Core, Shared, decode},
-        orders::{self, Fencing, Order, Refusal},
+        orders::{self, Order, Refusal},
         reader::{Live, Reader, Shape},
         record,
         server::{self, header, refuse},
@@ -38,81 +37,16 @@
     uuid::Uuid,
 };
 
-pub use crate::record::{Outcome, Record};
+mod config;
+
+pub use {
+    self::config::Config,
+    crate::record::{Outcome, Record},
+};
 
 /// Bytes of prompt text that count as one token.
 pub const BYTES_PER_TOKEN: u64 = 4;
 
-/// Settings of one stand-in engine.
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// The engine's name, used in logs and in `/v1/load`.
-    pub name: CompactString,
-    /// Models that it answers for from the start, each as `model` or `model:adapter`.
-    pub models: Vec<CompactString>,
-    /// Whether a request for an adapter that isn't loaded is refused.
-    pub check_adapters: bool,
-    /// Sizes of the batch.
-    pub size: Size,
-    /// Duration of one decode iteration.
-    pub step: Duration,
-    /// How old the load report is that `/v1/load` answers.
-    pub report_lag: Duration,
-    /// How long a generation goes on without a reader before it is cancelled.
-    pub orphan_window: Duration,
-    /// How long a finished generation without a reader can still be resumed.
-    pub retention: Duration,
-    /// The prefix cache.
-    pub cache: cache::Config,
-    /// What happens to an order with an old fencing token.
-    pub fencing: Fencing,
-    /// Time that a model or adapter takes to load.
-    pub load_time: Duration,
-    /// Number of generations that the record holds.
-    pub record_limit: usize,
-    /// Number of this start of the engine, higher for a later one; the time of the start if not
-    /// stated.
-    pub incarnation: Option<CompactString>,
-    /// Seed of the output lengths and of lost cache events.
-    pub seed: u64,
-    /// Mean output length in tokens where the request does not state one.
-    pub mean_tokens: u64,
-    /// Whether the text of each token ends with a mark of its generation, so that a reader can
-    /// tell output of two generations for one prompt apart.
-    pub mark_generations: bool,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            name: "engine".into(),
-            models: vec!["bend-planner".into()],
-            check_adapters: false,
-            size: Size {
-                memory_tokens: 60_000,
-                max_running: 64,
-                prefill_tokens_per_step: 4096,
-            },
-            step: Duration::from_millis(20),
-            report_lag: Duration::from_millis(500),
-            orphan_window: Duration::from_secs(10),
-            retention: Duration::from_secs(10),
-            cache: cache::Config {
-                tokens: 20_000,
-                lag: Duration::from_millis(500),
-                loss: 0.0,
-            },
-            fencing: Fencing::Checked,
-            load_time: Duration::from_secs(2),
-            record_limit: 65_536,
-            incarnation: None,
-            seed: 1,
-            mean_tokens: 60,
-            mark_generations: false,
-        }
-    }
-}
-
 /// A load report.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Load {
--- a/crates/sardinerelay/examples/policy.rs
+++ b/crates/sardinerelay/examples/policy/world.rs
@@ -1,75 +1,36 @@
-//! Measures the scheduling policies against each other in virtual time.
-//!
-//! Ten engines, nine schedulers with their own lagged view, open-loop seeded arrivals, and one
-//! engine that dies midway. The figures are recorded in `docs/design/admission.md`.
-//!
-//! `policy [SECONDS] [SEED] [MIX] [LOAD]`, for example `policy 600 1 brakeline 120`. Left-out
-//! arguments mean 600 seconds, seed 1, both mixes and loads of 60, 90 and 120 %.
+//! Engines and schedulers in virtual time.
 
 use {
+    crate::{
+        ENGINES, MEMORY_TOKENS, Run, STEP_TICKS, TICK,
+        outcome::Outcome,
+        traffic::{Call, call, capacity},
+    },
     rand::{Rng, SeedableRng, rngs::StdRng},
     sardinerelay::{
-        admission::{self, Objective},
+        admission,
         fleet::{Entry, Listed},
         router::{Description, Report},
-        scheduler::{Decision, Ending, Policy, Refusal, Request, Scheduler, Settings},
+        scheduler::{Decision, Ending, Refusal, Request, Scheduler, Settings},
     },
     sardinerelay_standin::batch::{Batch, Size},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
-        env,
-        time::{Duration, Instant},
+        collections::{HashMap, VecDeque},
+        time::Instant,
     },
     uuid::Uuid,
 };
 
-const ENGINES: usize = 10;
 const HOSTS: usize = 9;
 const ZONES: usize = 3;
-const ORGANISATIONS: usize = 10;
-const MEMORY_TOKENS: u64 = 60_000;
 const MAX_RUNNING: usize = 256;
 const PREFILL_PER_STEP: u64 = 4_096;
-/// Resolution of virtual time.
-const TICK: Duration = Duration::from_millis(5);
-/// Ticks of one decode iteration.
-const STEP_TICKS: u64 = 4;
 /// Ticks between two load reports of one engine to one host.
 const REPORT_TICKS: u64 = 100;
 /// Age of a report on arrival, in ticks.
 const REPORT_AGE_TICKS: u64 = 40;
 const STALL_TICKS: u64 = 50;
 const MAX_TOKENS: u64 = 32_000;
-/// Share of the callers who disconnect at a random point of a long answer.
-const IMPATIENT: f64 = 0.05;
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Mix {
-    Brakeline,
-    Harakeke,
-}
-
-/// A caller's request, with the length that only the engine knows.
-#[derive(Debug, Clone)]
-struct Call {
-    organisation: usize,
-    class: &'static str,
-    priority: u8,
-    max_wait: Duration,
-    prompt: u64,
-    length: u64,
-    cancel_at: Option<u64>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Run {
-    mix: Mix,
-    load: f64,
-    policy: Policy,
-    objective: Objective,
-    seconds: u64,
-    seed: u64,
-}
 
 #[derive(Debug)]
 struct Open {
@@ -88,30 +49,8 @@
     reports: VecDeque<Report>,
 }
 
-#[derive(Debug, Default)]
-struct Outcome {
-    arrived: u64,
-    refused: u64,
-    refusals: BTreeMap<&'static str, u64>,
-    lost: u64,
-    complete: u64,
-    goodput: u64,
-    stall_ticks: u64,
-    stream_ticks: u64,
-    preemptions: u64,
-    gaps: BTreeMap<u64, u64>,
-    first_token: Vec<u64>,
-    first_token_short: Vec<u64>,
-    offered: [u64; ORGANISATIONS],
-    served: [u64; ORGANISATIONS],
-    used: f64,
-    used_samples: u64,
-    quantile: f64,
-    calls: Vec<u32>,
-}
-
 #[derive(Debug)]
-struct World {
+pub struct World {
     run: Run,
     rng: StdRng,
     start: Instant,
@@ -122,71 +61,8 @@
     outcome: Outcome,
 }
 
-fn main() {
-    let arguments: Vec<String> = env::args().skip(1).collect();
-    let number = |at: usize, default: u64| {
-        arguments
-            .get(at)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(default)
-    };
-    let seconds = number(0, 600);
-    let seed = number(1, 1);
-    println!(
-        "{:<9} {:>4} {:<17} {:>8} {:>7} {:>8} {:>21} {:>15} {:>15} {:>8} {:>8} {:>5} {:>5} {:>5} {:>5}",
-        "mix",
-        "load",
-        "policy",
-        "stall s",
-        "stall %",
-        "preempt",
-        "gap p50/95/99/99.9 ms",
-        "ttft p50/p99 s",
-        "short p50/99",
-        "goodput",
-        "refused",
-        "lost",
-        "jain",
-        "mem %",
-        "q"
-    );
-    for mix in [Mix::Brakeline, Mix::Harakeke] {
-        let name = format!("{mix:?}").to_lowercase();
-        if arguments
-            .get(2)
-            .is_some_and(|wanted| *wanted != name && wanted != "both")
-        {
-            continue;
-        }
-        for percent in [60, 90, 120] {
-            if arguments
-                .get(3)
-                .is_some_and(|wanted| wanted.parse() != Ok(percent))
-            {
-                continue;
-            }
-            for (policy, objective) in [
-                (Policy::RoundRobin, Objective::Stall),
-                (Policy::LeastInFlight, Objective::Stall),
-                (Policy::Adaptive, Objective::Stall),
-                (Policy::Adaptive, Objective::Preemption),
-            ] {
-                let run = Run {
-                    mix,
-                    load: f64::from(percent) / 100.0,
-                    policy,
-                    objective,
-                    seconds,
-                    seed,
-                };
-                World::new(run).play().print(&run);
-            }
-        }
-    }
-}
-
 impl World {
-    fn new(run: Run) -> Self {
+    pub fn new(run: Run) -> Self {
         let start = Instant::now();
         let engines = (0..ENGINES)
             .map(|at| Engine {
@@ -215,7 +91,7 @@
         }
     }
 
-    fn play(mut self) -> Outcome {
+    pub fn play(mut self) -> Outcome {
         // Arrivals have their own generator, so that every policy gets the same calls.
         let mut arrivals = StdRng::seed_from_u64(self.run.seed ^ 0x5eed);
         let rate = self.run.load * capacity(self.run.mix);
@@ -506,168 +382,3 @@
     }
     scheduler
 }
-
-/// Requests per second that fill the engines' memory, from the memory-time of the average call.
-fn capacity(mix: Mix) -> f64 {
-    let mut rng = StdRng::seed_from_u64(7);
-    let samples = 200_000;
-    let total: f64 = (0..samples)
-        .map(|_| {
-            let call = call(mix, &mut rng);
-            let length = call.cancel_at.unwrap_or(call.length) as f64;
-            length * (call.prompt as f64 + length / 2.0)
-        })
-        .sum();
-    let step = (TICK * STEP_TICKS as u32).as_secs_f64();
-    (ENGINES as u64 * MEMORY_TOKENS) as f64 / (total / f64::from(samples) * step)
-}
-
-fn call(mix: Mix, rng: &mut StdRng) -> Call {
-    // The share of the n-th organisation falls with its rank, so a few are large.
-    let weights: f64 = (1..=ORGANISATIONS).map(|rank| 1.0 / rank as f64).sum();
-    let mut left = rng.random::<f64>() * weights;
-    let organisation = (0..ORGANISATIONS)
-        .find(|rank| {
-            left -= 1.0 / (rank + 1) as f64;
-            left <= 0.0
-        })
-        .unwrap_or(0);
-    let long = rng.random_bool(match mix {
-        Mix::Brakeline => 0.25,
-        Mix::Harakeke => 0.6,
-    });
-    let (class, prompt, length) = match (mix, long) {
-        (Mix::Brakeline, true) => {
-            let steps = rng.random_range(10..=80);
-            let length = (0..steps).map(|_| rng.random_range(30..=50)).sum();
-            ("plan", rng.random_range(300..=900), length)
-        }
-        (Mix::Brakeline, false) => (
-            "question",
-            rng.random_range(60..=200),
-            rng.random_range(20..=80),
-        ),
-        (Mix::Harakeke, true) if rng.random_bool(0.05) => {
-            let tail = 600.0 * rng.random::<f64>().max(1e-9).powf(-1.0 / 1.2);
-            (
-                "draft",
-                rng.random_range(100..=400),
-                (tail as u64).min(8_000),
-            )
-        }
-        (Mix::Harakeke, true) => (
-            "draft",
-            rng.random_range(100..=400),
-            rng.random_range(100..=600),
-        ),
-        (Mix::Harakeke, false) => (
-            "sorting",
-            rng.random_range(150..=500),
-            rng.random_range(5..=20),
-        ),
-    };
-    let impatient = long && rng.random_bool(IMPATIENT);
-    let cancel_at = rng.random_range(1..=length);
-    Call {
-        organisation,
-        class,
-        priority: u8::from(long),
-        max_wait: Duration::from_secs(if long { 30 } else { 5 }),
-        prompt,
-        length,
-        cancel_at: impatient.then_some(cancel_at),
-    }
-}
-
-impl Outcome {
-    fn print(mut self, run: &Run) {
-        let name = match run.policy {
-            Policy::Adaptive => format!("adaptive/{:?}", run.objective).to_lowercase(),
-            policy => format!("{policy:?}").to_lowercase(),
-        };
-        let seconds = |ticks: u64| (TICK * ticks as u32).as_secs_f64();
-        let gaps: Vec<String> = [0.5, 0.95, 0.99, 0.999]
-            .map(|q| format!("{:.0}", seconds(self.gap(q)) * 1_000.0))
-            .to_vec();
-        let mut first = |values: fn(&mut Self) -> &mut Vec<u64>, q: f64| {
-            let values = values(&mut self);
-            values.sort_unstable();
-            seconds(at_quantile(values, q))
-        };
-        let ttft = [
-            first(|outcome| &mut outcome.first_token, 0.5),
-            first(|outcome| &mut outcome.first_token, 0.99),
-            first(|outcome| &mut outcome.first_token_short, 0.5),
-            first(|outcome| &mut outcome.first_token_short, 0.99),
-        ];
-        println!(
-            "{:<9} {:>4.0} {:<17} {:>8.1} {:>7.3} {:>8} {:>21} {:>15} {:>15} {:>8.0} {:>8} {:>5} {:>5.3} {:>5.1} {:>5.3}",
-            format!("{:?}", run.mix).to_lowercase(),
-            run.load * 100.0,
-            name,
-            seconds(self.stall_ticks),
-            100.0 * self.stall_ticks as f64 / self.stream_ticks.max(1) as f64,
-            self.preemptions,
-            gaps.join("/"),
-            format!("{:.2}/{:.2}", ttft[0], ttft[1]),
-            format!("{:.2}/{:.2}", ttft[2], ttft[3]),
-            self.goodput as f64 / run.seconds as f64,
-            self.refused,
-            self.lost,
-            self.jain(),
-            100.0 * self.used / self.used_samples as f64 / MEMORY_TOKENS as f64,
-            self.quantile,
-        );
-        self.calls.sort_unstable();
-        let mean =
-            self.calls.iter().map(|ns| f64::from(*ns)).sum::<f64>() / self.calls.len() as f64;
-        eprintln!(
-            "  refusals {:?}, calls {} arrived {} complete {}: mean {:.0} ns, p99 {} ns, p99.9 {} ns, max {} ns",
-            self.refusals,
-            self.calls.len(),
-            self.arrived,
-            self.complete,
-            mean,
-            at_quantile(&self.calls, 0.99),
-            at_quantile(&self.calls, 0.999),
-            self.calls.last().copied().unwrap_or(0),
-        );
-    }
-
-    fn gap(&self, q: f64) -> u64 {
-        let all: u64 = self.gaps.values().sum();
-        let mut seen = 0;
-        self.gaps
-            .iter()
-            .find(|(_, count)| {
-                seen += **count;
-                seen as f64 >= q * all as f64
-            })
-            .map_or(0, |(gap, _)| *gap)
-    }
-
-    /// Fairness of the served share of what each organisation asked for.
-    fn jain(&self) -> f64 {
-        let shares: Vec<f64> = self
-            .offered
-            .iter()
-            .zip(self.served)
-            .filter(|(offered, _)| **offered > 0)
-            .map(|(offered, served)| served as f64 / *offered as f64)
-            .collect();
-        let sum: f64 = shares.iter().sum();
-        let squares: f64 = shares.iter().map(|share| share * share).sum();
-        sum * sum / (shares.len() as f64 * squares)
-    }
-}
-
-fn at_quantile<T>(sorted: &[T], q: f64) -> T
-where
-    T: Copy + Default,
-{
-    let at = (q * sorted.len() as f64) as usize;
-    sorted
-        .get(at.min(sorted.len().saturating_sub(1)))
-        .copied()
-        .unwrap_or_default()
-}
--- a/crates/sardinerelay/tests/raft/group.rs
+++ b/crates/sardinerelay/tests/raft/group.rs
@@ -1,5 +1,10 @@
 //! Replicas in memory with simulated time, disks and network, checked after every step.
 
+mod check;
+mod machine;
+
+pub use self::machine::Machine;
+
 use {
     bytes::Bytes,
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -12,15 +17,12 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
-        hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
     },
 };
 
 pub const STEP: Duration = Duration::from_millis(1);
 const APPEND_BYTES: usize = 600;
-/// Larger than a chunk, so that a snapshot takes several messages.
-const SNAPSHOT_PADDING_BYTES: usize = 5000;
 
 /// Rates of faults.
 #[derive(Debug, Clone, Copy, Default)]
@@ -33,13 +35,6 @@
     pub drift: f64,
 }
 
-/// Applied state: enough to compare two machines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Machine {
-    pub applied: Index,
-    pub digest: u64,
-}
-
 #[derive(Debug)]
 pub struct Node {
     pub replica: Option<Replica>,
@@ -84,37 +79,6 @@
     read_floor: BTreeMap<u64, Index>,
 }
 
-impl Machine {
-    fn apply(&mut self, entry: &Entry) {
-        assert_eq!(entry.position.index, self.applied + 1, "applied with a gap");
-        let mut hasher = DefaultHasher::new();
-        self.digest.hash(&mut hasher);
-        format!("{entry:?}").hash(&mut hasher);
-        self.digest = hasher.finish();
-        self.applied += 1;
-    }
-
-    /// The encoding differs between hosts, as that of a hash map may.
-    fn save(&self, host: Host) -> Bytes {
-        let mut data = self.applied.to_le_bytes().to_vec();
-        data.extend(self.digest.to_le_bytes());
-        data.resize(SNAPSHOT_PADDING_BYTES, host as u8);
-        Bytes::from(data)
-    }
-
-    fn restore(data: &[u8]) -> Self {
-        let padding = &data[16..];
-        assert_eq!(data.len(), SNAPSHOT_PADDING_BYTES);
-        let mixed = padding.iter().any(|byte| *byte != padding[0]);
-        assert!(!mixed, "snapshot with parts of two encodings");
-        let number = |range| u64::from_le_bytes(<[u8; 8]>::try_from(&data[range]).unwrap());
-        Self {
-            applied: number(0..8),
-            digest: number(8..16),
-        }
-    }
-}
-
 impl Group {
     pub fn new(seed: u64, voters: u64, faults: Faults) -> Self {
         let mut group = Self {
@@ -431,59 +395,6 @@
         node.disk.snapshot = snapshot.clone();
         replica.compact(snapshot);
     }
-
-    /// Election safety, leader completeness, and exclusiveness of the lease.
-    fn check_leaders(&mut self) {
-        let seed = self.seed;
-        let mut newest = 0;
-        for host in self.alive() {
-            let replica = self.nodes[&host].replica.as_ref().unwrap();
-            let status = replica.status();
-            if status.role != Role::Leader {
-                continue;
-            }
-            let known = *self.leaders.entry(status.term).or_insert(host);
-            assert_eq!(known, host, "seed {seed}: two leaders in one term");
-            let earlier = self.committed.iter().rev();
-            let known = earlier
-                .map(|entry| entry.position)
-                .find(|at| at.term < status.term);
-            let complete = known <= Some(status.last);
-            assert!(complete, "seed {seed}: leader lacks entries");
-            match replica.lease().map(|lease| lease.until()) {
-                Some(Some(until)) => _ = self.leases.insert(host, (status.term, until)),
-                Some(None) => {}
-                None => _ = self.leases.remove(&host),
-            }
-            newest = newest.max(status.term);
-        }
-        for (&host, &(term, until)) in &self.leases {
-            let over = term >= newest || until <= self.clock(host);
-            assert!(over, "seed {seed}: newer leader within the lease of {host}");
-        }
-    }
-
-    /// Log matching: where two logs agree on a place, they agree on everything before it.
-    pub fn check_logs(&self) {
-        let logs = self.nodes.values().map(|node| &node.disk.entries);
-        let logs: Vec<BTreeMap<Index, &Entry>> = logs
-            .map(|log| {
-                log.iter()
-                    .map(|entry| (entry.position.index, entry))
-                    .collect()
-            })
-            .collect();
-        for (left, right) in logs.iter().flat_map(|l| logs.iter().map(move |r| (l, r))) {
-            let mut agreed = false;
-            for (index, entry) in left.iter().rev() {
-                let Some(other) = right.get(index) else {
-                    continue;
-                };
-                agreed |= entry.position == other.position;
-                assert!(!agreed || entry == other, "seed {}: logs differ", self.seed);
-            }
-        }
-    }
 }
 
 fn write(disk: &mut Durable, persist: Persist) {
