--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -22,7 +22,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
-        net::Ipv4Addr,
+        net::{Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
@@ -176,7 +176,7 @@
                     info!(address:% = client.address(); "the followed host is reachable again");
                 }
                 if let Some(Packed(document)) = document {
-                    apply_configuration(&entry, &document);
+                    apply_configuration(&entry, &document, client.address());
                 }
             }
             Err(error) => {
@@ -189,9 +189,9 @@
     }
 }
 
-/// Puts a configuration in force, unless the present one has the same or a higher version. One that
-/// is malformed or invalid is only logged.
-fn apply_configuration(entry: &EntryHost, document: &Document) {
+/// Puts a configuration from the host at `source` in force, unless the present one has the same or a
+/// higher version. One that is malformed or invalid is only logged.
+fn apply_configuration(entry: &EntryHost, document: &Document, source: SocketAddr) {
     let current = entry
         .table
         .load()
@@ -210,7 +210,10 @@
     match Table::check(draft) {
         Ok(table) => {
             entry.table.store(Some(Arc::new(table)));
-            info!(version = document.version, before = current; "a new configuration is in force");
+            info!(
+                version = document.version, before = current, source:% = source;
+                "a new configuration is in force"
+            );
         }
         Err(errors) => {
             let reason = errors.first().map(ToString::to_string).unwrap_or_default();
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -186,7 +186,11 @@
         warn!(bytes = bytes, offset = offset; "truncated an incomplete record at the end of the log");
     }
     let own_id = identity.replica;
-    info!(replica = own_id, term = durable.hard_state.term; "opened the replica");
+    info!(
+        replica = own_id, term = durable.hard_state.term,
+        snapshot = durable.snapshot.meta.last.index, entries = durable.entries.len();
+        "opened the replica"
+    );
     Ok((own_id, (store, durable)))
 }
 
@@ -222,6 +226,7 @@
 /// that the next start joins under a new ID.
 async fn maintain_membership(settings: Settings, own_id: Host, path: PathBuf, handle: Handle) {
     let mut is_joining = own_id != member::founder_id(settings.address);
+    let mut is_leader_found = true;
     loop {
         let interval = if is_joining {
             JOIN_INTERVAL
@@ -229,7 +234,11 @@
             MEMBERSHIP_CHECK_INTERVAL
         };
         sleep(interval).await;
-        let Some(status) = handle.query_status(&settings, own_id, is_joining).await else {
+        let status = handle.query_status(&settings, own_id, is_joining).await;
+        if std::mem::replace(&mut is_leader_found, status.is_some()) != status.is_some() {
+            log_leader_search(own_id, is_joining, status.as_ref());
+        }
+        let Some(status) = status else {
             continue;
         };
         if status.is_voter {
@@ -245,12 +254,33 @@
     }
 }
 
+/// Logs that a replica found the leader, or that no host it asked is the leader.
+fn log_leader_search(own_id: Host, is_joining: bool, status: Option<&MemberStatus>) {
+    match status {
+        Some(MemberStatus {
+            leader, is_voter, ..
+        }) => info!(
+            replica = own_id, joining = is_joining, leader = leader.unwrap_or_default(), votes = *is_voter;
+            "the leader answered the membership check"
+        ),
+        None => warn!(
+            replica = own_id, joining = is_joining;
+            "no host that was asked for this replica's membership is the leader"
+        ),
+    }
+}
+
 impl Handle {
     /// Returns a channel with the newest configuration that this replica knows to be committed.
     pub fn newest(&self) -> watch::Receiver<Option<Arc<Document>>> {
         self.newest.clone()
     }
 
+    /// Returns a channel with this replica's own status in the group.
+    pub fn status(&self) -> watch::Receiver<MemberStatus> {
+        self.status.clone()
+    }
+
     /// Returns a channel that says whether this replica is the leader or knows of none.
     ///
     /// Tasks that one host should do for the group run where this is true. They thereby go on while
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -318,8 +318,10 @@
             }
         }
         self.leadership.send_replace(soft_state);
+        let status = self.replica.status();
         info!(
-            term = soft_state.term, leader = soft_state.leader.unwrap_or_default(), leads = is_leader;
+            term = soft_state.term, leader = soft_state.leader.unwrap_or_default(), leads = is_leader,
+            last = status.last.index, commit = status.commit, voters = status.membership.voters.len();
             "leadership changed"
         );
         let own = self.replica.id();
