Add a failing test: a wiped voter finds no leader that is not a seed

Five replicas in one process, three of them seeds. The leader is moved to one that is no seed, a seed loses its disk and comes back. It must vote again within 4 s.

--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -0,0 +1,6 @@
+//! Groups of replicas on loopback addresses.
+
+#[path = "group/cluster.rs"]
+mod cluster;
+#[path = "group/rejoin.rs"]
+mod rejoin;
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -0,0 +1,203 @@
+//! A group of replicas in the test's process, each in a runtime of its own so that it can be ended
+//! like a process.
+
+use {
+    sardinerelay_gateway::{
+        allocator::{Allocator, Scope},
+        group::{self, Document, Handle, RunningReplica, Settings, SharedState, member},
+        metrics::Metrics,
+        observations::{Followers, Observations},
+        reload::{self, SharedSettings},
+    },
+    std::{
+        collections::BTreeMap,
+        fs,
+        net::Ipv4Addr,
+        path::PathBuf,
+        process,
+        sync::{
+            Arc,
+            atomic::{AtomicU8, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::{
+        runtime::{Builder, Runtime},
+        sync::watch,
+    },
+};
+
+/// Number of replicas whose addresses all hosts are told.
+pub const SEEDS: usize = 3;
+/// Port of the peer servers.
+const PEER_PORT: u16 = 7200;
+/// Time limit of one request to the group.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which a test checks what it waits for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Numbers the groups of this process, so that each has addresses of its own.
+static GROUP_COUNT: AtomicU8 = AtomicU8::new(0);
+
+/// A replica that runs.
+struct Running {
+    runtime: Runtime,
+    replica: RunningReplica,
+}
+
+/// A group of replicas, which ends when this is dropped.
+pub struct Cluster {
+    directory: TempDir,
+    number: u8,
+    replicas: Vec<Option<Running>>,
+}
+
+impl Cluster {
+    /// Founds a group of `size` replicas, of which the first ones are seeds, and waits until all of
+    /// them vote.
+    pub fn found(size: usize) -> Self {
+        let mut cluster = Self {
+            directory: TempDir::new().expect("a directory"),
+            number: GROUP_COUNT.fetch_add(1, Ordering::Relaxed),
+            replicas: (0..size).map(|_| None).collect(),
+        };
+        (0..size).for_each(|host| cluster.start(host, true));
+        let all: Vec<usize> = (0..size).collect();
+        cluster.wait_for("all replicas vote", Duration::from_secs(20), |cluster| {
+            cluster.voting(&all)
+        });
+        cluster
+    }
+
+    /// Starts a replica.
+    pub fn start(&mut self, host: usize, is_founding: bool) {
+        let seeds = (0..SEEDS).map(|seed| self.address(seed)).collect();
+        let settings = Settings {
+            address: self.address(host),
+            peer_port: PEER_PORT,
+            reloadable: Arc::new(SharedSettings::new(reload::Settings { seeds })),
+            is_founding,
+            data_dir: self.data_dir(host),
+        };
+        fs::create_dir_all(&settings.data_dir).expect("a directory");
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let shared = SharedState {
+            observations: Arc::new(watch::Sender::new(Arc::new(Observations::default()))),
+            followers: Arc::new(Followers::default()),
+            allocator: Arc::new(Allocator::new(Scope::Group)),
+            metrics: Arc::new(Metrics::new().expect("instruments")),
+        };
+        let replica = runtime.block_on(group::start(settings, shared));
+        let replica = replica.expect("the replica starts");
+        self.replicas[host] = Some(Running { runtime, replica });
+    }
+
+    /// Ends a replica without notice. Its files stay.
+    pub fn kill(&mut self, host: usize) {
+        if let Some(Running { runtime, replica }) = self.replicas[host].take() {
+            drop(replica);
+            runtime.shutdown_timeout(Duration::from_secs(5));
+        }
+    }
+
+    /// Ends a replica without notice and deletes its files.
+    pub fn wipe(&mut self, host: usize) {
+        self.kill(host);
+        fs::remove_dir_all(self.data_dir(host)).expect("the directory can be removed");
+    }
+
+    /// Submits a configuration of this version through a replica. Returns whether it is accepted.
+    pub fn submit(&self, host: usize, version: u64) -> bool {
+        let document = Document {
+            version,
+            body: b"a configuration".to_vec().into(),
+        };
+        let running = self.running(host);
+        let submitted = self.handle(host).submit(document, REQUEST_TIMEOUT);
+        running.runtime.block_on(submitted).is_ok()
+    }
+
+    /// Moves leadership until one of `hosts` is the leader. Returns that host.
+    pub fn move_leadership(&self, hosts: &[usize]) -> usize {
+        let began = Instant::now();
+        loop {
+            let leader = self.leader();
+            if let Some(leader) = leader.filter(|leader| hosts.contains(leader)) {
+                return leader;
+            }
+            assert!(
+                began.elapsed() < Duration::from_secs(60),
+                "leadership can't be moved to {hosts:?}"
+            );
+            if let Some(leader) = leader {
+                let running = self.running(leader);
+                running.runtime.block_on(self.handle(leader).transfer());
+            }
+            thread::sleep(POLL_INTERVAL * 10);
+        }
+    }
+
+    /// Returns the replica that is the leader according to most replicas that know one.
+    pub fn leader(&self) -> Option<usize> {
+        let running = self.replicas.iter().flatten();
+        let known = running.filter_map(|running| running.replica.handle.status().borrow().leader);
+        let mut votes = BTreeMap::new();
+        known.for_each(|leader| *votes.entry(leader).or_insert(0) += 1);
+        let (leader, _) = votes.into_iter().max_by_key(|(_, count)| *count)?;
+        (0..self.replicas.len()).find(|host| self.address(*host) == member::address(leader))
+    }
+
+    /// Whether each of these replicas runs and knows that it votes.
+    pub fn voting(&self, hosts: &[usize]) -> bool {
+        hosts.iter().all(|host| {
+            let running = self.replicas[*host].as_ref();
+            running.is_some_and(|running| running.replica.handle.status().borrow().is_voter)
+        })
+    }
+
+    /// Waits until a condition holds, and fails the test after `time_limit`.
+    pub fn wait_for<Condition>(&self, what: &str, time_limit: Duration, condition: Condition)
+    where
+        Condition: Fn(&Self) -> bool,
+    {
+        let began = Instant::now();
+        while !condition(self) {
+            assert!(
+                began.elapsed() < time_limit,
+                "waited in vain for {time_limit:?} until {what}"
+            );
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    fn handle(&self, host: usize) -> &Handle {
+        &self.running(host).replica.handle
+    }
+
+    fn running(&self, host: usize) -> &Running {
+        self.replicas[host].as_ref().expect("the replica runs")
+    }
+
+    fn address(&self, host: usize) -> Ipv4Addr {
+        let process = process::id();
+        let second = 40 + (process % 50) as u8;
+        let third = (process / 50 % 32) as u8 * 8 + self.number % 8;
+        Ipv4Addr::new(127, second, third, host as u8 + 1)
+    }
+
+    fn data_dir(&self, host: usize) -> PathBuf {
+        self.directory.path().join(format!("replica-{host}"))
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        (0..self.replicas.len()).for_each(|host| self.kill(host));
+    }
+}
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/group/rejoin.rs
@@ -0,0 +1,21 @@
+//! Replicas that come back with an empty disk.
+
+use {
+    super::cluster::{Cluster, SEEDS},
+    std::time::Duration,
+};
+
+/// Time in which a replica with an empty disk must be a voter again.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+#[test]
+fn a_wiped_voter_rejoins_a_leader_that_is_no_seed() {
+    let mut cluster = Cluster::found(5);
+    let others: Vec<usize> = (SEEDS..5).collect();
+    cluster.move_leadership(&others);
+    cluster.wipe(0);
+    cluster.start(0, false);
+    cluster.wait_for("the wiped replica votes", CATCH_UP_TIME, |cluster| {
+        cluster.voting(&[0])
+    });
+}
