Follow the hosts that responses name when a replica looks for the leader

Cause: a replica with an empty disk knows no members and asked only the three seeds of its settings. It accepted only a leader's answer, and no use was made of the leader and the members that each answer names. While the leader is a voter that is no seed, a wiped voter never joins. The group stays one voter short, without a line in the log, until the leader changes; the next loss that it should bear takes its quorum.

Now a search starts with the known hosts, and asks the hosts that responses name until one satisfies it or none is left. Entry hosts look for the members with the same search, one host at a time as before, so the request and its parameters stand only once.

--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -9,16 +9,14 @@
         group::{
             AllocationReport, Clients, Document, FOLLOW_CONFIGURATION_METHOD,
             FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration, FollowObservations, MemberStatus,
-            STATUS_METHOD, member,
+            StatusRequest, discovery::Search, member,
         },
         observations::Observations,
         reporter,
         table::Table,
     },
     log::{debug, info, warn},
-    sardinerelay::id::Host,
     sardinerelayd::peer::Packed,
-    serde::Serialize,
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -43,8 +41,6 @@
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which hosts are queried for the members of the group.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(1500);
-/// Timeout of the query to one host.
-const MEMBERS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without fresh observations from any host after which those of all followed hosts are
 /// requested. Observations with a list that is older than this don't count as fresh.
 const OBSERVATIONS_TIMEOUT: Duration = Duration::from_millis(700);
@@ -119,34 +115,17 @@
     clients: &Clients,
     known: &BTreeSet<Ipv4Addr>,
 ) -> Option<(Ipv4Addr, BTreeSet<Ipv4Addr>)> {
-    #[derive(Serialize)]
-    struct StatusRequest {
-        host: Host,
-        joining: bool,
-        founding: bool,
-    }
-    for address in known {
-        let request = StatusRequest {
-            host: 0,
-            joining: false,
-            founding: false,
-        };
-        let client = clients.get(*address);
-        let response = client.call(STATUS_METHOD, &request, MEMBERS_TIMEOUT).await;
-        match response {
-            Ok(MemberStatus {
-                leader: Some(leader),
-                members,
-                ..
-            }) if !members.is_empty() => {
-                let members = members.into_iter().map(member::address);
-                return Some((member::address(leader), members.collect()));
-            }
-            Ok(_) => {}
-            Err(error) => debug!("querying {address} for the members failed: {error}"),
-        }
-    }
-    None
+    let search = Search {
+        clients,
+        known: known.clone(),
+        excluded: None,
+        max_parallel: 1,
+    };
+    let knows_leader =
+        |status: &MemberStatus| status.leader.is_some() && !status.members.is_empty();
+    let status = search.find(&StatusRequest::default(), knows_leader).await?;
+    let members = status.members.into_iter().map(member::address);
+    Some((member::address(status.leader?), members.collect()))
 }
 
 /// Follows the configuration of one host.
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -3,6 +3,7 @@
 //! A replica starts from its files if it has any. Without files it either founds the group together
 //! with the other seeds or joins the group as a learner. See `docs/design/platform.md`.
 
+pub mod discovery;
 pub mod driver;
 pub mod links;
 pub mod member;
@@ -19,12 +20,13 @@
     rpc::{
         ACQUIRE_METHOD, Acquire, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
         FollowConfiguration, FollowObservations, RELOCATE_METHOD, REPORT_METHOD, Relocate,
-        STATUS_METHOD, SharedState,
+        SharedState, StatusRequest,
     },
 };
 
 use {
     crate::{exit_code::ExitCode, reload},
+    discovery::Search,
     driver::{Driver, Input},
     links::Links,
     log::{info, warn},
@@ -69,8 +71,6 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a replica asks whether it is still a member.
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Timeout of a request to join and of a membership check.
-const MEMBERSHIP_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Settings of the replica on this host.
 #[derive(Debug, Clone)]
@@ -431,38 +431,32 @@
         }
     }
 
-    /// Asks the known members and the seeds for the status of `own_id`. Returns the leader's
-    /// response, none if no leader responds.
+    /// Asks for the status of `own_id`, starting with the known members and the seeds. Returns the
+    /// leader's response, none if no leader is found.
     async fn query_status(
         &self,
         settings: &Settings,
         own_id: Host,
         is_joining: bool,
     ) -> Option<MemberStatus> {
-        let known = self.status.borrow().clone();
-        let mut addresses = settings.reloadable.seeds();
-        addresses.extend(known.members.iter().copied().map(member::address));
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != settings.address);
-        let request = rpc::StatusRequest {
+        let members = self.status.borrow().members.clone();
+        let members = members.into_iter().map(member::address);
+        let search = Search {
+            clients: &self.clients,
+            known: settings
+                .reloadable
+                .seeds()
+                .into_iter()
+                .chain(members)
+                .collect(),
+            excluded: Some(settings.address),
+            max_parallel: usize::MAX,
+        };
+        let request = StatusRequest {
             host: own_id,
             is_joining,
             is_founding: settings.is_founding,
         };
-        let calls = addresses.into_iter().map(|address| {
-            let client = self.clients.get(address);
-            let request = &request;
-            async move {
-                let response = client
-                    .call(STATUS_METHOD, request, MEMBERSHIP_CHECK_TIMEOUT)
-                    .await;
-                response
-                    .ok()
-                    .filter(|status: &MemberStatus| status.is_leader)
-            }
-        });
-        let responses = futures::future::join_all(calls).await;
-        responses.into_iter().flatten().next()
+        search.find(&request, |status| status.is_leader).await
     }
 }
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -37,7 +37,7 @@
 /// Asks for the newest version of the configuration, confirmed by a quorum.
 pub(super) const CONFIRM_METHOD: &str = "register.confirm";
 /// Asks for the status of a host. A host that isn't a voter yet also uses it to ask to join.
-pub const STATUS_METHOD: &str = "group.standing";
+pub(super) const STATUS_METHOD: &str = "group.standing";
 /// Waits for a newer configuration.
 pub const FOLLOW_CONFIGURATION_METHOD: &str = "configuration.follow";
 /// Waits for newer observations of targets.
@@ -63,17 +63,17 @@
     pub(super) document: Packed<Document>,
 }
 
-/// Parameters of [`STATUS_METHOD`].
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) struct StatusRequest {
+/// A request for the status of the group, and of one host in it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct StatusRequest {
     /// The host that the status is about, 0 if only the group matters.
-    pub(super) host: Host,
+    pub host: Host,
     /// Whether that host asks to join.
     #[serde(rename = "joining")]
-    pub(super) is_joining: bool,
+    pub is_joining: bool,
     /// Whether that host was started together with the whole system.
     #[serde(rename = "founding")]
-    pub(super) is_founding: bool,
+    pub is_founding: bool,
 }
 
 /// Parameters of [`FOLLOW_CONFIGURATION_METHOD`]. The result is `null` if the wait ends
--- a/crates/sardinerelay-gateway/tests/group/rejoin.rs
+++ b/crates/sardinerelay-gateway/tests/group/rejoin.rs
@@ -18,4 +18,10 @@
     cluster.wait_for("the wiped replica votes", CATCH_UP_TIME, |cluster| {
         cluster.voting(&[0])
     });
+    // The group bears the next losses only with that vote.
+    cluster.kill(1);
+    cluster.kill(2);
+    cluster.wait_for("a change is accepted", CATCH_UP_TIME, |cluster| {
+        cluster.submit(0, 1)
+    });
 }
