Offer no configuration from a voter that has not caught up since its start

What callers saw: after a loss of power everywhere, entry hosts routed by a configuration that an acknowledged one had replaced, until a leader was elected, or for good where none was ("came back older", CONFIG).

Entry hosts that restart take the first configuration that they are offered.

Now a voter offers a configuration once it has applied an entry of the present leader's term; that holds all that earlier terms committed.

--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -105,6 +105,8 @@
     register: Register,
     /// Index of the last entry that was applied.
     applied: Index,
+    /// Whether the register has been as new as the leader's since this process started.
+    has_caught_up: bool,
     newest: watch::Sender<Option<Arc<Document>>>,
     own_status: watch::Sender<MemberStatus>,
     leadership: watch::Sender<raft::SoftState>,
@@ -137,10 +139,11 @@
         let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
         let disk = Disk::start(store, snapshot_bytes)?;
-        let driver = Self {
+        Ok(Self {
             replica,
             register,
             applied,
+            has_caught_up: false,
             newest,
             own_status,
             leadership,
@@ -152,9 +155,7 @@
             last_heard: BTreeMap::new(),
             leader_since: None,
             last_repair: Instant::now(),
-        };
-        driver.publish();
-        Ok(driver)
+        })
     }
 
     /// Runs until all senders of inputs are gone or a write fails.
@@ -286,6 +287,11 @@
         for entry in ready.committed {
             self.apply(entry)?;
         }
+        if !self.has_caught_up && self.replica.is_caught_up() {
+            self.has_caught_up = true;
+            info!(version = self.register.version(), index = self.applied; "caught up with the leader");
+            self.publish();
+        }
         for read in ready.reads {
             if let Some(reply) = self.reads.take(read.token) {
                 let outcome = match read.outcome {
@@ -377,8 +383,12 @@
         Ok(())
     }
 
-    /// Publishes the newest configuration, unless it already is published.
+    /// Publishes the newest configuration, unless it already is published, or a newer one may have
+    /// been accepted before this process started.
     fn publish(&self) {
+        if !self.has_caught_up {
+            return;
+        }
         let published = self
             .newest
             .borrow()
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -4,3 +4,5 @@
 mod cluster;
 #[path = "group/rejoin.rs"]
 mod rejoin;
+#[path = "group/restart.rs"]
+mod restart;
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -112,11 +112,12 @@
         fs::remove_dir_all(self.data_dir(host)).expect("the directory can be removed");
     }
 
-    /// Submits a configuration of this version through a replica. Returns whether it is accepted.
-    pub fn submit(&self, host: usize, version: u64) -> bool {
+    /// Submits a configuration of this version and size through a replica. Returns whether it is
+    /// accepted.
+    pub fn submit(&self, host: usize, version: u64, bytes: usize) -> bool {
         let document = Document {
             version,
-            body: b"a configuration".to_vec().into(),
+            body: vec![b'x'; bytes].into(),
         };
         let running = self.running(host);
         let submitted = self.handle(host).submit(document, REQUEST_TIMEOUT);
@@ -176,6 +177,13 @@
         }
     }
 
+    /// Returns the version of the configuration that a replica offers to entry hosts, 0 if none.
+    pub fn offered_version(&self, host: usize) -> u64 {
+        let newest = self.handle(host).newest();
+        let newest = newest.borrow();
+        newest.as_ref().map_or(0, |document| document.version)
+    }
+
     fn handle(&self, host: usize) -> &Handle {
         &self.running(host).replica.handle
     }
--- a/crates/sardinerelay-gateway/tests/group/rejoin.rs
+++ b/crates/sardinerelay-gateway/tests/group/rejoin.rs
@@ -22,6 +22,6 @@
     cluster.kill(1);
     cluster.kill(2);
     cluster.wait_for("a change is accepted", CATCH_UP_TIME, |cluster| {
-        cluster.submit(0, 1)
+        cluster.submit(0, 1, 100)
     });
 }
--- a/crates/sardinerelay/src/raft/replica.rs
+++ b/crates/sardinerelay/src/raft/replica.rs
@@ -352,6 +352,13 @@
         }
     }
 
+    /// Whether this replica knows the leader and has applied an entry of its term, and thereby
+    /// everything that was committed in earlier terms. False after a restart until the leader makes
+    /// contact, because entries that follow the snapshot may be committed.
+    pub fn is_caught_up(&self) -> bool {
+        self.leader.is_some() && self.log.term_at(self.applied) == Some(self.hard_state.term)
+    }
+
     /// State for health checks and metrics.
     pub fn status(&self) -> Status {
         let matched = match &self.state {
