Refuse generations with a prompt part that makes engines crash

Cause: each host saw one broken connection at a time and counted it against the engine. The same request was continued on the engine with its copy and sent anew, up to eight times, and the head of a response counted as a begun answer although the engine may end between head and first event. The class: a retry and a continuation that take the request for innocent.

The allocating host now blames the parts of requests whose engine ended before their first event, clears those that are answered anywhere and crashes after which the engine still reports its load, and refuses a part after four engines and two requests. Entry hosts learn the refused parts with the observations, refuse by themselves and teach the next allocating host. A request that failed at two engines before its first event is ended. The report that an engine began an answer is sent at the first event, no longer at the head.

Not held over the end of all processes: what is refused is then learned anew, with up to four more crashes.

--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -55,6 +55,9 @@
     /// Its deadline has passed.
     #[error("no room became free in time")]
     Expired,
+    /// Its prompt has a part that makes engines crash.
+    #[error("a part of its prompt makes engines crash")]
+    CrashesEngines,
 }
 
 /// Decision about a request in the queue.
@@ -155,6 +158,25 @@
         decisions
     }
 
+    /// Refuses the requests for which `refusal` returns a time to retry after.
+    pub fn refuse<Refusal>(
+        &mut self,
+        reason: RefusalReason,
+        refusal: Refusal,
+    ) -> Vec<(RunId, Decision)>
+    where
+        Refusal: Fn(&Need) -> Option<Duration>,
+    {
+        let mut decisions = Vec::new();
+        self.waiters.retain(|waiter| {
+            let retry_after = refusal(&waiter.need);
+            decisions
+                .extend(retry_after.map(|after| (waiter.run, Decision::Refused(reason, after))));
+            retry_after.is_none()
+        });
+        decisions
+    }
+
     /// Records that a placed request has ended.
     pub fn record_end(&mut self, run: RunId) {
         let Some(organisation) = self.running.remove(&run) else {
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -13,9 +13,10 @@
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         placement::{self, Choice, Need, Secondary},
+        quarantine::{Crash, Quarantine, RefusedPart},
         targets::{Change, MemoryClaim, RunId, Targets},
     },
-    log::info,
+    log::{info, warn},
     rand::rng,
     sardinerelay::id::Target,
     serde::{Deserialize, Serialize},
@@ -81,6 +82,8 @@
 pub struct State {
     /// All known targets, with the claims on their memory.
     pub targets: Targets,
+    /// The parts of prompts that make engines crash.
+    pub quarantine: Quarantine,
     queue: Queue,
     moves: Moves,
     /// Senders to the calls that wait for a decision.
@@ -111,6 +114,13 @@
         for change in &changes {
             log_change(change, observations.list_age_ms);
         }
+        for report in &observations.loads {
+            let read = now - Duration::from_millis(report.age_ms).min(MAX_CLAIM_AGE);
+            state
+                .quarantine
+                .record_alive(&report.target, report.incarnation, read);
+        }
+        state.quarantine.adopt(&observations.refused_parts, now);
         self.decide(&mut state, now);
     }
 
@@ -129,6 +139,10 @@
             if let Some((_, decision)) = state.undelivered.remove(&run) {
                 return state.reply(decision);
             }
+            if let Some(remaining) = state.quarantine.refusal(&need.shared_parts, now) {
+                state.queue.withdraw(run);
+                return Reply::Refused(RefusalReason::CrashesEngines, remaining);
+            }
             if !state.queue.contains(run) {
                 let waiter = Waiter {
                     run,
@@ -204,6 +218,7 @@
         state.moves.remove(run);
         state.targets.release_everywhere(run);
         state.queue.record_end(run);
+        state.quarantine.record_end(run);
         self.decide(&mut state, now);
     }
 
@@ -220,9 +235,35 @@
         self.decide(&mut state, Instant::now());
     }
 
-    /// Records that a request's engine has read its prompt.
-    pub fn record_prompt_read(&self, run: RunId) {
-        self.state().targets.record_prompt_read(run, Instant::now());
+    /// Records that a request's engine has read its prompt and begun to answer it.
+    pub fn record_answered(&self, run: RunId) {
+        let mut state = self.state();
+        state.targets.record_prompt_read(run, Instant::now());
+        state.quarantine.record_answered(run);
+    }
+
+    /// Records that an engine crashed before it began to answer a request, and refuses the waiting
+    /// requests that would crash others.
+    pub fn record_crash(&self, crash: &Crash) {
+        let now = Instant::now();
+        let mut state = self.state();
+        for part in state.quarantine.record_crash(crash, now) {
+            warn!(
+                part:% = format_args!("{part:x}"), run = crash.run, target_id = crash.target.as_str();
+                "requests with a part that makes engines crash are refused from now on"
+            );
+        }
+        self.decide(&mut state, now);
+    }
+
+    /// Adopts the parts that another host refuses.
+    pub fn adopt_refused_parts(&self, parts: &[RefusedPart]) {
+        let now = Instant::now();
+        let mut state = self.state();
+        if state.quarantine.adopt(parts, now) {
+            info!(parts = parts.len(); "adopted parts of prompts that another host refuses");
+            self.decide(&mut state, now);
+        }
     }
 
     /// Reconsiders waiting requests and expires old state periodically. Never returns.
@@ -248,6 +289,7 @@
                     None => {
                         state.targets.release_everywhere(run);
                         state.queue.record_end(run);
+                        state.quarantine.record_end(run);
                     }
                 }
             }
@@ -258,6 +300,7 @@
             }
             for run in state.targets.expire(MAX_CLAIM_AGE, now) {
                 state.queue.record_end(run);
+                state.quarantine.record_end(run);
             }
         }
     }
@@ -267,6 +310,7 @@
     fn decide(&self, state: &mut State, now: Instant) {
         let State {
             targets,
+            quarantine,
             queue,
             moves,
             subscribers,
@@ -290,15 +334,19 @@
             let choice = Choice { target, copy: None };
             (run, Decision::Placed(choice))
         });
+        let refused = queue.refuse(RefusalReason::CrashesEngines, |need| {
+            quarantine.refusal(&need.shared_parts, now)
+        });
         let placed = queue.decide(now, |waiter| {
             let need = &waiter.need;
             let choice = placement::choose(targets, need, (self.scope, &[]), &mut rng(), now)?;
             // Claimed at once, so that the next placement takes this one into account.
             claim(targets, waiter.run, need, &choice, now);
             targets.record_sent(&choice.target, waiter.run, need.prompt_tokens, now);
+            quarantine.record_sent(waiter.run, &need.shared_parts);
             Some(choice)
         });
-        for (run, decision) in moving.chain(placed) {
+        for (run, decision) in moving.chain(refused).chain(placed) {
             let unsent = match subscribers.remove(&run) {
                 Some(sender) => sender.send(decision).err(),
                 None => Some(decision),
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -13,6 +13,7 @@
         observations::Instance,
         placement::{self, Choice, Need, Secondary},
         pool::Pool,
+        quarantine::Crash,
         remote::RemoteAllocator,
         settings,
         table::Table,
@@ -44,6 +45,9 @@
 /// than is generated in the two seconds that a reservation lasts, so that other generations on the
 /// engine can grow without displacing this one.
 const MAX_RESERVED_OUTPUT_TOKENS: u64 = 1000;
+/// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
+/// that time a little longer, so without a limit it would never end.
+const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
 /// Number of low bits of a request's number that count up. The bits above them are drawn at random
 /// when the process starts, so that numbers differ between processes.
 const RUN_COUNTER_BITS: u32 = 32;
@@ -151,6 +155,9 @@
         need: Need,
         deadline: Instant,
     ) -> Result<Allocation, (RefusalReason, Duration)> {
+        if let Some(remaining) = self.refuse_crashing(&need) {
+            return Err((RefusalReason::CrashesEngines, remaining));
+        }
         let run = self.next_run_id();
         let mut pending = PendingAcquire {
             entry: self,
@@ -167,6 +174,7 @@
                 let mut state = self.state();
                 state.targets.add_missing(instances, Instant::now());
                 claim(&mut state.targets, run, &need, &choice, Instant::now());
+                state.quarantine.record_sent(run, &need.shared_parts);
                 self.record_sent(
                     &mut state.targets,
                     run,
@@ -187,6 +195,21 @@
         }
     }
 
+    /// Returns for how long a generation is refused because a part of its prompt makes engines
+    /// crash, none if it isn't. Reports such parts, because the host that allocates may have taken
+    /// over from the one that found them.
+    pub fn refuse_crashing(&self, need: &Need) -> Option<Duration> {
+        let now = Instant::now();
+        let state = self.state();
+        let remaining = state.quarantine.refusal(&need.shared_parts, now)?;
+        let parts = state.quarantine.refused_among(&need.shared_parts, now);
+        drop(state);
+        if remaining > MIN_REPORTED_REFUSAL {
+            self.report(AllocationReport::Refused(parts));
+        }
+        Some(remaining)
+    }
+
     /// Allocates on this host, because no host of the group can be reached.
     async fn acquire_locally(&self, run: RunId, need: &Need, deadline: Instant) -> Reply {
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -315,12 +338,38 @@
 }
 
 impl Allocation {
-    /// Records that the engine has begun its response, which means that it has read the prompt.
+    /// Records that the engine has begun to answer, which means that it has read the prompt.
     pub fn record_started(&self) {
-        self.entry.allocator.record_prompt_read(self.run);
+        self.entry.allocator.record_answered(self.run);
         self.entry.report(AllocationReport::Started(self.run));
     }
 
+    /// Records that the engine's connection broke before it began to answer. An engine that is
+    /// leaving isn't taken to have crashed.
+    pub fn record_crash(&self) {
+        let now = Instant::now();
+        let state = self.entry.state();
+        let target = state.targets.get(&self.choice.target);
+        let staying = target.filter(|target| target.leaving_since(now).is_none());
+        let Some(incarnation) = staying.map(|target| target.instance.incarnation) else {
+            return;
+        };
+        drop(state);
+        let crash = Crash {
+            run: self.run,
+            target: self.choice.target.clone(),
+            incarnation,
+            parts: self.need.shared_parts.clone(),
+        };
+        self.entry.allocator.record_crash(&crash);
+        self.entry.report(AllocationReport::Crashed(crash));
+    }
+
+    /// Whether the request has become one that is refused because it makes engines crash.
+    pub fn is_refused(&self) -> bool {
+        self.entry.refuse_crashing(&self.need).is_some()
+    }
+
     /// Records the memory that the request uses after `output` tokens of output.
     pub fn record_progress(&self, output: u64) {
         let now = Instant::now();
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -22,6 +22,7 @@
         admission,
         entry::Allocation,
         placement::{self, Need},
+        quarantine,
         refusal::Refusal,
         request::{Job, remove_hop_by_hop_headers},
         table::Kind,
@@ -176,6 +177,7 @@
         wants_copy: supports_copies
             && !is_resumable(job)
             && output_tokens >= MIN_COPY_OUTPUT_TOKENS,
+        shared_parts: quarantine::shared_parts(parts),
     }
 }
 
@@ -199,6 +201,12 @@
         waited_ms = job.arrived.elapsed().as_millis() as u64;
         "generation refused"
     );
+    if reason == admission::RefusalReason::CrashesEngines {
+        return Refusal::NotRun {
+            reason: "a part of the prompt makes engines crash",
+            retry_after,
+        };
+    }
     // Spreads the retries of callers that were refused at the same time.
     let jitter = rand::rng().random_range(0.75..1.4);
     Refusal::NotRun {
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -113,7 +113,10 @@
         Ok(Ok(Some(responded))) => responded,
         Ok(Ok(None)) => return OpenOutcome::Unknown,
         Ok(Err(SendError::NotSent(_))) => return OpenOutcome::NotRun(NotRunReason::Unreachable),
-        Ok(Err(SendError::NoResponse(_))) => return OpenOutcome::Unknown,
+        Ok(Err(SendError::NoResponse(_))) => {
+            allocation.record_crash();
+            return OpenOutcome::Unknown;
+        }
         Err(_) => return OpenOutcome::TimedOut,
     };
     let class = job.classify(&response);
@@ -128,7 +131,6 @@
                     .iter()
                     .any(|name| parts.headers.contains_key(name)),
             };
-            allocation.record_started();
             OpenOutcome::Stream(parts, stream)
         }
         ResponseClass::NotRun => {
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -81,6 +81,10 @@
     events: u64,
     /// Whether events were sent to the caller.
     has_started: bool,
+    /// Whether the present engine has sent an event.
+    pub(super) has_engine_begun: bool,
+    /// Number of engines that failed before they sent an event.
+    pub(super) engines_without_begin: u32,
     /// When events were last sent to the caller.
     last_sent: Option<Instant>,
     longest_pause: Duration,
@@ -135,6 +139,8 @@
             chunks,
             events: 0,
             has_started: false,
+            has_engine_begun: false,
+            engines_without_begin: 0,
             last_sent: None,
             longest_pause: Duration::ZERO,
             continuations: 0,
@@ -206,6 +212,7 @@
         let caller = self.chunks.clone();
         let mut mover = Mover::new();
         let mut is_open = true;
+        self.has_engine_begun = false;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -251,14 +258,25 @@
                 }
                 // An engine closes the stream of a generation that it has stopped for a move.
                 _ if mover.is_transferring() => is_open = false,
-                Some(Err(_)) => return stream_end(&mut mover, "the engine's connection broke"),
+                Some(Err(_)) => {
+                    self.record_crash_at_begin();
+                    return stream_end(&mut mover, "the engine's connection broke");
+                }
                 None => {
+                    self.record_crash_at_begin();
                     return stream_end(&mut mover, "the engine ended in the middle of an event");
                 }
             }
         }
     }
 
+    /// Records that the engine crashed, if it had not begun to answer.
+    fn record_crash_at_begin(&self) {
+        if !self.has_engine_begun {
+            self.allocation.record_crash();
+        }
+    }
+
     /// Receives a part of the body and forwards the events that it completes. Returns how the
     /// stream ended, if it did.
     async fn receive(
@@ -296,6 +314,9 @@
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
         while let Some(event) = splitter.next_event() {
+            if !std::mem::replace(&mut self.has_engine_begun, true) {
+                self.allocation.record_started();
+            }
             if !self.is_contiguous(&event) {
                 return Some(StreamEnd::Broken("an event is missing"));
             }
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -17,13 +17,22 @@
 /// limited by it.
 const MAX_CONTINUATIONS: u32 = 8;
 
+/// Number of engines that may fail before they begin to answer a generation. The generation is then
+/// ended, because its prompt may be what makes them fail.
+const MAX_ENGINES_WITHOUT_BEGIN: u32 = 2;
+
 impl ClientStream {
     /// Continues the stream on another engine after the last delivered event: from the copy if it
     /// is usable, otherwise as a new run if the route allows that. Returns none if neither
     /// succeeds.
     pub(super) async fn reopen(&mut self) -> Option<(response::Parts, EngineStream)> {
         let failed = self.allocation.choice.target.clone();
-        if self.continuations >= MAX_CONTINUATIONS {
+        if !self.has_engine_begun {
+            self.engines_without_begin += 1;
+        }
+        let may_crash_engines =
+            self.engines_without_begin >= MAX_ENGINES_WITHOUT_BEGIN || self.allocation.is_refused();
+        if self.continuations >= MAX_CONTINUATIONS || may_crash_engines {
             return None;
         }
         self.continuations += 1;
--- a/crates/sardinerelay-gateway/src/group/report.rs
+++ b/crates/sardinerelay-gateway/src/group/report.rs
@@ -5,7 +5,10 @@
 //! but half a second later.
 
 use {
-    crate::targets::RunId,
+    crate::{
+        quarantine::{Crash, RefusedPart},
+        targets::RunId,
+    },
     sardinerelay::id::Target,
     serde::{Deserialize, Serialize},
 };
@@ -31,10 +34,14 @@
     Sent(LocalAllocation),
     /// The engine refused it for lack of memory.
     Full(Target),
-    /// Its engine has read the prompt.
+    /// Its engine has read the prompt and begun to answer it.
     Started(RunId),
     /// It has ended, or was reassigned to another engine.
     Ended(RunId),
     /// Its move to another engine has ended. The flag says whether it succeeded.
     Moved(RunId, bool),
+    /// Its engine crashed before it began to answer it.
+    Crashed(Crash),
+    /// It was refused because of these parts of its prompt, which the allocating host may not know.
+    Refused(Vec<RefusedPart>),
 }
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -334,11 +334,13 @@
                         .targets
                         .record_no_room(&target, Instant::now());
                 }
-                AllocationReport::Started(run) => self.allocator.record_prompt_read(run),
+                AllocationReport::Started(run) => self.allocator.record_answered(run),
                 AllocationReport::Ended(run) => self.allocator.release(run),
                 AllocationReport::Moved(run, succeeded) => {
                     self.allocator.finish_move(run, succeeded)
                 }
+                AllocationReport::Crashed(crash) => self.allocator.record_crash(&crash),
+                AllocationReport::Refused(parts) => self.allocator.adopt_refused_parts(&parts),
             }
         }
         Ok(())
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod placement;
 pub mod plain;
 pub mod pool;
+pub mod quarantine;
 pub mod refusal;
 pub mod reload;
 pub mod remote;
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -5,6 +5,7 @@
 //! doesn't depend on the number of entry hosts. See `docs/design/platform.md`.
 
 use {
+    crate::quarantine::{PartId, RefusedPart},
     compact_str::CompactString,
     sardinerelay::id::{Incarnation, Service, Target, Zone},
     serde::{Deserialize, Serialize},
@@ -75,12 +76,15 @@
     pub list_age_ms: u64,
     /// The newest load report of each target.
     pub loads: Vec<LoadReport>,
-    /// Stamp of the last observations in which other targets were listed or leaving than before.
+    /// Stamp of the last observations that differed from the ones before in more than loads.
     #[serde(skip)]
     pub changed_stamp: u64,
     /// Number of entry hosts that follow this host or did so recently.
     #[serde(rename = "entries")]
     pub entry_hosts: u32,
+    /// Parts of prompts that make engines crash, as the allocating host knows them.
+    #[serde(rename = "refused")]
+    pub refused_parts: Vec<RefusedPart>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -102,8 +106,8 @@
         self.stamp != 0 && (!is_recent || self.changed_stamp > follower_stamp)
     }
 
-    /// Whether other targets are listed or leaving than in `previous`.
-    pub fn lists_other_targets(&self, previous: &Self) -> bool {
+    /// Whether other targets are listed or leaving, or other parts refused, than in `previous`.
+    pub fn differs_beyond_loads(&self, previous: &Self) -> bool {
         let listed = |observations: &Self| -> Vec<_> {
             let instances = observations.instances.iter();
             let key = |instance: &Instance| {
@@ -126,7 +130,13 @@
             leaving.sort_unstable();
             leaving
         };
-        listed(self) != listed(previous) || leaving(self) != leaving(previous)
+        let refused = |observations: &Self| -> Vec<PartId> {
+            let parts = observations.refused_parts.iter();
+            parts.map(|part| part.id).collect()
+        };
+        listed(self) != listed(previous)
+            || leaving(self) != leaving(previous)
+            || refused(self) != refused(previous)
     }
 
     /// Returns the observations with their ages as of now.
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        allocator::Allocator,
         codec::Codec,
         group::Document,
         observations::{Followers, Instance, Load, LoadReport, Observations, ObservationsSender},
@@ -54,6 +55,8 @@
     list_server: Instance,
     list_interval: Duration,
     followers: Arc<Followers>,
+    /// This host's allocator, whose refused parts are published.
+    allocator: Arc<Allocator>,
     observations: ObservationsSender,
     state: Mutex<State>,
     /// Whether this host polls.
@@ -91,6 +94,7 @@
         codec: Codec,
         (list, max_rate): (SocketAddr, f64),
         (observations, followers): (ObservationsSender, Arc<Followers>),
+        allocator: Arc<Allocator>,
         is_active: watch::Receiver<bool>,
     ) -> Self {
         let interval_s = MAX_LIST_READERS / (max_rate * LIST_RATE_SHARE).max(0.1);
@@ -109,6 +113,7 @@
             },
             list_interval: MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval_s)),
             followers,
+            allocator,
             observations,
             state: Mutex::default(),
             is_active,
@@ -274,7 +279,7 @@
             stamp += 1;
             let mut observations = self.snapshot(stamp);
             let previous = self.observations.borrow().clone();
-            observations.changed_stamp = match observations.lists_other_targets(&previous) {
+            observations.changed_stamp = match observations.differs_beyond_loads(&previous) {
                 true => stamp,
                 false => previous.changed_stamp,
             };
@@ -311,6 +316,7 @@
             instances: state.instances.clone(),
             list_age_ms: state.list_read.map_or(u64::MAX / 2, age),
             entry_hosts: self.followers.count(),
+            refused_parts: self.allocator.state().quarantine.refused(now),
             ages_updated: Some(now),
             changed_stamp: 0,
         }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -8,6 +8,7 @@
     crate::{
         allocator::Scope,
         call::Part,
+        quarantine::PartId,
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
@@ -96,6 +97,9 @@
     /// Whether another engine should keep a copy of its memory.
     #[serde(rename = "copy")]
     pub wants_copy: bool,
+    /// Those parts of the prompt that other requests share.
+    #[serde(rename = "parts")]
+    pub shared_parts: Vec<PartId>,
 }
 
 /// The engines chosen for a generation.
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -183,7 +183,8 @@
         Arc::clone(&allocator),
         observations.subscribe(),
     ));
-    tokio::spawn(async move { allocator.run_maintenance().await });
+    let maintained = Arc::clone(&allocator);
+    tokio::spawn(async move { maintained.run_maintenance().await });
     reload::start(Arc::clone(&common.reloadable), Arc::clone(&common.loader))
         .context("listening for signals")?;
     let mut running = group::start(replica, shared).await?;
@@ -204,6 +205,7 @@
         codec,
         list_source,
         (observations, followers),
+        allocator,
         handle.leads_or_leaderless(),
     ));
     tokio::spawn(observer.run(handle.newest()));
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -5,6 +5,7 @@
     mod leaving;
     mod moves;
     mod placement;
+    mod quarantine;
     mod register;
     mod repair;
     mod sse;
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -71,5 +71,6 @@
         shared_tokens: 0,
         prefix_hash: 0,
         wants_copy: false,
+        shared_parts: Vec::new(),
     }
 }
--- a/crates/sardinerelay-gateway/tests/decisions/leaving.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/leaving.rs
@@ -74,13 +74,13 @@
     let mut other_loads = closing(2, None);
     other_loads.instances[0].cold_ms = 400;
     other_loads.loads[0].load.used = 9_000;
-    assert!(!other_loads.lists_other_targets(&first));
+    assert!(!other_loads.differs_beyond_loads(&first));
     assert!(!changed(&other_loads, 1).is_due(1));
     let mut later = changed(&other_loads, 1);
     later.stamp = 4;
     assert!(later.is_due(1), "loads are sent eventually");
     let leaving = closing(3, Some(20));
-    assert!(leaving.lists_other_targets(&other_loads));
+    assert!(leaving.differs_beyond_loads(&other_loads));
     assert!(changed(&leaving, 3).is_due(2));
     // Stamps of another host, or from before a restart, can't be compared.
     assert!(changed(&first, 1).is_due(700));
