Take an unframed stream without any event for broken off

One case failed before: an unframed stream whose engine closed the connection before its first event was passed on as complete (200 with an empty body). An engine that crashes at its first event does just that.

Now such an end counts as a failure of the engine, and the generation is continued elsewhere or the caller's stream ends visibly.

--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -252,7 +252,11 @@
                         return ended;
                     }
                 }
-                None if splitter.is_empty() && (is_framed || !is_moving) => {
+                // Without framing, the end of the connection is the end of the stream. A generation has
+                // at least one event.
+                None if splitter.is_empty()
+                    && (is_framed || (self.has_engine_begun && !is_moving)) =>
+                {
                     self.job.entry.pool.put_back(exchange);
                     return StreamEnd::Complete;
                 }
