Drop the join requests of earlier replicas once their successor votes

For 14 s the group had one voter less.

Cause: requests to join are kept for 3 s. The request of the second replica was dropped when it voted; that of the first, dead one remained and became the newest from its address, so the leader took the living voter for its predecessor. The class: a record of something that has ended outlives the one that replaced it.

Now a voter's request takes the earlier ones from its address with it. decisions::repair:: a_host_that_loses_its_disk_twice_keeps_its_newest_replica failed before (the second replica is no voter at the end) and passes.

--- a/crates/sardinerelay-gateway/src/group/repair.rs
+++ b/crates/sardinerelay-gateway/src/group/repair.rs
@@ -14,6 +14,7 @@
     },
     std::{
         collections::BTreeMap,
+        net::Ipv4Addr,
         time::{Duration, Instant},
     },
 };
@@ -143,13 +144,22 @@
     }
 }
 
-/// Drops requests to join that are too old, or whose host has become a voter.
+/// Drops requests to join that are too old, or whose host has become a voter, and with the latter the
+/// earlier requests from the same address: the replicas that made them are gone.
 pub fn drop_expired_requests(
     requests: &mut BTreeMap<Host, JoinRequest>,
     membership: &Membership,
     now: Instant,
 ) {
+    let of_voters: Vec<(Ipv4Addr, Instant)> = requests
+        .iter()
+        .filter(|(host, _)| membership.voters.contains(host))
+        .map(|(host, request)| (member::address(*host), request.received_at))
+        .collect();
     requests.retain(|host, request| {
-        !membership.voters.contains(host) && now < request.received_at + JOIN_REQUEST_LIFETIME
+        let is_superseded = of_voters.iter().any(|(address, received_at)| {
+            member::address(*host) == *address && request.received_at <= *received_at
+        });
+        !is_superseded && now < request.received_at + JOIN_REQUEST_LIFETIME
     });
 }
--- a/crates/sardinerelay-gateway/tests/decisions/repair.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/repair.rs
@@ -178,6 +178,25 @@
     assert!(group.membership.voters.contains(&new));
 }
 
+/// Guards against the removal of a live voter: the request of the replica before it, which ran at the
+/// same address and had not become a voter, outlives its own request.
+#[test]
+fn a_host_that_loses_its_disk_twice_keeps_its_newest_replica() {
+    let mut group = Group::of_three();
+    let first = group.join(ADDRESSES[2], false);
+    while !group.membership.learners.contains(&first) {
+        let Some(Step::Change(change)) = group.next() else {
+            panic!("the first replica becomes a learner");
+        };
+        group.membership = group.membership.changed(change).expect("applicable step");
+    }
+    group.now += Duration::from_millis(500);
+    let second = group.join(ADDRESSES[2], false);
+    group.settle();
+    assert!(group.membership.voters.contains(&second));
+    assert!(!group.membership.contains(first));
+}
+
 #[test]
 fn a_silent_learner_is_removed_and_not_promoted() {
     let mut group = Group::of_three();
