--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -20,7 +20,7 @@
     },
     crate::{
         admission,
-        entry::Allocation,
+        allocation::Allocation,
         placement::{self, Need},
         quarantine,
         refusal::Refusal,
--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -5,7 +5,7 @@
         is_resumable,
         transfer::{self, Moved},
     },
-    crate::{entry::Allocation, request::Job},
+    crate::{allocation::Allocation, request::Job},
     futures::future::BoxFuture,
     log::info,
     sardinerelay::id::Target,
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -3,8 +3,9 @@
 use {
     super::urgency,
     crate::{
+        allocation::Allocation,
         call::{EventId, MemoryCopy},
-        entry::{Allocation, EntryHost},
+        entry::EntryHost,
         pool::{Exchange, SendError},
         request::{ForwardOptions, Job, ResponseClass},
     },
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -9,8 +9,8 @@
         transfer::Moved,
     },
     crate::{
+        allocation::Allocation,
         call::EventId,
-        entry::Allocation,
         refusal::Refusal,
         request::Job,
         sse::{Event, Splitter},
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -5,7 +5,7 @@
 //! waits for another engine instead of in the queue of this one.
 
 use {
-    crate::{call::ReservationRequest, entry::Allocation, request::Job},
+    crate::{allocation::Allocation, call::ReservationRequest, request::Job},
     compact_str::CompactString,
     log::{debug, info},
     std::time::Duration,
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! The design is described in `docs/design/platform.md`.
 
 pub mod admission;
+pub mod allocation;
 pub mod allocator;
 pub mod backlog;
 pub mod budget;
