Don't let the leader look for another leader

Found when reading the new log lines: the leader's own membership check asks the others, finds no leader among them and warns that there is none. It now skips the check. The age of a load report is subtracted from the clock with the function that can't underflow, as elsewhere; a host whose clock starts near zero would have panicked on an old report.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -41,7 +41,7 @@
 }
 
 impl Allocation {
-    /// Claims engines for a request that was placed. The claim is recorded already.
+    /// Creates the guard of a claim that is recorded already.
     pub(crate) fn new(entry: Arc<EntryHost>, run: RunId, choice: Choice, need: Need) -> Self {
         Self {
             entry,
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -14,7 +14,7 @@
         observations::{Instance, Observations},
         placement::{self, Choice, Need, Secondary},
         quarantine::{Crash, Quarantine, RefusedPart},
-        targets::{Change, MemoryClaim, RunId, Targets},
+        targets::{Change, MemoryClaim, RunId, Targets, instant_before},
     },
     log::{info, warn},
     rand::rng,
@@ -115,7 +115,7 @@
             log_change(change, observations.list_age_ms);
         }
         for report in &observations.loads {
-            let read = now - Duration::from_millis(report.age_ms).min(MAX_CLAIM_AGE);
+            let read = instant_before(now, report.age_ms);
             state
                 .quarantine
                 .record_alive(&report.target, report.incarnation, read);
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -234,6 +234,11 @@
             MEMBERSHIP_CHECK_INTERVAL
         };
         sleep(interval).await;
+        if handle.leadership.borrow().role == Role::Leader {
+            // The leader knows that it is a member, and would find no other leader.
+            is_joining = false;
+            continue;
+        }
         let status = handle.query_status(&settings, own_id, is_joining).await;
         if std::mem::replace(&mut is_leader_found, status.is_some()) != status.is_some() {
             log_leader_search(own_id, is_joining, status.as_ref());
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -478,7 +478,7 @@
 
 /// Returns the time `age_ms` milliseconds before `now`, or `now` if the clock doesn't reach so far
 /// back.
-fn instant_before(now: Instant, age_ms: u64) -> Instant {
+pub(crate) fn instant_before(now: Instant, age_ms: u64) -> Instant {
     now.checked_sub(Duration::from_millis(age_ms))
         .unwrap_or(now)
 }
