Deny a membership only after a quorum has confirmed the leader

A leader said so as long as it had once committed an entry in its term, also after it had lost its quorum or woken from a freeze, and for a removal that it had only proposed. A replica that joined under its successor could lose its disk by that.

Now a quorum round confirms the leader before it denies a membership, and a membership that is being changed counts. Entry hosts, which ask about the group only, cause no round.

--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -85,10 +85,11 @@
 pub struct MemberStatus {
     /// The leader, if it is known.
     pub leader: Option<Host>,
-    /// Whether the replica that answers is the leader and holds a lease from a quorum.
+    /// Whether the replica that answers is the leader and has committed an entry in its term.
     #[serde(rename = "leads")]
     pub is_leader: bool,
-    /// Whether the host is a member, as a voter or a learner.
+    /// Whether the host is a member, as a voter or a learner. True also while a change of the
+    /// membership isn't committed.
     #[serde(rename = "member")]
     pub is_member: bool,
     /// Whether the host is a voter.
@@ -252,10 +253,12 @@
 
     fn status_of(&self, host: Host) -> MemberStatus {
         let status = self.replica.status();
+        // A removal that isn't committed may be lost with this leader.
+        let is_changing = status.membership_index > status.commit;
         MemberStatus {
             leader: status.leader,
             is_leader: status.role == Role::Leader && self.replica.lease().is_some(),
-            is_member: status.membership.contains(host),
+            is_member: status.membership.contains(host) || is_changing,
             is_voter: status.membership.voters.contains(&host),
             members: status.membership.hosts().collect(),
         }
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -63,10 +63,13 @@
     pub(super) document: Packed<Document>,
 }
 
+/// The host of a request that is only about the group.
+pub const NO_HOST: Host = 0;
+
 /// A request for the status of the group, and of one host in it.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct StatusRequest {
-    /// The host that the status is about, 0 if only the group matters.
+    /// The host that the status is about, [`NO_HOST`] if only the group matters.
     pub host: Host,
     /// Whether that host asks to join.
     #[serde(rename = "joining")]
@@ -235,7 +238,24 @@
     Ok(module)
 }
 
+/// Returns the status of the group and of a host. That a host isn't a member is said as the leader
+/// only after a quorum has confirmed the leadership, because the host then deletes its replica.
 async fn status(handle: &Handle, request: StatusRequest) -> MemberStatus {
+    let status = local_status(handle, &request).await;
+    let denies_membership = status.is_leader && !status.is_member;
+    if !denies_membership || request.is_joining || request.host == NO_HOST {
+        return status;
+    }
+    match handle.call_local(Input::Confirm).await {
+        Outcome::Done(_) => local_status(handle, &request).await,
+        Outcome::NotLeader(_) | Outcome::Unknown => MemberStatus {
+            is_leader: false,
+            ..status
+        },
+    }
+}
+
+async fn local_status(handle: &Handle, request: &StatusRequest) -> MemberStatus {
     let (reply, status) = oneshot::channel();
     let input = match request.is_joining {
         true => Input::Join(request.host, request.is_founding, reply),
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -2,6 +2,8 @@
 
 #[path = "group/cluster.rs"]
 mod cluster;
+#[path = "group/membership.rs"]
+mod membership;
 #[path = "group/rejoin.rs"]
 mod rejoin;
 #[path = "group/restart.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -2,9 +2,13 @@
 //! like a process.
 
 use {
+    sardinerelay::id::Host,
     sardinerelay_gateway::{
         allocator::{Allocator, Scope},
-        group::{self, Document, Handle, RunningReplica, Settings, SharedState, member},
+        group::{
+            self, Clients, Document, Handle, MemberStatus, RunningReplica, Settings, SharedState,
+            StatusRequest, discovery::Search, member,
+        },
         metrics::Metrics,
         observations::{Followers, Observations},
         reload::{self, SharedSettings},
@@ -154,6 +158,24 @@
         (0..self.replicas.len()).find(|host| self.address(*host) == member::address(leader))
     }
 
+    /// Asks a replica for the status of a host, as that host does when it checks that it is a member.
+    /// Returns the response if the replica claims to be the leader.
+    pub fn leader_status(&self, replica: usize, host: Host) -> Option<MemberStatus> {
+        let clients = Clients::new(PEER_PORT);
+        let search = Search {
+            clients: &clients,
+            known: [self.address(replica)].into(),
+            excluded: None,
+            max_parallel: 1,
+        };
+        let request = StatusRequest {
+            host,
+            ..StatusRequest::default()
+        };
+        let runtime = &self.running(replica).runtime;
+        runtime.block_on(search.find(&request, |status| status.is_leader))
+    }
+
     /// Whether each of these replicas runs and knows that it votes.
     pub fn voting(&self, hosts: &[usize]) -> bool {
         hosts.iter().all(|host| {
