Blame a part that was answered before only after those that never were

Cause: the log shows three parts refused at once. Eight engines crashed within 1.3 s; in that time no request with the neighbours of the part was answered, so they reached four crashes together with it.

Now parts are remembered as answered, the newest 8,192. Of the parts of a crash, those that never were answered are blamed first; one that was needs six engines. A crash under a request with a refused part blames no other, and a part that is refused takes its crashes off the other suspects.

neighbours_of_a_crashing_part_are_not_refused_with_it and a_part_that_was_answered_before_is_refused_after_more_crashes failed before and pass.

--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! A part is blamed for a crash if a request with it was sent to the engine and had not begun its
 //! answer. It is refused after several such crashes without a single answer begun in between, so a
-//! part that others share is cleared by the first of them that is answered. See
+//! part that others share is cleared by the first of them that is answered. Of several parts that
+//! could be the cause, those that were answered before are not blamed. See
 //! `docs/design/admission.md`.
 
 use {
@@ -10,13 +11,16 @@
     sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
     },
 };
 
 /// Number of engine incarnations that must have crashed before a part is refused.
 const MIN_ENGINES: usize = 4;
+/// Number of engine incarnations that must have crashed before a part is refused that was answered
+/// before.
+const MIN_ENGINES_OF_ANSWERED: usize = 6;
 /// Number of requests that must have been at these engines, because one that is continued elsewhere
 /// may be at several engines that crash for another reason.
 const MIN_RUNS: usize = 2;
@@ -27,6 +31,9 @@
 const SUSPICION_LIFETIME: Duration = Duration::from_secs(120);
 /// Time for which a part is refused. After it the part has to be blamed anew.
 const REFUSAL_DURATION: Duration = Duration::from_secs(600);
+/// Largest number of parts that are remembered as answered. The one that was answered first makes
+/// room for another.
+const MAX_ANSWERED: usize = 8192;
 /// Largest number of suspects. The one whose last crash is oldest makes room for another.
 const MAX_SUSPECTS: usize = 1024;
 
@@ -61,6 +68,10 @@
     /// Until when each part is refused.
     refused: BTreeMap<PartId, Instant>,
     unanswered: HashMap<RunId, Vec<PartId>>,
+    /// The parts that were answered at least once.
+    answered: HashSet<PartId>,
+    /// The same parts in the order in which they were first answered.
+    answered_order: VecDeque<PartId>,
 }
 
 #[derive(Debug)]
@@ -98,6 +109,19 @@
     pub fn record_answered(&mut self, run: RunId) {
         for part in self.unanswered.remove(&run).unwrap_or_default() {
             self.suspects.remove(&part);
+            self.remember_answered(part);
+        }
+    }
+
+    fn remember_answered(&mut self, part: PartId) {
+        if !self.answered.insert(part) {
+            return;
+        }
+        self.answered_order.push_back(part);
+        if self.answered_order.len() > MAX_ANSWERED
+            && let Some(first) = self.answered_order.pop_front()
+        {
+            self.answered.remove(&first);
         }
     }
 
@@ -109,11 +133,14 @@
     /// Records a crash. Returns the parts that are refused from now on.
     pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Vec<PartId> {
         self.expire(now);
-        let mut newly_refused = Vec::new();
+        let is_explained = crash
+            .parts
+            .iter()
+            .any(|part| self.refused.contains_key(part));
+        if is_explained {
+            return Vec::new();
+        }
         for part in &crash.parts {
-            if self.refused.contains_key(part) {
-                continue;
-            }
             let suspect = self.suspects.entry(*part).or_insert_with(|| Suspect {
                 engines: BTreeMap::new(),
                 runs: BTreeSet::new(),
@@ -124,14 +151,45 @@
                 .insert((crash.target.clone(), crash.incarnation), now);
             suspect.runs.insert(crash.run);
             suspect.last_crash = now;
-            if suspect.engines.len() >= MIN_ENGINES && suspect.runs.len() >= MIN_RUNS {
-                self.suspects.remove(part);
-                self.refused.insert(*part, now + REFUSAL_DURATION);
-                newly_refused.push(*part);
-            }
+        }
+        let (answered, unknown): (Vec<PartId>, Vec<PartId>) = crash
+            .parts
+            .iter()
+            .partition(|part| self.answered.contains(part));
+        let mut refused = self.convicted(&unknown, MIN_ENGINES);
+        if refused.is_empty() {
+            refused = self.convicted(&answered, MIN_ENGINES_OF_ANSWERED);
+        }
+        for part in &refused {
+            self.refuse(*part, now + REFUSAL_DURATION);
         }
         self.limit_suspects();
-        newly_refused
+        refused
+    }
+
+    /// Returns those of `parts` that are suspect of enough crashes to be refused.
+    fn convicted(&self, parts: &[PartId], min_engines: usize) -> Vec<PartId> {
+        let is_convicted = |part: &&PartId| {
+            self.suspects.get(*part).is_some_and(|suspect| {
+                suspect.engines.len() >= min_engines && suspect.runs.len() >= MIN_RUNS
+            })
+        };
+        parts.iter().filter(is_convicted).copied().collect()
+    }
+
+    /// Refuses a part. Its crashes need no other explanation, so other suspects are cleared of them.
+    fn refuse(&mut self, part: PartId, until: Instant) {
+        self.refused.insert(part, until);
+        let Some(culprit) = self.suspects.remove(&part) else {
+            return;
+        };
+        for suspect in self.suspects.values_mut() {
+            suspect
+                .engines
+                .retain(|engine, _| !culprit.engines.contains_key(engine));
+        }
+        self.suspects
+            .retain(|_, suspect| !suspect.engines.is_empty());
     }
 
     /// Records that an engine's load report was read at `read`. If its connections broke just before,
--- a/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
@@ -68,6 +68,35 @@
     assert!(!is_refused(&quarantine, SHARED_PART, now));
 }
 
+/// Guards against the refusal of sound requests when a part's requests come so fast that none with its
+/// neighbours is answered between the crashes.
+#[test]
+fn neighbours_of_a_crashing_part_are_not_refused_with_it() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_sent(0, &[SHARED_PART]);
+    quarantine.record_answered(0);
+    for number in 1..=12 {
+        let parts = [SHARED_PART, CRASHING_PART];
+        quarantine.record_crash(&crash(number, number, &parts), now);
+    }
+    assert!(is_refused(&quarantine, CRASHING_PART, now));
+    assert!(!is_refused(&quarantine, SHARED_PART, now));
+}
+
+/// A part that was sound may begin to crash engines.
+#[test]
+fn a_part_that_was_answered_before_is_refused_after_more_crashes() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_sent(0, &[CRASHING_PART]);
+    quarantine.record_answered(0);
+    for number in 1..=5 {
+        quarantine.record_crash(&crash(number, number, &[CRASHING_PART]), now);
+    }
+    assert!(!is_refused(&quarantine, CRASHING_PART, now));
+    quarantine.record_crash(&crash(6, 6, &[CRASHING_PART]), now);
+    assert!(is_refused(&quarantine, CRASHING_PART, now));
+}
+
 /// A refusal ends, so that a part isn't refused for ever after engines were mended.
 #[test]
 fn a_refusal_ends() {
