--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -156,9 +156,9 @@
             .parts
             .iter()
             .partition(|part| self.answered.contains(part));
-        let mut refused = self.convicted(&unknown, MIN_ENGINES);
+        let mut refused = self.with_crashes(&unknown, MIN_ENGINES);
         if refused.is_empty() {
-            refused = self.convicted(&answered, MIN_ENGINES_OF_ANSWERED);
+            refused = self.with_crashes(&answered, MIN_ENGINES_OF_ANSWERED);
         }
         for part in &refused {
             self.refuse(*part, now + REFUSAL_DURATION);
@@ -167,26 +167,26 @@
         refused
     }
 
-    /// Returns those of `parts` that are suspect of enough crashes to be refused.
-    fn convicted(&self, parts: &[PartId], min_engines: usize) -> Vec<PartId> {
-        let is_convicted = |part: &&PartId| {
+    /// Returns those of `parts` whose requests were at this many engines that crashed.
+    fn with_crashes(&self, parts: &[PartId], min_engines: usize) -> Vec<PartId> {
+        let has_enough = |part: &&PartId| {
             self.suspects.get(*part).is_some_and(|suspect| {
                 suspect.engines.len() >= min_engines && suspect.runs.len() >= MIN_RUNS
             })
         };
-        parts.iter().filter(is_convicted).copied().collect()
+        parts.iter().filter(has_enough).copied().collect()
     }
 
     /// Refuses a part. Its crashes need no other explanation, so other suspects are cleared of them.
     fn refuse(&mut self, part: PartId, until: Instant) {
         self.refused.insert(part, until);
-        let Some(culprit) = self.suspects.remove(&part) else {
+        let Some(cause) = self.suspects.remove(&part) else {
             return;
         };
         for suspect in self.suspects.values_mut() {
             suspect
                 .engines
-                .retain(|engine, _| !culprit.engines.contains_key(engine));
+                .retain(|engine, _| !cause.engines.contains_key(engine));
         }
         self.suspects
             .retain(|_, suspect| !suspect.engines.is_empty());
