Keep one request to join for each address

Found when reading the change again: two places said that a newer replica at an address supersedes an older one, a filter over all requests (newest_requests) and the rule added for requests of voters. Requests are now kept by address, so that a newer one replaces the older when it arrives, and neither place is needed.

--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         links::Links,
+        member,
         register::{Command, Document, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
@@ -29,6 +30,7 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::Ipv4Addr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -116,7 +118,7 @@
     /// Proposals of this replica that are not committed yet, by log index.
     pending_proposals: BTreeMap<Index, Sender<Outcome>>,
     reads: Reads<Outcome>,
-    join_requests: BTreeMap<Host, JoinRequest>,
+    join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
     /// When messages from each member last arrived.
     last_heard: BTreeMap<Host, Instant>,
     /// Since when this replica has been the leader, none if it is not.
@@ -208,8 +210,9 @@
             Input::Confirm(reply) => self.reads.start(&mut self.replica, reply),
             Input::Join(host, is_founding, reply) => {
                 self.join_requests.insert(
-                    host,
+                    member::address(host),
                     JoinRequest {
+                        host,
                         received_at: now,
                         is_founding,
                     },
--- a/crates/sardinerelay-gateway/src/group/repair.rs
+++ b/crates/sardinerelay-gateway/src/group/repair.rs
@@ -27,9 +27,12 @@
 /// voters.
 const JOIN_REQUEST_LIFETIME: Duration = Duration::from_secs(3);
 
-/// The last request of a host to join.
+/// The last request to join from an address. It supersedes that of a replica that ran there before,
+/// whose disk is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct JoinRequest {
+    /// The replica that joins.
+    pub host: Host,
     pub received_at: Instant,
     /// Whether the host was started together with the whole system, so that the group grows by it.
     pub is_founding: bool,
@@ -46,8 +49,8 @@
     pub desired_voters: usize,
     /// When a message from each member last arrived, not before this replica became the leader.
     pub last_heard: &'a BTreeMap<Host, Instant>,
-    /// Requests to join, by the ID of the replica that joins.
-    pub join_requests: &'a BTreeMap<Host, JoinRequest>,
+    /// Requests to join, by the address of the replica that joins.
+    pub join_requests: &'a BTreeMap<Ipv4Addr, JoinRequest>,
 }
 
 /// A step of the repair.
@@ -72,35 +75,18 @@
     /// for good.
     fn remove_predecessor(&self) -> Option<Step> {
         let predecessor = self.membership.hosts().find(|&old| {
-            let is_successor =
-                |new: Host| new != old && member::address(new) == member::address(old);
-            old != self.leader && self.newest_requests().any(|(new, _)| is_successor(new))
+            let successor = self.join_requests.get(&member::address(old));
+            old != self.leader && successor.is_some_and(|request| request.host != old)
         })?;
         Some(Step::Change(Change::Remove(predecessor)))
     }
 
-    /// Returns the newest request from each address. A host that lost its disk twice may have an
-    /// older one, under an ID that it no longer has.
-    fn newest_requests(&self) -> impl Iterator<Item = (Host, &JoinRequest)> {
-        let is_superseded = |host: Host, request: &JoinRequest| {
-            let mut others = self.join_requests.iter();
-            others.any(|(other, later)| {
-                member::address(*other) == member::address(host)
-                    && (later.received_at, *other) > (request.received_at, host)
-            })
-        };
-        let requests = self
-            .join_requests
-            .iter()
-            .map(|(host, request)| (*host, request));
-        requests.filter(move |(host, request)| !is_superseded(*host, request))
-    }
-
     fn add_learner(&self, now: Instant) -> Option<Step> {
-        let (host, _) = self.newest_requests().find(|(host, request)| {
-            !self.membership.contains(*host) && now < request.received_at + JOIN_REQUEST_LIFETIME
+        let request = self.join_requests.values().find(|request| {
+            !self.membership.contains(request.host)
+                && now < request.received_at + JOIN_REQUEST_LIFETIME
         })?;
-        Some(Step::Change(Change::AddLearner(host)))
+        Some(Step::Change(Change::AddLearner(request.host)))
     }
 
     /// Makes a live learner a voter. If the group has enough voters, it first raises their number
@@ -112,11 +98,8 @@
         if voters < self.desired_voters {
             return Some(Step::Change(Change::Promote(learner)));
         }
-        let is_founding = self
-            .join_requests
-            .get(&learner)
-            .is_some_and(|request| request.is_founding);
-        if is_founding {
+        let request = self.request_of(learner);
+        if request.is_some_and(|request| request.is_founding) {
             return Some(Step::Grow(voters + 1));
         }
         let replaced = self.longest_silent_voter(now)?;
@@ -126,11 +109,16 @@
     /// Removes a learner that is silent and no longer asks to join.
     fn remove_silent_learner(&self, now: Instant) -> Option<Step> {
         let is_gone =
-            |host: &&Host| self.is_silent(**host, now) && !self.join_requests.contains_key(*host);
+            |host: &&Host| self.is_silent(**host, now) && self.request_of(**host).is_none();
         let learner = *self.membership.learners.iter().find(is_gone)?;
         Some(Step::Change(Change::Remove(learner)))
     }
 
+    fn request_of(&self, host: Host) -> Option<&JoinRequest> {
+        let request = self.join_requests.get(&member::address(host));
+        request.filter(|request| request.host == host)
+    }
+
     fn longest_silent_voter(&self, now: Instant) -> Option<Host> {
         let is_silent = |host: &Host| *host != self.leader && self.is_silent(*host, now);
         let voters = self.membership.voters.iter().copied().filter(is_silent);
@@ -144,22 +132,14 @@
     }
 }
 
-/// Drops requests to join that are too old, or whose host has become a voter, and with the latter the
-/// earlier requests from the same address: the replicas that made them are gone.
+/// Drops requests to join that are too old, or whose host has become a voter.
 pub fn drop_expired_requests(
-    requests: &mut BTreeMap<Host, JoinRequest>,
+    requests: &mut BTreeMap<Ipv4Addr, JoinRequest>,
     membership: &Membership,
     now: Instant,
 ) {
-    let of_voters: Vec<(Ipv4Addr, Instant)> = requests
-        .iter()
-        .filter(|(host, _)| membership.voters.contains(host))
-        .map(|(host, request)| (member::address(*host), request.received_at))
-        .collect();
-    requests.retain(|host, request| {
-        let is_superseded = of_voters.iter().any(|(address, received_at)| {
-            member::address(*host) == *address && request.received_at <= *received_at
-        });
-        !is_superseded && now < request.received_at + JOIN_REQUEST_LIFETIME
+    requests.retain(|_, request| {
+        !membership.voters.contains(&request.host)
+            && now < request.received_at + JOIN_REQUEST_LIFETIME
     });
 }
--- a/crates/sardinerelay-gateway/tests/decisions/repair.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/repair.rs
@@ -28,7 +28,7 @@
 struct Group {
     membership: Membership,
     last_heard: BTreeMap<Host, Instant>,
-    join_requests: BTreeMap<Host, JoinRequest>,
+    join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
     desired_voters: usize,
     now: Instant,
 }
@@ -51,8 +51,9 @@
         let host = member::random_id(address, &mut rand::rng());
         let received_at = self.now;
         self.join_requests.insert(
-            host,
+            address,
             JoinRequest {
+                host,
                 received_at,
                 is_founding,
             },
