Say once which parts of a prompt are shared, and once for how long a part is refused

The rule that the last part of a prompt is its own stood in placement::shared_prefix and again in quarantine::shared_parts; a request's needs carried both the IDs of the shared parts and a hash of them. shared_prefix now returns the IDs, and the hash is made from them where engines are ranked, with the same result. The part's ID has its type beside the part. No behaviour changes, and no assertion.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -217,8 +217,7 @@
         state.subscribers.remove(&run);
         state.moves.remove(run);
         state.targets.release_everywhere(run);
-        state.queue.record_end(run);
-        state.quarantine.record_end(run);
+        state.record_end(run);
         self.decide(&mut state, now);
     }
 
@@ -288,8 +287,7 @@
                     Some(to) => state.targets.release(&to, run),
                     None => {
                         state.targets.release_everywhere(run);
-                        state.queue.record_end(run);
-                        state.quarantine.record_end(run);
+                        state.record_end(run);
                     }
                 }
             }
@@ -299,8 +297,7 @@
                 }
             }
             for run in state.targets.expire(MAX_CLAIM_AGE, now) {
-                state.queue.record_end(run);
-                state.quarantine.record_end(run);
+                state.record_end(run);
             }
         }
     }
@@ -359,6 +356,12 @@
 }
 
 impl State {
+    /// Records that a request has ended, apart from its claims on memory.
+    fn record_end(&mut self, run: RunId) {
+        self.queue.record_end(run);
+        self.quarantine.record_end(run);
+    }
+
     /// Adds the descriptions of the chosen engines to a decision.
     fn reply(&self, decision: Decision) -> Reply {
         match decision {
--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -40,11 +40,13 @@
     pub output_hint: Option<u64>,
 }
 
+/// ID of a part's content. Equal parts have equal IDs.
+pub type PartId = u64;
+
 /// A part of a prompt, which several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
-    /// ID of the part's content. Equal parts have equal IDs.
-    pub id: u64,
+    pub id: PartId,
     pub tokens: u64,
 }
 
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -174,9 +174,9 @@
     pub fn refuse_crashing(&self, need: &Need) -> Option<Duration> {
         let now = Instant::now();
         let state = self.state();
-        let remaining = state.quarantine.refusal(&need.shared_parts, now)?;
         let parts = state.quarantine.refused_among(&need.shared_parts, now);
         drop(state);
+        let remaining = parts.iter().map(|part| part.remaining).max()?;
         if remaining > MIN_REPORTED_REFUSAL {
             self.report(AllocationReport::Refused(parts));
         }
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -22,7 +22,6 @@
         admission,
         allocation::Allocation,
         placement::{self, Need},
-        quarantine,
         refusal::Refusal,
         request::{Job, remove_hop_by_hop_headers},
         table::Kind,
@@ -157,7 +156,7 @@
     let max_output = generation.map_or(u64::MAX, |generation| generation.max_output_tokens);
     let hint = generation.and_then(|generation| generation.output_hint);
     let parts = generation.map_or(&[][..], |generation| &generation.prompt_parts);
-    let (shared_tokens, prefix_hash) = placement::shared_prefix(parts);
+    let (shared_tokens, shared_parts) = placement::shared_prefix(parts);
     let forecast = job.entry.forecast();
     let output_tokens =
         forecast.output_tokens(&job.route.name, max_output, hint, LENGTH_MARGIN_DEVIATIONS);
@@ -173,11 +172,10 @@
         output_tokens,
         priority: job.priority,
         shared_tokens,
-        prefix_hash,
         wants_copy: supports_copies
             && !is_resumable(job)
             && output_tokens >= MIN_COPY_OUTPUT_TOKENS,
-        shared_parts: quarantine::shared_parts(parts),
+        shared_parts,
     }
 }
 
--- a/crates/sardinerelay-gateway/src/group/discovery.rs
+++ b/crates/sardinerelay-gateway/src/group/discovery.rs
@@ -49,7 +49,7 @@
     {
         let mut seen: BTreeSet<Ipv4Addr> = self.excluded.into_iter().collect();
         let mut waiting = VecDeque::new();
-        enqueue(self.known.iter().copied(), &mut seen, &mut waiting);
+        enqueue(self.known.into_iter(), &mut seen, &mut waiting);
         let mut requests = FuturesUnordered::new();
         loop {
             while requests.len() < self.max_parallel
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -5,7 +5,7 @@
 //! doesn't depend on the number of entry hosts. See `docs/design/platform.md`.
 
 use {
-    crate::quarantine::{PartId, RefusedPart},
+    crate::{call::PartId, quarantine::RefusedPart},
     compact_str::CompactString,
     sardinerelay::id::{Incarnation, Service, Target, Zone},
     serde::{Deserialize, Serialize},
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -7,8 +7,7 @@
 use {
     crate::{
         allocator::Scope,
-        call::Part,
-        quarantine::PartId,
+        call::{Part, PartId},
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
@@ -90,14 +89,11 @@
     /// Length of those parts of the prompt that other requests share.
     #[serde(rename = "shared")]
     pub shared_tokens: u64,
-    /// Hash of the IDs of the shared parts, by which requests with the same parts prefer the same
-    /// engines.
-    #[serde(rename = "prefix")]
-    pub prefix_hash: u64,
     /// Whether another engine should keep a copy of its memory.
     #[serde(rename = "copy")]
     pub wants_copy: bool,
-    /// Those parts of the prompt that other requests share.
+    /// IDs of those parts of the prompt that other requests share. Requests with the same ones prefer
+    /// the same engines.
     #[serde(rename = "parts")]
     pub shared_parts: Vec<PartId>,
 }
@@ -112,16 +108,12 @@
     pub copy: Option<Target>,
 }
 
-/// Returns the number of tokens in the shared parts of a prompt, and a hash of those parts. The
-/// last part is the request's own and never counts as shared.
-pub fn shared_prefix(parts: &[Part]) -> (u64, u64) {
+/// Returns the number of tokens in the shared parts of a prompt, and the IDs of those parts. The last
+/// part is the request's own and never counts as shared.
+pub fn shared_prefix(parts: &[Part]) -> (u64, Vec<PartId>) {
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let mut hasher = DefaultHasher::new();
-    for part in shared {
-        part.id.hash(&mut hasher);
-    }
     let tokens = shared.iter().map(|part| part.tokens).sum();
-    (tokens, hasher.finish())
+    (tokens, shared.iter().map(|part| part.id).collect())
 }
 
 /// Chooses the least loaded engine with room for a generation, other than those in `avoid`, and an
@@ -159,7 +151,7 @@
     if shared >= MIN_SHARED_RATIO {
         prefer(
             &mut feasible,
-            &preferred_engines(&candidates, need.prefix_hash),
+            &preferred_engines(&candidates, &need.shared_parts),
             shared,
         );
     }
@@ -306,7 +298,12 @@
 
 /// Returns the engines that should have a prefix cached. Rendezvous hashing lets all hosts agree on
 /// them without communication (Thaler and Ravishankar, 1998).
-fn preferred_engines(candidates: &[&State], prefix: u64) -> Vec<Target> {
+fn preferred_engines(candidates: &[&State], shared_parts: &[PartId]) -> Vec<Target> {
+    let mut hasher = DefaultHasher::new();
+    for part in shared_parts {
+        part.hash(&mut hasher);
+    }
+    let prefix = hasher.finish();
     let mut ranked: Vec<(u64, &State)> = candidates
         .iter()
         .map(|state| {
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! `docs/design/admission.md`.
 
 use {
-    crate::{call::Part, targets::RunId},
+    crate::{call::PartId, targets::RunId},
     sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
     std::{
@@ -37,9 +37,6 @@
 /// Largest number of suspects. The one whose last crash is oldest makes room for another.
 const MAX_SUSPECTS: usize = 1024;
 
-/// ID of a part of a prompt.
-pub type PartId = u64;
-
 /// A crash of an engine before it began to answer a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -61,7 +58,7 @@
     pub remaining: Duration,
 }
 
-/// The parts that are suspect or refused, and the parts of requests that have not been answered.
+/// The parts that are suspect, refused or answered, and those of requests that wait for an answer.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<PartId, Suspect>,
@@ -82,20 +79,19 @@
     last_crash: Instant,
 }
 
-/// Returns the IDs of the parts that other requests may share: all but the last one.
-pub fn shared_parts(parts: &[Part]) -> Vec<PartId> {
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| part.id).collect()
-}
-
 impl Quarantine {
     /// Returns for how long a request with these parts is still refused, if it is.
     pub fn refusal(&self, parts: &[PartId], now: Instant) -> Option<Duration> {
-        let until = parts.iter().filter_map(|part| self.refused.get(part));
-        let until = until.max()?;
-        until
-            .checked_duration_since(now)
-            .filter(|remaining| !remaining.is_zero())
+        let refused = parts
+            .iter()
+            .filter_map(|part| self.refused_part(*part, now));
+        refused.map(|part| part.remaining).max()
+    }
+
+    fn refused_part(&self, id: PartId, now: Instant) -> Option<RefusedPart> {
+        let until = self.refused.get(&id)?;
+        let remaining = until.saturating_duration_since(now);
+        (!remaining.is_zero()).then_some(RefusedPart { id, remaining })
     }
 
     /// Records that a request is sent to an engine.
@@ -225,19 +221,14 @@
 
     /// Returns all parts that are refused at `now`.
     pub fn refused(&self, now: Instant) -> Vec<RefusedPart> {
-        let remaining = |until: &Instant| until.saturating_duration_since(now);
-        let parts = self.refused.iter().map(|(id, until)| RefusedPart {
-            id: *id,
-            remaining: remaining(until),
-        });
-        parts.filter(|part| !part.remaining.is_zero()).collect()
+        let parts = self.refused.keys();
+        parts.filter_map(|id| self.refused_part(*id, now)).collect()
     }
 
     /// Returns those of `parts` that are refused at `now`.
     pub fn refused_among(&self, parts: &[PartId], now: Instant) -> Vec<RefusedPart> {
-        let mut refused = self.refused(now);
-        refused.retain(|part| parts.contains(&part.id));
-        refused
+        let parts = parts.iter();
+        parts.filter_map(|id| self.refused_part(*id, now)).collect()
     }
 
     /// Forgets what is too old.
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -69,7 +69,6 @@
         output_tokens: 800,
         priority: 1,
         shared_tokens: 0,
-        prefix_hash: 0,
         wants_copy: false,
         shared_parts: Vec::new(),
     }
--- a/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
@@ -8,8 +8,9 @@
     sardinerelay_gateway::{
         admission::RefusalReason,
         allocator::{Allocator, Reply, Scope},
+        call::PartId,
         placement::Need,
-        quarantine::{Crash, PartId, Quarantine},
+        quarantine::{Crash, Quarantine},
     },
     std::{
         collections::VecDeque,
