Log and count what targets state about their rate limits

The sends to a target were logged, but not what its answers say. Hosts now log each change of a stated limit and count them. Decisions are as before.

Answers with another request's id, unsigned ones and those with status 421 state nothing either.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -9,6 +9,7 @@
         codec::Codec,
         forecast::Forecast,
         group::{AllocationReport, LocalAllocation},
+        limit::{self, Statement},
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
@@ -20,6 +21,7 @@
         targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
+    log::info,
     rand::rng,
     sardinerelay::id::{Service, Target},
     sardinerelayd::stop::Drain,
@@ -251,6 +253,27 @@
         action(budget.or_insert_with(|| Budget::new(limit, Instant::now())))
     }
 
+    /// Records what a target's response states about its rate limit. The request was sent at `sent`.
+    pub fn record_limit(&self, target: &Target, statement: Statement, sent: Instant) {
+        let mut state = self.state();
+        let Some(target_state) = state.targets.get_mut(target) else {
+            return;
+        };
+        let limit = &mut target_state.limit;
+        let before = limit.rate();
+        if !limit.record(statement, sent, Instant::now()) {
+            return;
+        }
+        let rate = limit.rate();
+        drop(state);
+        self.metrics.record_limit_change();
+        info!(
+            target_id = target.as_str(), limit:% = limit::Described(rate),
+            before:% = limit::Described(before);
+            "a target states another rate limit"
+        );
+    }
+
     /// Returns what the platform lists for a target, or none if it isn't listed.
     pub fn instance(&self, target: &str) -> Option<Instance> {
         let state = self.state();
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -99,6 +99,7 @@
         reservation: start.reservation,
     };
     let request = job.outgoing(target, options);
+    let sent = Instant::now();
     let deadline = TokioInstant::from_std(job.deadline());
     let sending = job
         .entry
@@ -120,7 +121,7 @@
         }
         Err(_) => return OpenOutcome::TimedOut,
     };
-    let class = job.classify(&response);
+    let class = job.classify(&response, target, sent);
     let (parts, body) = response.into_parts();
     match class {
         ResponseClass::Success => {
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! made for deployments in which a host knows only some seeds of the others.
 //!
 //! Decisions are separate from input and output: [`placement`], [`admission`], [`budget`],
-//! [`forecast`], [`health`], [`moves`], [`targets`], [`table`] and [`group::repair`] open no
+//! [`forecast`], [`health`], [`limit`], [`moves`], [`targets`], [`table`] and [`group::repair`] open no
 //! sockets and read no clock. A [`codec::Codec`] translates to and from the platform's wire format.
 //! The design is described in `docs/design/platform.md`.
 
@@ -23,6 +23,7 @@
 pub mod group;
 pub mod health;
 pub mod http_server;
+pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod moves;
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     placement_wait: Histogram<f64>,
     retries: Counter<u64>,
     continuations: Counter<u64>,
+    limit_changes: Counter<u64>,
 }
 
 impl Metrics {
@@ -45,6 +46,7 @@
             placement_wait: seconds("waited", "Time from request to placement"),
             retries: count("repeats", "Requests sent to a further target"),
             continuations: count("continued", "Generations continued elsewhere"),
+            limit_changes: count("limit_changes", "Changes of targets' stated rate limits"),
             export,
         })
     }
@@ -84,6 +86,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a target states another rate limit than before, or none.
+    pub fn record_limit_change(&self) {
+        self.limit_changes.add(1, &[]);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -181,7 +181,7 @@
     };
     let responded = timeout_at(TokioInstant::from_std(attempt_deadline), async {
         let (exchange, response) = job.entry.pool.send(&instance, request, max_idle).await?;
-        read(job, exchange, response).await
+        read(job, exchange, response, (target, now)).await
     });
     match responded.await {
         Ok(Ok(outcome)) => outcome,
@@ -199,8 +199,9 @@
     job: &Job,
     exchange: Exchange,
     response: Response<Incoming>,
+    (target, sent): (&Target, Instant),
 ) -> Result<AttemptOutcome, SendError> {
-    let class = job.classify(&response);
+    let class = job.classify(&response, target, sent);
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -120,10 +120,22 @@
         request
     }
 
-    /// Classifies the head of a target's response.
-    pub fn classify(&self, response: &Response<Incoming>) -> ResponseClass {
+    /// Classifies the head of the response of `target` to a request that was sent at `sent`, and
+    /// records the rate limit that it states.
+    pub fn classify(
+        &self,
+        response: &Response<Incoming>,
+        target: &Target,
+        sent: Instant,
+    ) -> ResponseClass {
         let head = (self.entry.codec.parse_response_head)(response.headers());
-        classify(&self.call.id, response.status(), &head)
+        let class = classify(&self.call.id, response.status(), &head);
+        let is_own = head.id.as_ref() == Some(&self.call.id)
+            && response.status() != StatusCode::MISDIRECTED_REQUEST;
+        if is_own && class != ResponseClass::Untrusted {
+            self.entry.record_limit(target, head.limit, sent);
+        }
+        class
     }
 }
 
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -8,6 +8,7 @@
         backlog::Backlog,
         group::LocalAllocation,
         health::Health,
+        limit::Limit,
         observations::{Instance, Load, Observations},
     },
     sardinerelay::id::{Incarnation, Target},
@@ -79,6 +80,8 @@
     pub cold_until: Instant,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
+    /// The rate of requests that it takes from all hosts together.
+    pub limit: Limit,
 }
 
 /// All targets that this host knows.
@@ -365,6 +368,7 @@
                 health: Health::default(),
                 cold_until: now,
                 full_until: None,
+                limit: Limit::default(),
             };
             self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
