Keep to the limit that a target states, for all hosts together

Cause: nothing read what targets state about the rate that they take. Class: a target tells a host something that concerns all hosts, and the host keeps it to itself.

The allocating host now counts for all hosts. Generations get their share of a limit with their engine; a call of a plain service needs a permit before it is sent to a limited target, goes to another target if it gets none, and is refused at once if all targets are limited. Hosts report what targets state, and learn it with the observations. Hosts that can't reach the allocating host use an equal part.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -221,7 +221,11 @@
         if let Some(copy) = &self.choice.copy {
             targets.release(copy, self.run);
         }
-        claim(targets, self.run, &self.need, &choice, Instant::now());
+        let now = Instant::now();
+        claim(targets, self.run, &self.need, &choice, now);
+        if allocated_by == 0 {
+            targets.charge_limit(&choice.target, Scope::Local, now);
+        }
         self.entry.record_sent(
             targets,
             self.run,
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -10,6 +10,7 @@
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
+        limit::{Described, Rate, Statement, permit},
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         placement::{self, Choice, Need, Secondary},
@@ -265,6 +266,28 @@
         }
     }
 
+    /// Records what an engine's load report states about its rate limit.
+    pub fn record_limit(&self, engine: &Instance, statement: Statement, sent: Instant) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let known = state.targets.get_mut(&engine.target);
+        let Some(known) = known.filter(|known| known.instance.incarnation == engine.incarnation)
+        else {
+            return;
+        };
+        let before = known.limit.rate();
+        if known.limit.record(statement, sent, now) {
+            log_limit(&engine.target, before, known.limit.rate());
+            self.decide(&mut state, now);
+        }
+    }
+
+    /// Grants a permit to send a call to a target that states a rate limit.
+    pub fn grant(&self, request: &permit::Request) -> permit::Reply {
+        let mut state = self.state();
+        state.targets.grant(request, self.scope, Instant::now())
+    }
+
     /// Reconsiders waiting requests and expires old state periodically. Never returns.
     pub async fn run_maintenance(&self) {
         loop {
@@ -325,6 +348,7 @@
                 now,
             )?;
             claim_for_move(targets, departure, &to, now);
+            targets.charge_limit(&to, self.scope, now);
             Some(to)
         });
         let moving = moving.into_iter().map(|(run, target)| {
@@ -339,6 +363,7 @@
             let choice = placement::choose(targets, need, (self.scope, &[]), &mut rng(), now)?;
             // Claimed at once, so that the next placement takes this one into account.
             claim(targets, waiter.run, need, &choice, now);
+            targets.charge_limit(&choice.target, self.scope, now);
             targets.record_sent(&choice.target, waiter.run, need.prompt_tokens, now);
             quarantine.record_sent(waiter.run, &need.shared_parts);
             Some(choice)
@@ -408,6 +433,14 @@
     targets.claim(to, departure.run, claim);
 }
 
+/// Logs that a target states another rate limit than before.
+pub fn log_limit(target: &Target, before: Option<Rate>, rate: Option<Rate>) {
+    info!(
+        target_id = target.as_str(), limit:% = Described(rate), before:% = Described(before);
+        "a target states another rate limit"
+    );
+}
+
 fn log_change(change: &Change, list_age_ms: u64) {
     let log = |target: &Target, event: &str| {
         info!(target_id = target.as_str(), list_age_ms = list_age_ms; "target {event}");
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -4,24 +4,24 @@
     crate::{
         admission::RefusalReason,
         allocation::Allocation,
-        allocator::{Allocator, Reply, Scope, State, claim, claim_for_move},
+        allocator::{Allocator, Reply, Scope, State, claim, claim_for_move, log_limit},
         budget::Budget,
         codec::Codec,
         forecast::Forecast,
         group::{AllocationReport, LocalAllocation},
-        limit::{self, Statement},
+        limit::{Statement, permit},
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
         placement::{self, Choice, Need, Secondary},
         pool::Pool,
         remote::RemoteAllocator,
+        reporter::Report,
         settings,
         table::Table,
         targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
-    log::info,
     rand::rng,
     sardinerelay::id::{Service, Target},
     sardinerelayd::stop::Drain,
@@ -70,7 +70,7 @@
     forecast: Mutex<Forecast>,
     budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
-    reports: UnboundedSender<AllocationReport>,
+    reports: UnboundedSender<Report>,
 }
 
 /// Guard of a request that waits for an engine. Dropping it withdraws the request, unless an engine
@@ -89,7 +89,7 @@
         settings: settings::Entry,
         codec: Codec,
         metrics: Metrics,
-        reports: UnboundedSender<AllocationReport>,
+        reports: UnboundedSender<Report>,
     ) -> Self {
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
         Self {
@@ -223,6 +223,7 @@
             now,
         )?;
         claim_for_move(&mut state.targets, departure, &to, now);
+        state.targets.charge_limit(&to, Scope::Local, now);
         self.report_sent((&to, 0), &departure.need, 0);
         Some(to)
     }
@@ -259,19 +260,51 @@
         let Some(target_state) = state.targets.get_mut(target) else {
             return;
         };
-        let limit = &mut target_state.limit;
-        let before = limit.rate();
-        if !limit.record(statement, sent, Instant::now()) {
+        let before = target_state.limit.rate();
+        if !target_state.limit.record(statement, sent, Instant::now()) {
             return;
         }
-        let rate = limit.rate();
+        let known = target_state.known_limit();
         drop(state);
         self.metrics.record_limit_change();
-        info!(
-            target_id = target.as_str(), limit:% = limit::Described(rate),
-            before:% = limit::Described(before);
-            "a target states another rate limit"
-        );
+        log_limit(target, before, known.rate);
+        self.report(permit::Change { known, before });
+    }
+
+    /// Adopts the limits that the allocating host publishes, and reports what it doesn't know yet.
+    pub fn adopt_limits(&self, published: &[permit::Published]) {
+        let changes = self.state().targets.adopt_limits(published, Instant::now());
+        for change in changes {
+            self.report(change);
+        }
+    }
+
+    /// Takes a permit to send a call to one of several targets that state a rate limit. The
+    /// allocating host decides; if it can't, this host uses its share of the limits.
+    pub async fn acquire_permit(&self, request: permit::Request) -> permit::Reply {
+        let reply = self.remote.permit(request.clone()).await;
+        let now = Instant::now();
+        let mut state = self.state();
+        let reply = match reply {
+            Some(reply) if reply != permit::Reply::Unknown => {
+                let known = request.targets.iter().map(|known| &known.target);
+                for target in known {
+                    if let Some(state) = state.targets.get_mut(target) {
+                        state.limit.drain(now);
+                    }
+                }
+                reply
+            }
+            _ => state.targets.grant(&request, Scope::Local, now),
+        };
+        if let permit::Reply::Refused(duration) = reply {
+            for known in &request.targets {
+                if let Some(state) = state.targets.get_mut(&known.target) {
+                    state.limit.record_denied(duration, now);
+                }
+            }
+        }
+        reply
     }
 
     /// Returns what the platform lists for a target, or none if it isn't listed.
@@ -327,9 +360,13 @@
         }
     }
 
-    pub(crate) fn report(&self, report: AllocationReport) {
+    /// Queues a report for the allocating host.
+    pub(crate) fn report<Given>(&self, report: Given)
+    where
+        Given: Into<Report>,
+    {
         // Sending fails only when the receiver is gone, that is, while the process ends.
-        let _ = self.reports.send(report);
+        let _ = self.reports.send(report.into());
     }
 }
 
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -7,12 +7,12 @@
     crate::{
         entry::EntryHost,
         group::{
-            AllocationReport, Clients, Document, FOLLOW_CONFIGURATION_METHOD,
-            FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration, FollowObservations, MemberStatus,
-            StatusRequest, discovery::Search, member,
+            Clients, Document, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
+            FollowConfiguration, FollowObservations, MemberStatus, StatusRequest,
+            discovery::Search, member,
         },
         observations::Observations,
-        reporter,
+        reporter::{self, Report},
         table::Table,
     },
     log::{debug, info, warn},
@@ -47,7 +47,7 @@
 
 /// Follows the group for as long as the process runs, and forwards the reports that arrive at
 /// `outgoing` to the allocating host.
-pub async fn run(entry: Arc<EntryHost>, outgoing: UnboundedReceiver<AllocationReport>) {
+pub async fn run(entry: Arc<EntryHost>, outgoing: UnboundedReceiver<Report>) {
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
     let reloadable = Arc::clone(&entry.settings.common.reloadable);
     let mut addresses: BTreeSet<Ipv4Addr> = reloadable.seeds().into_iter().collect();
@@ -240,6 +240,7 @@
             Ok(Some(Packed(observations))) => {
                 stamp = observations.stamp;
                 entry.allocator.merge(&observations);
+                entry.adopt_limits(&observations.limits);
                 let is_fresh = observations.list_age_ms < OBSERVATIONS_TIMEOUT.as_millis() as u64;
                 if is_fresh {
                     last_fresh.send_replace(LastFresh(Some(Instant::now())));
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -19,8 +19,8 @@
     report::{AllocationReport, LocalAllocation},
     rpc::{
         ACQUIRE_METHOD, Acquire, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
-        FollowConfiguration, FollowObservations, RELOCATE_METHOD, REPORT_METHOD, Relocate,
-        SharedState, StatusRequest,
+        FollowConfiguration, FollowObservations, LIMIT_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
+        REPORT_METHOD, Relocate, SharedState, StatusRequest,
     },
 };
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         allocator::Allocator,
+        limit::permit,
         metrics::Metrics,
         moves::Departure,
         observations::{Followers, Observations, ObservationsSender},
@@ -49,6 +50,13 @@
 pub const RELOCATE_METHOD: &str = "place.relocate";
 /// Notifies the allocating host of [`AllocationReport`]s.
 pub const REPORT_METHOD: &str = "place.report";
+/// Asks for a permit to send a call to a target that states a rate limit.
+pub const PERMIT_METHOD: &str = "limit.permit";
+/// Notifies the allocating host of [`permit::Change`]s. A method of its own, because hosts of
+/// earlier versions can't parse further variants of [`AllocationReport`].
+pub const LIMIT_METHOD: &str = "limit.report";
+/// Label of [`PERMIT_METHOD`] in metrics.
+const PERMIT_LABEL: &str = "permit";
 /// Label of [`ACQUIRE_METHOD`] in metrics.
 const ACQUIRE_LABEL: &str = "place";
 /// Label of [`RELOCATE_METHOD`] in metrics.
@@ -235,6 +243,14 @@
         metrics.record_request(RELOCATE_LABEL, reply.label(), began.elapsed());
         RpcResult::Ok(Packed(reply))
     })?;
+    module.register_async_method(PERMIT_METHOD, |parameters, context, _| async move {
+        let Packed(request): Packed<permit::Request> = context.counters.parse_call(&parameters)?;
+        let began = Instant::now();
+        let reply = context.shared.allocator.grant(&request);
+        let metrics = &context.shared.metrics;
+        metrics.record_request(PERMIT_LABEL, reply.label(), began.elapsed());
+        RpcResult::Ok(Packed(reply))
+    })?;
     Ok(module)
 }
 
@@ -314,6 +330,7 @@
         let handled = match method {
             STEP => context.step(parameters),
             REPORT_METHOD => context.apply_reports(parameters),
+            LIMIT_METHOD => context.apply_limits(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -338,6 +355,16 @@
         Ok(())
     }
 
+    /// Applies changes of rate limits.
+    fn apply_limits(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(changes),): (Packed<Vec<permit::Change>>,) = serde_json::from_str(parameters)?;
+        let mut state = self.allocator.state();
+        for change in &changes {
+            state.targets.apply_limit(change, Instant::now());
+        }
+        Ok(())
+    }
+
     /// Applies reports to the allocator.
     fn apply_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(reports),): (Packed<Vec<AllocationReport>>,) =
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     retries: Counter<u64>,
     continuations: Counter<u64>,
     limit_changes: Counter<u64>,
+    permits: Counter<u64>,
 }
 
 impl Metrics {
@@ -47,6 +48,10 @@
             retries: count("repeats", "Requests sent to a further target"),
             continuations: count("continued", "Generations continued elsewhere"),
             limit_changes: count("limit_changes", "Changes of targets' stated rate limits"),
+            permits: count(
+                "permits",
+                "Requests for permits of limited targets by outcome",
+            ),
             export,
         })
     }
@@ -91,6 +96,11 @@
         self.limit_changes.add(1, &[]);
     }
 
+    /// Records a request for a permit to send a call to a limited target.
+    pub fn record_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -5,10 +5,11 @@
 //! doesn't depend on the number of entry hosts. See `docs/design/platform.md`.
 
 use {
-    crate::{call::PartId, quarantine::RefusedPart},
+    crate::{call::PartId, limit::permit, quarantine::RefusedPart},
     compact_str::CompactString,
+    log::debug,
     sardinerelay::id::{Incarnation, Service, Target, Zone},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -85,6 +86,10 @@
     /// Parts of prompts that make engines crash, as the allocating host knows them.
     #[serde(rename = "refused")]
     pub refused_parts: Vec<RefusedPart>,
+    /// Rate limits that targets state, and those that have ended recently. Hosts of earlier versions
+    /// don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub limits: Vec<permit::Published>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -106,7 +111,8 @@
         self.stamp != 0 && (!is_recent || self.changed_stamp > follower_stamp)
     }
 
-    /// Whether other targets are listed or leaving, or other parts refused, than in `previous`.
+    /// Whether other targets are listed, leaving or limited, or other parts refused, than in
+    /// `previous`.
     pub fn differs_beyond_loads(&self, previous: &Self) -> bool {
         let listed = |observations: &Self| -> Vec<_> {
             let instances = observations.instances.iter();
@@ -134,7 +140,12 @@
             let parts = observations.refused_parts.iter();
             parts.map(|part| part.id).collect()
         };
-        listed(self) != listed(previous)
+        let limits = |observations: &Self| -> Vec<permit::Known> {
+            let limits = observations.limits.iter();
+            limits.map(|limit| limit.known.clone()).collect()
+        };
+        limits(self) != limits(previous)
+            || listed(self) != listed(previous)
             || leaving(self) != leaving(previous)
             || refused(self) != refused(previous)
     }
@@ -153,11 +164,26 @@
                 *closing += elapsed_ms;
             }
         }
+        for limit in &mut current.limits {
+            limit.age += elapsed;
+        }
         current.ages_updated = None;
         current
     }
 }
 
+/// Deserializes a field at the end of a message, which is missing in messages of earlier versions.
+fn or_default<'de, Field, Source>(source: Source) -> Result<Field, Source::Error>
+where
+    Field: Deserialize<'de> + Default,
+    Source: Deserializer<'de>,
+{
+    Field::deserialize(source).or_else(|error| {
+        debug!("a host of an earlier version sends observations without limits: {error}");
+        Ok(Field::default())
+    })
+}
+
 /// Time without a request after which an entry host no longer counts as a follower.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(15);
 
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -234,6 +234,7 @@
     /// Reads an engine's load report. Returns whether this response is the first one that closes
     /// the connection.
     async fn read_load_report_once(&self, engine: &Instance) -> bool {
+        let sent = Instant::now();
         let request = (self.codec.load_request)(engine.address);
         let response = match self.pool.call(engine, request, READ_TIMEOUT).await {
             Ok(response) if response.status().is_success() => response,
@@ -252,6 +253,8 @@
         };
         match (self.codec.parse_load)(response.body()) {
             Ok(load) => {
+                let head = (self.codec.parse_response_head)(response.headers());
+                self.allocator.record_limit(engine, head.limit, sent);
                 let key = (engine.target.clone(), engine.incarnation);
                 let mut state = self.state();
                 let is_first_closing =
@@ -310,13 +313,18 @@
                 closing_ms: closing.map(|closing| age(closing.since)),
             }
         });
+        let allocator = self.allocator.state();
+        let refused_parts = allocator.quarantine.refused(now);
+        let limits = allocator.targets.published_limits(now);
+        drop(allocator);
         Observations {
             stamp,
             loads: loads.collect(),
             instances: state.instances.clone(),
             list_age_ms: state.list_read.map_or(u64::MAX / 2, age),
             entry_hosts: self.followers.count(),
-            refused_parts: self.allocator.state().quarantine.refused(now),
+            refused_parts,
+            limits,
             ages_updated: Some(now),
             changed_stamp: 0,
         }
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -39,6 +39,9 @@
 const COLD_START_LOAD: f64 = 0.25;
 /// Load added to a target that fails all of its requests.
 const FAILURE_LOAD: f64 = 3.0;
+/// Load added to a second engine that has reached its rate limit. A running generation still goes
+/// there if no other engine has room, because it would be lost otherwise.
+const LIMIT_REACHED_LOAD: f64 = 10.0;
 /// Number of engines compared by a host that doesn't see all placements. Load reports are older
 /// than the time between two placements, so all such hosts would choose the engine that the reports
 /// show as least loaded. The best of a few random engines is almost as good and spreads the choices
@@ -132,8 +135,10 @@
         .usable(&need.service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
         .collect();
+    let share = targets.limit_share(scope);
     let mut feasible: Vec<(f64, &State)> = candidates
         .iter()
+        .filter(|state| state.limit.has_permit(share, now))
         .filter_map(|state| {
             let read_wait = state.backlog.estimated_wait(need.prompt_tokens, now);
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
@@ -191,6 +196,7 @@
 where
     R: Rng + ?Sized,
 {
+    let share = targets.limit_share(scope);
     let max_fill = match secondary {
         Secondary::Copy => MAX_COPY_FILL,
         Secondary::Move => MAX_MOVE_FILL,
@@ -207,7 +213,8 @@
             }
             let score = load + penalty(state, &need.zone, now);
             let zone_load = f64::from(state.instance.zone != need.zone) * SECONDARY_OTHER_ZONE_LOAD;
-            (load <= max_fill).then_some((score + zone_load, state))
+            let limit_load = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
+            (load <= max_fill).then_some((score + zone_load + limit_load, state))
         })
         .collect();
     feasible.shuffle(rng);
@@ -319,18 +326,17 @@
         .collect()
 }
 
-/// Chooses the least loaded target of a plain service, other than those in `avoid`. Returns `None`
-/// if no other target is usable.
-pub fn choose_plain<R>(
-    targets: &Targets,
-    (service, zone, avoid): (&str, &Zone, &[Target]),
+/// Returns the usable targets of a plain service, other than those in `avoid`, least loaded first.
+pub fn rank_plain<'a, R>(
+    targets: &'a Targets,
+    (service, zone, avoid): (&'a str, &Zone, &[Target]),
     rng: &mut R,
     now: Instant,
-) -> Option<Target>
+) -> Vec<&'a State>
 where
     R: Rng + ?Sized,
 {
-    targets
+    let mut ranked: Vec<(f64, &State)> = targets
         .usable(service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
         .map(|state| {
@@ -345,8 +351,9 @@
                 state,
             )
         })
-        .min_by(|left, right| left.0.total_cmp(&right.0))
-        .map(|(_, state)| state.instance.target.clone())
+        .collect();
+    ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
+    ranked.into_iter().map(|(_, state)| state).collect()
 }
 
 /// Assumed ratio of all requests on a plain target to this host's own, since a host doesn't see the
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -5,9 +5,11 @@
 //! the retry budget lasts. A call that must run at most once is retried only if it certainly did
 //! not run.
 
+mod choice;
+
 use {
+    self::choice::Choice,
     crate::{
-        placement,
         pool::{Cause, Exchange, SendError},
         refusal::Refusal,
         request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
@@ -85,14 +87,21 @@
     let mut tried: Vec<Target> = Vec::new();
     let mut runs = 0;
     let mut failure: Option<BufferedResponse> = None;
+    let mut limit_reached = None;
     for send_index in 0..MAX_CALL_SENDS {
         let now = Instant::now();
         if now + MIN_REMAINING_TIME >= deadline {
             break;
         }
-        let Some(target) = choose_target(job, &tried, now) else {
-            break;
+        let target = match choice::choose(job, &tried, now).await {
+            Choice::Target(target) => target,
+            Choice::LimitReached(retry_after) => {
+                limit_reached = Some(retry_after);
+                break;
+            }
+            Choice::Unavailable => break,
         };
+        let now = Instant::now();
         let is_last = !is_idempotent || runs + 1 >= job.route.max_attempts;
         let outcome = attempt(job, &target, (now, deadline), is_last).await;
         record(job, &target, &outcome, send_index);
@@ -123,6 +132,12 @@
         return Ok(failure.map(Body::from));
     }
     if runs == 0 {
+        if let Some(retry_after) = limit_reached {
+            return Err(Refusal::NotRun {
+                reason: "all targets have reached their rate limits",
+                retry_after,
+            });
+        }
         let jitter = rand::rng().random_range(0.5..1.5);
         return Err(Refusal::NotRun {
             reason: "no target takes the call",
@@ -135,18 +150,6 @@
     }
 }
 
-/// Chooses a target that was not tried yet, or any usable one if all were tried.
-fn choose_target(job: &Job, tried: &[Target], now: Instant) -> Option<Target> {
-    let state = job.entry.state();
-    let zone = &job.entry.settings.common.zone;
-    let constraints = (job.service.as_str(), zone, tried);
-    let untried = placement::choose_plain(&state.targets, constraints, &mut rand::rng(), now);
-    untried.or_else(|| {
-        let constraints = (job.service.as_str(), zone, &[][..]);
-        placement::choose_plain(&state.targets, constraints, &mut rand::rng(), now)
-    })
-}
-
 /// Sends the call to `target` and reads the response. A target that is tried last has until
 /// `deadline`; the others have at most the timeout of one attempt.
 async fn attempt(
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         allocator::Reply,
-        group::{ACQUIRE_METHOD, Acquire, RELOCATE_METHOD, Relocate},
+        group::{ACQUIRE_METHOD, Acquire, PERMIT_METHOD, RELOCATE_METHOD, Relocate},
+        limit::permit,
         moves::Departure,
         placement::Need,
         targets::RunId,
@@ -16,12 +17,15 @@
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
+    tokio::time::timeout,
 };
 
 /// Time that the allocator may wait for an engine in one call. A longer wait takes several calls.
 const MAX_CALL_WAIT: Duration = Duration::from_millis(150);
 /// Time that a call may take beyond that wait. After it the allocating host counts as unreachable.
 const ALLOCATOR_RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+/// Longest time that a call waits for the reply to a request for a permit.
+const MAX_PERMIT_TIME: Duration = Duration::from_millis(80);
 /// Time for which an unreachable allocating host isn't called again.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1500);
 
@@ -35,6 +39,8 @@
 struct State {
     client: Option<Arc<Client>>,
     unreachable_until: Option<Instant>,
+    /// Until when no permits are asked for, because the last request for one failed.
+    permits_unavailable_until: Option<Instant>,
 }
 
 impl RemoteAllocator {
@@ -50,6 +56,7 @@
         }
         state.client = client;
         state.unreachable_until = None;
+        state.permits_unavailable_until = None;
     }
 
     /// Returns the client of the allocating host, unless that counts as unreachable.
@@ -99,6 +106,30 @@
         }
     }
 
+    /// Asks for a permit to send a call to a target that states a rate limit. Returns none if the
+    /// allocating host can't be reached, is slow or has an earlier version without permits.
+    pub async fn permit(&self, request: permit::Request) -> Option<permit::Reply> {
+        let client = self.client()?;
+        let unavailable_until = self.lock().permits_unavailable_until;
+        if unavailable_until.is_some_and(|until| Instant::now() < until) {
+            return None;
+        }
+        let parameter = Packed(request);
+        let call = client.call::<_, Packed<permit::Reply>>(
+            PERMIT_METHOD,
+            &parameter,
+            MAX_CALL_WAIT + ALLOCATOR_RESPONSE_MARGIN,
+        );
+        let reason = match timeout(MAX_PERMIT_TIME, call).await {
+            Ok(Ok(Packed(reply))) => return Some(reply),
+            Ok(Err(error)) => error.to_string(),
+            Err(elapsed) => elapsed.to_string(),
+        };
+        warn!(address:% = client.address(), reason = reason.as_str(); "the allocating host gives no permits");
+        self.lock().permits_unavailable_until = Some(Instant::now() + UNREACHABLE_BACKOFF);
+        None
+    }
+
     /// Makes one call. After a failure the allocating host counts as unreachable.
     async fn call<Input>(&self, method: &'static str, input: &Input) -> Option<(Reply, u32)>
     where
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -1,12 +1,14 @@
-//! Sends this host's [`AllocationReport`]s to the allocating host.
+//! Sends this host's reports to the allocating host.
 
 use {
     crate::{
         entry::EntryHost,
-        group::{AllocationReport, REPORT_METHOD},
+        group::{AllocationReport, LIMIT_METHOD, REPORT_METHOD},
+        limit::permit,
     },
     log::debug,
     sardinerelayd::peer::Packed,
+    serde::Serialize,
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc::UnboundedReceiver,
 };
@@ -14,23 +16,60 @@
 /// Timeout for writing reports to the connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Sends reports to the allocating host until their sender is gone. All that are queued go in one
-/// message. Reports are dropped while the allocating host can't be reached; the engines' load
-/// reports then show the same, only later.
-pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<AllocationReport>) {
+/// A report to the allocating host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Report {
+    /// What became of a request.
+    Allocation(AllocationReport),
+    /// A target has stated another rate limit.
+    Limit(permit::Change),
+}
+
+impl From<AllocationReport> for Report {
+    fn from(report: AllocationReport) -> Self {
+        Self::Allocation(report)
+    }
+}
+
+impl From<permit::Change> for Report {
+    fn from(change: permit::Change) -> Self {
+        Self::Limit(change)
+    }
+}
+
+/// Sends reports to the allocating host until their sender is gone. All of one kind that are queued
+/// go in one message. Reports are dropped while the allocating host can't be reached; what targets
+/// say then shows the same, only later.
+pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
     while let Some(first) = outgoing.recv().await {
-        let mut reports = vec![first];
-        while let Ok(next) = outgoing.try_recv() {
-            reports.push(next);
-        }
-        let Some(client) = entry.remote.client() else {
-            continue;
-        };
-        if let Err(error) = client
-            .notify(REPORT_METHOD, &Packed(reports), SEND_TIMEOUT)
-            .await
-        {
-            debug!("reporting to {} failed: {error}", client.address());
+        let (mut allocations, mut limits) = (Vec::new(), Vec::new());
+        let mut next = Some(first);
+        while let Some(report) = next {
+            match report {
+                Report::Allocation(report) => allocations.push(report),
+                Report::Limit(change) => limits.push(change),
+            }
+            // Fails when the queue is empty.
+            next = outgoing.try_recv().ok();
         }
+        send(&entry, REPORT_METHOD, allocations).await;
+        send(&entry, LIMIT_METHOD, limits).await;
+    }
+}
+
+/// Sends reports of one kind in one message, if there are any.
+async fn send<Kind>(entry: &EntryHost, method: &'static str, reports: Vec<Kind>)
+where
+    Kind: Serialize,
+{
+    if reports.is_empty() {
+        return;
+    }
+    let Some(client) = entry.remote.client() else {
+        return;
+    };
+    let sent = client.notify(method, &Packed(reports), SEND_TIMEOUT).await;
+    if let Err(error) = sent {
+        debug!("reporting to {} failed: {error}", client.address());
     }
 }
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -7,13 +7,13 @@
         control,
         entry::EntryHost,
         exit_code::ExitCode,
-        follow, front,
-        group::{self, AllocationReport},
-        http_server,
+        follow, front, group, http_server,
         metrics::Metrics,
         observations::{Followers, Observations, ObservationsSender},
         observer::Observer,
-        reload, settings,
+        reload,
+        reporter::Report,
+        settings,
     },
     anyhow::{Context as _, Result},
     axum::body::Body,
@@ -108,10 +108,7 @@
 }
 
 /// Follows the group on a separate thread, so that traffic can't delay a configuration.
-fn start_following(
-    entry: &Arc<EntryHost>,
-    outgoing: UnboundedReceiver<AllocationReport>,
-) -> Result<()> {
+fn start_following(entry: &Arc<EntryHost>, outgoing: UnboundedReceiver<Report>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.context("starting the control thread's runtime")?;
     let entry = Arc::clone(entry);
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        allocator::Scope,
         backlog::Backlog,
         group::LocalAllocation,
         health::Health,
@@ -267,6 +268,7 @@
         while state.remote_sends.front().is_some_and(is_old) {
             state.remote_sends.pop_front();
         }
+        self.charge_limit(&sent.target, Scope::Group, now);
     }
 
     /// Records how many tokens of memory a request uses now.
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -3,6 +3,7 @@
 mod decisions {
     mod fixtures;
     mod leaving;
+    mod limits;
     mod moves;
     mod placement;
     mod quarantine;
