--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -12,7 +12,7 @@
         allocation::Allocation,
         call::EventId,
         refusal::Refusal,
-        request::Job,
+        request::{Job, log_lost},
         sse::{Event, Splitter},
     },
     axum::body::Body,
@@ -277,6 +277,7 @@
     /// Records that the engine crashed, if it had not begun to answer.
     fn record_crash_at_begin(&self) {
         if !self.has_engine_begun {
+            log_lost(&self.job, &self.allocation.choice.target);
             self.allocation.record_crash();
         }
     }
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod entry;
 pub mod exit_code;
+pub mod fingerprint;
 pub mod follow;
 pub mod forecast;
 pub mod front;
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -12,7 +12,7 @@
     crate::{
         pool::{Cause, Exchange, SendError},
         refusal::Refusal,
-        request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
+        request::{ForwardOptions, Job, ResponseClass, log_lost, remove_hop_by_hop_headers},
         table::Kind,
         targets::MemoryClaim,
     },
@@ -242,6 +242,7 @@
         AttemptOutcome::Unknown(reason) => ("unknown".to_owned(), (*reason).to_owned()),
         AttemptOutcome::TimedOut => ("slow".to_owned(), String::new()),
     };
+    let is_lost = matches!(outcome, AttemptOutcome::Unknown(_));
     if let Some(target_state) = state.targets.get_mut(target) {
         match outcome {
             AttemptOutcome::Responded(response) if !response.status().is_server_error() => {
@@ -261,6 +262,9 @@
         took_ms = job.arrived.elapsed().as_millis() as u64;
         "call sent"
     );
+    if is_lost {
+        log_lost(job, target);
+    }
 }
 
 /// Guard of a call's claim on its target. Dropping it releases the claim.
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -37,6 +37,10 @@
 /// Largest number of suspects. The one whose last crash is oldest makes room for another.
 const MAX_SUSPECTS: usize = 1024;
 
+/// What may make targets crash: a part of a prompt, or a whole request by its
+/// [`crate::fingerprint`].
+pub type Subject = u64;
+
 /// A crash of an engine before it began to answer a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -5,6 +5,8 @@
     crate::{
         call::{Call, EventId, Forward, MemoryCopy, ResponseHead},
         entry::EntryHost,
+        fingerprint,
+        quarantine::Subject,
         table::{Engine, Route},
     },
     bytes::Bytes,
@@ -12,6 +14,7 @@
     http::{HeaderMap, Request, Response, StatusCode, header, request},
     http_body_util::Full,
     hyper::body::Incoming,
+    log::info,
     sardinerelay::id::{Organisation, Service, Target},
     std::{
         sync::Arc,
@@ -88,6 +91,12 @@
         self.arrived + limit
     }
 
+    /// Returns the number by which hosts recognise the request when it comes again.
+    pub fn fingerprint(&self) -> Subject {
+        let line = (&self.head.method, self.call.host.as_str(), &self.head.uri);
+        fingerprint::of(line, self.organisation.as_ref(), &self.body)
+    }
+
     /// Returns what is configured for the service's engines, or none if the service is plain.
     pub fn engine(&self) -> Option<Engine> {
         let table = self.entry.table.load();
@@ -139,6 +148,17 @@
     }
 }
 
+/// Logs that a request was lost at its target, with what it shares with others that are the same.
+pub fn log_lost(job: &Job, target: &Target) {
+    let organisation = job.organisation.as_ref();
+    info!(
+        request = job.call.id.as_str(), content:% = format_args!("{:016x}", job.fingerprint()),
+        path = job.head.uri.path(), organisation = organisation.map_or("", |name| name.as_str()),
+        target_id = target.as_str();
+        "a request was lost at its target"
+    );
+}
+
 /// Classifies the head of a response to the attempt `id`.
 ///
 /// A status of 421 (misdirected request) means that another target listens at the address. Anything
