Refuse requests that make targets crash, at all hosts

Cause: a lost call was counted against its target only, so each arrival of the same call was new. Class: hosts remember what targets did, not what they were asked.

A request that is lost at a target that has ended is now reported with a hash of its method, host, path, query, organisation and body. The allocating host suspects it, publishes that, and refuses it after three crashes without an answer in between, 0.7 s or more from the first to the last. The quarantine of parts of prompts serves this too, with other rules. What is published is sent at once instead of with the next list.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -8,6 +8,7 @@
         moves::Departure,
         placement::{self, Choice, Need, Secondary},
         quarantine::Crash,
+        request::Job,
         targets::{RunId, Targets},
     },
     rand::rng,
@@ -59,8 +60,14 @@
     }
 
     /// Records that the engine's connection broke before it began to answer. An engine that is
-    /// leaving isn't taken to have crashed.
-    pub fn record_crash(&self) {
+    /// leaving isn't taken to have crashed. Parts of the prompt aren't blamed if the same request
+    /// was at other targets that crashed, since it comes again and is refused by itself.
+    pub fn record_crash(&self, job: &Job) {
+        let target = &self.choice.target;
+        self.entry.record_lost(job, target, self.run);
+        if self.entry.is_suspect(job) {
+            return;
+        }
         let now = Instant::now();
         let state = self.entry.state();
         let target = state.targets.get(&self.choice.target);
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -10,11 +10,12 @@
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
+        group::{RequestCrash, RequestReport},
         limit::{Described, Rate, Statement, permit},
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         placement::{self, Choice, Need, Secondary},
-        quarantine::{Crash, Quarantine, RefusedPart},
+        quarantine::{Crash, Quarantine, RefusedPart, Rules},
         targets::{Change, MemoryClaim, RunId, Targets, instant_before},
     },
     log::{info, warn},
@@ -27,7 +28,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::oneshot,
+        sync::{Notify, oneshot},
         time::{sleep, timeout},
     },
 };
@@ -76,6 +77,9 @@
 pub struct Allocator {
     scope: Scope,
     state: Mutex<State>,
+    /// Notified when what is refused or limited may have changed, which other hosts should learn
+    /// soon.
+    pub changed: Notify,
 }
 
 /// Data that an allocator decides from.
@@ -85,6 +89,8 @@
     pub targets: Targets,
     /// The parts of prompts that make engines crash.
     pub quarantine: Quarantine,
+    /// The requests that make targets crash.
+    pub requests: Quarantine,
     queue: Queue,
     moves: Moves,
     /// Senders to the calls that wait for a decision.
@@ -98,7 +104,11 @@
     pub fn new(scope: Scope) -> Self {
         Self {
             scope,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                requests: Quarantine::new(Rules::REQUESTS),
+                ..State::default()
+            }),
+            changed: Notify::new(),
         }
     }
 
@@ -122,6 +132,10 @@
                 .record_alive(&report.target, report.incarnation, read);
         }
         state.quarantine.adopt(&observations.refused_parts, now);
+        state.requests.adopt(&observations.refused_requests, now);
+        if self.scope == Scope::Local {
+            state.requests.watch(&observations.suspect_requests);
+        }
         self.decide(&mut state, now);
     }
 
@@ -254,6 +268,31 @@
             );
         }
         self.decide(&mut state, now);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Records what is known of a request that may make targets crash.
+    pub fn record_request(&self, report: &RequestReport) {
+        let now = Instant::now();
+        let mut state = self.state();
+        match report {
+            RequestReport::Crashed(crash) => state.record_request_crash(crash, now),
+            RequestReport::Answered(request) => state.requests.clear(*request),
+            RequestReport::Refused(requests) => {
+                if state.requests.adopt(requests, now) {
+                    info!(requests = requests.len(); "adopted requests that another host refuses");
+                }
+            }
+        }
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Records another host's report that a target has stated another rate limit.
+    pub fn apply_limit(&self, change: &permit::Change) {
+        self.state().targets.apply_limit(change, Instant::now());
+        self.changed.notify_one();
     }
 
     /// Adopts the parts that another host refuses.
@@ -331,6 +370,7 @@
         let State {
             targets,
             quarantine,
+            requests: _,
             queue,
             moves,
             subscribers,
@@ -387,6 +427,28 @@
         self.quarantine.record_end(run);
     }
 
+    /// Records that a target crashed while it had a request. If the request is refused from now on,
+    /// its crashes are no longer blamed on parts of prompts.
+    fn record_request_crash(&mut self, crash: &RequestCrash, now: Instant) {
+        let mut crashed = self.requests.crashed_by(crash.request);
+        crashed.push((crash.target.clone(), crash.incarnation));
+        let blamed = Crash {
+            run: crash.run,
+            target: crash.target.clone(),
+            incarnation: crash.incarnation,
+            parts: vec![crash.request],
+        };
+        if self.requests.record_crash(&blamed, now).is_empty() {
+            return;
+        }
+        self.quarantine.explain(&crashed);
+        warn!(
+            content:% = format_args!("{:016x}", crash.request), run = crash.run,
+            target_id = crash.target.as_str(), crashes = crashed.len();
+            "a request that makes targets crash is refused from now on"
+        );
+    }
+
     /// Adds the descriptions of the chosen engines to a decision.
     fn reply(&self, decision: Decision) -> Reply {
         match decision {
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -1,5 +1,7 @@
 //! State that all requests on an entry host share.
 
+mod crashes;
+
 use {
     crate::{
         admission::RefusalReason,
@@ -67,6 +69,8 @@
     pub allocator: Allocator,
     /// Client of the group's allocator.
     pub remote: RemoteAllocator,
+    /// Crashes that this host has reported.
+    pub(crate) crashes: crashes::Recent,
     forecast: Mutex<Forecast>,
     budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
@@ -102,6 +106,7 @@
             drain: Drain::default(),
             allocator: Allocator::new(Scope::Local),
             remote: RemoteAllocator::default(),
+            crashes: crashes::Recent::default(),
             forecast: Mutex::default(),
             budgets: Mutex::default(),
             next_run: AtomicU64::new(prefix),
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -0,0 +1,145 @@
+//! Requests that make targets crash, as an entry host deals with them.
+//!
+//! The allocating host decides which requests are refused. It is told of crashes, and of answers to
+//! requests that it suspects. See `docs/design/admission.md`.
+
+use {
+    super::{EntryHost, MIN_REPORTED_REFUSAL},
+    crate::{
+        group::{RequestCrash, RequestReport},
+        observations::Instance,
+        quarantine::Subject,
+        request::Job,
+        targets::RunId,
+    },
+    log::{info, warn},
+    sardinerelay::id::Target,
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Time that a target's process has to end after its connection broke, before it is checked.
+const END_TIME: Duration = Duration::from_millis(30);
+/// Time for which crashes are reported again to a host that begins to allocate.
+const REPORT_LIFETIME: Duration = Duration::from_secs(120);
+/// Largest number of crashes that are reported again. The oldest makes room for another.
+const MAX_REPORTS: usize = 64;
+
+/// Crashes that this host has reported, for a host that begins to allocate.
+#[derive(Debug, Default)]
+pub(crate) struct Recent(Mutex<VecDeque<(Instant, RequestCrash)>>);
+
+impl Recent {
+    fn push(&self, at: Instant, crash: RequestCrash) {
+        let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if crashes.len() >= MAX_REPORTS {
+            crashes.pop_front();
+        }
+        crashes.push_back((at, crash));
+    }
+
+    /// Returns the crashes within `REPORT_LIFETIME`.
+    fn all(&self) -> Vec<RequestCrash> {
+        let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        crashes.retain(|(at, _)| at.elapsed() < REPORT_LIFETIME);
+        let crashes = crashes.iter().map(|(_, crash)| crash.clone());
+        crashes.collect()
+    }
+}
+
+impl EntryHost {
+    /// Returns for how long a request is refused because it makes targets crash, none if it isn't.
+    /// Reports this, because the host that allocates may have taken over from the one that found
+    /// out.
+    pub fn refuse_request(&self, job: &Job) -> Option<Duration> {
+        let request = self.watched(job)?;
+        let now = Instant::now();
+        let refused = self.state().requests.refused_among(&[request], now);
+        let remaining = refused.first()?.remaining;
+        if remaining > MIN_REPORTED_REFUSAL {
+            self.report(RequestReport::Refused(refused));
+        }
+        Some(remaining)
+    }
+
+    /// Whether a request was at several targets that crashed, and was not answered since.
+    pub fn is_suspect(&self, job: &Job) -> bool {
+        let request = self.watched(job);
+        request.is_some_and(|request| self.state().requests.is_suspect(request))
+    }
+
+    /// Records that a target has answered a request or begun to, so that it didn't crash.
+    pub fn record_answered(&self, job: &Job) {
+        let Some(request) = self.watched(job) else {
+            return;
+        };
+        let mut state = self.state();
+        if state.requests.is_suspect(request) {
+            state.requests.clear(request);
+            drop(state);
+            self.report(RequestReport::Answered(request));
+        }
+    }
+
+    /// Returns a request's fingerprint, none while no request at all is suspect or refused.
+    fn watched(&self, job: &Job) -> Option<Subject> {
+        let is_empty = self.state().requests.is_empty();
+        (!is_empty).then(|| job.fingerprint())
+    }
+
+    /// Records that a target's connection broke before it answered a request. If the target has
+    /// ended, the request may be the cause. One that was about to stop isn't taken to have crashed.
+    pub fn record_lost(self: &Arc<Self>, job: &Job, target: &Target, run: RunId) {
+        let request = job.fingerprint();
+        let organisation = job.organisation.as_ref();
+        info!(
+            request = job.call.id.as_str(), content:% = format_args!("{request:016x}"),
+            path = job.head.uri.path(), organisation = organisation.map_or("", |name| name.as_str()),
+            target_id = target.as_str();
+            "a request was lost at its target"
+        );
+        let now = Instant::now();
+        let state = self.state();
+        let known = state.targets.get(target);
+        let staying = known.filter(|known| known.leaving_since(now).is_none());
+        let Some(instance) = staying.map(|known| known.instance.clone()) else {
+            return;
+        };
+        drop(state);
+        let entry = Arc::clone(self);
+        tokio::spawn(async move { entry.check_crash(request, run, instance, now).await });
+    }
+
+    /// Reports a crash if the target's process has ended.
+    async fn check_crash(&self, request: Subject, run: RunId, target: Instance, at: Instant) {
+        sleep(END_TIME).await;
+        if !self.pool.refuses_connections(&target).await {
+            return;
+        }
+        let crash = RequestCrash {
+            request,
+            run,
+            target: target.target,
+            incarnation: target.incarnation,
+        };
+        warn!(
+            content:% = format_args!("{request:016x}"), run = run, target_id = crash.target.as_str();
+            "a target crashed while it had a request"
+        );
+        self.crashes.push(at, crash.clone());
+        let report = RequestReport::Crashed(crash);
+        self.allocator.record_request(&report);
+        self.report(report);
+    }
+
+    /// Reports the crashes of the last minutes to a host that begins to allocate.
+    pub fn report_crashes(&self) {
+        for crash in self.crashes.all() {
+            self.report(RequestReport::Crashed(crash));
+        }
+    }
+}
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -78,7 +78,9 @@
         if let Some((found_leader, members)) = query_members(&clients, &addresses).await {
             leader = Some(found_leader);
             addresses = members;
-            entry.remote.set_client(Some(clients.get(found_leader)));
+            if entry.remote.set_client(Some(clients.get(found_leader))) {
+                entry.report_crashes();
+            }
         }
         // The settings may name hosts that are newer than the list of members.
         addresses.extend(reloadable.seeds());
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -243,6 +243,12 @@
 /// Serves a job by its route's kind, and records the end of a plain call in the metrics. The task
 /// that forwards a generation's stream records the end of that.
 async fn dispatch(job: Job) -> Result<Response<Body>, Refusal> {
+    if let Some(retry_after) = job.entry.refuse_request(&job) {
+        return Err(Refusal::NotRun {
+            reason: "the request makes targets crash",
+            retry_after,
+        });
+    }
     match job.route.kind {
         Kind::Generation { .. } => generation::serve(job).await,
         Kind::Idempotent | Kind::AtMostOnce => {
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -7,7 +7,7 @@
         call::{EventId, MemoryCopy},
         entry::EntryHost,
         pool::{Exchange, SendError},
-        request::{ForwardOptions, Job, ResponseClass, log_lost},
+        request::{ForwardOptions, Job, ResponseClass},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -116,8 +116,7 @@
         Ok(Ok(None)) => return OpenOutcome::Unknown,
         Ok(Err(SendError::NotSent(_))) => return OpenOutcome::NotRun(NotRunReason::Unreachable),
         Ok(Err(SendError::NoResponse(_))) => {
-            log_lost(job, target);
-            allocation.record_crash();
+            allocation.record_crash(job);
             return OpenOutcome::Unknown;
         }
         Err(_) => return OpenOutcome::TimedOut,
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -12,7 +12,7 @@
         allocation::Allocation,
         call::EventId,
         refusal::Refusal,
-        request::{Job, log_lost},
+        request::Job,
         sse::{Event, Splitter},
     },
     axum::body::Body,
@@ -277,8 +277,7 @@
     /// Records that the engine crashed, if it had not begun to answer.
     fn record_crash_at_begin(&self) {
         if !self.has_engine_begun {
-            log_lost(&self.job, &self.allocation.choice.target);
-            self.allocation.record_crash();
+            self.allocation.record_crash(&self.job);
         }
     }
 
@@ -321,6 +320,7 @@
         while let Some(event) = splitter.next_event() {
             if !std::mem::replace(&mut self.has_engine_begun, true) {
                 self.allocation.record_started();
+                self.job.entry.record_answered(&self.job);
             }
             if !self.is_contiguous(&event) {
                 return Some(StreamEnd::Broken("an event is missing"));
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -30,8 +30,9 @@
         if !self.has_engine_begun {
             self.engines_without_begin += 1;
         }
-        let may_crash_engines =
-            self.engines_without_begin >= MAX_ENGINES_WITHOUT_BEGIN || self.allocation.is_refused();
+        let may_crash_engines = self.engines_without_begin >= MAX_ENGINES_WITHOUT_BEGIN
+            || self.allocation.is_refused()
+            || (!self.has_engine_begun && self.job.entry.is_suspect(&self.job));
         if self.continuations >= MAX_CONTINUATIONS || may_crash_engines {
             return None;
         }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -16,11 +16,11 @@
     driver::{MemberStatus, Outcome},
     links::Clients,
     register::Document,
-    report::{AllocationReport, LocalAllocation},
+    report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
         ACQUIRE_METHOD, Acquire, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
         FollowConfiguration, FollowObservations, LIMIT_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
-        REPORT_METHOD, Relocate, SharedState, StatusRequest,
+        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
     },
 };
 
--- a/crates/sardinerelay-gateway/src/group/report.rs
+++ b/crates/sardinerelay-gateway/src/group/report.rs
@@ -6,10 +6,10 @@
 
 use {
     crate::{
-        quarantine::{Crash, RefusedPart},
+        quarantine::{Crash, RefusedPart, Subject},
         targets::RunId,
     },
-    sardinerelay::id::Target,
+    sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
 };
 
@@ -26,6 +26,29 @@
     pub memory_tokens: u32,
 }
 
+/// A crash of a target while it had a request that may come again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCrash {
+    /// The request's [`crate::fingerprint`].
+    pub request: Subject,
+    /// The number of the attempt.
+    pub run: RunId,
+    pub target: Target,
+    /// The incarnation that crashed.
+    pub incarnation: Incarnation,
+}
+
+/// What is known of requests that may make targets crash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestReport {
+    /// A target crashed before it answered a request.
+    Crashed(RequestCrash),
+    /// A suspect request was answered.
+    Answered(Subject),
+    /// A request was refused, which the allocating host may not know of.
+    Refused(Vec<RefusedPart>),
+}
+
 /// What became of a request. Reports are sent by position, so the order of the variants must not
 /// change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -5,7 +5,7 @@
         Handle,
         driver::{Input, MemberStatus, Outcome},
         register::Document,
-        report::AllocationReport,
+        report::{AllocationReport, RequestReport},
     },
     crate::{
         allocator::Allocator,
@@ -55,6 +55,8 @@
 /// Notifies the allocating host of [`permit::Change`]s. A method of its own, because hosts of
 /// earlier versions can't parse further variants of [`AllocationReport`].
 pub const LIMIT_METHOD: &str = "limit.report";
+/// Notifies the allocating host of [`RequestReport`]s.
+pub const REQUEST_METHOD: &str = "quarantine.report";
 /// Label of [`PERMIT_METHOD`] in metrics.
 const PERMIT_LABEL: &str = "permit";
 /// Label of [`ACQUIRE_METHOD`] in metrics.
@@ -331,6 +333,7 @@
             STEP => context.step(parameters),
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
+            REQUEST_METHOD => context.apply_request_reports(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -358,9 +361,17 @@
     /// Applies changes of rate limits.
     fn apply_limits(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(changes),): (Packed<Vec<permit::Change>>,) = serde_json::from_str(parameters)?;
-        let mut state = self.allocator.state();
         for change in &changes {
-            state.targets.apply_limit(change, Instant::now());
+            self.allocator.apply_limit(change);
+        }
+        Ok(())
+    }
+
+    /// Applies reports of requests that may make targets crash.
+    fn apply_request_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(reports),): (Packed<Vec<RequestReport>>,) = serde_json::from_str(parameters)?;
+        for report in &reports {
+            self.allocator.record_request(report);
         }
         Ok(())
     }
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -5,7 +5,10 @@
 //! doesn't depend on the number of entry hosts. See `docs/design/platform.md`.
 
 use {
-    crate::{call::PartId, limit::permit, quarantine::RefusedPart},
+    crate::{
+        limit::permit,
+        quarantine::{RefusedPart, Subject},
+    },
     compact_str::CompactString,
     log::debug,
     sardinerelay::id::{Incarnation, Service, Target, Zone},
@@ -90,6 +93,12 @@
     /// don't send them.
     #[serde(deserialize_with = "or_default")]
     pub limits: Vec<permit::Published>,
+    /// Requests that make targets crash, as the allocating host knows them.
+    #[serde(deserialize_with = "or_default")]
+    pub refused_requests: Vec<RefusedPart>,
+    /// Requests that may make targets crash. Hosts report if one of them is answered.
+    #[serde(deserialize_with = "or_default")]
+    pub suspect_requests: Vec<Subject>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -136,9 +145,10 @@
             leaving.sort_unstable();
             leaving
         };
-        let refused = |observations: &Self| -> Vec<PartId> {
+        let refused = |observations: &Self| -> Vec<Subject> {
             let parts = observations.refused_parts.iter();
-            parts.map(|part| part.id).collect()
+            let refused = parts.chain(&observations.refused_requests);
+            refused.map(|part| part.id).collect()
         };
         let limits = |observations: &Self| -> Vec<permit::Known> {
             let limits = observations.limits.iter();
@@ -148,6 +158,7 @@
             || listed(self) != listed(previous)
             || leaving(self) != leaving(previous)
             || refused(self) != refused(previous)
+            || self.suspect_requests != previous.suspect_requests
     }
 
     /// Returns the observations with their ages as of now.
@@ -179,7 +190,7 @@
     Source: Deserializer<'de>,
 {
     Field::deserialize(source).or_else(|error| {
-        debug!("a host of an earlier version sends observations without limits: {error}");
+        debug!("a host of an earlier version sends observations with fewer fields: {error}");
         Ok(Field::default())
     })
 }
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -278,7 +278,10 @@
         let mut stamp = rand::random::<u32>().into();
         loop {
             ticks.tick().await;
-            self.changed.notified().await;
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = self.allocator.changed.notified() => {}
+            }
             stamp += 1;
             let mut observations = self.snapshot(stamp);
             let previous = self.observations.borrow().clone();
@@ -316,6 +319,8 @@
         let allocator = self.allocator.state();
         let refused_parts = allocator.quarantine.refused(now);
         let limits = allocator.targets.published_limits(now);
+        let refused_requests = allocator.requests.refused(now);
+        let suspect_requests = allocator.requests.suspects();
         drop(allocator);
         Observations {
             stamp,
@@ -325,6 +330,8 @@
             entry_hosts: self.followers.count(),
             refused_parts,
             limits,
+            refused_requests,
+            suspect_requests,
             ages_updated: Some(now),
             changed_stamp: 0,
         }
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -12,7 +12,7 @@
     crate::{
         pool::{Cause, Exchange, SendError},
         refusal::Refusal,
-        request::{ForwardOptions, Job, ResponseClass, log_lost, remove_hop_by_hop_headers},
+        request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
         table::Kind,
         targets::MemoryClaim,
     },
@@ -121,6 +121,9 @@
                 return Err(Refusal::OutcomeUnknown(reason));
             }
             AttemptOutcome::TimedOut if !is_idempotent => return Err(Refusal::Timeout),
+            AttemptOutcome::Unknown(_) if job.entry.is_suspect(job) => {
+                return Err(Refusal::OutcomeUnknown("its targets crash"));
+            }
             AttemptOutcome::Unknown(_) | AttemptOutcome::TimedOut => runs += 1,
         }
         if runs >= job.route.max_attempts || !job.entry.try_take_retry(&job.service) {
@@ -190,6 +193,7 @@
         Ok(Ok(outcome)) => outcome,
         Ok(Err(SendError::NotSent(_))) => AttemptOutcome::NotRun(NotRunReason::Unreachable),
         Ok(Err(SendError::NoResponse(_))) => {
+            job.entry.record_lost(job, target, run);
             AttemptOutcome::Unknown("the connection to the target broke")
         }
         Err(_) => AttemptOutcome::TimedOut,
@@ -242,7 +246,6 @@
         AttemptOutcome::Unknown(reason) => ("unknown".to_owned(), (*reason).to_owned()),
         AttemptOutcome::TimedOut => ("slow".to_owned(), String::new()),
     };
-    let is_lost = matches!(outcome, AttemptOutcome::Unknown(_));
     if let Some(target_state) = state.targets.get_mut(target) {
         match outcome {
             AttemptOutcome::Responded(response) if !response.status().is_server_error() => {
@@ -262,8 +265,8 @@
         took_ms = job.arrived.elapsed().as_millis() as u64;
         "call sent"
     );
-    if is_lost {
-        log_lost(job, target);
+    if matches!(outcome, AttemptOutcome::Responded(_)) {
+        job.entry.record_answered(job);
     }
 }
 
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Whether a target refuses connections, as it does after its process has ended. One that can't be
+    /// reached may still run.
+    pub async fn refuses_connections(&self, target: &Instance) -> bool {
+        let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
+        matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Makes a request of the relay itself and reads the whole response.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -1,10 +1,9 @@
-//! Refuses generations whose prompt has a part that makes engines crash.
+//! Refuses what makes targets crash: parts of prompts, and requests that come again.
 //!
-//! A part is blamed for a crash if a request with it was sent to the engine and had not begun its
-//! answer. It is refused after several such crashes without a single answer begun in between, so a
-//! part that others share is cleared by the first of them that is answered. Of several parts that
-//! could be the cause, those that were answered before are not blamed. See
-//! `docs/design/admission.md`.
+//! A subject is blamed for a crash if a request with it was at the target and had no answer yet. It
+//! is refused after several such crashes without a single answer begun in between, so a subject that
+//! others share is cleared by the first of them that is answered. Of several parts that could be the
+//! cause, those that were answered before are not blamed. See `docs/design/admission.md`.
 
 use {
     crate::{call::PartId, targets::RunId},
@@ -16,14 +15,46 @@
     },
 };
 
-/// Number of engine incarnations that must have crashed before a part is refused.
-const MIN_ENGINES: usize = 4;
-/// Number of engine incarnations that must have crashed before a part is refused that was answered
-/// before.
-const MIN_ENGINES_OF_ANSWERED: usize = 6;
-/// Number of requests that must have been at these engines, because one that is continued elsewhere
-/// may be at several engines that crash for another reason.
-const MIN_RUNS: usize = 2;
+/// When a subject is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    /// Number of crashes after which a subject is refused.
+    pub min_crashes: usize,
+    /// Number of crashes after which a subject is refused that was answered before.
+    pub min_crashes_of_answered: usize,
+    /// Number of requests that must have been at these targets.
+    pub min_runs: usize,
+    /// Time between the first and the last of these crashes, in which an answer clears the subject.
+    /// Several targets may end at once for another reason.
+    pub min_span: Duration,
+}
+
+impl Rules {
+    /// For parts of prompts. A single request that is continued elsewhere may be at several engines
+    /// that crash for another reason.
+    pub const PARTS: Self = Self {
+        min_crashes: 4,
+        min_crashes_of_answered: 6,
+        min_runs: 2,
+        min_span: Duration::ZERO,
+    };
+    /// For requests that come again. Nothing else shares them, so fewer crashes are enough.
+    pub const REQUESTS: Self = Self {
+        min_crashes: 3,
+        min_crashes_of_answered: 5,
+        min_runs: 1,
+        min_span: Duration::from_millis(700),
+    };
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self::PARTS
+    }
+}
+
+/// Largest number of suspects that other hosts are told of.
+const MAX_PUBLISHED: usize = 64;
 /// Time after a supposed crash in which a load report shows that the engine did not crash. A crashed
 /// engine takes longer to start again.
 const ALIVE_CHECK_TIME: Duration = Duration::from_millis(1500);
@@ -62,9 +93,12 @@
     pub remaining: Duration,
 }
 
-/// The parts that are suspect, refused or answered, and those of requests that wait for an answer.
+/// The subjects that are suspect, refused or answered, and those of requests that wait for an answer.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    rules: Rules,
+    /// Suspects that the allocating host publishes.
+    published: BTreeSet<Subject>,
     suspects: BTreeMap<PartId, Suspect>,
     /// Until when each part is refused.
     refused: BTreeMap<PartId, Instant>,
@@ -84,6 +118,64 @@
 }
 
 impl Quarantine {
+    /// Creates a quarantine with these rules.
+    pub fn new(rules: Rules) -> Self {
+        Self {
+            rules,
+            ..Self::default()
+        }
+    }
+
+    /// Whether nothing is suspect or refused.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty() && self.refused.is_empty() && self.published.is_empty()
+    }
+
+    /// Whether a crash was blamed on a subject, and it was not answered since.
+    pub fn is_suspect(&self, subject: Subject) -> bool {
+        self.suspects.contains_key(&subject) || self.published.contains(&subject)
+    }
+
+    /// Returns the suspects that other hosts should watch for answers, those with most crashes if
+    /// there are too many.
+    pub fn suspects(&self) -> Vec<Subject> {
+        let mut suspects: Vec<(&Subject, &Suspect)> = self.suspects.iter().collect();
+        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.engines.len()));
+        suspects.truncate(MAX_PUBLISHED);
+        suspects.into_iter().map(|(subject, _)| *subject).collect()
+    }
+
+    /// Replaces the suspects that the allocating host publishes.
+    pub fn watch(&mut self, suspects: &[Subject]) {
+        self.published = suspects.iter().copied().collect();
+    }
+
+    /// Records that a subject was answered, which clears it.
+    pub fn clear(&mut self, subject: Subject) {
+        self.published.remove(&subject);
+        self.suspects.remove(&subject);
+        self.remember_answered(subject);
+    }
+
+    /// Clears all suspects of the crashes of these targets, which something else explains.
+    pub fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
+        for suspect in self.suspects.values_mut() {
+            suspect
+                .engines
+                .retain(|engine, _| !crashed.contains(engine));
+        }
+        self.suspects
+            .retain(|_, suspect| !suspect.engines.is_empty());
+    }
+
+    /// Returns the targets whose crashes were blamed on a subject.
+    pub fn crashed_by(&self, subject: Subject) -> Vec<(Target, Incarnation)> {
+        let suspect = self.suspects.get(&subject);
+        suspect.map_or(Vec::new(), |suspect| {
+            suspect.engines.keys().cloned().collect()
+        })
+    }
+
     /// Returns for how long a request with these parts is still refused, if it is.
     pub fn refusal(&self, parts: &[PartId], now: Instant) -> Option<Duration> {
         let refused = parts
@@ -108,8 +200,7 @@
     /// Records that an engine has begun to answer a request, which clears its parts.
     pub fn record_answered(&mut self, run: RunId) {
         for part in self.unanswered.remove(&run).unwrap_or_default() {
-            self.suspects.remove(&part);
-            self.remember_answered(part);
+            self.clear(part);
         }
     }
 
@@ -130,8 +221,8 @@
         self.unanswered.remove(&run);
     }
 
-    /// Records a crash. Returns the parts that are refused from now on.
-    pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Vec<PartId> {
+    /// Records a crash. Returns the subjects that are refused from now on.
+    pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Vec<Subject> {
         self.expire(now);
         let is_explained = crash
             .parts
@@ -148,17 +239,18 @@
             });
             suspect
                 .engines
-                .insert((crash.target.clone(), crash.incarnation), now);
+                .entry((crash.target.clone(), crash.incarnation))
+                .or_insert(now);
             suspect.runs.insert(crash.run);
             suspect.last_crash = now;
         }
-        let (answered, unknown): (Vec<PartId>, Vec<PartId>) = crash
+        let (answered, unknown): (Vec<Subject>, Vec<Subject>) = crash
             .parts
             .iter()
             .partition(|part| self.answered.contains(part));
-        let mut refused = self.with_crashes(&unknown, MIN_ENGINES);
+        let mut refused = self.with_crashes(&unknown, self.rules.min_crashes);
         if refused.is_empty() {
-            refused = self.with_crashes(&answered, MIN_ENGINES_OF_ANSWERED);
+            refused = self.with_crashes(&answered, self.rules.min_crashes_of_answered);
         }
         for part in &refused {
             self.refuse(*part, now + REFUSAL_DURATION);
@@ -167,29 +259,24 @@
         refused
     }
 
-    /// Returns those of `parts` whose requests were at this many engines that crashed.
-    fn with_crashes(&self, parts: &[PartId], min_engines: usize) -> Vec<PartId> {
-        let has_enough = |part: &&PartId| {
-            self.suspects.get(*part).is_some_and(|suspect| {
-                suspect.engines.len() >= min_engines && suspect.runs.len() >= MIN_RUNS
+    /// Returns those of `subjects` whose requests were at this many crashes.
+    fn with_crashes(&self, subjects: &[Subject], min_crashes: usize) -> Vec<Subject> {
+        let has_enough = |subject: &&Subject| {
+            self.suspects.get(*subject).is_some_and(|suspect| {
+                suspect.engines.len() >= min_crashes
+                    && suspect.span() >= self.rules.min_span
+                    && suspect.runs.len() >= self.rules.min_runs
             })
         };
-        parts.iter().filter(has_enough).copied().collect()
+        subjects.iter().filter(has_enough).copied().collect()
     }
 
     /// Refuses a part. Its crashes need no other explanation, so other suspects are cleared of them.
     fn refuse(&mut self, part: PartId, until: Instant) {
         self.refused.insert(part, until);
-        let Some(cause) = self.suspects.remove(&part) else {
-            return;
-        };
-        for suspect in self.suspects.values_mut() {
-            suspect
-                .engines
-                .retain(|engine, _| !cause.engines.contains_key(engine));
-        }
-        self.suspects
-            .retain(|_, suspect| !suspect.engines.is_empty());
+        let crashed = self.crashed_by(part);
+        self.suspects.remove(&part);
+        self.explain(&crashed);
     }
 
     /// Records that an engine's load report was read at `read`. If its connections broke just before,
@@ -253,3 +340,14 @@
         }
     }
 }
+
+impl Suspect {
+    /// Returns the time between the first and the last crash.
+    fn span(&self) -> Duration {
+        let times = self.engines.values();
+        match (times.clone().min(), times.max()) {
+            (Some(first), Some(last)) => last.saturating_duration_since(*first),
+            _ => Duration::ZERO,
+        }
+    }
+}
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -44,12 +44,13 @@
 }
 
 impl RemoteAllocator {
-    /// Sets the client of the allocating host, or none if there is no such host.
-    pub fn set_client(&self, client: Option<Arc<Client>>) {
+    /// Sets the client of the allocating host, or none if there is no such host. Returns whether it
+    /// has changed.
+    pub fn set_client(&self, client: Option<Arc<Client>>) -> bool {
         let mut state = self.lock();
         let address = |client: &Option<Arc<Client>>| client.as_ref().map(|client| client.address());
         if address(&state.client) == address(&client) {
-            return;
+            return false;
         }
         if let Some(client) = &client {
             info!(address:% = client.address(); "the allocating host changed");
@@ -57,6 +58,7 @@
         state.client = client;
         state.unreachable_until = None;
         state.permits_unavailable_until = None;
+        true
     }
 
     /// Returns the client of the allocating host, unless that counts as unreachable.
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         entry::EntryHost,
-        group::{AllocationReport, LIMIT_METHOD, REPORT_METHOD},
+        group::{AllocationReport, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD, RequestReport},
         limit::permit,
     },
     log::debug,
@@ -23,6 +23,8 @@
     Allocation(AllocationReport),
     /// A target has stated another rate limit.
     Limit(permit::Change),
+    /// What is known of a request that may make targets crash.
+    Request(RequestReport),
 }
 
 impl From<AllocationReport> for Report {
@@ -37,23 +39,31 @@
     }
 }
 
+impl From<RequestReport> for Report {
+    fn from(report: RequestReport) -> Self {
+        Self::Request(report)
+    }
+}
+
 /// Sends reports to the allocating host until their sender is gone. All of one kind that are queued
 /// go in one message. Reports are dropped while the allocating host can't be reached; what targets
 /// say then shows the same, only later.
 pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
     while let Some(first) = outgoing.recv().await {
-        let (mut allocations, mut limits) = (Vec::new(), Vec::new());
+        let (mut allocations, mut limits, mut requests) = (Vec::new(), Vec::new(), Vec::new());
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
                 Report::Allocation(report) => allocations.push(report),
                 Report::Limit(change) => limits.push(change),
+                Report::Request(report) => requests.push(report),
             }
             // Fails when the queue is empty.
             next = outgoing.try_recv().ok();
         }
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
+        send(&entry, REQUEST_METHOD, requests).await;
     }
 }
 
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -14,7 +14,6 @@
     http::{HeaderMap, Request, Response, StatusCode, header, request},
     http_body_util::Full,
     hyper::body::Incoming,
-    log::info,
     sardinerelay::id::{Organisation, Service, Target},
     std::{
         sync::Arc,
@@ -148,17 +147,6 @@
     }
 }
 
-/// Logs that a request was lost at its target, with what it shares with others that are the same.
-pub fn log_lost(job: &Job, target: &Target) {
-    let organisation = job.organisation.as_ref();
-    info!(
-        request = job.call.id.as_str(), content:% = format_args!("{:016x}", job.fingerprint()),
-        path = job.head.uri.path(), organisation = organisation.map_or("", |name| name.as_str()),
-        target_id = target.as_str();
-        "a request was lost at its target"
-    );
-}
-
 /// Classifies the head of a response to the attempt `id`.
 ///
 /// A status of 421 (misdirected request) means that another target listens at the address. Anything
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -9,6 +9,7 @@
     mod quarantine;
     mod register;
     mod repair;
+    mod requests;
     mod sse;
     mod table;
     mod waiting;
