Name the quarantine's subjects, and split what the allocator learns from what it decides

The quarantine serves parts of prompts and requests, so its fields speak of subjects and targets. No decision changes, but a request's content is no longer hashed once all refusals have ended.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -80,7 +80,7 @@
             run: self.run,
             target: self.choice.target.clone(),
             incarnation,
-            parts: self.need.shared_parts.clone(),
+            subjects: self.need.shared_parts.clone(),
         };
         self.entry.allocator.record_crash(&crash);
         self.entry.report(AllocationReport::Crashed(crash));
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -7,18 +7,21 @@
 //! Without the common queue, all hosts with waiting generations would see a load report with room
 //! on an engine, and each would send its first waiting request there in the same millisecond.
 
+mod crashes;
+mod limits;
+
+pub use self::limits::log_limit;
+
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
-        group::{RequestCrash, RequestReport},
-        limit::{Described, Rate, Statement, permit},
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         placement::{self, Choice, Need, Secondary},
-        quarantine::{Crash, Quarantine, RefusedPart, Rules},
+        quarantine::{Quarantine, Rules},
         targets::{Change, MemoryClaim, RunId, Targets, instant_before},
     },
-    log::{info, warn},
+    log::info,
     rand::rng,
     sardinerelay::id::Target,
     serde::{Deserialize, Serialize},
@@ -256,77 +259,6 @@
         state.quarantine.record_answered(run);
     }
 
-    /// Records that an engine crashed before it began to answer a request, and refuses the waiting
-    /// requests that would crash others.
-    pub fn record_crash(&self, crash: &Crash) {
-        let now = Instant::now();
-        let mut state = self.state();
-        for part in state.quarantine.record_crash(crash, now) {
-            warn!(
-                part:% = format_args!("{part:x}"), run = crash.run, target_id = crash.target.as_str();
-                "requests with a part that makes engines crash are refused from now on"
-            );
-        }
-        self.decide(&mut state, now);
-        drop(state);
-        self.changed.notify_one();
-    }
-
-    /// Records what is known of a request that may make targets crash.
-    pub fn record_request(&self, report: &RequestReport) {
-        let now = Instant::now();
-        let mut state = self.state();
-        match report {
-            RequestReport::Crashed(crash) => state.record_request_crash(crash, now),
-            RequestReport::Answered(request) => state.requests.clear(*request),
-            RequestReport::Refused(requests) => {
-                if state.requests.adopt(requests, now) {
-                    info!(requests = requests.len(); "adopted requests that another host refuses");
-                }
-            }
-        }
-        drop(state);
-        self.changed.notify_one();
-    }
-
-    /// Records another host's report that a target has stated another rate limit.
-    pub fn apply_limit(&self, change: &permit::Change) {
-        self.state().targets.apply_limit(change, Instant::now());
-        self.changed.notify_one();
-    }
-
-    /// Adopts the parts that another host refuses.
-    pub fn adopt_refused_parts(&self, parts: &[RefusedPart]) {
-        let now = Instant::now();
-        let mut state = self.state();
-        if state.quarantine.adopt(parts, now) {
-            info!(parts = parts.len(); "adopted parts of prompts that another host refuses");
-            self.decide(&mut state, now);
-        }
-    }
-
-    /// Records what an engine's load report states about its rate limit.
-    pub fn record_limit(&self, engine: &Instance, statement: Statement, sent: Instant) {
-        let now = Instant::now();
-        let mut state = self.state();
-        let known = state.targets.get_mut(&engine.target);
-        let Some(known) = known.filter(|known| known.instance.incarnation == engine.incarnation)
-        else {
-            return;
-        };
-        let before = known.limit.rate();
-        if known.limit.record(statement, sent, now) {
-            log_limit(&engine.target, before, known.limit.rate());
-            self.decide(&mut state, now);
-        }
-    }
-
-    /// Grants a permit to send a call to a target that states a rate limit.
-    pub fn grant(&self, request: &permit::Request) -> permit::Reply {
-        let mut state = self.state();
-        state.targets.grant(request, self.scope, Instant::now())
-    }
-
     /// Reconsiders waiting requests and expires old state periodically. Never returns.
     pub async fn run_maintenance(&self) {
         loop {
@@ -427,28 +359,6 @@
         self.quarantine.record_end(run);
     }
 
-    /// Records that a target crashed while it had a request. If the request is refused from now on,
-    /// its crashes are no longer blamed on parts of prompts.
-    fn record_request_crash(&mut self, crash: &RequestCrash, now: Instant) {
-        let mut crashed = self.requests.crashed_by(crash.request);
-        crashed.push((crash.target.clone(), crash.incarnation));
-        let blamed = Crash {
-            run: crash.run,
-            target: crash.target.clone(),
-            incarnation: crash.incarnation,
-            parts: vec![crash.request],
-        };
-        if self.requests.record_crash(&blamed, now).is_empty() {
-            return;
-        }
-        self.quarantine.explain(&crashed);
-        warn!(
-            content:% = format_args!("{:016x}", crash.request), run = crash.run,
-            target_id = crash.target.as_str(), crashes = crashed.len();
-            "a request that makes targets crash is refused from now on"
-        );
-    }
-
     /// Adds the descriptions of the chosen engines to a decision.
     fn reply(&self, decision: Decision) -> Reply {
         match decision {
@@ -495,14 +405,6 @@
     targets.claim(to, departure.run, claim);
 }
 
-/// Logs that a target states another rate limit than before.
-pub fn log_limit(target: &Target, before: Option<Rate>, rate: Option<Rate>) {
-    info!(
-        target_id = target.as_str(), limit:% = Described(rate), before:% = Described(before);
-        "a target states another rate limit"
-    );
-}
-
 fn log_change(change: &Change, list_age_ms: u64) {
     let log = |target: &Target, event: &str| {
         info!(target_id = target.as_str(), list_age_ms = list_age_ms; "target {event}");
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -0,0 +1,80 @@
+//! What the allocating host learns of requests that make targets crash.
+
+use {
+    super::{Allocator, State},
+    crate::{
+        group::{RequestCrash, RequestReport},
+        quarantine::{Crash, Refused},
+    },
+    log::{info, warn},
+    std::time::Instant,
+};
+
+impl Allocator {
+    /// Records that an engine crashed before it began to answer a request, and refuses the waiting
+    /// requests that would crash others.
+    pub fn record_crash(&self, crash: &Crash) {
+        let now = Instant::now();
+        let mut state = self.state();
+        for part in state.quarantine.record_crash(crash, now) {
+            warn!(
+                part:% = format_args!("{part:x}"), run = crash.run, target_id = crash.target.as_str();
+                "requests with a part that makes engines crash are refused from now on"
+            );
+        }
+        self.decide(&mut state, now);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Records what is known of a request that may make targets crash.
+    pub fn record_request(&self, report: &RequestReport) {
+        let now = Instant::now();
+        let mut state = self.state();
+        match report {
+            RequestReport::Crashed(crash) => state.record_request_crash(crash, now),
+            RequestReport::Answered(request) => state.requests.clear(*request),
+            RequestReport::Refused(requests) => {
+                if state.requests.adopt(requests, now) {
+                    info!(requests = requests.len(); "adopted requests that another host refuses");
+                }
+            }
+        }
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Adopts the parts that another host refuses.
+    pub fn adopt_refused_parts(&self, parts: &[Refused]) {
+        let now = Instant::now();
+        let mut state = self.state();
+        if state.quarantine.adopt(parts, now) {
+            info!(parts = parts.len(); "adopted parts of prompts that another host refuses");
+            self.decide(&mut state, now);
+        }
+    }
+}
+
+impl State {
+    /// Records that a target crashed while it had a request. If the request is refused from now on,
+    /// its crashes are no longer blamed on parts of prompts.
+    fn record_request_crash(&mut self, crash: &RequestCrash, now: Instant) {
+        let mut crashed = self.requests.crashed_by(crash.request);
+        crashed.push((crash.target.clone(), crash.incarnation));
+        let blamed = Crash {
+            run: crash.run,
+            target: crash.target.clone(),
+            incarnation: crash.incarnation,
+            subjects: vec![crash.request],
+        };
+        if self.requests.record_crash(&blamed, now).is_empty() {
+            return;
+        }
+        self.quarantine.explain(&crashed);
+        warn!(
+            content:% = format_args!("{:016x}", crash.request), run = crash.run,
+            target_id = crash.target.as_str(), crashes = crashed.len();
+            "a request that makes targets crash is refused from now on"
+        );
+    }
+}
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -87,7 +87,7 @@
 
     /// Returns a request's fingerprint, none while no request at all is suspect or refused.
     fn watched(&self, job: &Job) -> Option<Subject> {
-        let is_empty = self.state().requests.is_empty();
+        let is_empty = self.state().requests.is_empty(Instant::now());
         (!is_empty).then(|| job.fingerprint())
     }
 
--- a/crates/sardinerelay-gateway/src/group/report.rs
+++ b/crates/sardinerelay-gateway/src/group/report.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        quarantine::{Crash, RefusedPart, Subject},
+        quarantine::{Crash, Refused, Subject},
         targets::RunId,
     },
     sardinerelay::id::{Incarnation, Target},
@@ -46,7 +46,7 @@
     /// A suspect request was answered.
     Answered(Subject),
     /// A request was refused, which the allocating host may not know of.
-    Refused(Vec<RefusedPart>),
+    Refused(Vec<Refused>),
 }
 
 /// What became of a request. Reports are sent by position, so the order of the variants must not
@@ -66,5 +66,5 @@
     /// Its engine crashed before it began to answer it.
     Crashed(Crash),
     /// It was refused because of these parts of its prompt, which the allocating host may not know.
-    Refused(Vec<RefusedPart>),
+    Refused(Vec<Refused>),
 }
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         limit::permit,
-        quarantine::{RefusedPart, Subject},
+        quarantine::{Refused, Subject},
     },
     compact_str::CompactString,
     log::debug,
@@ -88,14 +88,14 @@
     pub entry_hosts: u32,
     /// Parts of prompts that make engines crash, as the allocating host knows them.
     #[serde(rename = "refused")]
-    pub refused_parts: Vec<RefusedPart>,
+    pub refused_parts: Vec<Refused>,
     /// Rate limits that targets state, and those that have ended recently. Hosts of earlier versions
     /// don't send them.
     #[serde(deserialize_with = "or_default")]
     pub limits: Vec<permit::Published>,
     /// Requests that make targets crash, as the allocating host knows them.
     #[serde(deserialize_with = "or_default")]
-    pub refused_requests: Vec<RefusedPart>,
+    pub refused_requests: Vec<Refused>,
     /// Requests that may make targets crash. Hosts report if one of them is answered.
     #[serde(deserialize_with = "or_default")]
     pub suspect_requests: Vec<Subject>,
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! cause, those that were answered before are not blamed. See `docs/design/admission.md`.
 
 use {
-    crate::{call::PartId, targets::RunId},
+    crate::targets::RunId,
     sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
     std::{
@@ -30,7 +30,7 @@
 }
 
 impl Rules {
-    /// For parts of prompts. A single request that is continued elsewhere may be at several engines
+    /// For parts of prompts. A single request that is continued elsewhere may be at several targets
     /// that crash for another reason.
     pub const PARTS: Self = Self {
         min_crashes: 4,
@@ -55,14 +55,14 @@
 
 /// Largest number of suspects that other hosts are told of.
 const MAX_PUBLISHED: usize = 64;
-/// Time after a supposed crash in which a load report shows that the engine did not crash. A crashed
-/// engine takes longer to start again.
+/// Time after a supposed crash in which a load report shows that the target did not crash. A crashed
+/// target takes longer to start again.
 const ALIVE_CHECK_TIME: Duration = Duration::from_millis(1500);
-/// Time after its last crash for which a part is remembered as suspect.
+/// Time after its last crash for which a subject is remembered as suspect.
 const SUSPICION_LIFETIME: Duration = Duration::from_secs(120);
-/// Time for which a part is refused. After it the part has to be blamed anew.
+/// Time for which a subject is refused. After it the subject has to be blamed anew.
 const REFUSAL_DURATION: Duration = Duration::from_secs(600);
-/// Largest number of parts that are remembered as answered. The one that was answered first makes
+/// Largest number of subjects that are remembered as answered. The one that was answered first makes
 /// room for another.
 const MAX_ANSWERED: usize = 8192;
 /// Largest number of suspects. The one whose last crash is oldest makes room for another.
@@ -72,23 +72,24 @@
 /// [`crate::fingerprint`].
 pub type Subject = u64;
 
-/// A crash of an engine before it began to answer a request.
+/// A crash of a target before it began to answer a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The request.
     pub run: RunId,
-    /// The engine.
+    /// The target.
     pub target: Target,
     /// The incarnation that crashed.
     pub incarnation: Incarnation,
-    /// The parts of the request's prompt that other requests may share.
-    pub parts: Vec<PartId>,
+    /// What may be the cause: the parts of the request's prompt that other requests may share, or the
+    /// request itself.
+    pub subjects: Vec<Subject>,
 }
 
-/// A part that is refused.
+/// A subject that is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RefusedPart {
-    pub id: PartId,
+pub struct Refused {
+    pub id: Subject,
     /// Time for which it is still refused.
     pub remaining: Duration,
 }
@@ -99,20 +100,20 @@
     rules: Rules,
     /// Suspects that the allocating host publishes.
     published: BTreeSet<Subject>,
-    suspects: BTreeMap<PartId, Suspect>,
-    /// Until when each part is refused.
-    refused: BTreeMap<PartId, Instant>,
-    unanswered: HashMap<RunId, Vec<PartId>>,
-    /// The parts that were answered at least once.
-    answered: HashSet<PartId>,
-    /// The same parts in the order in which they were first answered.
-    answered_order: VecDeque<PartId>,
+    suspects: BTreeMap<Subject, Suspect>,
+    /// Until when each subject is refused.
+    refused: BTreeMap<Subject, Instant>,
+    unanswered: HashMap<RunId, Vec<Subject>>,
+    /// The subjects that were answered at least once.
+    answered: HashSet<Subject>,
+    /// The same subjects in the order in which they were first answered.
+    answered_order: VecDeque<Subject>,
 }
 
 #[derive(Debug)]
 struct Suspect {
-    /// The engines that crashed, and when.
-    engines: BTreeMap<(Target, Incarnation), Instant>,
+    /// The targets that crashed, and when.
+    targets: BTreeMap<(Target, Incarnation), Instant>,
     runs: BTreeSet<RunId>,
     last_crash: Instant,
 }
@@ -126,9 +127,10 @@
         }
     }
 
-    /// Whether nothing is suspect or refused.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.refused.is_empty() && self.published.is_empty()
+    /// Whether nothing is suspect or refused at `now`.
+    pub fn is_empty(&self, now: Instant) -> bool {
+        let is_refused = self.refused.values().any(|until| now < *until);
+        self.suspects.is_empty() && self.published.is_empty() && !is_refused
     }
 
     /// Whether a crash was blamed on a subject, and it was not answered since.
@@ -140,7 +142,7 @@
     /// there are too many.
     pub fn suspects(&self) -> Vec<Subject> {
         let mut suspects: Vec<(&Subject, &Suspect)> = self.suspects.iter().collect();
-        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.engines.len()));
+        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.targets.len()));
         suspects.truncate(MAX_PUBLISHED);
         suspects.into_iter().map(|(subject, _)| *subject).collect()
     }
@@ -161,54 +163,54 @@
     pub fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
         for suspect in self.suspects.values_mut() {
             suspect
-                .engines
-                .retain(|engine, _| !crashed.contains(engine));
+                .targets
+                .retain(|target, _| !crashed.contains(target));
         }
         self.suspects
-            .retain(|_, suspect| !suspect.engines.is_empty());
+            .retain(|_, suspect| !suspect.targets.is_empty());
     }
 
     /// Returns the targets whose crashes were blamed on a subject.
     pub fn crashed_by(&self, subject: Subject) -> Vec<(Target, Incarnation)> {
         let suspect = self.suspects.get(&subject);
         suspect.map_or(Vec::new(), |suspect| {
-            suspect.engines.keys().cloned().collect()
+            suspect.targets.keys().cloned().collect()
         })
     }
 
-    /// Returns for how long a request with these parts is still refused, if it is.
-    pub fn refusal(&self, parts: &[PartId], now: Instant) -> Option<Duration> {
-        let refused = parts
+    /// Returns for how long a request with these subjects is still refused, if it is.
+    pub fn refusal(&self, subjects: &[Subject], now: Instant) -> Option<Duration> {
+        let refused = subjects
             .iter()
-            .filter_map(|part| self.refused_part(*part, now));
-        refused.map(|part| part.remaining).max()
+            .filter_map(|subject| self.refusal_of(*subject, now));
+        refused.map(|refused| refused.remaining).max()
     }
 
-    fn refused_part(&self, id: PartId, now: Instant) -> Option<RefusedPart> {
+    fn refusal_of(&self, id: Subject, now: Instant) -> Option<Refused> {
         let until = self.refused.get(&id)?;
         let remaining = until.saturating_duration_since(now);
-        (!remaining.is_zero()).then_some(RefusedPart { id, remaining })
+        (!remaining.is_zero()).then_some(Refused { id, remaining })
     }
 
-    /// Records that a request is sent to an engine.
-    pub fn record_sent(&mut self, run: RunId, parts: &[PartId]) {
-        if !parts.is_empty() {
-            self.unanswered.insert(run, parts.to_vec());
+    /// Records that a request is sent to a target.
+    pub fn record_sent(&mut self, run: RunId, subjects: &[Subject]) {
+        if !subjects.is_empty() {
+            self.unanswered.insert(run, subjects.to_vec());
         }
     }
 
-    /// Records that an engine has begun to answer a request, which clears its parts.
+    /// Records that a target has begun to answer a request, which clears its subjects.
     pub fn record_answered(&mut self, run: RunId) {
-        for part in self.unanswered.remove(&run).unwrap_or_default() {
-            self.clear(part);
+        for subject in self.unanswered.remove(&run).unwrap_or_default() {
+            self.clear(subject);
         }
     }
 
-    fn remember_answered(&mut self, part: PartId) {
-        if !self.answered.insert(part) {
+    fn remember_answered(&mut self, subject: Subject) {
+        if !self.answered.insert(subject) {
             return;
         }
-        self.answered_order.push_back(part);
+        self.answered_order.push_back(subject);
         if self.answered_order.len() > MAX_ANSWERED
             && let Some(first) = self.answered_order.pop_front()
         {
@@ -225,35 +227,35 @@
     pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Vec<Subject> {
         self.expire(now);
         let is_explained = crash
-            .parts
+            .subjects
             .iter()
-            .any(|part| self.refused.contains_key(part));
+            .any(|subject| self.refused.contains_key(subject));
         if is_explained {
             return Vec::new();
         }
-        for part in &crash.parts {
-            let suspect = self.suspects.entry(*part).or_insert_with(|| Suspect {
-                engines: BTreeMap::new(),
+        for subject in &crash.subjects {
+            let suspect = self.suspects.entry(*subject).or_insert_with(|| Suspect {
+                targets: BTreeMap::new(),
                 runs: BTreeSet::new(),
                 last_crash: now,
             });
             suspect
-                .engines
+                .targets
                 .entry((crash.target.clone(), crash.incarnation))
                 .or_insert(now);
             suspect.runs.insert(crash.run);
             suspect.last_crash = now;
         }
         let (answered, unknown): (Vec<Subject>, Vec<Subject>) = crash
-            .parts
+            .subjects
             .iter()
-            .partition(|part| self.answered.contains(part));
+            .partition(|subject| self.answered.contains(subject));
         let mut refused = self.with_crashes(&unknown, self.rules.min_crashes);
         if refused.is_empty() {
             refused = self.with_crashes(&answered, self.rules.min_crashes_of_answered);
         }
-        for part in &refused {
-            self.refuse(*part, now + REFUSAL_DURATION);
+        for subject in &refused {
+            self.refuse(*subject, now + REFUSAL_DURATION);
         }
         self.limit_suspects();
         refused
@@ -263,7 +265,7 @@
     fn with_crashes(&self, subjects: &[Subject], min_crashes: usize) -> Vec<Subject> {
         let has_enough = |subject: &&Subject| {
             self.suspects.get(*subject).is_some_and(|suspect| {
-                suspect.engines.len() >= min_crashes
+                suspect.targets.len() >= min_crashes
                     && suspect.span() >= self.rules.min_span
                     && suspect.runs.len() >= self.rules.min_runs
             })
@@ -271,55 +273,59 @@
         subjects.iter().filter(has_enough).copied().collect()
     }
 
-    /// Refuses a part. Its crashes need no other explanation, so other suspects are cleared of them.
-    fn refuse(&mut self, part: PartId, until: Instant) {
-        self.refused.insert(part, until);
-        let crashed = self.crashed_by(part);
-        self.suspects.remove(&part);
+    /// Refuses a subject. Its crashes need no other explanation, so other suspects are cleared of them.
+    fn refuse(&mut self, subject: Subject, until: Instant) {
+        self.refused.insert(subject, until);
+        let crashed = self.crashed_by(subject);
+        self.suspects.remove(&subject);
         self.explain(&crashed);
     }
 
-    /// Records that an engine's load report was read at `read`. If its connections broke just before,
+    /// Records that a target's load report was read at `read`. If its connections broke just before,
     /// it did not crash.
     pub fn record_alive(&mut self, target: &Target, incarnation: Incarnation, read: Instant) {
         if self.suspects.is_empty() {
             return;
         }
-        let engine = (target.clone(), incarnation);
+        let target = (target.clone(), incarnation);
         for suspect in self.suspects.values_mut() {
-            let crashed = suspect.engines.get(&engine);
+            let crashed = suspect.targets.get(&target);
             let is_refuted = crashed.is_some_and(|at| *at < read && read < *at + ALIVE_CHECK_TIME);
             if is_refuted {
-                suspect.engines.remove(&engine);
+                suspect.targets.remove(&target);
             }
         }
         self.suspects
-            .retain(|_, suspect| !suspect.engines.is_empty());
+            .retain(|_, suspect| !suspect.targets.is_empty());
     }
 
     /// Adopts what another host refuses. Returns whether any of it is new.
-    pub fn adopt(&mut self, parts: &[RefusedPart], now: Instant) -> bool {
+    pub fn adopt(&mut self, subjects: &[Refused], now: Instant) -> bool {
         let mut is_new = false;
-        for part in parts {
-            let until = now + part.remaining.min(REFUSAL_DURATION);
-            is_new |= !self.refused.contains_key(&part.id);
-            let known = self.refused.entry(part.id).or_insert(until);
+        for subject in subjects {
+            let until = now + subject.remaining.min(REFUSAL_DURATION);
+            is_new |= !self.refused.contains_key(&subject.id);
+            let known = self.refused.entry(subject.id).or_insert(until);
             *known = until.max(*known);
-            self.suspects.remove(&part.id);
+            self.suspects.remove(&subject.id);
         }
         is_new
     }
 
-    /// Returns all parts that are refused at `now`.
-    pub fn refused(&self, now: Instant) -> Vec<RefusedPart> {
-        let parts = self.refused.keys();
-        parts.filter_map(|id| self.refused_part(*id, now)).collect()
+    /// Returns all subjects that are refused at `now`.
+    pub fn refused(&self, now: Instant) -> Vec<Refused> {
+        let subjects = self.refused.keys();
+        subjects
+            .filter_map(|id| self.refusal_of(*id, now))
+            .collect()
     }
 
-    /// Returns those of `parts` that are refused at `now`.
-    pub fn refused_among(&self, parts: &[PartId], now: Instant) -> Vec<RefusedPart> {
-        let parts = parts.iter();
-        parts.filter_map(|id| self.refused_part(*id, now)).collect()
+    /// Returns those of `subjects` that are refused at `now`.
+    pub fn refused_among(&self, subjects: &[Subject], now: Instant) -> Vec<Refused> {
+        let subjects = subjects.iter();
+        subjects
+            .filter_map(|id| self.refusal_of(*id, now))
+            .collect()
     }
 
     /// Forgets what is too old.
@@ -333,7 +339,7 @@
         while self.suspects.len() > MAX_SUSPECTS {
             let suspects = self.suspects.iter();
             let oldest = suspects.min_by_key(|(_, suspect)| suspect.last_crash);
-            let Some(oldest) = oldest.map(|(part, _)| *part) else {
+            let Some(oldest) = oldest.map(|(subject, _)| *subject) else {
                 return;
             };
             self.suspects.remove(&oldest);
@@ -344,7 +350,7 @@
 impl Suspect {
     /// Returns the time between the first and the last crash.
     fn span(&self) -> Duration {
-        let times = self.engines.values();
+        let times = self.targets.values();
         match (times.clone().min(), times.max()) {
             (Some(first), Some(last)) => last.saturating_duration_since(*first),
             _ => Duration::ZERO,
--- a/crates/sardinerelay-gateway/tests/decisions/limits.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/limits.rs
@@ -313,7 +313,7 @@
     list_age_ms: u64,
     loads: Vec<sardinerelay_gateway::observations::LoadReport>,
     entry_hosts: u32,
-    refused_parts: Vec<sardinerelay_gateway::quarantine::RefusedPart>,
+    refused_parts: Vec<sardinerelay_gateway::quarantine::Refused>,
 }
 
 #[test]
--- a/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
@@ -27,7 +27,7 @@
         run,
         target: format!("i-{engine}").as_str().into(),
         incarnation: 1,
-        parts: parts.to_vec(),
+        subjects: parts.to_vec(),
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions/requests.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/requests.rs
@@ -25,7 +25,7 @@
         run: target as u64,
         target: format!("s{target}").into(),
         incarnation: 1,
-        parts: vec![REQUEST],
+        subjects: vec![REQUEST],
     }
 }
 
@@ -105,7 +105,7 @@
     let part = 99;
     for target in 0..3 {
         let parts = Crash {
-            parts: vec![part],
+            subjects: vec![part],
             ..crash(target)
         };
         allocator.record_crash(&parts);
