Blame the parts of a prompt also for crashes of a request that comes again

Callers repeat lost requests, so many crashes went uncounted.

Each crash counts for the parts again, and a part needs crashes of two different requests, by their content instead of their attempts. A single request that comes again therefore still doesn't get its parts refused.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -60,14 +60,10 @@
     }
 
     /// Records that the engine's connection broke before it began to answer. An engine that is
-    /// leaving isn't taken to have crashed. Parts of the prompt aren't blamed if the same request
-    /// was at other targets that crashed, since it comes again and is refused by itself.
+    /// leaving isn't taken to have crashed.
     pub fn record_crash(&self, job: &Job) {
         let target = &self.choice.target;
         self.entry.record_lost(job, target, self.run);
-        if self.entry.is_suspect(job) {
-            return;
-        }
         let now = Instant::now();
         let state = self.entry.state();
         let target = state.targets.get(&self.choice.target);
@@ -77,7 +73,7 @@
         };
         drop(state);
         let crash = Crash {
-            run: self.run,
+            request: job.fingerprint(),
             target: self.choice.target.clone(),
             incarnation,
             subjects: self.need.shared_parts.clone(),
--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -18,7 +18,8 @@
         let mut state = self.state();
         for part in state.quarantine.record_crash(crash, now) {
             warn!(
-                part:% = format_args!("{part:x}"), run = crash.run, target_id = crash.target.as_str();
+                part:% = format_args!("{part:x}"), content:% = format_args!("{:016x}", crash.request),
+                target_id = crash.target.as_str();
                 "requests with a part that makes engines crash are refused from now on"
             );
         }
@@ -62,7 +63,7 @@
         let mut crashed = self.requests.crashed_by(crash.request);
         crashed.push((crash.target.clone(), crash.incarnation));
         let blamed = Crash {
-            run: crash.run,
+            request: crash.request,
             target: crash.target.clone(),
             incarnation: crash.incarnation,
             subjects: vec![crash.request],
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -22,27 +22,27 @@
     pub min_crashes: usize,
     /// Number of crashes after which a subject is refused that was answered before.
     pub min_crashes_of_answered: usize,
-    /// Number of requests that must have been at these targets.
-    pub min_runs: usize,
+    /// Number of different requests that must have been at these targets.
+    pub min_requests: usize,
     /// Time between the first and the last of these crashes, in which an answer clears the subject.
     /// Several targets may end at once for another reason.
     pub min_span: Duration,
 }
 
 impl Rules {
-    /// For parts of prompts. A single request that is continued elsewhere may be at several targets
-    /// that crash for another reason.
+    /// For parts of prompts. A single request that comes again is refused by itself, and its parts are
+    /// not to blame.
     pub const PARTS: Self = Self {
         min_crashes: 4,
         min_crashes_of_answered: 6,
-        min_runs: 2,
+        min_requests: 2,
         min_span: Duration::ZERO,
     };
     /// For requests that come again. Nothing else shares them, so fewer crashes are enough.
     pub const REQUESTS: Self = Self {
         min_crashes: 3,
         min_crashes_of_answered: 5,
-        min_runs: 1,
+        min_requests: 1,
         min_span: Duration::from_millis(700),
     };
 }
@@ -75,8 +75,8 @@
 /// A crash of a target before it began to answer a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// The request.
-    pub run: RunId,
+    /// The request, by its [`crate::fingerprint`].
+    pub request: Subject,
     /// The target.
     pub target: Target,
     /// The incarnation that crashed.
@@ -114,7 +114,7 @@
 struct Suspect {
     /// The targets that crashed, and when.
     targets: BTreeMap<(Target, Incarnation), Instant>,
-    runs: BTreeSet<RunId>,
+    requests: BTreeSet<Subject>,
     last_crash: Instant,
 }
 
@@ -236,14 +236,14 @@
         for subject in &crash.subjects {
             let suspect = self.suspects.entry(*subject).or_insert_with(|| Suspect {
                 targets: BTreeMap::new(),
-                runs: BTreeSet::new(),
+                requests: BTreeSet::new(),
                 last_crash: now,
             });
             suspect
                 .targets
                 .entry((crash.target.clone(), crash.incarnation))
                 .or_insert(now);
-            suspect.runs.insert(crash.run);
+            suspect.requests.insert(crash.request);
             suspect.last_crash = now;
         }
         let (answered, unknown): (Vec<Subject>, Vec<Subject>) = crash
@@ -267,7 +267,7 @@
             self.suspects.get(*subject).is_some_and(|suspect| {
                 suspect.targets.len() >= min_crashes
                     && suspect.span() >= self.rules.min_span
-                    && suspect.runs.len() >= self.rules.min_runs
+                    && suspect.requests.len() >= self.rules.min_requests
             })
         };
         subjects.iter().filter(has_enough).copied().collect()
--- a/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
@@ -24,7 +24,7 @@
 
 fn crash(run: u64, engine: u64, parts: &[PartId]) -> Crash {
     Crash {
-        run,
+        request: run,
         target: format!("i-{engine}").as_str().into(),
         incarnation: 1,
         subjects: parts.to_vec(),
--- a/crates/sardinerelay-gateway/tests/decisions/requests.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/requests.rs
@@ -22,7 +22,7 @@
 
 fn crash(target: usize) -> Crash {
     Crash {
-        run: target as u64,
+        request: REQUEST,
         target: format!("s{target}").into(),
         incarnation: 1,
         subjects: vec![REQUEST],
@@ -111,7 +111,7 @@
         allocator.record_crash(&parts);
         allocator.record_request(&RequestReport::Crashed(RequestCrash {
             request: REQUEST,
-            run: parts.run,
+            run: target as u64,
             target: parts.target,
             incarnation: parts.incarnation,
         }));
@@ -126,8 +126,8 @@
 fn an_answered_report_clears_a_suspect() {
     let allocator = Allocator::new(Scope::Group);
     for target in 0..3 {
+        let run = target as u64;
         let Crash {
-            run,
             target,
             incarnation,
             ..
