--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -292,10 +292,9 @@
         let mut state = self.state();
         let reply = match reply {
             Some(reply) if reply != permit::Reply::Unknown => {
-                let known = request.targets.iter().map(|known| &known.target);
-                for target in known {
-                    if let Some(state) = state.targets.get_mut(target) {
-                        state.limit.drain(now);
+                for known in &request.targets {
+                    if let Some(target_state) = state.targets.get_mut(&known.target) {
+                        target_state.limit.drain(now);
                     }
                 }
                 reply
@@ -304,8 +303,8 @@
         };
         if let permit::Reply::Refused(duration) = reply {
             for known in &request.targets {
-                if let Some(state) = state.targets.get_mut(&known.target) {
-                    state.limit.record_denied(duration, now);
+                if let Some(target_state) = state.targets.get_mut(&known.target) {
+                    target_state.limit.record_denied(duration, now);
                 }
             }
         }
--- a/crates/sardinerelay-gateway/src/plain/choice.rs
+++ b/crates/sardinerelay-gateway/src/plain/choice.rs
@@ -12,7 +12,10 @@
     },
     rand::Rng as _,
     sardinerelay::id::Target,
-    std::time::{Duration, Instant},
+    std::{
+        ops::Range,
+        time::{Duration, Instant},
+    },
     tokio::time::sleep,
 };
 
@@ -20,7 +23,7 @@
 /// Less urgent calls may wait for less, so that urgent ones get the next permit.
 const MAX_WAIT_SHARE: f64 = 0.5;
 /// Factors by which the time after which a caller should retry is varied at random.
-const RETRY_AFTER_JITTER: std::ops::Range<f64> = 1.0..1.4;
+const RETRY_AFTER_JITTER: Range<f64> = 1.0..1.4;
 
 /// Where a call goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,9 +58,9 @@
 
 /// Chooses a target that was not tried yet, or any usable one if all were tried.
 pub(super) async fn choose(job: &Job, tried: &[Target], now: Instant) -> Choice {
-    let mut candidates = candidates(job, tried, now);
+    let mut candidates = rank_candidates(job, tried, now);
     if candidates.is_empty() {
-        candidates = self::candidates(job, &[], now);
+        candidates = rank_candidates(job, &[], now);
     }
     let unlimited = candidates
         .iter()
@@ -83,7 +86,7 @@
 }
 
 /// Returns the usable targets, best first.
-fn candidates(job: &Job, tried: &[Target], now: Instant) -> Vec<Candidate> {
+fn rank_candidates(job: &Job, tried: &[Target], now: Instant) -> Vec<Candidate> {
     let state = job.entry.state();
     let zone = &job.entry.settings.common.zone;
     let constraints = (job.service.as_str(), zone, tried);
