Record what a target states in one place, and hash a lost request once

The entry host and the allocator recorded and logged a stated limit in two copies, which Targets now does for both. A request that was lost was hashed twice, for the log and for the blame of its prompt's parts. A comment still said that a suspect was at several crashed targets; one is enough. No decision changes.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -63,7 +63,7 @@
     /// leaving isn't taken to have crashed.
     pub fn record_crash(&self, job: &Job) {
         let target = &self.choice.target;
-        self.entry.record_lost(job, target, self.run);
+        let request = self.entry.record_lost(job, target, self.run);
         let now = Instant::now();
         let state = self.entry.state();
         let target = state.targets.get(&self.choice.target);
@@ -73,7 +73,7 @@
         };
         drop(state);
         let crash = Crash {
-            request: job.fingerprint(),
+            request,
             target: self.choice.target.clone(),
             incarnation,
             subjects: self.need.shared_parts.clone(),
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -10,8 +10,6 @@
 mod crashes;
 mod limits;
 
-pub use self::limits::log_limit;
-
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
--- a/crates/sardinerelay-gateway/src/allocator/limits.rs
+++ b/crates/sardinerelay-gateway/src/allocator/limits.rs
@@ -3,11 +3,9 @@
 use {
     super::Allocator,
     crate::{
-        limit::{Described, Rate, Statement, permit},
+        limit::{Statement, permit},
         observations::Instance,
     },
-    log::info,
-    sardinerelay::id::Target,
     std::time::Instant,
 };
 
@@ -16,14 +14,13 @@
     pub fn record_limit(&self, engine: &Instance, statement: Statement, sent: Instant) {
         let now = Instant::now();
         let mut state = self.state();
-        let known = state.targets.get_mut(&engine.target);
-        let Some(known) = known.filter(|known| known.instance.incarnation == engine.incarnation)
-        else {
+        let known = state.targets.get(&engine.target);
+        if known.is_none_or(|known| known.instance.incarnation != engine.incarnation) {
             return;
-        };
-        let before = known.limit.rate();
-        if known.limit.record(statement, sent, now) {
-            log_limit(&engine.target, before, known.limit.rate());
+        }
+        let target = &engine.target;
+        let change = state.targets.record_limit(target, statement, sent, now);
+        if change.is_some() {
             self.decide(&mut state, now);
         }
     }
@@ -40,11 +37,3 @@
         self.changed.notify_one();
     }
 }
-
-/// Logs that a target states another rate limit than before.
-pub fn log_limit(target: &Target, before: Option<Rate>, rate: Option<Rate>) {
-    info!(
-        target_id = target.as_str(), limit:% = Described(rate), before:% = Described(before);
-        "a target states another rate limit"
-    );
-}
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -6,7 +6,7 @@
     crate::{
         admission::RefusalReason,
         allocation::Allocation,
-        allocator::{Allocator, Reply, Scope, State, claim, claim_for_move, log_limit},
+        allocator::{Allocator, Reply, Scope, State, claim, claim_for_move},
         budget::Budget,
         codec::Codec,
         forecast::Forecast,
@@ -261,19 +261,15 @@
 
     /// Records what a target's response states about its rate limit. The request was sent at `sent`.
     pub fn record_limit(&self, target: &Target, statement: Statement, sent: Instant) {
-        let mut state = self.state();
-        let Some(target_state) = state.targets.get_mut(target) else {
-            return;
-        };
-        let before = target_state.limit.rate();
-        if !target_state.limit.record(statement, sent, Instant::now()) {
-            return;
+        let now = Instant::now();
+        let change = self
+            .state()
+            .targets
+            .record_limit(target, statement, sent, now);
+        if let Some(change) = change {
+            self.metrics.record_limit_change();
+            self.report(change);
         }
-        let known = target_state.known_limit();
-        drop(state);
-        self.metrics.record_limit_change();
-        log_limit(target, before, known.rate);
-        self.report(permit::Change { known, before });
     }
 
     /// Adopts the limits that the allocating host publishes, and reports what it doesn't know yet.
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -66,7 +66,7 @@
         Some(remaining)
     }
 
-    /// Whether a request was at several targets that crashed, and was not answered since.
+    /// Whether a request was at a target that crashed, and was not answered since.
     pub fn is_suspect(&self, job: &Job) -> bool {
         let request = self.watched(job);
         request.is_some_and(|request| self.state().requests.is_suspect(request))
@@ -93,7 +93,8 @@
 
     /// Records that a target's connection broke before it answered a request. If the target has
     /// ended, the request may be the cause. One that was about to stop isn't taken to have crashed.
-    pub fn record_lost(self: &Arc<Self>, job: &Job, target: &Target, run: RunId) {
+    /// Returns the request's fingerprint.
+    pub fn record_lost(self: &Arc<Self>, job: &Job, target: &Target, run: RunId) -> Subject {
         let request = job.fingerprint();
         let organisation = job.organisation.as_ref();
         info!(
@@ -106,12 +107,13 @@
         let state = self.state();
         let known = state.targets.get(target);
         let staying = known.filter(|known| known.leaving_since(now).is_none());
-        let Some(instance) = staying.map(|known| known.instance.clone()) else {
-            return;
-        };
+        let instance = staying.map(|known| known.instance.clone());
         drop(state);
-        let entry = Arc::clone(self);
-        tokio::spawn(async move { entry.check_crash(request, run, instance, now).await });
+        if let Some(instance) = instance {
+            let entry = Arc::clone(self);
+            tokio::spawn(async move { entry.check_crash(request, run, instance, now).await });
+        }
+        request
     }
 
     /// Reports a crash if the target's process has ended.
--- a/crates/sardinerelay-gateway/src/limit/permit.rs
+++ b/crates/sardinerelay-gateway/src/limit/permit.rs
@@ -5,7 +5,7 @@
 //! equal share of the limit.
 
 use {
-    super::{Described, Limit, Rate, Reached},
+    super::{Described, Limit, Rate, Reached, Statement},
     crate::{
         allocator::Scope,
         targets::{State, Targets, instant_before},
@@ -115,6 +115,28 @@
         }
     }
 
+    /// Records what the response to a request states that was sent to a target at `sent`. Returns the
+    /// change, none if the target stated the same before.
+    pub fn record_limit(
+        &mut self,
+        target: &str,
+        statement: Statement,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<Change> {
+        let state = self.get_mut(target)?;
+        let before = state.limit.rate();
+        if !state.limit.record(statement, sent, now) {
+            return None;
+        }
+        let known = state.known_limit();
+        info!(
+            target_id = target, limit:% = Described(known.rate), before:% = Described(before);
+            "a target states another rate limit"
+        );
+        Some(Change { known, before })
+    }
+
     /// Applies another host's report that a target has stated another limit.
     pub fn apply_limit(&mut self, change: &Change, now: Instant) {
         let Known {
