Don't take a refused request's crashes off the parts of its prompt

Cause: a request that came again and was refused by itself explained its crashes, so they were no longer blamed on the part that caused them. The rule is not needed: a part is refused only after crashes of two requests of different content, so a single one doesn't get its parts refused however often it comes.

--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -57,11 +57,8 @@
 }
 
 impl State {
-    /// Records that a target crashed while it had a request. If the request is refused from now on,
-    /// its crashes are no longer blamed on parts of prompts.
+    /// Records that a target crashed while it had a request.
     fn record_request_crash(&mut self, crash: &RequestCrash, now: Instant) {
-        let mut crashed = self.requests.crashed_by(crash.request);
-        crashed.push((crash.target.clone(), crash.incarnation));
         let blamed = Crash {
             request: crash.request,
             target: crash.target.clone(),
@@ -71,10 +68,9 @@
         if self.requests.record_crash(&blamed, now).is_empty() {
             return;
         }
-        self.quarantine.explain(&crashed);
         warn!(
             content:% = format_args!("{:016x}", crash.request), run = crash.run,
-            target_id = crash.target.as_str(), crashes = crashed.len();
+            target_id = crash.target.as_str();
             "a request that makes targets crash is refused from now on"
         );
     }
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -160,7 +160,7 @@
     }
 
     /// Clears all suspects of the crashes of these targets, which something else explains.
-    pub fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
+    fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
         for suspect in self.suspects.values_mut() {
             suspect
                 .targets
@@ -171,7 +171,7 @@
     }
 
     /// Returns the targets whose crashes were blamed on a subject.
-    pub fn crashed_by(&self, subject: Subject) -> Vec<(Target, Incarnation)> {
+    fn crashed_by(&self, subject: Subject) -> Vec<(Target, Incarnation)> {
         let suspect = self.suspects.get(&subject);
         suspect.map_or(Vec::new(), |suspect| {
             suspect.targets.keys().cloned().collect()
