Send entry hosts the differences of configurations, in pieces

Cause: a change of any size travelled as the whole text, in base64, from each of three voters to each of 76 hosts. Encoding it for all hosts also cost the leader its leadership. Class: a cost by the size of the state, not of the change.

Now hosts watch three voters for the version and fetch from one at a time, patches against the text they hold, in pieces that another voter can continue; the result must have the accepted text's digest.

--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -3,24 +3,25 @@
 //! An entry host follows several hosts with replicas at once, so that one of them that is frozen or
 //! unreachable causes no delay. A configuration is never replaced by an older one.
 
+mod configuration;
+
 use {
     crate::{
         entry::EntryHost,
         group::{
-            Clients, Document, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
-            FollowConfiguration, FollowObservations, MemberStatus, StatusRequest,
+            Clients, FOLLOW_OBSERVATIONS_METHOD, FollowObservations, MemberStatus, StatusRequest,
             discovery::Search, member,
         },
         observations::Observations,
         reporter::{self, Report},
-        table::Table,
     },
-    log::{debug, info, warn},
+    configuration::Updates,
+    log::{debug, info},
     sardinerelayd::peer::Packed,
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
-        net::{Ipv4Addr, SocketAddr},
+        net::Ipv4Addr,
         sync::Arc,
         time::Duration,
     },
@@ -52,6 +53,8 @@
     let reloadable = Arc::clone(&entry.settings.common.reloadable);
     let mut addresses: BTreeSet<Ipv4Addr> = reloadable.seeds().into_iter().collect();
     tokio::spawn(reporter::run(Arc::clone(&entry), outgoing));
+    let updates = Arc::new(Updates::new(Arc::clone(&entry)));
+    tokio::spawn(configuration::fetch(Arc::clone(&updates)));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let last_fresh = Arc::new(watch::Sender::new(LastFresh::default()));
     let mut leader = None;
@@ -68,7 +71,8 @@
             tasks.entry(*address).or_insert_with(|| {
                 let client = clients.get(*address);
                 info!(address:% = address; "following");
-                let configuration = follow_configuration(Arc::clone(&entry), Arc::clone(&client));
+                let configuration =
+                    configuration::watch(Arc::clone(&updates), Arc::clone(&client), rank);
                 let observations =
                     follow_observations(Arc::clone(&entry), client, rank, Arc::clone(&last_fresh));
                 [tokio::spawn(configuration), tokio::spawn(observations)]
@@ -130,79 +134,6 @@
     Some((member::address(status.leader?), members.collect()))
 }
 
-/// Follows the configuration of one host.
-async fn follow_configuration(entry: Arc<EntryHost>, client: Arc<sardinerelayd::peer::Client>) {
-    let mut is_unreachable = false;
-    loop {
-        let version = entry
-            .table
-            .load()
-            .as_ref()
-            .map_or(0, |table| table.version());
-        let follow = FollowConfiguration {
-            host: entry.settings.common.host.clone(),
-            version,
-            wait_ms: CONFIGURATION_WAIT.as_millis() as u64,
-        };
-        let response = client
-            .call::<_, Option<Packed<Document>>>(
-                FOLLOW_CONFIGURATION_METHOD,
-                &follow,
-                CONFIGURATION_WAIT + FOLLOW_RESPONSE_MARGIN,
-            )
-            .await;
-        match response {
-            Ok(document) => {
-                if std::mem::take(&mut is_unreachable) {
-                    info!(address:% = client.address(); "the followed host is reachable again");
-                }
-                if let Some(Packed(document)) = document {
-                    apply_configuration(&entry, &document, client.address());
-                }
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut is_unreachable, true) {
-                    warn!(address:% = client.address(), reason:% = error; "the followed host is unreachable");
-                }
-                sleep(FOLLOW_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Puts a configuration from the host at `source` in force, unless the present one has the same or a
-/// higher version. One that is malformed or invalid is only logged.
-fn apply_configuration(entry: &EntryHost, document: &Document, source: SocketAddr) {
-    let current = entry
-        .table
-        .load()
-        .as_ref()
-        .map_or(0, |table| table.version());
-    if document.version <= current {
-        return;
-    }
-    let draft = match (entry.codec.parse_configuration)(&document.body) {
-        Ok(draft) => draft,
-        Err(error) => {
-            warn!(version = document.version, reason:% = error; "the configuration can't be parsed");
-            return;
-        }
-    };
-    match Table::check(draft) {
-        Ok(table) => {
-            entry.table.store(Some(Arc::new(table)));
-            info!(
-                version = document.version, before = current, source:% = source;
-                "a new configuration is in force"
-            );
-        }
-        Err(errors) => {
-            let reason = errors.first().map(ToString::to_string).unwrap_or_default();
-            warn!(version = document.version, reason = reason.as_str(); "the configuration is invalid");
-        }
-    }
-}
-
 /// Follows the observations of one host. Those of the leader are always followed, those of other
 /// hosts only while no fresh ones arrive.
 ///
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -18,14 +18,15 @@
     register::Document,
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
-        ACQUIRE_METHOD, Acquire, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
-        FollowConfiguration, FollowObservations, LIMIT_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
-        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
+        ACQUIRE_METHOD, Acquire, FETCH_CONFIGURATION_METHOD, FOLLOW_CONFIGURATION_METHOD,
+        FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration, FollowObservations, LIMIT_METHOD,
+        PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState,
+        StatusRequest, WATCH_CONFIGURATION_METHOD,
     },
 };
 
 use {
-    crate::{exit_code::ExitCode, reload},
+    crate::{distribution::Publisher, exit_code::ExitCode, reload},
     discovery::Search,
     driver::{Driver, Input},
     links::Links,
@@ -110,6 +111,7 @@
     status: watch::Receiver<MemberStatus>,
     leadership: watch::Receiver<SoftState>,
     clients: Arc<Clients>,
+    publisher: Arc<Publisher>,
 }
 
 /// A started replica. Dropping it stops its peer server.
@@ -147,14 +149,22 @@
     };
     let leadership = watch::Sender::new(no_leader);
     let (inputs, queue) = channel(INPUT_QUEUE_CAPACITY);
+    let publisher = Arc::new(Publisher::default());
     let handle = Handle {
+        publisher: Arc::clone(&publisher),
         inputs,
         newest: newest.subscribe(),
         status: status.subscribe(),
         leadership: leadership.subscribe(),
         clients,
     };
-    let driver = Driver::new(config, files, links, (newest, status, leadership))?;
+    let driver = Driver::new(
+        config,
+        files,
+        links,
+        publisher,
+        (newest, status, leadership),
+    )?;
     let listen = SocketAddr::from((settings.address, settings.peer_port));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -11,6 +11,7 @@
         register::{Command, Document, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
+    crate::distribution::Publisher,
     bytes::Bytes,
     log::{debug, info, warn},
     sardinerelay::{
@@ -111,6 +112,8 @@
     /// Whether the register has been as new as the leader's since this process started.
     has_caught_up: bool,
     newest: watch::Sender<Option<Arc<Document>>>,
+    /// Distributes the newest configuration to entry hosts.
+    publisher: Arc<Publisher>,
     own_status: watch::Sender<MemberStatus>,
     leadership: watch::Sender<raft::SoftState>,
     links: Links,
@@ -131,6 +134,7 @@
         config: raft::Config,
         (store, durable): (Store, DurableState),
         links: Links,
+        publisher: Arc<Publisher>,
         (newest, own_status, leadership): (
             watch::Sender<Option<Arc<Document>>>,
             watch::Sender<MemberStatus>,
@@ -138,6 +142,10 @@
         ),
     ) -> Result<Self, FatalError> {
         let register = decode_register(&durable.snapshot.data)?;
+        register
+            .newest
+            .iter()
+            .for_each(|newest| publisher.record(newest));
         let applied = durable.snapshot.meta.last.index;
         let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
@@ -148,6 +156,7 @@
             applied,
             has_caught_up: false,
             newest,
+            publisher,
             own_status,
             leadership,
             links,
@@ -392,6 +401,9 @@
     /// Publishes the newest configuration, unless it already is published, or a newer one may have
     /// been accepted before this process started.
     fn publish(&self) {
+        if let Some(newest) = &self.register.newest {
+            self.publisher.record(newest);
+        }
         if !self.has_caught_up {
             return;
         }
@@ -403,6 +415,7 @@
         if self.register.version() > published {
             let newest = self.register.newest.clone().map(Arc::new);
             self.newest.send_replace(newest);
+            self.publisher.offer();
         }
     }
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         allocator::Allocator,
+        distribution::{Fetch, Watch},
         limit::permit,
         metrics::Metrics,
         moves::Departure,
@@ -17,7 +18,11 @@
         targets::RunId,
     },
     compact_str::CompactString,
-    jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
+    jsonrpsee::{
+        RpcModule,
+        core::RegisterMethodError,
+        types::{ErrorCode, ErrorObjectOwned},
+    },
     log::{debug, warn},
     sardinerelay::id::{Host, Version},
     sardinerelayd::{
@@ -39,7 +44,11 @@
 pub(super) const CONFIRM_METHOD: &str = "register.confirm";
 /// Asks for the status of a host. A host that isn't a voter yet also uses it to ask to join.
 pub(super) const STATUS_METHOD: &str = "group.standing";
-/// Waits for a newer configuration.
+/// Waits until there is a newer configuration.
+pub const WATCH_CONFIGURATION_METHOD: &str = "configuration.watch";
+/// Fetches a piece of what makes the newest configuration out of an earlier one.
+pub const FETCH_CONFIGURATION_METHOD: &str = "configuration.fetch";
+/// Waits for a newer configuration and returns it whole. Entry hosts of earlier versions use it.
 pub const FOLLOW_CONFIGURATION_METHOD: &str = "configuration.follow";
 /// Waits for newer observations of targets.
 pub const FOLLOW_OBSERVATIONS_METHOD: &str = "board.follow";
@@ -209,6 +218,26 @@
             RpcResult::Ok(follow_configuration(&context.handle, &follow).await)
         },
     )?;
+    module.register_async_method(
+        WATCH_CONFIGURATION_METHOD,
+        |parameters, context, _| async move {
+            let watch: Watch = context.counters.parse_call(&parameters)?;
+            context.shared.followers.record(&watch.host);
+            let wait = capped_wait(watch.wait_ms);
+            let publisher = &context.handle.publisher;
+            RpcResult::Ok(publisher.wait_for_newer(watch.version, wait).await)
+        },
+    )?;
+    module.register_async_method(
+        FETCH_CONFIGURATION_METHOD,
+        |parameters, context, _| async move {
+            let fetch: Fetch = context.counters.parse_call(&parameters)?;
+            context.handle.publisher.piece(&fetch).map_err(|error| {
+                warn!(reason:% = error; "a configuration can't be encoded for entry hosts");
+                ErrorObjectOwned::from(ErrorCode::InternalError)
+            })
+        },
+    )?;
     module.register_async_method(
         FOLLOW_OBSERVATIONS_METHOD,
         |parameters, context, _| async move {
--- a/crates/sardinerelayd/src/peer/packed.rs
+++ b/crates/sardinerelayd/src/peer/packed.rs
@@ -11,7 +11,7 @@
 };
 
 /// A value that is serialized as a string: postcard encoding in unpadded base64.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Packed<T>(pub T);
 
 impl<T> Serialize for Packed<T>
