--- a/crates/sardinerelay-gateway/examples/permit_cost.rs
+++ b/crates/sardinerelay-gateway/examples/permit_cost.rs
@@ -46,6 +46,7 @@
         slots: 6,
         leaving: false,
         cold_ms: 0,
+        build: "v1".into(),
     });
     let observations = Observations {
         stamp: 1,
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -124,7 +124,7 @@
         let mut state = self.state();
         let changes = state.targets.merge(observations, now);
         for change in &changes {
-            log_change(change, observations.list_age_ms);
+            log_change(change, &state.targets, observations.list_age_ms);
         }
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
@@ -403,9 +403,15 @@
     targets.claim(to, departure.run, claim);
 }
 
-fn log_change(change: &Change, list_age_ms: u64) {
+fn log_change(change: &Change, targets: &Targets, list_age_ms: u64) {
     let log = |target: &Target, event: &str| {
-        info!(target_id = target.as_str(), list_age_ms = list_age_ms; "target {event}");
+        let build = targets
+            .get(target)
+            .map(|state| state.instance.build.as_str());
+        info!(
+            target_id = target.as_str(), build = build.unwrap_or_default(), list_age_ms = list_age_ms;
+            "target {event}"
+        );
     };
     match change {
         Change::Listed(target) => log(target, "listed"),
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -170,7 +170,11 @@
             )
             .await;
         match response {
-            Ok(Some(Packed(observations))) => {
+            Ok(Some(Packed(mut observations))) => {
+                let Observations {
+                    builds, instances, ..
+                } = &mut observations;
+                builds.assign(instances);
                 stamp = observations.stamp;
                 entry.allocator.merge(&observations);
                 entry.adopt_limits(&observations.limits);
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -225,6 +225,7 @@
     info!(
         request = job.call.id.as_str(), route = job.route.name.as_str(), send = send_index,
         target_id = choice.target.as_str(),
+        build = target_state.map_or("", |state| state.instance.build.as_str()),
         copy_id = choice.copy.as_ref().map_or("", |copy| copy.as_str()),
         prompt = need.prompt_tokens, output = need.output_tokens, used = used, report_age_ms = age,
         waited_ms = job.arrived.elapsed().as_millis() as u64;
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -11,10 +11,10 @@
     },
     compact_str::CompactString,
     log::debug,
-    sardinerelay::id::{Incarnation, Service, Target, Zone},
+    sardinerelay::id::{Build, Incarnation, Service, Target, Zone},
     serde::{Deserialize, Deserializer, Serialize},
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
@@ -39,6 +39,38 @@
     pub leaving: bool,
     /// Milliseconds for which it is still slow after its start.
     pub cold_ms: u64,
+    /// Version of its software, empty if the platform doesn't list it. [`Builds`] carries it in
+    /// messages, because hosts of earlier versions can't parse a longer entry.
+    #[serde(skip)]
+    pub build: Build,
+}
+
+/// The builds of a list of instances: the positions of those that run each build. Instances that it
+/// doesn't mention have an unknown build.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Builds(BTreeMap<Build, Vec<u32>>);
+
+impl Builds {
+    /// Collects the builds of these instances.
+    pub fn of(instances: &[Instance]) -> Self {
+        let mut positions: BTreeMap<Build, Vec<u32>> = BTreeMap::new();
+        for (position, instance) in instances.iter().enumerate() {
+            let build = positions.entry(instance.build.clone());
+            build.or_default().push(position as u32);
+        }
+        Self(positions)
+    }
+
+    /// Sets the builds of the instances that these were collected of.
+    pub fn assign(&self, instances: &mut [Instance]) {
+        for (build, positions) in &self.0 {
+            for position in positions {
+                if let Some(instance) = instances.get_mut(*position as usize) {
+                    instance.build = build.clone();
+                }
+            }
+        }
+    }
 }
 
 /// What a target reports of its own load.
@@ -99,6 +131,9 @@
     /// Requests that may make targets crash. Hosts report if one of them is answered.
     #[serde(deserialize_with = "or_default")]
     pub suspect_requests: Vec<Subject>,
+    /// The builds of the instances.
+    #[serde(deserialize_with = "or_default")]
+    pub builds: Builds,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -184,13 +219,13 @@
 }
 
 /// Deserializes a field at the end of a message, which is missing in messages of earlier versions.
-fn or_default<'de, Field, Source>(source: Source) -> Result<Field, Source::Error>
+pub(crate) fn or_default<'de, Field, Source>(source: Source) -> Result<Field, Source::Error>
 where
     Field: Deserialize<'de> + Default,
     Source: Deserializer<'de>,
 {
     Field::deserialize(source).or_else(|error| {
-        debug!("a host of an earlier version sends observations with fewer fields: {error}");
+        debug!("a host of an earlier version sends a message with fewer fields: {error}");
         Ok(Field::default())
     })
 }
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -9,13 +9,15 @@
         allocator::Allocator,
         codec::Codec,
         group::Document,
-        observations::{Followers, Instance, Load, LoadReport, Observations, ObservationsSender},
+        observations::{
+            Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
+        },
         pool::Pool,
         table::Table,
     },
     http::{HeaderMap, header},
     log::{debug, info, warn},
-    sardinerelay::id::{Incarnation, Service, Target},
+    sardinerelay::id::{Build, Incarnation, Service, Target},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -110,6 +112,7 @@
                 slots: 0,
                 leaving: false,
                 cold_ms: 0,
+                build: Build::default(),
             },
             list_interval: MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval_s)),
             followers,
@@ -325,6 +328,7 @@
         Observations {
             stamp,
             loads: loads.collect(),
+            builds: Builds::of(&state.instances),
             instances: state.instances.clone(),
             list_age_ms: state.list_read.map_or(u64::MAX / 2, age),
             entry_hosts: self.followers.count(),
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -23,6 +23,7 @@
         slots: 64,
         leaving: false,
         cold_ms: 0,
+        build: "v1".into(),
     }
 }
 
--- a/crates/sardinerelay/src/id.rs
+++ b/crates/sardinerelay/src/id.rs
@@ -35,5 +35,9 @@
 /// The number of one run of a host's daemon or of a target. A later run has a higher number.
 pub type Incarnation = u64;
 
+/// A version of a target's software. It has no order, and is another thing than the version of a model's
+/// weights.
+pub type Build = CompactString;
+
 /// The version of the state that hosts pull: the number of changes accepted so far.
 pub type Version = u64;
