Continue a stream only at the build that began it

Cause: no decision knew the builds. Copies, moves and new runs went to any target with room, and a host at which a stream was taken up didn't read which stream it was.

Now the list's build is part of what is known of a target; copies, moves and new runs stay within it; the host that passes on a stream's first event tells it to three voters; a stream whose build nobody knows, or of which no target is left, is refused at once as not run.

--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -149,7 +149,10 @@
                     decisions.push((waiter.run, refused));
                 }
                 None => {
-                    full_services.push(service.clone());
+                    // One that only some targets may run doesn't show that the others are full.
+                    if waiter.need.build.is_none() {
+                        full_services.push(service.clone());
+                    }
                     remaining.push(waiter);
                 }
             }
--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -6,13 +6,14 @@
         entry::EntryHost,
         group::AllocationReport,
         moves::Departure,
+        observations::Instance,
         placement::{self, Choice, Need, Secondary},
         quarantine::Crash,
         request::Job,
         targets::{RunId, Targets},
     },
     rand::rng,
-    sardinerelay::id::Target,
+    sardinerelay::id::{Build, Target},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -87,6 +88,16 @@
         self.entry.refuse_crashing(&self.need).is_some()
     }
 
+    /// Restricts the request to a build from now on.
+    pub fn require_build(&mut self, build: Build) {
+        self.need.build = Some(build);
+    }
+
+    /// Whether the request may run on this target.
+    pub fn accepts(&self, instance: &Instance) -> bool {
+        self.need.accepts(&instance.build)
+    }
+
     /// Records the memory that the request uses after `output` tokens of output.
     pub fn record_progress(&self, output: u64) {
         let now = Instant::now();
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -9,12 +9,14 @@
 
 mod crashes;
 mod limits;
+mod origins;
 
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
         moves::{Departure, Moves},
-        observations::{Instance, Observations},
+        observations::{Builds, Instance, Observations, or_default},
+        origin::Origins,
         placement::{self, Choice, Need, Secondary},
         quarantine::{Quarantine, Rules},
         targets::{Change, MemoryClaim, RunId, Targets, instant_before},
@@ -64,6 +66,34 @@
     }
 }
 
+/// A reply as it is sent to another host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    reply: Reply,
+    /// The builds of the described engines. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    builds: Builds,
+}
+
+impl From<Reply> for Answer {
+    fn from(reply: Reply) -> Self {
+        let builds = match &reply {
+            Reply::Placed(_, instances) => Builds::of(instances),
+            Reply::Refused(..) | Reply::Waiting => Builds::default(),
+        };
+        Self { reply, builds }
+    }
+}
+
+impl From<Answer> for Reply {
+    fn from(Answer { mut reply, builds }: Answer) -> Self {
+        if let Self::Placed(_, instances) = &mut reply {
+            builds.assign(instances);
+        }
+        reply
+    }
+}
+
 /// The hosts that an allocator places requests for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
@@ -92,6 +122,8 @@
     pub quarantine: Quarantine,
     /// The requests that make targets crash.
     pub requests: Quarantine,
+    /// The builds that began streams.
+    pub origins: Origins,
     queue: Queue,
     moves: Moves,
     /// Senders to the calls that wait for a decision.
@@ -301,6 +333,7 @@
             targets,
             quarantine,
             requests: _,
+            origins: _,
             queue,
             moves,
             subscribers,
--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! What a request is, independent of its wire format.
 
 use {
-    crate::limit,
+    crate::{limit, origin::StreamId},
     compact_str::CompactString,
     sardinerelay::id::Model,
     std::{net::SocketAddr, time::Duration},
@@ -23,10 +23,20 @@
     pub key: Option<CompactString>,
     /// Last event that the caller has, if it continues a stream.
     pub last_event: Option<EventId>,
+    /// The attempt that brought the first event of the stream that the caller continues, if it names
+    /// it.
+    pub stream: Option<StreamId>,
     /// The generation, if the request is for a model.
     pub generation: Option<Generation>,
 }
 
+impl Call {
+    /// Returns the stream that the caller continues, empty if it names none.
+    pub fn stream(&self) -> &str {
+        self.stream.as_deref().unwrap_or_default()
+    }
+}
+
 /// The model and lengths of a requested generation.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Generation {
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -15,6 +15,7 @@
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
+        origin::Began,
         placement::{self, Choice, Need, Secondary},
         pool::Pool,
         remote::RemoteAllocator,
@@ -26,7 +27,7 @@
     arc_swap::ArcSwapOption,
     rand::rng,
     sardinerelay::id::{Service, Target},
-    sardinerelayd::stop::Drain,
+    sardinerelayd::{peer::Client, stop::Drain},
     std::{
         collections::HashMap,
         sync::{
@@ -69,6 +70,8 @@
     pub allocator: Allocator,
     /// Client of the group's allocator.
     pub remote: RemoteAllocator,
+    /// Clients of the voters that this host follows.
+    voters: Mutex<Vec<Arc<Client>>>,
     /// Crashes that this host has reported.
     pub(crate) crashes: crashes::Recent,
     forecast: Mutex<Forecast>,
@@ -106,6 +109,7 @@
             drain: Drain::default(),
             allocator: Allocator::new(Scope::Local),
             remote: RemoteAllocator::default(),
+            voters: Mutex::default(),
             crashes: crashes::Recent::default(),
             forecast: Mutex::default(),
             budgets: Mutex::default(),
@@ -123,6 +127,23 @@
         self.forecast.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the clients of the voters that this host follows.
+    pub fn voters(&self) -> Vec<Arc<Client>> {
+        let voters = self.voters.lock().unwrap_or_else(PoisonError::into_inner);
+        voters.clone()
+    }
+
+    /// Sets the clients of the voters that this host follows.
+    pub fn set_voters(&self, voters: Vec<Arc<Client>>) {
+        *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
+    }
+
+    /// Remembers which build began a stream that its caller may take up, here and at voters.
+    pub fn record_origin(&self, began: Began) {
+        self.state().origins.record(&began, Instant::now());
+        self.report(began);
+    }
+
     /// Returns an unused number for a request. A random prefix distinguishes this host's numbers
     /// from those of others.
     pub fn next_run_id(&self) -> RunId {
@@ -151,8 +172,8 @@
             is_granted: false,
         };
         let (reply, allocated_by) = match self.remote.acquire(run, &need, deadline).await {
-            Some((reply, allocated_by)) => (reply, allocated_by),
-            None => (self.acquire_locally(run, &need, deadline).await, 0),
+            Some((reply, allocated_by)) if self.accepts(&need, &reply) => (reply, allocated_by),
+            _ => (self.acquire_locally(run, &need, deadline).await, 0),
         };
         match reply {
             Reply::Placed(choice, instances) => {
@@ -175,6 +196,24 @@
         }
     }
 
+    /// Whether an engine was allocated that may run the generation. A host of an earlier version doesn't
+    /// know that only one build may.
+    fn accepts(&self, need: &Need, reply: &Reply) -> bool {
+        let Reply::Placed(choice, instances) = reply else {
+            return true;
+        };
+        let is_chosen = |instance: &&Instance| instance.target == choice.target;
+        let described = instances
+            .iter()
+            .find(is_chosen)
+            .map(|instance| instance.build.clone());
+        let listed = self.instance(&choice.target).map(|instance| instance.build);
+        need.build.is_none()
+            || listed
+                .or(described)
+                .is_some_and(|build| need.accepts(&build))
+    }
+
     /// Returns for how long a generation is refused because a part of its prompt makes engines
     /// crash, none if it isn't. Reports such parts, because the host that allocates may have taken
     /// over from the one that found them.
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -67,6 +67,12 @@
             }
             is_followed
         });
+        entry.set_voters(
+            followed
+                .iter()
+                .map(|address| clients.get(*address))
+                .collect(),
+        );
         for (rank, address) in followed.iter().enumerate() {
             tasks.entry(*address).or_insert_with(|| {
                 let client = clients.get(*address);
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -11,6 +11,7 @@
 mod pump;
 mod reserve;
 mod resume;
+mod taken_up;
 mod transfer;
 
 use {
@@ -67,7 +68,11 @@
 /// Returns the refusal that the relay sends as its own response.
 pub async fn serve(job: Job) -> Result<Response<Body>, Refusal> {
     job.entry.record_first_attempt(&job.service);
-    let need = need(&job);
+    let build = taken_up::required_build(&job).await?;
+    let need = Need {
+        build,
+        ..need(&job)
+    };
     let (mut allocation, mut reservation) = allocate(&job, &need).await?;
     let mut tried = Vec::new();
     for send_index in 0..MAX_GENERATION_SENDS {
@@ -176,6 +181,7 @@
             && !is_resumable(job)
             && output_tokens >= MIN_COPY_OUTPUT_TOKENS,
         shared_parts,
+        build: None,
     }
 }
 
--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -140,7 +140,10 @@
         );
         allocation.set_destination((to.clone(), allocated_by));
         let from = job.entry.instance(&allocation.choice.target);
-        let Some(engines) = from.zip(job.entry.instance(&to)) else {
+        let engines = from.zip(job.entry.instance(&to));
+        // A host of an earlier version doesn't know the builds.
+        let engines = engines.filter(|(from, to)| from.build == to.build);
+        let Some(engines) = engines else {
             allocation.release_destination();
             return;
         };
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -15,7 +15,7 @@
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     log::info,
-    sardinerelay::id::Target,
+    sardinerelay::id::{Build, Target},
     std::time::{Duration, Instant},
     tokio::time::{Instant as TokioInstant, sleep, timeout_at},
 };
@@ -39,6 +39,8 @@
 pub(super) struct EngineStream {
     pub(super) exchange: Exchange,
     pub(super) body: Incoming,
+    /// Version of the engine's software.
+    pub(super) build: Build,
     /// Whether the headers delimit the body, so that a closed connection is not taken for its end.
     pub(super) is_framed: bool,
 }
@@ -129,6 +131,7 @@
             let stream = EngineStream {
                 exchange,
                 body,
+                build: instance.build,
                 is_framed: framing_headers
                     .iter()
                     .any(|name| parts.headers.contains_key(name)),
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -11,6 +11,7 @@
     crate::{
         allocation::Allocation,
         call::EventId,
+        origin::Began,
         refusal::Refusal,
         request::Job,
         sse::{Event, Splitter},
@@ -21,7 +22,7 @@
     http_body_util::BodyExt as _,
     hyper::body::Frame,
     log::info,
-    sardinerelay::id::Target,
+    sardinerelay::id::{Build, Target},
     std::time::{Duration, Instant},
     thiserror::Error,
     tokio::{
@@ -43,6 +44,8 @@
 /// Time for which events are still read after a completed transfer. The old engine may have
 /// produced them before it stopped the generation.
 const MOVED_STREAM_DRAIN_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which it is remembered which build began a stream, beyond the caller's deadline.
+const ORIGIN_MARGIN: Duration = Duration::from_secs(5);
 /// Tokens in one event if the configuration doesn't describe the service's engines.
 const DEFAULT_TOKENS_PER_EVENT: u64 = 1;
 
@@ -203,6 +206,7 @@
         let EngineStream {
             exchange,
             mut body,
+            build,
             is_framed,
         } = source;
         let mut splitter = Splitter::default();
@@ -248,7 +252,8 @@
             let is_moving = mover.is_done() || mover.is_transferring();
             match frame {
                 Some(Ok(frame)) => {
-                    if let Some(ended) = self.receive(frame, &mut splitter, deadline).await {
+                    let received = self.receive((frame, &build), &mut splitter, deadline);
+                    if let Some(ended) = received.await {
                         return ended;
                     }
                 }
@@ -285,7 +290,7 @@
     /// stream ended, if it did.
     async fn receive(
         &mut self,
-        frame: Frame<Bytes>,
+        (frame, build): (Frame<Bytes>, &Build),
         splitter: &mut Splitter,
         deadline: TokioInstant,
     ) -> Option<StreamEnd> {
@@ -294,7 +299,7 @@
         if splitter.push(&bytes).is_err() {
             return Some(StreamEnd::Broken("an event is too long"));
         }
-        self.forward(splitter, deadline).await
+        self.forward((splitter, build), deadline).await
     }
 
     /// Whether to stop waiting for an engine that has sent no data for this long. Without another
@@ -313,7 +318,7 @@
     /// already. Returns how the stream ended, if it did.
     async fn forward(
         &mut self,
-        splitter: &mut Splitter,
+        (splitter, build): (&mut Splitter, &Build),
         deadline: TokioInstant,
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
@@ -341,6 +346,7 @@
         }
         if !self.has_started {
             self.has_started = true;
+            self.record_origin(build);
             let took = self.job.arrived.elapsed();
             self.job
                 .entry
@@ -359,6 +365,19 @@
         }
     }
 
+    /// Records the build whose first event goes to the caller. Only that build may continue the
+    /// stream, here or at another host.
+    fn record_origin(&mut self, build: &Build) {
+        self.allocation.require_build(build.clone());
+        if is_resumable(&self.job) && self.job.call.last_event.is_none() {
+            self.job.entry.record_origin(Began {
+                stream: self.job.call.id.clone(),
+                build: build.clone(),
+                lifetime: self.job.remaining_or_timeout() + ORIGIN_MARGIN,
+            });
+        }
+    }
+
     /// Whether no event is missing between the last delivered one and this one. Events that repeat
     /// an earlier one or have no number count as contiguous.
     fn is_contiguous(&self, event: &Event) -> bool {
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -39,6 +39,7 @@
         self.continuations += 1;
         if let Some(target) = self.allocation.usable_copy()
             && let Some(instance) = self.job.entry.instance(&target)
+            && self.allocation.accepts(&instance)
         {
             let copy = MemoryCopy {
                 address: instance.address,
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -0,0 +1,136 @@
+//! Finds the build at which a stream has to go on that its caller takes up again.
+
+use {
+    crate::{group::ORIGIN_METHOD, origin::Query, refusal::Refusal, request::Job},
+    futures::{StreamExt as _, stream::FuturesUnordered},
+    log::info,
+    rand::Rng as _,
+    sardinerelay::id::Build,
+    std::time::{Duration, Instant},
+    tokio::time::timeout,
+};
+
+/// Time that voters get to say which build began a stream.
+const MAX_QUERY_TIME: Duration = Duration::from_millis(200);
+/// Timeout of one call to a voter. It is longer, because a call that times out takes the connection with it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which a caller should retry when no voter could be asked.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Time in which a stream must have begun, as a multiple of its route's timeout: the caller's attempts
+/// together take no longer than the first one may.
+const WINDOW_TIMEOUTS: u32 = 2;
+
+/// What voters say of a stream.
+enum Answer {
+    Known(Build),
+    /// No voter that answered knows it.
+    Unknown,
+    /// No voter answered in time.
+    Unreachable,
+}
+
+/// Returns the build at which the request has to run: none for a stream that begins.
+///
+/// # Errors
+///
+/// Returns a refusal if the stream can't go on: its build isn't known, or no target of it is left.
+pub(super) async fn required_build(job: &Job) -> Result<Option<Build>, Refusal> {
+    if job.call.last_event.is_none() {
+        return Ok(None);
+    }
+    let (build, source) = match find_locally(job) {
+        Some(known) => known,
+        None => match ask_voters(job).await {
+            Answer::Known(build) => (build, "voter"),
+            Answer::Unknown => {
+                let reason = "it isn't known which build began the stream";
+                return Err(refuse(job, reason, job.remaining_or_timeout()));
+            }
+            Answer::Unreachable => {
+                let reason = "no voter says which build began the stream";
+                let jitter = rand::rng().random_range(0.75..1.4);
+                return Err(refuse(job, reason, UNREACHABLE_RETRY_AFTER.mul_f64(jitter)));
+            }
+        },
+    };
+    info!(
+        request = job.call.id.as_str(), stream = job.call.stream(), build = build.as_str(),
+        source = source;
+        "stream taken up"
+    );
+    if !has_target(job, &build) {
+        let reason = "no target of the build that began the stream is left";
+        return Err(refuse(job, reason, job.remaining_or_timeout()));
+    }
+    Ok(Some(build))
+}
+
+/// Returns the build according to this host, and how it is known.
+fn find_locally(job: &Job) -> Option<(Build, &'static str)> {
+    let now = Instant::now();
+    let state = job.entry.state();
+    if let Some(stream) = &job.call.stream
+        && let Some(build) = state.origins.find(stream, now)
+    {
+        return Some((build, "own"));
+    }
+    let window = job.route.timeout * WINDOW_TIMEOUTS;
+    let only = state.targets.builds.only_build(&job.service, window, now)?;
+    Some((only, "only"))
+}
+
+/// Asks the followed voters side by side.
+async fn ask_voters(job: &Job) -> Answer {
+    let query = Query {
+        stream: job.call.stream().into(),
+        service: job.service.clone(),
+        window_ms: (job.route.timeout * WINDOW_TIMEOUTS).as_millis() as u64,
+    };
+    let voters = job.entry.voters();
+    let calls = voters
+        .iter()
+        .map(|voter| voter.call::<_, Option<Build>>(ORIGIN_METHOD, &query, CALL_TIMEOUT));
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    let mut has_answer = false;
+    let asked = timeout(MAX_QUERY_TIME, async {
+        while let Some(called) = calls.next().await {
+            match called {
+                Ok(Some(build)) => return Some(build),
+                Ok(None) => has_answer = true,
+                Err(error) => {
+                    info!(reason:% = error; "a voter doesn't say which build began a stream")
+                }
+            }
+        }
+        None
+    });
+    match asked.await {
+        Ok(Some(build)) => Answer::Known(build),
+        _ if has_answer => Answer::Unknown,
+        _ => Answer::Unreachable,
+    }
+}
+
+/// Whether a target of the build takes work, or no target is known at all.
+fn has_target(job: &Job, build: &Build) -> bool {
+    let now = Instant::now();
+    let state = job.entry.state();
+    let mut of_service = state
+        .targets
+        .all()
+        .filter(|state| state.instance.service == job.service);
+    of_service.any(|state| state.instance.build == *build && state.leaving_since(now).is_none())
+        || state.targets.list_age(now).is_none()
+}
+
+fn refuse(job: &Job, reason: &'static str, retry_after: Duration) -> Refusal {
+    info!(
+        request = job.call.id.as_str(), stream = job.call.stream(), reason = reason,
+        retry_after_ms = retry_after.as_millis() as u64;
+        "stream not taken up"
+    );
+    Refusal::NotRun {
+        reason,
+        retry_after,
+    }
+}
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -18,10 +18,11 @@
     register::Document,
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
-        ACQUIRE_METHOD, Acquire, FETCH_CONFIGURATION_METHOD, FOLLOW_CONFIGURATION_METHOD,
-        FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration, FollowObservations, LIMIT_METHOD,
-        PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState,
-        StatusRequest, WATCH_CONFIGURATION_METHOD,
+        ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
+        FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration,
+        FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
+        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
+        WATCH_CONFIGURATION_METHOD,
     },
 };
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -8,12 +8,13 @@
         report::{AllocationReport, RequestReport},
     },
     crate::{
-        allocator::Allocator,
+        allocator::{Allocator, Answer},
         distribution::{Fetch, Watch},
         limit::permit,
         metrics::Metrics,
         moves::Departure,
-        observations::{Followers, Observations, ObservationsSender},
+        observations::{Followers, Observations, ObservationsSender, or_default},
+        origin::{Began, Query},
         placement::Need,
         targets::RunId,
     },
@@ -24,7 +25,7 @@
         types::{ErrorCode, ErrorObjectOwned},
     },
     log::{debug, warn},
-    sardinerelay::id::{Host, Version},
+    sardinerelay::id::{Build, Host, Version},
     sardinerelayd::{
         control::FatalError,
         peer::{NotificationHandler, Packed, STEP, Server, SharedCounters, Step},
@@ -66,6 +67,10 @@
 pub const LIMIT_METHOD: &str = "limit.report";
 /// Notifies the allocating host of [`RequestReport`]s.
 pub const REQUEST_METHOD: &str = "quarantine.report";
+/// Notifies voters of streams that [`Began`].
+pub const BEGAN_METHOD: &str = "stream.began";
+/// Asks a voter which build began a stream.
+pub const ORIGIN_METHOD: &str = "stream.origin";
 /// Label of [`PERMIT_METHOD`] in metrics.
 const PERMIT_LABEL: &str = "permit";
 /// Label of [`ACQUIRE_METHOD`] in metrics.
@@ -134,6 +139,9 @@
     /// Longest time that this call may wait.
     #[serde(rename = "wait")]
     pub max_wait: Duration,
+    /// The build that must run it. Hosts of earlier versions don't send it.
+    #[serde(deserialize_with = "or_default")]
+    pub build: Option<Build>,
 }
 
 /// Parameters of [`RELOCATE_METHOD`].
@@ -252,7 +260,9 @@
             need,
             remaining,
             max_wait,
+            build,
         } = acquire;
+        let need = Need { build, ..need };
         let began = Instant::now();
         let allocator = &context.shared.allocator;
         let reply = allocator
@@ -260,7 +270,7 @@
             .await;
         let metrics = &context.shared.metrics;
         metrics.record_request(ACQUIRE_LABEL, reply.label(), began.elapsed());
-        RpcResult::Ok(Packed(reply))
+        RpcResult::Ok(Packed(Answer::from(reply)))
     })?;
     module.register_async_method(RELOCATE_METHOD, |parameters, context, _| async move {
         let Packed(relocate): Packed<Relocate> = context.counters.parse_call(&parameters)?;
@@ -272,7 +282,11 @@
         let reply = context.shared.allocator.relocate(departure, max_wait).await;
         let metrics = &context.shared.metrics;
         metrics.record_request(RELOCATE_LABEL, reply.label(), began.elapsed());
-        RpcResult::Ok(Packed(reply))
+        RpcResult::Ok(Packed(Answer::from(reply)))
+    })?;
+    module.register_async_method(ORIGIN_METHOD, |parameters, context, _| async move {
+        let query: Query = context.counters.parse_call(&parameters)?;
+        RpcResult::Ok(context.shared.allocator.find_origin(&query))
     })?;
     module.register_async_method(PERMIT_METHOD, |parameters, context, _| async move {
         let Packed(request): Packed<permit::Request> = context.counters.parse_call(&parameters)?;
@@ -363,6 +377,7 @@
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            BEGAN_METHOD => context.apply_began(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -405,6 +420,17 @@
         Ok(())
     }
 
+    /// Remembers which builds began streams.
+    fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
+        let now = Instant::now();
+        let mut state = self.allocator.state();
+        began
+            .iter()
+            .for_each(|began| state.origins.record(began, now));
+        Ok(())
+    }
+
     /// Applies reports to the allocator.
     fn apply_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(reports),): (Packed<Vec<AllocationReport>>,) =
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -11,7 +11,7 @@
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
-    sardinerelay::id::{Organisation, Service, Target, Zone},
+    sardinerelay::id::{Build, Organisation, Service, Target, Zone},
     serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -99,6 +99,17 @@
     /// the same engines.
     #[serde(rename = "parts")]
     pub shared_parts: Vec<PartId>,
+    /// The build that must run it, if it continues a stream. Messages carry it beside the need,
+    /// because hosts of earlier versions can't parse a longer one.
+    #[serde(skip)]
+    pub build: Option<Build>,
+}
+
+impl Need {
+    /// Whether a target of this build may run it.
+    pub fn accepts(&self, build: &Build) -> bool {
+        self.build.as_ref().is_none_or(|required| required == build)
+    }
 }
 
 /// The engines chosen for a generation.
@@ -134,6 +145,7 @@
     let candidates: Vec<&State> = targets
         .usable(&need.service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
+        .filter(|state| need.accepts(&state.instance.build))
         .collect();
     let share = targets.limit_share(scope);
     let mut feasible: Vec<(f64, &State)> = candidates
@@ -184,8 +196,8 @@
     Move,
 }
 
-/// Chooses a second engine for a generation that runs on `primary`, other than those in `avoid`.
-/// Returns `None` if none has room.
+/// Chooses a second engine of the same build for a generation that runs on `primary`, other than those
+/// in `avoid`. Returns `None` if none has room.
 pub fn choose_secondary<R>(
     targets: &Targets,
     need: &Need,
@@ -204,6 +216,7 @@
     let mut feasible: Vec<(f64, &State)> = targets
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
+        .filter(|state| state.instance.build == primary.instance.build)
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = committed_share(state, need, now)
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        allocator::Reply,
+        allocator::{Answer, Reply},
         group::{ACQUIRE_METHOD, Acquire, PERMIT_METHOD, RELOCATE_METHOD, Relocate},
         limit::permit,
         moves::Departure,
@@ -85,6 +85,7 @@
                 need: need.clone(),
                 remaining,
                 max_wait: MAX_CALL_WAIT.min(remaining + ALLOCATOR_RESPONSE_MARGIN / 2),
+                build: need.build.clone(),
             });
             match self.call(ACQUIRE_METHOD, &acquire).await? {
                 (Reply::Waiting, _) if !remaining.is_zero() => {}
@@ -138,13 +139,13 @@
         Input: Serialize + Sync,
     {
         let client = self.client()?;
-        let response = client.call::<_, Packed<Reply>>(
+        let response = client.call::<_, Packed<Answer>>(
             method,
             input,
             MAX_CALL_WAIT + ALLOCATOR_RESPONSE_MARGIN,
         );
         match response.await {
-            Ok(Packed(reply)) => Some((reply, host_number(client.address()))),
+            Ok(Packed(answer)) => Some((answer.into(), host_number(client.address()))),
             Err(error) => {
                 warn!(address:% = client.address(), reason:% = error; "the call to the allocating host failed");
                 self.lock().unreachable_until = Some(Instant::now() + UNREACHABLE_BACKOFF);
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -3,8 +3,12 @@
 use {
     crate::{
         entry::EntryHost,
-        group::{AllocationReport, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD, RequestReport},
+        group::{
+            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD,
+            RequestReport,
+        },
         limit::permit,
+        origin::Began,
     },
     log::debug,
     sardinerelayd::peer::Packed,
@@ -25,6 +29,8 @@
     Limit(permit::Change),
     /// What is known of a request that may make targets crash.
     Request(RequestReport),
+    /// A stream has begun that its caller may take up at another host.
+    Began(Began),
 }
 
 impl From<AllocationReport> for Report {
@@ -39,34 +45,62 @@
     }
 }
 
+impl From<Began> for Report {
+    fn from(began: Began) -> Self {
+        Self::Began(began)
+    }
+}
+
 impl From<RequestReport> for Report {
     fn from(report: RequestReport) -> Self {
         Self::Request(report)
     }
 }
 
-/// Sends reports to the allocating host until their sender is gone. All of one kind that are queued
-/// go in one message. Reports are dropped while the allocating host can't be reached; what targets
-/// say then shows the same, only later.
+/// Sends reports to the allocating host until their sender is gone, and streams that began to all
+/// followed voters. All of one kind that are queued go in one message. Reports are dropped while the
+/// host can't be reached; what targets say then shows the same, only later. A stream that no voter knows
+/// can't be taken up elsewhere while several builds serve.
 pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
     while let Some(first) = outgoing.recv().await {
-        let (mut allocations, mut limits, mut requests) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut allocations, mut limits) = (Vec::new(), Vec::new());
+        let (mut requests, mut streams) = (Vec::new(), Vec::new());
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
                 Report::Allocation(report) => allocations.push(report),
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
+                Report::Began(began) => streams.push(began),
             }
             // Fails when the queue is empty.
             next = outgoing.try_recv().ok();
         }
+        announce(&entry, streams);
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, REQUEST_METHOD, requests).await;
     }
 }
 
+/// Tells all followed voters of streams that began, if there are any. One that doesn't read delays
+/// nothing else.
+fn announce(entry: &EntryHost, streams: Vec<Began>) {
+    if streams.is_empty() {
+        return;
+    }
+    let message = Arc::new(Packed(streams));
+    for voter in entry.voters() {
+        let message = Arc::clone(&message);
+        tokio::spawn(async move {
+            let sent = voter.notify(BEGAN_METHOD, &*message, SEND_TIMEOUT).await;
+            if let Err(error) = sent {
+                debug!("telling {} of streams failed: {error}", voter.address());
+            }
+        });
+    }
+}
+
 /// Sends reports of one kind in one message, if there are any.
 async fn send<Kind>(entry: &EntryHost, method: &'static str, reports: Vec<Kind>)
 where
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -109,6 +109,11 @@
         Some((self.arrived + limit).saturating_duration_since(now))
     }
 
+    /// Returns how long the caller still waits, at most as long as the route allows.
+    pub fn remaining_or_timeout(&self) -> Duration {
+        self.deadline().saturating_duration_since(Instant::now())
+    }
+
     /// Builds the request for a target from the caller's request and what the relay adds.
     pub fn outgoing(&self, target: &Target, options: ForwardOptions) -> Request<Full<Bytes>> {
         let forward = Forward {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -7,6 +7,7 @@
     crate::{
         allocator::Scope,
         backlog::Backlog,
+        builds,
         group::LocalAllocation,
         health::Health,
         limit::Limit,
@@ -95,6 +96,8 @@
     left_incarnations: HashMap<(Target, Incarnation), Instant>,
     /// Largest number of entry hosts in any observations.
     entry_hosts: u32,
+    /// The builds that were listed lately.
+    pub builds: builds::History,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -119,6 +122,7 @@
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
             self.list_read = Some(read);
+            self.builds.record(&observations.instances, read);
             self.merge_list(observations, now, &mut changes);
         }
         for report in &observations.loads {
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -72,5 +72,6 @@
         shared_tokens: 0,
         wants_copy: false,
         shared_parts: Vec::new(),
+        build: None,
     }
 }
