--- a/crates/sardinerelay-gateway/tests/decisions/builds.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/builds.rs
@@ -10,7 +10,7 @@
         allocator::{Answer, Reply, Scope},
         builds::History,
         group::Acquire,
-        observations::{Instance, Observations},
+        observations::{Builds, Instance, Observations},
         origin::{Began, Origins},
         placement::{self, Choice, Need, Secondary},
         targets::Targets,
@@ -259,6 +259,18 @@
     );
 }
 
+#[test]
+fn observations_lose_the_builds_of_targets() {
+    let sent = mixed();
+    let sent = Observations {
+        builds: Builds::of(&sent.instances),
+        ..sent
+    };
+    let mut received: Observations = as_earlier(&sent);
+    received.builds.assign(&mut received.instances);
+    assert_eq!(received, sent);
+}
+
 #[test]
 fn a_host_without_builds_in_its_list_counts_as_one_build() {
     let now = Instant::now();
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -1,6 +1,7 @@
 //! Engines, observations and needs that the tests of decisions share.
 
 use {
+    sardinerelay::id::Build,
     sardinerelay_gateway::{
         observations::{Instance, Load, LoadReport, Observations},
         placement::Need,
@@ -23,7 +24,7 @@
         slots: 64,
         leaving: false,
         cold_ms: 0,
-        build: "v1".into(),
+        build: Build::default(),
     }
 }
 
