Take a refusal for a target's answer only if it repeats the attempt's ID

Cause: a status of 421 and the mark "not run" were believed before the ID was compared. All other answers were compared. Class: an answer is attributed by its connection. Elsewhere: load reports, reservations and transfers carry no ID; there a stray refusal counts as no report, as no room or as a failed move, and none of these says that something has not run.

--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -154,15 +154,19 @@
 
 /// Classifies the head of a response to the attempt `id`.
 ///
-/// A status of 421 (misdirected request) means that another target listens at the address. Anything
-/// else counts as the target's only if it repeats the ID, bears the target's signature and is not
+/// Without the attempt's ID it may be the response to an earlier request on the connection, also if it
+/// is a refusal. A status of 421 (misdirected request) means that another target listens at the
+/// address. Anything else counts as the target's only if it bears the target's signature and is not
 /// encoded.
 pub fn classify(id: &CompactString, status: StatusCode, head: &ResponseHead) -> ResponseClass {
-    if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+    let is_own = head.id.as_ref() == Some(id);
+    if is_own && (head.not_run || status == StatusCode::MISDIRECTED_REQUEST) {
         return ResponseClass::NotRun;
     }
-    let is_own = head.id.as_ref() == Some(id) && !head.is_encoded;
-    match (is_own && head.is_signed, status.is_success()) {
+    match (
+        is_own && head.is_signed && !head.is_encoded,
+        status.is_success(),
+    ) {
         (true, true) => ResponseClass::Success,
         (true, false) => ResponseClass::Failure,
         (false, _) => ResponseClass::Untrusted,
