Send nothing more to a target that says in an answer that it leaves

Cause: the header wasn't read. Now an answer that bears the request's ID marks this incarnation of its target as leaving on this host for good, for calls and generations; an engine that the allocating host gives out all the same is not taken. The allocating host reads it from load reports, which it tells all hosts. One log line and a counter when a target begins to say it.

--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! What a request is, independent of its wire format.
 
 use {
-    crate::{limit, origin::StreamId},
+    crate::{origin::StreamId, statement::Statement},
     compact_str::CompactString,
     sardinerelay::id::Model,
     std::{net::SocketAddr, time::Duration},
@@ -103,8 +103,8 @@
     pub not_run: bool,
     /// Whether the body has a content encoding, which targets never use.
     pub is_encoded: bool,
-    /// What the target states about its rate limit.
-    pub limit: limit::Statement,
+    /// What the target says of itself.
+    pub statement: Statement,
 }
 
 /// What an operator's request asks for.
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -11,7 +11,7 @@
         codec::Codec,
         forecast::Forecast,
         group::{AllocationReport, LocalAllocation},
-        limit::{Statement, permit},
+        limit::permit,
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
@@ -21,10 +21,12 @@
         remote::RemoteAllocator,
         reporter::Report,
         settings,
+        statement::Statement,
         table::Table,
         targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
+    log::info,
     rand::rng,
     sardinerelay::id::{Service, Target},
     sardinerelayd::{peer::Client, stop::Drain},
@@ -172,7 +174,7 @@
             is_granted: false,
         };
         let (reply, allocated_by) = match self.remote.acquire(run, &need, deadline).await {
-            Some((reply, allocated_by)) if self.accepts(&need, &reply) => (reply, allocated_by),
+            Some((reply, allocated_by)) if self.may_send(&need, &reply) => (reply, allocated_by),
             _ => (self.acquire_locally(run, &need, deadline).await, 0),
         };
         match reply {
@@ -196,12 +198,16 @@
         }
     }
 
-    /// Whether an engine was allocated that may run the generation. A host of an earlier version doesn't
-    /// know that only one build may.
-    fn accepts(&self, need: &Need, reply: &Reply) -> bool {
+    /// Whether an engine was allocated that this host may send the generation to. The allocating host may
+    /// not know what the engine has said to this one, and if it has an earlier version, it doesn't know
+    /// that only one build may run it.
+    fn may_send(&self, need: &Need, reply: &Reply) -> bool {
         let Reply::Placed(choice, instances) = reply else {
             return true;
         };
+        if self.state().targets.has_said_to_leave(&choice.target) {
+            return false;
+        }
         let is_chosen = |instance: &&Instance| instance.target == choice.target;
         let described = instances
             .iter()
@@ -298,13 +304,18 @@
         action(budget.or_insert_with(|| Budget::new(limit, Instant::now())))
     }
 
-    /// Records what a target's response states about its rate limit. The request was sent at `sent`.
-    pub fn record_limit(&self, target: &Target, statement: Statement, sent: Instant) {
+    /// Records what a target says of itself in the response to a request that was sent at `sent`.
+    pub fn record_statement(&self, target: &Target, statement: &Statement, sent: Instant) {
         let now = Instant::now();
-        let change = self
-            .state()
+        let mut state = self.state();
+        let change = state
             .targets
-            .record_limit(target, statement, sent, now);
+            .record_limit(target, statement.limit, sent, now);
+        if statement.is_leaving && state.targets.mark_leaving(target, now) {
+            info!(target_id = target.as_str(); "target says that it leaves");
+            self.metrics.record_statement("leaving");
+        }
+        drop(state);
         if let Some(change) = change {
             self.metrics.record_limit_change();
             self.report(change);
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -46,5 +46,6 @@
 pub mod run;
 pub mod settings;
 pub mod sse;
+pub mod statement;
 pub mod table;
 pub mod targets;
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     retries: Counter<u64>,
     continuations: Counter<u64>,
     limit_changes: Counter<u64>,
+    statements: Counter<u64>,
     permits: Counter<u64>,
 }
 
@@ -48,6 +49,7 @@
             retries: count("repeats", "Requests sent to a further target"),
             continuations: count("continued", "Generations continued elsewhere"),
             limit_changes: count("limit_changes", "Changes of targets' stated rate limits"),
+            statements: count("statements", "Targets that began to say that they leave"),
             permits: count(
                 "permits",
                 "Requests for permits of limited targets by outcome",
@@ -91,6 +93,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a target has begun to say something of itself to this host.
+    pub fn record_statement(&self, kind: &'static str) {
+        self.statements.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records that a target states another rate limit than before, or none.
     pub fn record_limit_change(&self) {
         self.limit_changes.add(1, &[]);
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -255,9 +255,11 @@
             }
         };
         match (self.codec.parse_load)(response.body()) {
-            Ok(load) => {
+            Ok(mut load) => {
                 let head = (self.codec.parse_response_head)(response.headers());
-                self.allocator.record_limit(engine, head.limit, sent);
+                self.allocator
+                    .record_limit(engine, head.statement.limit, sent);
+                load.leaving |= head.statement.is_leaving;
                 let key = (engine.target.clone(), engine.incarnation);
                 let mut state = self.state();
                 let is_first_closing =
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -134,7 +134,7 @@
     }
 
     /// Classifies the head of the response of `target` to a request that was sent at `sent`, and
-    /// records the rate limit that it states.
+    /// records what the target says of itself.
     pub fn classify(
         &self,
         response: &Response<Incoming>,
@@ -146,7 +146,7 @@
         let is_own = head.id.as_ref() == Some(&self.call.id)
             && response.status() != StatusCode::MISDIRECTED_REQUEST;
         if is_own && class != ResponseClass::Untrusted {
-            self.entry.record_limit(target, head.limit, sent);
+            self.entry.record_statement(target, &head.statement, sent);
         }
         class
     }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -64,6 +64,8 @@
     pub instance: Instance,
     /// Since when the list or the target itself has shown that it is leaving.
     pub known_leaving_since: Option<Instant>,
+    /// Whether it has said so in an answer to this host.
+    pub has_said_to_leave: bool,
     /// Since when it has closed the connection after each response, which suggests that it is about
     /// to stop.
     pub closing_since: Option<Instant>,
@@ -219,14 +221,22 @@
         })
     }
 
-    /// Records that a target is about to stop, for as long as this incarnation of it lasts.
-    pub fn mark_leaving(&mut self, target: &str, now: Instant) {
-        if let Some(state) = self.states.get_mut(target) {
-            state.known_leaving_since.get_or_insert(now);
-            let incarnation = state.instance.incarnation;
-            self.left_incarnations
-                .insert((target.into(), incarnation), now);
-        }
+    /// Records that a target has said to this host that it is about to stop, for as long as this
+    /// incarnation of it lasts. Returns whether it had not said so before.
+    pub fn mark_leaving(&mut self, target: &str, now: Instant) -> bool {
+        let Some(state) = self.states.get_mut(target) else {
+            return false;
+        };
+        state.known_leaving_since.get_or_insert(now);
+        let key = (target.into(), state.instance.incarnation);
+        self.left_incarnations.insert(key, now);
+        !std::mem::replace(&mut state.has_said_to_leave, true)
+    }
+
+    /// Whether a target has said to this host that it is about to stop.
+    pub fn has_said_to_leave(&self, target: &str) -> bool {
+        let state = self.states.get(target);
+        state.is_some_and(|state| state.has_said_to_leave)
     }
 
     /// Records that a request uses memory of a target.
@@ -366,6 +376,7 @@
             let state = State {
                 instance: instance.clone(),
                 known_leaving_since: left_since,
+                has_said_to_leave: false,
                 closing_since: None,
                 load: None,
                 claims: HashMap::new(),
