Send nothing to a target while it rests by its own word

Cause: the time wasn't read. An engine that the allocating host gives out meanwhile is not taken. If all targets rest, the caller is refused at once and asked to return when the first takes work again, spread by up to 0.3 of it. Times are seconds above zero, at most an hour; dates and other values are ignored; the longest of several counts.

Whether other hosts should learn of it: no. The target speaks of this host, and hosts that send less may not be meant.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -21,17 +21,18 @@
         remote::RemoteAllocator,
         reporter::Report,
         settings,
-        statement::Statement,
+        statement::{Rest, Statement},
         table::Table,
         targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
-    log::info,
-    rand::rng,
+    log::{debug, info},
+    rand::{Rng as _, rng},
     sardinerelay::id::{Service, Target},
     sardinerelayd::{peer::Client, stop::Drain},
     std::{
         collections::HashMap,
+        ops::Range,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -48,6 +49,9 @@
 /// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
 /// that time a little longer, so without a limit it would never end.
 const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
+/// Factors by which the time after which callers should retry is varied at random while all targets of a
+/// service want no requests.
+const REST_JITTER: Range<f64> = 1.0..1.3;
 /// Number of low bits of a request's number that count up. The bits above them are drawn at random
 /// when the process starts, so that numbers differ between processes.
 const RUN_COUNTER_BITS: u32 = 32;
@@ -205,7 +209,11 @@
         let Reply::Placed(choice, instances) = reply else {
             return true;
         };
-        if self.state().targets.has_said_to_leave(&choice.target) {
+        if self
+            .state()
+            .targets
+            .wants_none(&choice.target, Instant::now())
+        {
             return false;
         }
         let is_chosen = |instance: &&Instance| instance.target == choice.target;
@@ -322,6 +330,36 @@
         }
     }
 
+    /// Records for how long a target that turned a request away wants none from this host.
+    pub fn record_rest(&self, target: &Target, rest: Rest) {
+        match rest {
+            Rest::None => {}
+            Rest::Invalid => {
+                debug!("{target} turned a request away for a time that can't be parsed");
+            }
+            Rest::For(duration) => {
+                let began = self
+                    .state()
+                    .targets
+                    .record_rest(target, duration, Instant::now());
+                if began {
+                    info!(
+                        target_id = target.as_str(), duration_ms = duration.as_millis() as u64;
+                        "target wants no requests"
+                    );
+                    self.metrics.record_statement("rest");
+                }
+            }
+        }
+    }
+
+    /// Returns the time after which a target of the service takes work again, if none does now because
+    /// they want no requests from this host. It is spread, so that callers don't return together.
+    pub fn rest_of_all(&self, service: &Service) -> Option<Duration> {
+        let rest = self.state().targets.rest_of_all(service, Instant::now())?;
+        Some(rest.mul_f64(rng().random_range(REST_JITTER)))
+    }
+
     /// Adopts the limits that the allocating host publishes, and reports what it doesn't know yet.
     pub fn adopt_limits(&self, published: &[permit::Published]) {
         let changes = self.state().targets.adopt_limits(published, Instant::now());
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -115,6 +115,12 @@
     let deadline = job.arrived + job.route.objective.mul_f64(MAX_WAIT_SHARE);
     let deadline = deadline.min(job.deadline());
     for _ in 0..MAX_ALLOCATIONS {
+        if let Some(retry_after) = job.entry.rest_of_all(&job.service) {
+            return Err(Refusal::NotRun {
+                reason: "all engines want no requests for now",
+                retry_after,
+            });
+        }
         let allocation = job.entry.acquire(need.clone(), deadline).await;
         let allocation =
             allocation.map_err(|(reason, retry_after)| refusal(job, need, reason, retry_after))?;
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -7,6 +7,7 @@
 use {
     crate::{allocation::Allocation, call::ReservationRequest, request::Job},
     compact_str::CompactString,
+    http::StatusCode,
     log::{debug, info},
     std::time::Duration,
 };
@@ -52,6 +53,10 @@
             return ReserveOutcome::Skipped;
         }
     };
+    let head = (job.entry.codec.parse_response_head)(response.headers());
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        job.entry.record_rest(&instance.target, head.statement.rest);
+    }
     match (job.entry.codec.parse_reservation)(response.status(), response.body()) {
         Ok(Some(name)) => ReserveOutcome::Reserved(name),
         Ok(None) => {
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -49,7 +49,10 @@
             retries: count("repeats", "Requests sent to a further target"),
             continuations: count("continued", "Generations continued elsewhere"),
             limit_changes: count("limit_changes", "Changes of targets' stated rate limits"),
-            statements: count("statements", "Targets that began to say that they leave"),
+            statements: count(
+                "statements",
+                "Targets that began to say that they leave or want no requests",
+            ),
             permits: count(
                 "permits",
                 "Requests for permits of limited targets by outcome",
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -87,7 +87,7 @@
     let mut tried: Vec<Target> = Vec::new();
     let mut runs = 0;
     let mut failure: Option<BufferedResponse> = None;
-    let mut limit_reached = None;
+    let mut unavailable = None;
     for send_index in 0..MAX_CALL_SENDS {
         let now = Instant::now();
         if now + MIN_REMAINING_TIME >= deadline {
@@ -96,7 +96,11 @@
         let target = match choice::choose(job, &tried, now).await {
             Choice::Target(target) => target,
             Choice::LimitReached(retry_after) => {
-                limit_reached = Some(retry_after);
+                unavailable = Some(("all targets have reached their rate limits", retry_after));
+                break;
+            }
+            Choice::Resting(retry_after) => {
+                unavailable = Some(("all targets want no requests for now", retry_after));
                 break;
             }
             Choice::Unavailable => break,
@@ -135,9 +139,9 @@
         return Ok(failure.map(Body::from));
     }
     if runs == 0 {
-        if let Some(retry_after) = limit_reached {
+        if let Some((reason, retry_after)) = unavailable {
             return Err(Refusal::NotRun {
-                reason: "all targets have reached their rate limits",
+                reason,
                 retry_after,
             });
         }
--- a/crates/sardinerelay-gateway/src/plain/choice.rs
+++ b/crates/sardinerelay-gateway/src/plain/choice.rs
@@ -33,6 +33,9 @@
     /// Nowhere, since all usable targets have reached their limits. A retry makes sense after this
     /// time.
     LimitReached(Duration),
+    /// Nowhere, since all targets that could take it want no requests. A retry makes sense after this
+    /// time.
+    Resting(Duration),
     /// Nowhere, since no target is usable.
     Unavailable,
 }
@@ -62,6 +65,11 @@
     if candidates.is_empty() {
         candidates = rank_candidates(job, &[], now);
     }
+    if candidates.is_empty()
+        && let Some(retry_after) = job.entry.rest_of_all(&job.service)
+    {
+        return Choice::Resting(retry_after);
+    }
     let unlimited = candidates
         .iter()
         .position(|candidate| !candidate.is_limited);
--- a/crates/sardinerelay-gateway/src/statement.rs
+++ b/crates/sardinerelay-gateway/src/statement.rs
@@ -1,6 +1,9 @@
 //! What a target says of itself in its answers. See `docs/design/target-limits.md`.
 
-use crate::limit;
+use {crate::limit, std::time::Duration};
+
+/// Longest time of rest that a target can ask for. A target that comes back after it counts as working.
+pub const MAX_REST: Duration = Duration::from_secs(3600);
 
 /// What one answer says.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -9,4 +12,30 @@
     pub limit: limit::Statement,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// For how long it wants no requests.
+    pub rest: Rest,
+}
+
+/// For how long a target that turned a request away wants none from this host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Rest {
+    /// It doesn't say.
+    #[default]
+    None,
+    /// For this time.
+    For(Duration),
+    /// It says something that is no time, so nothing is known from it.
+    Invalid,
+}
+
+impl Rest {
+    /// Returns a rest of this many seconds, of at most [`MAX_REST`].
+    pub fn seconds(seconds: f64) -> Self {
+        let is_time = seconds >= 0.0;
+        match is_time.then(|| seconds.min(MAX_REST.as_secs_f64())) {
+            Some(0.0) => Self::None,
+            Some(seconds) => Self::For(Duration::from_secs_f64(seconds)),
+            None => Self::Invalid,
+        }
+    }
 }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -66,6 +66,8 @@
     pub known_leaving_since: Option<Instant>,
     /// Whether it has said so in an answer to this host.
     pub has_said_to_leave: bool,
+    /// Until when it wants no requests from this host.
+    pub rests_until: Option<Instant>,
     /// Since when it has closed the connection after each response, which suggests that it is about
     /// to stop.
     pub closing_since: Option<Instant>,
@@ -216,6 +218,7 @@
         self.states.values().filter(move |state| {
             state.instance.service == service
                 && state.leaving_since(now).is_none()
+                && !state.is_resting(now)
                 && !state.health.is_down(now)
                 && !self.is_state_silent(state, now)
         })
@@ -233,10 +236,35 @@
         !std::mem::replace(&mut state.has_said_to_leave, true)
     }
 
-    /// Whether a target has said to this host that it is about to stop.
-    pub fn has_said_to_leave(&self, target: &str) -> bool {
+    /// Records that a target wants no requests from this host for this long. Returns whether it had not
+    /// said so before.
+    pub fn record_rest(&mut self, target: &str, duration: Duration, now: Instant) -> bool {
+        let Some(state) = self.states.get_mut(target) else {
+            return false;
+        };
+        let was_resting = state.is_resting(now);
+        state.rests_until = state.rests_until.max(Some(now + duration));
+        !was_resting
+    }
+
+    /// Whether a target has said to this host that it is about to stop or wants no requests.
+    pub fn wants_none(&self, target: &str, now: Instant) -> bool {
         let state = self.states.get(target);
-        state.is_some_and(|state| state.has_said_to_leave)
+        state.is_some_and(|state| state.has_said_to_leave || state.is_resting(now))
+    }
+
+    /// Returns the time until the first target of a service takes work again, if those that could take it
+    /// now all want no requests.
+    pub fn rest_of_all(&self, service: &str, now: Instant) -> Option<Duration> {
+        if self.usable(service, now).next().is_some() {
+            return None;
+        }
+        let ends = self.states.values().filter(|state| {
+            state.instance.service == service && state.leaving_since(now).is_none()
+        });
+        let ends = ends.filter_map(|state| state.rests_until);
+        let rests = ends.map(|end| end.saturating_duration_since(now));
+        rests.filter(|rest| !rest.is_zero()).min()
     }
 
     /// Records that a request uses memory of a target.
@@ -377,6 +405,7 @@
                 instance: instance.clone(),
                 known_leaving_since: left_since,
                 has_said_to_leave: false,
+                rests_until: None,
                 closing_since: None,
                 load: None,
                 claims: HashMap::new(),
@@ -472,6 +501,11 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it has said that it wants no requests from this host now.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
