--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -7,15 +7,18 @@
 //! Without the common queue, all hosts with waiting generations would see a load report with room
 //! on an engine, and each would send its first waiting request there in the same millisecond.
 
+mod answer;
 mod crashes;
 mod limits;
 mod origins;
 
+pub use self::answer::Answer;
+
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
         moves::{Departure, Moves},
-        observations::{Builds, Instance, Observations, or_default},
+        observations::{Instance, Observations},
         origin::Origins,
         placement::{self, Choice, Need, Secondary},
         quarantine::{Quarantine, Rules},
@@ -66,34 +69,6 @@
     }
 }
 
-/// A reply as it is sent to another host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    reply: Reply,
-    /// The builds of the described engines. Hosts of earlier versions don't send them.
-    #[serde(deserialize_with = "or_default")]
-    builds: Builds,
-}
-
-impl From<Reply> for Answer {
-    fn from(reply: Reply) -> Self {
-        let builds = match &reply {
-            Reply::Placed(_, instances) => Builds::of(instances),
-            Reply::Refused(..) | Reply::Waiting => Builds::default(),
-        };
-        Self { reply, builds }
-    }
-}
-
-impl From<Answer> for Reply {
-    fn from(Answer { mut reply, builds }: Answer) -> Self {
-        if let Self::Placed(_, instances) = &mut reply {
-            builds.assign(instances);
-        }
-        reply
-    }
-}
-
 /// The hosts that an allocator places requests for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! State that all requests on an entry host share.
 
 mod crashes;
+mod statements;
 
 use {
     crate::{
@@ -11,7 +12,6 @@
         codec::Codec,
         forecast::Forecast,
         group::{AllocationReport, LocalAllocation},
-        limit::permit,
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
@@ -21,18 +21,15 @@
         remote::RemoteAllocator,
         reporter::Report,
         settings,
-        statement::{Rest, Statement},
         table::Table,
         targets::{RunId, Targets},
     },
     arc_swap::ArcSwapOption,
-    log::{debug, info},
-    rand::{Rng as _, rng},
+    rand::rng,
     sardinerelay::id::{Service, Target},
     sardinerelayd::{peer::Client, stop::Drain},
     std::{
         collections::HashMap,
-        ops::Range,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -49,9 +46,6 @@
 /// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
 /// that time a little longer, so without a limit it would never end.
 const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
-/// Factors by which the time after which callers should retry is varied at random while all targets of a
-/// service want no requests.
-const REST_JITTER: Range<f64> = 1.0..1.3;
 /// Number of low bits of a request's number that count up. The bits above them are drawn at random
 /// when the process starts, so that numbers differ between processes.
 const RUN_COUNTER_BITS: u32 = 32;
@@ -312,89 +306,6 @@
         action(budget.or_insert_with(|| Budget::new(limit, Instant::now())))
     }
 
-    /// Records what a target says of itself in the response to a request that was sent at `sent`.
-    pub fn record_statement(&self, target: &Target, statement: &Statement, sent: Instant) {
-        let now = Instant::now();
-        let mut state = self.state();
-        let change = state
-            .targets
-            .record_limit(target, statement.limit, sent, now);
-        if statement.is_leaving && state.targets.mark_leaving(target, now) {
-            info!(target_id = target.as_str(); "target says that it leaves");
-            self.metrics.record_statement("leaving");
-        }
-        drop(state);
-        if let Some(change) = change {
-            self.metrics.record_limit_change();
-            self.report(change);
-        }
-    }
-
-    /// Records for how long a target that turned a request away wants none from this host.
-    pub fn record_rest(&self, target: &Target, rest: Rest) {
-        match rest {
-            Rest::None => {}
-            Rest::Invalid => {
-                debug!("{target} turned a request away for a time that can't be parsed");
-            }
-            Rest::For(duration) => {
-                let began = self
-                    .state()
-                    .targets
-                    .record_rest(target, duration, Instant::now());
-                if began {
-                    info!(
-                        target_id = target.as_str(), duration_ms = duration.as_millis() as u64;
-                        "target wants no requests"
-                    );
-                    self.metrics.record_statement("rest");
-                }
-            }
-        }
-    }
-
-    /// Returns the time after which a target of the service takes work again, if none does now because
-    /// they want no requests from this host. It is spread, so that callers don't return together.
-    pub fn rest_of_all(&self, service: &Service) -> Option<Duration> {
-        let rest = self.state().targets.rest_of_all(service, Instant::now())?;
-        Some(rest.mul_f64(rng().random_range(REST_JITTER)))
-    }
-
-    /// Adopts the limits that the allocating host publishes, and reports what it doesn't know yet.
-    pub fn adopt_limits(&self, published: &[permit::Published]) {
-        let changes = self.state().targets.adopt_limits(published, Instant::now());
-        for change in changes {
-            self.report(change);
-        }
-    }
-
-    /// Takes a permit to send a call to one of several targets that state a rate limit. The
-    /// allocating host decides; if it can't, this host uses its share of the limits.
-    pub async fn acquire_permit(&self, request: permit::Request) -> permit::Reply {
-        let reply = self.remote.permit(request.clone()).await;
-        let now = Instant::now();
-        let mut state = self.state();
-        let reply = match reply {
-            Some(reply) if reply != permit::Reply::Unknown => {
-                for known in &request.targets {
-                    if let Some(target_state) = state.targets.get_mut(&known.target) {
-                        target_state.limit.drain(now);
-                    }
-                }
-                reply
-            }
-            _ => state.targets.grant(&request, Scope::Local, now),
-        };
-        if let permit::Reply::Refused(duration) = reply {
-            for known in &request.targets {
-                if let Some(target_state) = state.targets.get_mut(&known.target) {
-                    target_state.limit.record_denied(duration, now);
-                }
-            }
-        }
-        reply
-    }
-
     /// Returns what the platform lists for a target, or none if it isn't listed.
     pub fn instance(&self, target: &str) -> Option<Instance> {
         let state = self.state();
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! unreachable causes no delay. A configuration is never replaced by an older one.
 
 mod configuration;
+mod transfer;
 
 use {
     crate::{
@@ -54,7 +55,7 @@
     let mut addresses: BTreeSet<Ipv4Addr> = reloadable.seeds().into_iter().collect();
     tokio::spawn(reporter::run(Arc::clone(&entry), outgoing));
     let updates = Arc::new(Updates::new(Arc::clone(&entry)));
-    tokio::spawn(configuration::fetch(Arc::clone(&updates)));
+    tokio::spawn(transfer::fetch(Arc::clone(&updates)));
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let last_fresh = Arc::new(watch::Sender::new(LastFresh::default()));
     let mut leader = None;
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -1,16 +1,14 @@
-//! Keeps the newest configuration that any followed host offers in force.
+//! The configuration that an entry host holds, and which versions the followed hosts offer.
 //!
-//! All followed hosts tell which version they have, and one of them at a time is asked for what makes
-//! it out of the version that is held, piece by piece. After a failure another one continues.
+//! All followed hosts are watched side by side. `transfer` fetches what they offer.
 
 use {
     super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY},
     crate::{
-        distribution::{Download, MAX_PIECE_BYTES, Piece, Stamp, Watch},
+        distribution::{Stamp, Watch},
         entry::EntryHost,
         group::{
-            Document, FETCH_CONFIGURATION_METHOD, FOLLOW_CONFIGURATION_METHOD, FollowConfiguration,
-            WATCH_CONFIGURATION_METHOD,
+            Document, FOLLOW_CONFIGURATION_METHOD, FollowConfiguration, WATCH_CONFIGURATION_METHOD,
         },
         table::Table,
     },
@@ -32,10 +30,6 @@
     },
 };
 
-/// Smallest size of a piece in bytes. Pieces get as small as that if larger ones don't arrive in time.
-const MIN_PIECE_BYTES: usize = 2 << 10;
-/// Time in which a piece must arrive.
-const PIECE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which a host from which no piece was received is asked only if no other has the version.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
 
@@ -44,14 +38,14 @@
 pub struct Updates {
     entry: Arc<EntryHost>,
     held: Mutex<Option<(Stamp, Bytes)>>,
-    offers: watch::Sender<BTreeMap<SocketAddr, Offer>>,
+    pub(super) offers: watch::Sender<BTreeMap<SocketAddr, Offer>>,
 }
 
 /// What a followed host offers.
 #[derive(Debug, Clone)]
-struct Offer {
-    client: Arc<Client>,
-    version: Version,
+pub(super) struct Offer {
+    pub(super) client: Arc<Client>,
+    pub(super) version: Version,
     /// The host's position in the order of preference. The leader comes first. It is asked last for
     /// pieces, since it has most to do.
     rank: usize,
@@ -60,11 +54,11 @@
 
 /// How a configuration was received.
 #[derive(Debug, Clone, Copy)]
-struct Receipt {
-    source: SocketAddr,
+pub(super) struct Receipt {
+    pub(super) source: SocketAddr,
     /// Size of the transfer in bytes, before its encoding for a message.
-    bytes: usize,
-    took: Duration,
+    pub(super) bytes: usize,
+    pub(super) took: Duration,
 }
 
 impl Updates {
@@ -77,7 +71,7 @@
         }
     }
 
-    fn held(&self) -> MutexGuard<'_, Option<(Stamp, Bytes)>> {
+    pub(super) fn held(&self) -> MutexGuard<'_, Option<(Stamp, Bytes)>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -98,7 +92,7 @@
     }
 
     /// Returns the host to ask for a newer configuration than the one that is held.
-    fn best_offer(&self) -> Option<Offer> {
+    pub(super) fn best_offer(&self) -> Option<Offer> {
         let held = self.held_version();
         let offers = self.offers.borrow();
         let newer = offers.values().filter(|offer| offer.version > held);
@@ -108,7 +102,7 @@
     }
 
     /// Marks a host from which no piece was received.
-    fn record_failure(&self, source: SocketAddr) {
+    pub(super) fn record_failure(&self, source: SocketAddr) {
         self.offers.send_modify(|offers| {
             if let Some(offer) = offers.get_mut(&source) {
                 offer.failed_at = Some(Instant::now());
@@ -119,7 +113,7 @@
     /// Holds a configuration and puts it in force, unless the one that is held has the same or a
     /// higher version. One that is malformed or invalid is held and logged, so that it isn't
     /// requested again.
-    fn adopt(&self, document: Document, receipt: Receipt) {
+    pub(super) fn adopt(&self, document: Document, receipt: Receipt) {
         let mut held = self.held();
         let before = held.as_ref().map_or(0, |(stamp, _)| stamp.version);
         if document.version <= before {
@@ -146,7 +140,7 @@
 
 impl Offer {
     /// Whether the host failed to send a piece a short time ago.
-    fn has_failed(&self) -> bool {
+    pub(super) fn has_failed(&self) -> bool {
         self.failed_at
             .is_some_and(|failed_at| failed_at.elapsed() < FAILURE_MEMORY)
     }
@@ -240,111 +234,3 @@
     }
     Ok(())
 }
-
-/// Fetches each newer configuration that is offered, for as long as the process runs.
-pub async fn fetch(updates: Arc<Updates>) {
-    let mut offers = updates.offers.subscribe();
-    let mut transfer = Transfer::default();
-    loop {
-        offers.mark_unchanged();
-        let Some(offer) = updates.best_offer() else {
-            // Fails only if the sender is gone, which `updates` keeps.
-            let _ = offers.changed().await;
-            continue;
-        };
-        let source = offer.client.address();
-        match transfer.advance(&updates, &offer.client).await {
-            Ok(()) => {}
-            Err(error) => {
-                if !offer.has_failed() {
-                    warn!(source:% = source, version = offer.version, reason:% = error; "a piece of a configuration was not received");
-                }
-                updates.record_failure(source);
-                if updates.best_offer().is_none_or(|next| next.has_failed()) {
-                    sleep(FOLLOW_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-}
-
-/// The transfer that is being received, and how.
-#[derive(Debug)]
-struct Transfer {
-    download: Option<Download>,
-    base: Option<Stamp>,
-    began: Instant,
-    piece_bytes: usize,
-    /// Whether the text that is held led to a wrong result, so that the whole new one is needed.
-    needs_whole: bool,
-}
-
-impl Default for Transfer {
-    fn default() -> Self {
-        Self {
-            download: None,
-            base: None,
-            began: Instant::now(),
-            piece_bytes: MAX_PIECE_BYTES,
-            needs_whole: false,
-        }
-    }
-}
-
-impl Transfer {
-    /// Fetches the next piece, and adopts the configuration if it is the last one.
-    async fn advance(&mut self, updates: &Updates, client: &Client) -> Result<(), FetchError> {
-        let held = updates.held().clone();
-        let base = held.as_ref().map(|(stamp, _)| *stamp);
-        let base = base.filter(|_| !self.needs_whole);
-        if self.base != base {
-            self.base = base;
-            self.download = None;
-        }
-        if self.download.is_none() {
-            self.began = Instant::now();
-        }
-        let piece = self.request(client).await?.ok_or(FetchError::NoPiece)?;
-        self.download = Download::add(self.download.take(), piece);
-        let Some(download) = self.download.take_if(|download| download.is_complete()) else {
-            return Ok(());
-        };
-        let receipt = Receipt {
-            source: client.address(),
-            bytes: download.total(),
-            took: self.began.elapsed(),
-        };
-        let text = held.map(|(_, text)| text);
-        let finished = download.finish(text.as_ref().filter(|_| base.is_some()));
-        self.needs_whole = finished.is_err();
-        updates.adopt(finished?, receipt);
-        Ok(())
-    }
-
-    /// Requests the next piece. Pieces get smaller while they don't arrive in time.
-    async fn request(&mut self, client: &Client) -> Result<Option<Piece>, Error> {
-        let fetch = Download::request(self.download.as_ref(), self.base, self.piece_bytes);
-        let called = client.call(FETCH_CONFIGURATION_METHOD, &fetch, PIECE_TIMEOUT);
-        let called = called.await;
-        self.piece_bytes = match &called {
-            Ok(_) => MAX_PIECE_BYTES.min(self.piece_bytes * 2),
-            Err(Error::Timeout { .. }) => MIN_PIECE_BYTES.max(self.piece_bytes / 2),
-            Err(_) => self.piece_bytes,
-        };
-        called
-    }
-}
-
-/// Why no piece was received from a host, or why the transfer was of no use.
-#[derive(Debug, thiserror::Error)]
-enum FetchError {
-    /// The call failed.
-    #[error(transparent)]
-    Call(#[from] Error),
-    /// The host has no newer configuration than the one that is held, although it offered one.
-    #[error("the host has no newer configuration")]
-    NoPiece,
-    /// The transfer yields no configuration.
-    #[error(transparent)]
-    Transfer(#[from] crate::distribution::Error),
-}
--- /dev/null
+++ b/crates/sardinerelay-gateway/src/targets/statements.rs
@@ -0,0 +1,51 @@
+//! What targets have said of themselves to this host, apart from their limits.
+
+use {
+    super::Targets,
+    std::time::{Duration, Instant},
+};
+
+impl Targets {
+    /// Records that a target has said to this host that it is about to stop, for as long as this
+    /// incarnation of it lasts. Returns whether it had not said so before.
+    pub fn mark_leaving(&mut self, target: &str, now: Instant) -> bool {
+        let Some(state) = self.states.get_mut(target) else {
+            return false;
+        };
+        state.known_leaving_since.get_or_insert(now);
+        let key = (target.into(), state.instance.incarnation);
+        self.left_incarnations.insert(key, now);
+        !std::mem::replace(&mut state.has_said_to_leave, true)
+    }
+
+    /// Records that a target wants no requests from this host for this long. Returns whether it had not
+    /// said so before.
+    pub fn record_rest(&mut self, target: &str, duration: Duration, now: Instant) -> bool {
+        let Some(state) = self.states.get_mut(target) else {
+            return false;
+        };
+        let was_resting = state.is_resting(now);
+        state.rests_until = state.rests_until.max(Some(now + duration));
+        !was_resting
+    }
+
+    /// Whether a target has said to this host that it is about to stop or wants no requests.
+    pub fn wants_none(&self, target: &str, now: Instant) -> bool {
+        let state = self.states.get(target);
+        state.is_some_and(|state| state.has_said_to_leave || state.is_resting(now))
+    }
+
+    /// Returns the time until the first target of a service takes work again, if those that could take it
+    /// now all want no requests.
+    pub fn rest_of_all(&self, service: &str, now: Instant) -> Option<Duration> {
+        if self.usable(service, now).next().is_some() {
+            return None;
+        }
+        let ends = self.states.values().filter(|state| {
+            state.instance.service == service && state.leaving_since(now).is_none()
+        });
+        let ends = ends.filter_map(|state| state.rests_until);
+        let rests = ends.map(|end| end.saturating_duration_since(now));
+        rests.filter(|rest| !rest.is_zero()).min()
+    }
+}
