Ask all voters which build began a stream

Found on reading the diff: a host tells the leader and two other voters of a stream that began, and another host asks the leader and two others. With six voters or more these need not overlap once the leader has changed, and a stream that is known would be refused. Hosts now ask all voters, side by side as before. No run shows the fault; the tests of builds pass with one voter only.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -70,8 +70,8 @@
     pub allocator: Allocator,
     /// Client of the group's allocator.
     pub remote: RemoteAllocator,
-    /// Clients of the voters that this host follows.
-    voters: Mutex<Vec<Arc<Client>>>,
+    /// Clients of the voters.
+    voters: Mutex<Voters>,
     /// Crashes that this host has reported.
     pub(crate) crashes: crashes::Recent,
     forecast: Mutex<Forecast>,
@@ -80,6 +80,15 @@
     reports: UnboundedSender<Report>,
 }
 
+/// Clients of the voters that an entry host knows.
+#[derive(Debug, Clone, Default)]
+pub struct Voters {
+    /// Those that it follows.
+    pub followed: Vec<Arc<Client>>,
+    /// All of them. Other entry hosts follow others.
+    pub all: Vec<Arc<Client>>,
+}
+
 /// Guard of a request that waits for an engine. Dropping it withdraws the request, unless an engine
 /// was allocated.
 struct PendingAcquire<'a> {
@@ -127,14 +136,14 @@
         self.forecast.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the clients of the voters that this host follows.
-    pub fn voters(&self) -> Vec<Arc<Client>> {
+    /// Returns the clients of the voters.
+    pub fn voters(&self) -> Voters {
         let voters = self.voters.lock().unwrap_or_else(PoisonError::into_inner);
         voters.clone()
     }
 
-    /// Sets the clients of the voters that this host follows.
-    pub fn set_voters(&self, voters: Vec<Arc<Client>>) {
+    /// Sets the clients of the voters.
+    pub fn set_voters(&self, voters: Voters) {
         *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
     }
 
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        entry::EntryHost,
+        entry::{EntryHost, Voters},
         group::{
             Clients, FOLLOW_OBSERVATIONS_METHOD, FollowObservations, MemberStatus, StatusRequest,
             discovery::Search, member,
@@ -68,12 +68,11 @@
             }
             is_followed
         });
-        entry.set_voters(
-            followed
-                .iter()
-                .map(|address| clients.get(*address))
-                .collect(),
-        );
+        let client = |address: &Ipv4Addr| clients.get(*address);
+        entry.set_voters(Voters {
+            followed: followed.iter().map(client).collect(),
+            all: addresses.iter().map(client).collect(),
+        });
         for (rank, address) in followed.iter().enumerate() {
             tasks.entry(*address).or_insert_with(|| {
                 let client = clients.get(*address);
--- a/crates/sardinerelay-gateway/src/generation/taken_up.rs
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -79,14 +79,15 @@
     Some((only, "only"))
 }
 
-/// Asks the followed voters side by side.
+/// Asks all voters side by side. The host that passed on the stream's begin may have followed others than
+/// this one does.
 async fn ask_voters(job: &Job) -> Answer {
     let query = Query {
         stream: job.call.stream().into(),
         service: job.service.clone(),
         window_ms: (job.route.timeout * WINDOW_TIMEOUTS).as_millis() as u64,
     };
-    let voters = job.entry.voters();
+    let voters = job.entry.voters().all;
     let calls = voters
         .iter()
         .map(|voter| voter.call::<_, Option<Build>>(ORIGIN_METHOD, &query, CALL_TIMEOUT));
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -90,7 +90,7 @@
         return;
     }
     let message = Arc::new(Packed(streams));
-    for voter in entry.voters() {
+    for voter in entry.voters().followed {
         let message = Arc::clone(&message);
         tokio::spawn(async move {
             let sent = voter.notify(BEGAN_METHOD, &*message, SEND_TIMEOUT).await;
