Hash a received configuration once, and check one at hosts as at voters

It keeps the verified stamp now. Parsing and checking a text stood in control and in follow::configuration; the latter calls the former and logs the first line, as before. The largest size of a text is one constant instead of two, and the largest proposal follows from it. No behaviour changes.

--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -4,6 +4,7 @@
     crate::{
         call::OperatorCall,
         codec::Codec,
+        distribution::MAX_TEXT_BYTES,
         group::{Document, Handle},
         http_server,
         metrics::Metrics,
@@ -26,8 +27,6 @@
 /// Time for the group to confirm an operator's request. Operators try another host after a second,
 /// or somewhat later for a large body.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(900);
-/// Largest configuration that is accepted, in bytes.
-const MAX_CONFIGURATION_BYTES: usize = 4 << 20;
 
 /// Serves operators at `address` in the background.
 ///
@@ -74,7 +73,7 @@
 
 async fn submit(codec: Codec, handle: &Handle, body: Incoming) -> Response<Body> {
     let began = Instant::now();
-    let body = match Limited::new(body, MAX_CONFIGURATION_BYTES).collect().await {
+    let body = match Limited::new(body, MAX_TEXT_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             warn!(reason:% = error; "reading a submitted configuration failed");
@@ -105,9 +104,9 @@
     }
 }
 
-/// Parses and checks a configuration. The error is the response to the operator, with one line for
-/// each problem.
-fn check(codec: Codec, body: &[u8]) -> Result<Table, String> {
+/// Parses, checks and indexes a configuration. The error is the response to an operator, with one line
+/// for each problem.
+pub(crate) fn check(codec: Codec, body: &[u8]) -> Result<Table, String> {
     let draft = (codec.parse_configuration)(body).map_err(|error| format!("{error}\n"))?;
     Table::check(draft).map_err(|errors| {
         let lines = errors.iter().map(|error| format!("{error}\n"));
--- a/crates/sardinerelay-gateway/src/distribution.rs
+++ b/crates/sardinerelay-gateway/src/distribution.rs
@@ -30,7 +30,7 @@
 /// Identifies an encoded transfer. Two hosts that encode the same bytes give it the same number.
 pub type TransferId = u64;
 
-/// Largest text of a configuration in bytes.
+/// Largest text of a configuration that is accepted, in bytes.
 pub const MAX_TEXT_BYTES: usize = 4 << 20;
 
 /// Which text of which version.
--- a/crates/sardinerelay-gateway/src/distribution/download.rs
+++ b/crates/sardinerelay-gateway/src/distribution/download.rs
@@ -85,6 +85,11 @@
         self.bytes.len() >= self.total
     }
 
+    /// Returns the stamp of the configuration that the transfer ends at.
+    pub fn stamp(&self) -> Stamp {
+        self.stamp
+    }
+
     /// Returns the size of the whole transfer in bytes.
     pub fn total(&self) -> usize {
         self.total
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -5,12 +5,12 @@
 use {
     super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY},
     crate::{
+        control,
         distribution::{Stamp, Watch},
         entry::EntryHost,
         group::{
             Document, FOLLOW_CONFIGURATION_METHOD, FollowConfiguration, WATCH_CONFIGURATION_METHOD,
         },
-        table::Table,
     },
     bytes::Bytes,
     jsonrpsee::types::ErrorCode,
@@ -113,28 +113,29 @@
     /// Holds a configuration and puts it in force, unless the one that is held has the same or a
     /// higher version. One that is malformed or invalid is held and logged, so that it isn't
     /// requested again.
-    pub(super) fn adopt(&self, document: Document, receipt: Receipt) {
+    pub(super) fn adopt(&self, (stamp, text): (Stamp, Bytes), receipt: Receipt) {
         let mut held = self.held();
         let before = held.as_ref().map_or(0, |(stamp, _)| stamp.version);
-        if document.version <= before {
+        if stamp.version <= before {
             return;
         }
         let began = Instant::now();
-        match check(&self.entry, &document) {
+        match control::check(self.entry.codec, &text) {
             Ok(table) => {
                 self.entry.table.store(Some(Arc::new(table)));
                 let (took_ms, check_ms) = (receipt.took.as_millis(), began.elapsed().as_millis());
                 info!(
-                    version = document.version, before = before, source:% = receipt.source,
+                    version = stamp.version, before = before, source:% = receipt.source,
                     bytes = receipt.bytes, took_ms = took_ms as u64, check_ms = check_ms as u64;
                     "a new configuration is in force"
                 );
             }
             Err(reason) => {
-                warn!(version = document.version, reason = reason.as_str(); "the configuration can't be used");
+                let first = reason.lines().next().unwrap_or_default();
+                warn!(version = stamp.version, reason = first; "the configuration can't be used");
             }
         }
-        *held = Some((Stamp::of(&document), document.body));
+        *held = Some((stamp, text));
     }
 }
 
@@ -146,16 +147,6 @@
     }
 }
 
-/// Parses, checks and indexes a configuration. The error is what is wrong with it.
-fn check(entry: &EntryHost, document: &Document) -> Result<Table, String> {
-    let draft =
-        (entry.codec.parse_configuration)(&document.body).map_err(|error| error.to_string())?;
-    Table::check(draft).map_err(|errors| {
-        let first = errors.first();
-        first.map(ToString::to_string).unwrap_or_default()
-    })
-}
-
 /// Watches which version one host offers. `rank` is the host's position in the order of preference.
 pub async fn watch(updates: Arc<Updates>, client: Arc<Client>, rank: usize) {
     let _withdrawal = Withdrawal(Arc::clone(&updates), client.address());
@@ -230,7 +221,7 @@
             bytes: document.body.len(),
             took: began.elapsed(),
         };
-        updates.adopt(document, receipt);
+        updates.adopt((Stamp::of(&document), document.body), receipt);
     }
     Ok(())
 }
--- a/crates/sardinerelay-gateway/src/follow/transfer.rs
+++ b/crates/sardinerelay-gateway/src/follow/transfer.rs
@@ -99,7 +99,7 @@
         let text = held.map(|(_, text)| text);
         let finished = download.finish(text.as_ref().filter(|_| base.is_some()));
         self.needs_whole = finished.is_err();
-        updates.adopt(finished?, receipt);
+        updates.adopt((download.stamp(), finished?.body), receipt);
         Ok(())
     }
 
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -27,7 +27,11 @@
 };
 
 use {
-    crate::{distribution::Publisher, exit_code::ExitCode, reload},
+    crate::{
+        distribution::{MAX_TEXT_BYTES, Publisher},
+        exit_code::ExitCode,
+        reload,
+    },
     discovery::Search,
     driver::{Driver, Input},
     links::Links,
@@ -61,8 +65,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Lower bound of the randomized election timeout.
 const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest proposal in bytes: a configuration of at most 4 MiB, plus room for its encoding.
-const MAX_PROPOSAL_BYTES: usize = 5 << 20;
+/// Largest proposal in bytes: a configuration, plus room for its encoding.
+const MAX_PROPOSAL_BYTES: usize = MAX_TEXT_BYTES + (1 << 20);
 /// Largest number of inputs that wait for the driver.
 const INPUT_QUEUE_CAPACITY: usize = 1024;
 /// Delay before a retry if no leader has accepted a request.
