--- a/crates/sardinerelayd/tests/e2e/streams.rs
+++ b/crates/sardinerelayd/tests/e2e/streams.rs
@@ -187,7 +187,7 @@
     let mut resumed =
         client::resume_stream(cluster.listen_address(0), &api_key("brakeline"), &last_id)
             .await
-            .expect("the stream resumes");
+            .expect("the stream continues");
     assert_complete(&resumed.read_to_end().await, prompt, delivered, 400);
     assert_eq!(
         fetch_records(&engines[0]).await.len(),
