Ask in one place which build began a stream, and what keeps a host from an engine

A voter and an entry host looked for a stream's record and then for the only build in two copies; Allocator::find_origin serves both. Whether a generation may go to an allocated engine is read from the targets after the described engines were added, instead of from three sources. The status that makes a time of rest count is checked where the rest is recorded, not by each caller. A stream keeps its present engine's build instead of passing it through three functions. No behaviour changes.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -12,7 +12,7 @@
 mod limits;
 mod origins;
 
-pub use self::answer::Answer;
+pub use self::{answer::Answer, origins::Source};
 
 use {
     crate::{
--- a/crates/sardinerelay-gateway/src/allocator/origins.rs
+++ b/crates/sardinerelay-gateway/src/allocator/origins.rs
@@ -1,4 +1,4 @@
-//! Which build began a stream, as a voter answers it.
+//! Which build began a stream, as far as one host knows.
 
 use {
     super::Allocator,
@@ -7,15 +7,29 @@
     std::time::{Duration, Instant},
 };
 
+/// How a host knows which build began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The stream is recorded.
+    Record,
+    /// All targets have had this build.
+    OnlyBuild,
+}
+
 impl Allocator {
-    /// Returns the build that began a stream, none if it isn't known. It is also known if all targets
-    /// had one build since the stream can have begun.
-    pub fn find_origin(&self, query: &Query) -> Option<Build> {
+    /// Returns the build that began a stream and how it is known, none if it isn't. It is also known if
+    /// all targets had one build since the stream can have begun.
+    pub fn find_origin(&self, query: &Query) -> Option<(Build, Source)> {
         let now = Instant::now();
         let state = self.state();
+        if let Some(recorded) = state.origins.find(&query.stream, now) {
+            return Some((recorded, Source::Record));
+        }
         let window = Duration::from_millis(query.window_ms);
-        let recorded = state.origins.find(&query.stream, now);
-        let only = || state.targets.builds.only_build(&query.service, window, now);
-        recorded.or_else(only)
+        let only = state
+            .targets
+            .builds
+            .only_build(&query.service, window, now)?;
+        Some((only, Source::OnlyBuild))
     }
 }
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -185,10 +185,9 @@
             _ => (self.acquire_locally(run, &need, deadline).await, 0),
         };
         match reply {
-            Reply::Placed(choice, instances) => {
+            Reply::Placed(choice, _) => {
                 pending.is_granted = true;
                 let mut state = self.state();
-                state.targets.add_missing(instances, Instant::now());
                 claim(&mut state.targets, run, &need, &choice, Instant::now());
                 state.quarantine.record_sent(run, &need.shared_parts);
                 self.record_sent(
@@ -205,30 +204,20 @@
         }
     }
 
-    /// Whether an engine was allocated that this host may send the generation to. The allocating host may
-    /// not know what the engine has said to this one, and if it has an earlier version, it doesn't know
-    /// that only one build may run it.
+    /// Whether an engine was allocated that this host may send the generation to, and adds the engines that
+    /// it didn't know. The allocating host may not know what the engine has said to this one, and if it
+    /// has an earlier version, it doesn't know that only one build may run it.
     fn may_send(&self, need: &Need, reply: &Reply) -> bool {
         let Reply::Placed(choice, instances) = reply else {
             return true;
         };
-        if self
-            .state()
-            .targets
-            .wants_none(&choice.target, Instant::now())
-        {
-            return false;
+        let now = Instant::now();
+        let mut state = self.state();
+        state.targets.add_missing(instances, now);
+        match state.targets.get(&choice.target) {
+            Some(known) => !known.wants_none(now) && need.accepts(&known.instance.build),
+            None => need.build.is_none(),
         }
-        let is_chosen = |instance: &&Instance| instance.target == choice.target;
-        let described = instances
-            .iter()
-            .find(is_chosen)
-            .map(|instance| instance.build.clone());
-        let listed = self.instance(&choice.target).map(|instance| instance.build);
-        need.build.is_none()
-            || listed
-                .or(described)
-                .is_some_and(|build| need.accepts(&build))
     }
 
     /// Returns for how long a generation is refused because a part of its prompt makes engines
@@ -266,7 +255,7 @@
             return None;
         };
         let mut state = self.state();
-        state.targets.add_missing(instances, now);
+        state.targets.add_missing(&instances, now);
         claim_for_move(&mut state.targets, &departure, &choice.target, now);
         Some((choice.target, allocated_by))
     }
--- a/crates/sardinerelay-gateway/src/entry/statements.rs
+++ b/crates/sardinerelay-gateway/src/entry/statements.rs
@@ -8,6 +8,7 @@
         limit::permit,
         statement::{Rest, Statement},
     },
+    http::StatusCode,
     log::{debug, info},
     rand::{Rng as _, rng},
     sardinerelay::id::{Service, Target},
@@ -40,9 +41,11 @@
         }
     }
 
-    /// Records for how long a target that turned a request away wants none from this host.
-    pub fn record_rest(&self, target: &Target, rest: Rest) {
+    /// Records for how long a target wants no requests from this host, if it turned one away with this
+    /// status.
+    pub fn record_rest(&self, target: &Target, status: StatusCode, rest: Rest) {
         match rest {
+            _ if status != StatusCode::SERVICE_UNAVAILABLE => {}
             Rest::None => {}
             Rest::Invalid => {
                 debug!("{target} turned a request away for a time that can't be parsed");
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -32,6 +32,7 @@
     http::{Response, response},
     log::info,
     rand::Rng as _,
+    sardinerelay::id::Build,
     std::time::{Duration, Instant},
     tokio::sync::mpsc::channel,
     tokio_stream::wrappers::ReceiverStream,
@@ -69,10 +70,7 @@
 pub async fn serve(job: Job) -> Result<Response<Body>, Refusal> {
     job.entry.record_first_attempt(&job.service);
     let build = taken_up::required_build(&job).await?;
-    let need = Need {
-        build,
-        ..need(&job)
-    };
+    let need = need(&job, build);
     let (mut allocation, mut reservation) = allocate(&job, &need).await?;
     let mut tried = Vec::new();
     for send_index in 0..MAX_GENERATION_SENDS {
@@ -159,9 +157,9 @@
     matches!(job.route.kind, Kind::Generation { is_resumable: true })
 }
 
-/// Returns what the allocator has to know of the generation: the memory that it is expected to use,
+/// Returns what the allocator has to know of the generation, which only `build` may run if it continues a stream: the memory that it is expected to use,
 /// and the properties by which an engine is chosen.
-fn need(job: &Job) -> Need {
+fn need(job: &Job, build: Option<Build>) -> Need {
     let generation = job.call.generation.as_ref();
     let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
     let max_output = generation.map_or(u64::MAX, |generation| generation.max_output_tokens);
@@ -187,7 +185,7 @@
             && !is_resumable(job)
             && output_tokens >= MIN_COPY_OUTPUT_TOKENS,
         shared_parts,
-        build: None,
+        build,
     }
 }
 
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -84,6 +84,8 @@
     events: u64,
     /// Whether events were sent to the caller.
     has_started: bool,
+    /// Version of the present engine's software.
+    engine_build: Build,
     /// Whether the present engine has sent an event.
     pub(super) has_engine_begun: bool,
     /// Number of engines that failed before they sent an event.
@@ -142,6 +144,7 @@
             chunks,
             events: 0,
             has_started: false,
+            engine_build: Build::default(),
             has_engine_begun: false,
             engines_without_begin: 0,
             last_sent: None,
@@ -217,6 +220,7 @@
         let mut mover = Mover::new();
         let mut is_open = true;
         self.has_engine_begun = false;
+        self.engine_build = build;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -252,8 +256,7 @@
             let is_moving = mover.is_done() || mover.is_transferring();
             match frame {
                 Some(Ok(frame)) => {
-                    let received = self.receive((frame, &build), &mut splitter, deadline);
-                    if let Some(ended) = received.await {
+                    if let Some(ended) = self.receive(frame, &mut splitter, deadline).await {
                         return ended;
                     }
                 }
@@ -290,7 +293,7 @@
     /// stream ended, if it did.
     async fn receive(
         &mut self,
-        (frame, build): (Frame<Bytes>, &Build),
+        frame: Frame<Bytes>,
         splitter: &mut Splitter,
         deadline: TokioInstant,
     ) -> Option<StreamEnd> {
@@ -299,7 +302,7 @@
         if splitter.push(&bytes).is_err() {
             return Some(StreamEnd::Broken("an event is too long"));
         }
-        self.forward((splitter, build), deadline).await
+        self.forward(splitter, deadline).await
     }
 
     /// Whether to stop waiting for an engine that has sent no data for this long. Without another
@@ -318,7 +321,7 @@
     /// already. Returns how the stream ended, if it did.
     async fn forward(
         &mut self,
-        (splitter, build): (&mut Splitter, &Build),
+        splitter: &mut Splitter,
         deadline: TokioInstant,
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
@@ -346,7 +349,7 @@
         }
         if !self.has_started {
             self.has_started = true;
-            self.record_origin(build);
+            self.record_origin();
             let took = self.job.arrived.elapsed();
             self.job
                 .entry
@@ -367,12 +370,13 @@
 
     /// Records the build whose first event goes to the caller. Only that build may continue the
     /// stream, here or at another host.
-    fn record_origin(&mut self, build: &Build) {
+    fn record_origin(&mut self) {
+        let build = self.engine_build.clone();
         self.allocation.require_build(build.clone());
         if is_resumable(&self.job) && self.job.call.last_event.is_none() {
             self.job.entry.record_origin(Began {
                 stream: self.job.call.id.clone(),
-                build: build.clone(),
+                build,
                 lifetime: self.job.remaining_or_timeout() + ORIGIN_MARGIN,
             });
         }
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -7,7 +7,6 @@
 use {
     crate::{allocation::Allocation, call::ReservationRequest, request::Job},
     compact_str::CompactString,
-    http::StatusCode,
     log::{debug, info},
     std::time::Duration,
 };
@@ -54,9 +53,8 @@
         }
     };
     let head = (job.entry.codec.parse_response_head)(response.headers());
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        job.entry.record_rest(&instance.target, head.statement.rest);
-    }
+    job.entry
+        .record_rest(&instance.target, response.status(), head.statement.rest);
     match (job.entry.codec.parse_reservation)(response.status(), response.body()) {
         Ok(Some(name)) => ReserveOutcome::Reserved(name),
         Ok(None) => {
--- a/crates/sardinerelay-gateway/src/generation/taken_up.rs
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -1,7 +1,9 @@
 //! Finds the build at which a stream has to go on that its caller takes up again.
 
 use {
-    crate::{group::ORIGIN_METHOD, origin::Query, refusal::Refusal, request::Job},
+    crate::{
+        allocator::Source, group::ORIGIN_METHOD, origin::Query, refusal::Refusal, request::Job,
+    },
     futures::{StreamExt as _, stream::FuturesUnordered},
     log::info,
     rand::Rng as _,
@@ -38,9 +40,15 @@
     if job.call.last_event.is_none() {
         return Ok(None);
     }
-    let (build, source) = match find_locally(job) {
-        Some(known) => known,
-        None => match ask_voters(job).await {
+    let query = Query {
+        stream: job.call.stream().into(),
+        service: job.service.clone(),
+        window_ms: (job.route.timeout * WINDOW_TIMEOUTS).as_millis() as u64,
+    };
+    let (build, source) = match job.entry.allocator.find_origin(&query) {
+        Some((build, Source::Record)) => (build, "own"),
+        Some((build, Source::OnlyBuild)) => (build, "only"),
+        None => match ask_voters(job, &query).await {
             Answer::Known(build) => (build, "voter"),
             Answer::Unknown => {
                 let reason = "it isn't known which build began the stream";
@@ -65,32 +73,13 @@
     Ok(Some(build))
 }
 
-/// Returns the build according to this host, and how it is known.
-fn find_locally(job: &Job) -> Option<(Build, &'static str)> {
-    let now = Instant::now();
-    let state = job.entry.state();
-    if let Some(stream) = &job.call.stream
-        && let Some(build) = state.origins.find(stream, now)
-    {
-        return Some((build, "own"));
-    }
-    let window = job.route.timeout * WINDOW_TIMEOUTS;
-    let only = state.targets.builds.only_build(&job.service, window, now)?;
-    Some((only, "only"))
-}
-
 /// Asks all voters side by side. The host that passed on the stream's begin may have followed others than
 /// this one does.
-async fn ask_voters(job: &Job) -> Answer {
-    let query = Query {
-        stream: job.call.stream().into(),
-        service: job.service.clone(),
-        window_ms: (job.route.timeout * WINDOW_TIMEOUTS).as_millis() as u64,
-    };
+async fn ask_voters(job: &Job, query: &Query) -> Answer {
     let voters = job.entry.voters().all;
     let calls = voters
         .iter()
-        .map(|voter| voter.call::<_, Option<Build>>(ORIGIN_METHOD, &query, CALL_TIMEOUT));
+        .map(|voter| voter.call::<_, Option<Build>>(ORIGIN_METHOD, query, CALL_TIMEOUT));
     let mut calls: FuturesUnordered<_> = calls.collect();
     let mut has_answer = false;
     let asked = timeout(MAX_QUERY_TIME, async {
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -286,7 +286,8 @@
     })?;
     module.register_async_method(ORIGIN_METHOD, |parameters, context, _| async move {
         let query: Query = context.counters.parse_call(&parameters)?;
-        RpcResult::Ok(context.shared.allocator.find_origin(&query))
+        let origin = context.shared.allocator.find_origin(&query);
+        RpcResult::Ok(origin.map(|(build, _)| build))
     })?;
     module.register_async_method(PERMIT_METHOD, |parameters, context, _| async move {
         let Packed(request): Packed<permit::Request> = context.counters.parse_call(&parameters)?;
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -147,9 +147,8 @@
             && response.status() != StatusCode::MISDIRECTED_REQUEST;
         if is_own && class != ResponseClass::Untrusted {
             self.entry.record_statement(target, &head.statement, sent);
-            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-                self.entry.record_rest(target, head.statement.rest);
-            }
+            self.entry
+                .record_rest(target, response.status(), head.statement.rest);
         }
         class
     }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -103,10 +103,10 @@
     }
 
     /// Adds targets that another host knows and this one doesn't.
-    pub fn add_missing(&mut self, instances: Vec<Instance>, now: Instant) {
+    pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
         for instance in instances {
             if !self.states.contains_key(&instance.target) {
-                self.merge_instance(&instance, now, &mut Vec::new());
+                self.merge_instance(instance, now, &mut Vec::new());
             }
         }
     }
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -150,6 +150,11 @@
         self.rests_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it has said to this host that it is about to stop or wants no requests.
+    pub fn wants_none(&self, now: Instant) -> bool {
+        self.has_said_to_leave || self.is_resting(now)
+    }
+
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
--- a/crates/sardinerelay-gateway/src/targets/statements.rs
+++ b/crates/sardinerelay-gateway/src/targets/statements.rs
@@ -29,12 +29,6 @@
         !was_resting
     }
 
-    /// Whether a target has said to this host that it is about to stop or wants no requests.
-    pub fn wants_none(&self, target: &str, now: Instant) -> bool {
-        let state = self.states.get(target);
-        state.is_some_and(|state| state.has_said_to_leave || state.is_resting(now))
-    }
-
     /// Returns the time until the first target of a service takes work again, if those that could take it
     /// now all want no requests.
     pub fn rest_of_all(&self, service: &str, now: Instant) -> Option<Duration> {
