--- a/review/standin/bad_entry.rs
+++ b/review/standin/bad_entry.rs
@@ -30,12 +30,16 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 const COUNTED: Duration = Duration::from_secs(12);
 
-const CONFIGURATION: &str = r#"{"version":1,"routes":[
+const CONFIGURATION: &str = r#"{"version":VERSION,"routes":[
 {"name":"r-order","host":"h.example","pathPrefix":"/order/","type":"unsafe","timeoutMs":1500,"targetLatencyMs":150,"priority":2,"service":"shop-app","maxAttempts":1,"public":false,"sticky":false}],
 "services":[{"name":"shop-app","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"t1","apiKeys":["k1"],"priority":2}]}"#;
 
+fn configuration(version: u64) -> String {
+    CONFIGURATION.replace("VERSION", &version.to_string())
+}
+
 fn serve_requests(mut connection: Connection, id: &str, record: &Record) {
     while let Some(request) = connection.read_message(None) {
         let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
@@ -110,7 +114,7 @@
     }
     serve_list(cluster.list_address(), Arc::clone(&entries));
     cluster.start_all(ENTRIES);
-    if !cluster.submit(CONFIGURATION, Duration::from_secs(10))
+    if !cluster.submit(&configuration(1), Duration::from_secs(10))
         || !cluster.wait_ready(ENTRIES, Duration::from_secs(10))
     {
         record.say("the deployment did not start");
@@ -134,6 +138,11 @@
         entries.lock().unwrap().push(entry.to_owned());
     }
     thread::sleep(WITH_ENTRY);
+    // The final fault comes right after one more change was acknowledged.
+    if !cluster.submit(&configuration(2), Duration::from_secs(4)) {
+        record.say("the last change was not acknowledged");
+        return COULD_NOT_RUN;
+    }
     let fault = Instant::now();
     for number in 1..=3 {
         cluster.kill(&format!("voter-{number}"));
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -37,9 +37,16 @@
 
 pub type Shared<T> = Arc<Mutex<T>>;
 
-/// Whether the case runs with its disruption.
+/// Whether the case runs with its disruption: the second argument, which `run.sh` sets by `TROUBLE`.
 pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+    match std::env::args().nth(2).as_deref() {
+        Some("trouble") => true,
+        Some("calm") => false,
+        _ => {
+            eprintln!("usage: PROGRAM FOLDER trouble|calm");
+            std::process::exit(COULD_NOT_RUN);
+        }
+    }
 }
 
 /// A file with one line for each event, with the milliseconds since the start.
--- a/review/standin/no_end.rs
+++ b/review/standin/no_end.rs
@@ -45,6 +45,8 @@
     id: String,
     is_failing: bool,
     running: AtomicU64,
+    /// Requests that the server has run, and those of them that failed.
+    requests: Mutex<(u64, u64)>,
     record: Record,
 }
 
@@ -101,7 +103,7 @@
         }
         self.record.line(&format!("server {} runs {id}", self.id));
         thread::sleep(FIRST_EVENT);
-        if self.is_failing && random.unit() < FAILING {
+        if self.fails(random) {
             return match has_trouble() {
                 true => self.fail_without_end(connection, id, &stamp),
                 false => {
@@ -126,6 +128,16 @@
         is_open && connection.write(b"0\r\n\r\n")
     }
 
+    /// Whether to fail this request. The share never exceeds the limit.
+    fn fails(&self, random: &mut Random) -> bool {
+        let mut requests = self.requests.lock().unwrap();
+        requests.0 += 1;
+        let is_within = (requests.1 + 1) as f64 <= FAILING * requests.0 as f64;
+        let fails = self.is_failing && is_within && random.unit() < 2.0 * FAILING;
+        requests.1 += u64::from(fails);
+        fails
+    }
+
     fn fail_without_end(&self, connection: &mut Connection, id: &str, stamp: &str) -> bool {
         self.record.line(&format!(
             "server {} answers {id} with 500 and a body without end",
@@ -221,6 +233,7 @@
             id: format!("i-model-{number}"),
             is_failing: number == 0,
             running: AtomicU64::new(0),
+            requests: Mutex::default(),
             record: record.clone(),
         });
         let id = engine.id.clone();
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -48,7 +48,8 @@
     runs: Runs,
     /// Whether a spell of the disruption is on.
     spell: Arc<AtomicBool>,
-    doubled: Shared<u64>,
+    /// Answers in the spells, and those of them that were sent a second time.
+    answers: Shared<(u64, u64)>,
     record: Record,
 }
 
@@ -76,9 +77,7 @@
             if !connection.write(&answer) {
                 return;
             }
-            let doubles = self.is_faulty && self.spell.load(Ordering::Relaxed);
-            if doubles && random.unit() < DOUBLED {
-                *self.doubled.lock().unwrap() += 1;
+            if self.doubles(&mut random) {
                 self.record.line(&format!(
                     "server {} will send its answer to {id} again",
                     self.id
@@ -88,6 +87,19 @@
         }
     }
 
+    /// Whether to send this answer a second time. The share never exceeds the limit.
+    fn doubles(&self, random: &mut Random) -> bool {
+        if !self.is_faulty || !self.spell.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut answers = self.answers.lock().unwrap();
+        answers.0 += 1;
+        let is_within = (answers.1 + 1) as f64 <= DOUBLED * answers.0 as f64;
+        let doubles = is_within && random.unit() < 2.0 * DOUBLED;
+        answers.1 += u64::from(doubles);
+        doubles
+    }
+
     /// Runs a request and returns the answer. None if the connection was closed while the request
     /// waited, which then doesn't run.
     fn answer(
@@ -205,7 +217,7 @@
     let mut cluster = Cluster::new(&record);
     let runs: Runs = Runs::default();
     let spell = Arc::new(AtomicBool::new(false));
-    let doubled = Shared::<u64>::default();
+    let answers = Shared::<(u64, u64)>::default();
     let mut entries = Vec::new();
     for (number, service) in SERVICES.into_iter().enumerate() {
         let server = Arc::new(Server {
@@ -214,7 +226,7 @@
             slots: Slots::new(SLOTS, QUEUE),
             runs: Arc::clone(&runs),
             spell: Arc::clone(&spell),
-            doubled: Arc::clone(&doubled),
+            answers: Arc::clone(&answers),
             record: record.clone(),
         });
         let id = server.id.clone();
@@ -251,6 +263,7 @@
     }
     clients.into_iter().for_each(|client| _ = client.join());
     thread::sleep(Duration::from_secs(2));
+    let answers = *answers.lock().unwrap();
     let (runs, statuses) = (runs.lock().unwrap(), tallies.statuses.lock().unwrap());
     let count = |wanted: u16| {
         statuses
@@ -274,7 +287,7 @@
         record.line(&format!("BROKEN, REFUSED: {id} was refused and has run"));
     }
     record.say(&format!(
-        "attempts {}, of them 200: {}, 503: {}, 502: {}, 504: {}, none: {}; answers sent a second time: {}; \
+        "attempts {}, of them 200: {}, 503: {}, 502: {}, 504: {}, none: {}; answers sent a second time: {} of {} in the spells; \
          ran twice: {}; refused though they ran: {}",
         statuses.len(),
         count(200),
@@ -282,7 +295,8 @@
         count(502),
         count(504),
         count(0),
-        doubled.lock().unwrap(),
+        answers.1,
+        answers.0,
         twice.len(),
         false_refusals.len(),
     ));
