Make a replica's directory anew if its creation was interrupted

Cause: the identity is written last, but Store::open took any directory with a segment and without an identity for a damaged one of a replica that may have voted. The process ended at each start. Ruled out: that the group refuses the replica (the process never got that far; its last line and status say so).

This works since nothing is appended before the identity is there.

Tests, on the sources before: wal_creation: interrupted_creation_is_made_anew, interrupted_deletion_is_finished and snapshot_alone_is_refused failed (Corrupt, Corrupt, NotInitialised), 4 passed; group: a_wiped_voter_that_was_killed_while_it_made_its_files_rejoins failed (the replica does not start). All pass now.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -43,7 +43,6 @@
     },
     sardinerelayd::{control::FatalError, peer::Server},
     std::{
-        fs,
         net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         sync::Arc,
@@ -265,7 +264,7 @@
             is_joining = false;
         } else if !is_joining && !status.is_member {
             warn!(replica = own_id; "this replica was removed from the group and rejoins under a new id");
-            if let Err(error) = fs::remove_dir_all(&path) {
+            if let Err(error) = Store::discard(&path) {
                 warn!("could not delete {}: {error}", path.display());
                 continue;
             }
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -2,7 +2,11 @@
 //! like a process.
 
 use {
-    sardinerelay::id::Host,
+    sardinerelay::{
+        id::Host,
+        raft::DurableState,
+        wal::{Identity, Store},
+    },
     sardinerelay_gateway::{
         allocator::{Allocator, Scope},
         group::{
@@ -31,6 +35,7 @@
         runtime::{Builder, Runtime},
         sync::watch,
     },
+    uuid::Uuid,
 };
 
 /// Number of replicas whose addresses all hosts are told.
@@ -116,6 +121,17 @@
         fs::remove_dir_all(self.data_dir(host)).expect("the directory can be removed");
     }
 
+    /// Leaves the files of a wiped replica as a kill leaves them that comes while it makes them anew.
+    pub fn interrupt_creation(&self, host: usize) {
+        let path = self.data_dir(host).join("replica");
+        let identity = Identity {
+            cluster: Uuid::nil(),
+            replica: member::random_id(self.address(host), &mut rand::rng()),
+        };
+        Store::create(&path, identity, &DurableState::default()).expect("files of a learner");
+        fs::remove_file(path.join("identity")).expect("the file can be removed");
+    }
+
     /// Submits a configuration of this version and size through a replica. Returns whether it is
     /// accepted.
     pub fn submit(&self, host: usize, version: u64, bytes: usize) -> bool {
--- a/crates/sardinerelay/src/wal.rs
+++ b/crates/sardinerelay/src/wal.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `lock` | locked exclusively while a process uses the directory |
 //! | `identity` | format version, group id and replica id |
+//! | `discarded` | empty; says that all files are to be deleted |
 //! | `segment-<number>.log` | frames of records: entries, truncations, term and vote |
 //! | `snapshot-<index>-<term>.snap` | one snapshot of the state machine |
 //!
@@ -14,6 +15,10 @@
 //! within an acknowledged last frame cannot be told from an incomplete write and loses that
 //! frame.
 //!
+//! The identity is written last when a directory is created. A directory without one is made anew
+//! only if it holds nothing but what an interrupted creation leaves: no replica has run on it, so
+//! none has voted or acknowledged entries.
+//!
 //! After a failed write or sync the content of the file is unknown, and a later sync may
 //! succeed although data was lost. The store therefore refuses every later call, and the process
 //! has to exit.
@@ -25,6 +30,7 @@
 mod recover;
 mod snapshot;
 mod store;
+mod unfinished;
 
 pub use self::{
     error::{Corruption, Error},
--- a/crates/sardinerelay/src/wal/file.rs
+++ b/crates/sardinerelay/src/wal/file.rs
@@ -11,6 +11,8 @@
 
 pub(super) const LOCK_FILE: &str = "lock";
 pub(super) const IDENTITY_FILE: &str = "identity";
+/// Marks a directory whose files are to be deleted, whichever of them are left.
+pub(super) const DISCARDED_FILE: &str = "discarded";
 /// Extension of files that are still being written.
 const TEMPORARY_EXTENSION: &str = "tmp";
 /// What precedes and follows the number in the name of a segment.
@@ -69,6 +71,19 @@
     sync_directory(path.parent().unwrap_or(Path::new(".")))
 }
 
+/// Deletes a directory with all of its files. The mark goes last, so that a deletion that is
+/// interrupted can be finished.
+pub(super) fn delete_marked(directory: &Path) -> Result<(), Error> {
+    let mark = directory.join(DISCARDED_FILE);
+    let files = list(directory)?;
+    files
+        .iter()
+        .filter(|path| **path != mark)
+        .try_for_each(|path| remove_file(path))?;
+    sync_directory(directory)?;
+    with_path("deleting", directory, fs::remove_dir_all(directory))
+}
+
 pub(super) fn remove_file(path: &Path) -> Result<(), Error> {
     with_path("removing", path, fs::remove_file(path))
 }
@@ -121,6 +136,12 @@
     Ok(paths)
 }
 
+/// Index in the name of a snapshot; `None` if it has none.
+pub(super) fn snapshot_index(path: &Path) -> Option<u64> {
+    let (index, _) = strip_affixes(path, SNAPSHOT_AFFIXES)?.split_once('-')?;
+    u64::from_str_radix(index, 16).ok()
+}
+
 fn list(directory: &Path) -> Result<Vec<PathBuf>, Error> {
     let found = fs::read_dir(directory)
         .and_then(|entries| entries.map(|entry| Ok(entry?.path())).collect());
--- a/crates/sardinerelay/src/wal/store.rs
+++ b/crates/sardinerelay/src/wal/store.rs
@@ -5,7 +5,7 @@
         Corruption, Error, Identity, file,
         frame::{HEADER_BYTES, Header, MAX_PAYLOAD_BYTES, Record},
         recover::{Replay, Segment, corrupt},
-        snapshot,
+        snapshot, unfinished,
     },
     crate::{
         id::Index,
@@ -95,16 +95,17 @@
 
 impl Store {
     /// Initialises a directory, which is created if it is missing. The identity is written last,
-    /// so that a directory with an identity is complete. Fails if the directory already has an
-    /// identity or a segment.
+    /// so that a directory with an identity is complete. What an interrupted creation has left is
+    /// removed first. Fails if the directory has an identity, or data that was written later.
     pub fn create(path: &Path, identity: Identity, durable: &DurableState) -> Result<(), Error> {
         file::with_path("creating", path, fs::create_dir_all(path))?;
         let lock = file::lock_directory(path)?;
-        if Identity::read(path)?.is_some() || !file::segment_numbers(path)?.is_empty() {
+        if Identity::read(path)?.is_some() || !unfinished::is_unfinished(path)? {
             return Err(Error::AlreadyInitialised {
                 path: path.to_owned(),
             });
         }
+        unfinished::remove(path)?;
         let limits = Limits::default();
         snapshot::save(path, &durable.snapshot, limits.snapshot_bytes)?;
         let segment = Segment::default();
@@ -127,11 +128,22 @@
             .map(Record::Entry)
             .try_for_each(|record| store.push_record(&record))?;
         store.sync()?;
-        identity.write(path)?;
-        // The directory itself must still be in its parent after a crash.
+        // The directory itself must still be in its parent after a crash, from when it is complete.
         path.parent()
             .filter(|parent| !parent.as_os_str().is_empty())
-            .map_or(Ok(()), file::sync_directory)
+            .map_or(Ok(()), file::sync_directory)?;
+        identity.write(path)
+    }
+
+    /// Deletes a directory whose replica has left its group, so that another one can be created
+    /// there. After a crash, [`Store::open`] finishes the deletion.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if a file can't be deleted.
+    pub fn discard(path: &Path) -> Result<(), Error> {
+        file::write_atomically(&path.join(file::DISCARDED_FILE), &[])?;
+        file::delete_marked(path)
     }
 
     /// Opens a directory with the default limits.
@@ -142,6 +154,12 @@
     /// Opens a directory and recovers its state. An incomplete last frame, temporary files and
     /// superseded snapshots are removed. Nothing else is changed, also if the directory is
     /// refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotInitialised`] for a directory without a replica: a missing one, one whose
+    /// creation was interrupted, or a discarded one. Returns [`Error::Corrupt`] if data is missing
+    /// or damaged that the replica may have answered for.
     pub fn open_with(path: &Path, limits: Limits) -> Result<(Self, Recovered), Error> {
         let missing = || Error::NotInitialised {
             path: path.to_owned(),
@@ -150,8 +168,13 @@
             return Err(missing());
         }
         let lock = file::lock_directory(path)?;
+        if path.join(file::DISCARDED_FILE).exists() {
+            file::delete_marked(path)?;
+            log::warn!("{}: finished an interrupted deletion", path.display());
+            return Err(missing());
+        }
         let Some(identity) = Identity::read(path)? else {
-            return match file::segment_numbers(path)?.is_empty() {
+            return match unfinished::is_unfinished(path)? {
                 true => Err(missing()),
                 false => Err(corrupt(&path.join(file::IDENTITY_FILE), 0, Corruption::Gap)),
             };
