Don't take a second copy of an answer for the answer to the next request

Cause: the host sends a refused order to the same target again on the same connection. The target's refusal comes once more, late, at the point where the second answer is expected, and names the same attempt. An ID tells answers to two requests apart, not to two sends of one. Ruled out: refusals for want of targets after a send without an answer; the broken orders' lines "call sent" say outcome=not_run for the send that ran.

A connection is now used only for a request whose answer can be told from the one before on it: not for the same attempt twice in a row, not for two reservations or two transfers in a row, and a call of the relay doesn't take an answer that names the attempt before. This works since a second copy comes where the next answer is expected, and only there. Reads of load reports and of the list may be one interval old and stay as they are.

Same cause elsewhere: sardinerelayd believed an engine's "not run" without a name in it. Engines now name the generation, and the daemon takes an answer for another one for no answer.

--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -6,7 +6,7 @@
         allocation::Allocation,
         call::{EventId, MemoryCopy},
         entry::EntryHost,
-        pool::{Exchange, SendError},
+        pool::{Exchange, Outgoing, Purpose, SendError},
         request::{ForwardOptions, Job, ResponseClass},
     },
     bytes::Bytes,
@@ -100,13 +100,14 @@
         copy_from: start.copy_from,
         reservation: start.reservation,
     };
-    let request = job.outgoing(target, options);
+    let outgoing = Outgoing {
+        request: job.outgoing(target, options),
+        purpose: Purpose::Attempt(job.call.id.clone()),
+        max_idle: MAX_GENERATION_CONNECTION_IDLE,
+    };
     let sent = Instant::now();
     let deadline = TokioInstant::from_std(job.deadline());
-    let sending = job
-        .entry
-        .pool
-        .send(&instance, request, MAX_GENERATION_CONNECTION_IDLE);
+    let sending = job.entry.pool.send(&instance, outgoing);
     let responded = timeout_at(deadline, async {
         tokio::select! {
             responded = sending => responded.map(Some),
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -5,7 +5,7 @@
 //! waits for another engine instead of in the queue of this one.
 
 use {
-    crate::{allocation::Allocation, call::ReservationRequest, request::Job},
+    crate::{allocation::Allocation, call::ReservationRequest, pool::Purpose, request::Job},
     compact_str::CompactString,
     log::{debug, info},
     std::time::Duration,
@@ -40,10 +40,11 @@
         lifetime,
     };
     let request = (job.entry.codec.reserve_request)(instance.address, reserve);
+    let outgoing = (request, Purpose::Command("reserve"));
     let response = match job
         .entry
         .pool
-        .call(&instance, request, RESERVE_TIMEOUT)
+        .call(&instance, outgoing, RESERVE_TIMEOUT)
         .await
     {
         Ok(response) => response,
--- a/crates/sardinerelay-gateway/src/generation/transfer.rs
+++ b/crates/sardinerelay-gateway/src/generation/transfer.rs
@@ -8,7 +8,7 @@
         call::{self, Transfer, TransferOutcome},
         entry::EntryHost,
         observations::Instance,
-        pool::SendError,
+        pool::{Purpose, SendError},
     },
     compact_str::CompactString,
     log::info,
@@ -92,7 +92,8 @@
         stops_run: is_last,
     };
     let request = (entry.codec.transfer_request)(from.address, &transfer);
-    let response = entry.pool.call(from, request, COPY_TIMEOUT).await?;
+    let outgoing = (request, Purpose::Command("transfer"));
+    let response = entry.pool.call(from, outgoing, COPY_TIMEOUT).await?;
     let source_copy = |name: CompactString| call::MemoryCopy {
         address: from.address,
         name,
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -12,7 +12,7 @@
         observations::{
             Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
         },
-        pool::Pool,
+        pool::{Pool, Purpose},
         table::Table,
     },
     http::{HeaderMap, header},
@@ -172,7 +172,7 @@
             let request = (self.codec.list_request)(self.list_server.address, token.as_deref());
             let response = self
                 .pool
-                .call(&self.list_server, request, READ_TIMEOUT)
+                .call(&self.list_server, (request, Purpose::Read), READ_TIMEOUT)
                 .await;
             let response = response.map_err(|error| error.to_string())?;
             if !response.status().is_success() {
@@ -239,7 +239,11 @@
     async fn read_load_report_once(&self, engine: &Instance) -> bool {
         let sent = Instant::now();
         let request = (self.codec.load_request)(engine.address);
-        let response = match self.pool.call(engine, request, READ_TIMEOUT).await {
+        let response = match self
+            .pool
+            .call(engine, (request, Purpose::Read), READ_TIMEOUT)
+            .await
+        {
             Ok(response) if response.status().is_success() => response,
             Ok(response) => {
                 debug!(
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -10,7 +10,7 @@
 use {
     self::choice::Choice,
     crate::{
-        pool::{Cause, Exchange, SendError},
+        pool::{Cause, Exchange, Outgoing, Purpose, SendError},
         refusal::Refusal,
         request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
         table::Kind,
@@ -178,10 +178,13 @@
     };
     job.entry.state().targets.claim(target, run, claim);
     let _guard = ClaimGuard { job, target, run };
-    let request = job.outgoing(target, ForwardOptions::default());
-    let max_idle = match job.route.kind {
-        Kind::AtMostOnce => MAX_CONNECTION_IDLE_AT_MOST_ONCE,
-        _ => MAX_CONNECTION_IDLE,
+    let outgoing = Outgoing {
+        request: job.outgoing(target, ForwardOptions::default()),
+        purpose: Purpose::Attempt(job.call.id.clone()),
+        max_idle: match job.route.kind {
+            Kind::AtMostOnce => MAX_CONNECTION_IDLE_AT_MOST_ONCE,
+            _ => MAX_CONNECTION_IDLE,
+        },
     };
     let attempt_timeout = (job.route.objective * ATTEMPT_TIMEOUT_FACTOR).max(MIN_ATTEMPT_TIMEOUT);
     let attempt_deadline = if is_last {
@@ -190,7 +193,7 @@
         deadline.min(now + attempt_timeout)
     };
     let responded = timeout_at(TokioInstant::from_std(attempt_deadline), async {
-        let (exchange, response) = job.entry.pool.send(&instance, request, max_idle).await?;
+        let (exchange, response) = job.entry.pool.send(&instance, outgoing).await?;
         read(job, exchange, response, (target, now)).await
     });
     match responded.await {
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -2,10 +2,14 @@
 //!
 //! A connection is reused only if the last exchange on it ended as the protocol says. After
 //! anything else it is closed, because bytes that belong to no request may follow.
+//!
+//! A target may send an answer once more, at the point where the next one is expected. A connection is
+//! therefore used only for a request whose answer can be told from the one before; see [`Purpose`].
 
 use {
     crate::observations::Instance,
     bytes::Bytes,
+    compact_str::CompactString,
     http::{HeaderMap, Request, Response, header::CONNECTION, header::HeaderName},
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::{
@@ -69,16 +73,54 @@
     /// The timeout has passed.
     #[error("timed out")]
     Timeout,
+    /// The response names the attempt before on the connection.
+    #[error("the response to the request before came once more")]
+    Repeated,
     /// The response's body broke off or is too long.
     #[error("reading the response failed: {0}")]
     Body(#[source] Box<dyn Error + Send + Sync>),
 }
 
+/// What a request is for, which decides the answers that could be taken for its own.
+///
+/// Once an answer has been told from the one before, no second copy of an earlier one is left on the
+/// connection. So only the last exchange counts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Purpose {
+    /// A caller's attempt with this ID, which its answer names.
+    Attempt(CompactString),
+    /// A call of the relay that may be answered with what the target said before, such as a load
+    /// report.
+    Read,
+    /// A call of the relay that needs its own answer, such as a reservation. The answers to commands
+    /// with different names differ in what they contain.
+    Command(&'static str),
+}
+
+impl Purpose {
+    /// Whether the answer to a request can be told from a second copy of the answer to the previous
+    /// one on the connection.
+    fn is_distinct_after(&self, previous: Option<&Self>) -> bool {
+        matches!(self, Self::Read) || previous != Some(self)
+    }
+}
+
+/// A request with what decides which connections it may use.
+#[derive(Debug)]
+pub struct Outgoing {
+    pub request: Request<Full<Bytes>>,
+    pub purpose: Purpose,
+    /// Longest time that a connection may have been idle for the request.
+    pub max_idle: Duration,
+}
+
 /// A connection and the task that drives it. Dropping it closes the connection.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// What the last exchange was for; none before the first one.
+    last: Option<Purpose>,
 }
 
 impl Drop for Connection {
@@ -107,13 +149,26 @@
 pub struct Exchange {
     target: Target,
     connection: Option<Connection>,
+    /// What the exchange before on the connection was for.
+    previous: Option<Purpose>,
     /// How long the connection may stay idle after the exchange; none if it can't be reused.
     idle_timeout: Option<Duration>,
 }
 
+impl Exchange {
+    /// Whether a header of the response names the attempt before on the connection.
+    fn answers_previous(&self, response: &Response<Incoming>) -> bool {
+        let Some(Purpose::Attempt(id)) = &self.previous else {
+            return false;
+        };
+        let mut values = response.headers().values();
+        values.any(|value| value.as_bytes() == id.as_bytes())
+    }
+}
+
 impl Pool {
-    /// Sends a request to a target and reads the head of the response. `max_idle` is the longest
-    /// time that a connection may have been idle to be used; otherwise a new one is opened.
+    /// Sends a request to a target and reads the head of the response. A new connection is opened
+    /// if no idle one may be used.
     ///
     /// # Errors
     ///
@@ -121,13 +176,16 @@
     pub async fn send(
         &self,
         target: &Instance,
-        request: Request<Full<Bytes>>,
-        max_idle: Duration,
+        outgoing: Outgoing,
     ) -> Result<(Exchange, Response<Incoming>), SendError> {
-        let mut request = request;
-        while let Some(mut connection) = self.take(&target.target, max_idle) {
+        let Outgoing {
+            mut request,
+            purpose,
+            max_idle,
+        } = outgoing;
+        while let Some(mut connection) = self.take(&target.target, &purpose, max_idle) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(exchange(target, connection, response)),
+                Ok(response) => return Ok(exchange(target, (connection, purpose), response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::NoResponse(error.into_error().into())),
@@ -136,7 +194,7 @@
         }
         let mut connection = open(target.address).await.map_err(SendError::NotSent)?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(exchange(target, connection, response)),
+            Ok(response) => Ok(exchange(target, (connection, purpose), response)),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let cause = error.into_error().into();
@@ -161,15 +219,23 @@
     /// # Errors
     ///
     /// Returns a [`SendError`]. It is [`SendError::NoResponse`] if `time_limit` passes, even if no
-    /// byte was sent.
+    /// byte was sent, or if the response is that to a caller's attempt.
     pub async fn call(
         &self,
         target: &Instance,
-        request: Request<Full<Bytes>>,
+        (request, purpose): (Request<Full<Bytes>>, Purpose),
         time_limit: Duration,
     ) -> Result<Response<Bytes>, SendError> {
+        let outgoing = Outgoing {
+            request,
+            purpose,
+            max_idle: DEFAULT_IDLE_TIMEOUT,
+        };
         let responded = timeout(time_limit, async {
-            let (exchange, response) = self.send(target, request, DEFAULT_IDLE_TIMEOUT).await?;
+            let (exchange, response) = self.send(target, outgoing).await?;
+            if exchange.answers_previous(&response) {
+                return Err(SendError::NoResponse(Cause::Repeated));
+            }
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, MAX_OWN_RESPONSE_BYTES).collect().await;
             let body = body
@@ -220,17 +286,20 @@
         });
     }
 
-    /// Takes a usable connection that has been idle for up to `max_idle`. Others that it finds
-    /// first are closed.
-    fn take(&self, target: &Target, max_idle: Duration) -> Option<Connection> {
+    /// Takes the connection that became idle last among those that may be used for this purpose and
+    /// have been idle for up to `max_idle`. Closes the others that have been idle for longer.
+    fn take(&self, target: &Target, purpose: &Purpose, max_idle: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = all.get_mut(target)?;
-        while let Some(last) = idle.pop() {
-            let is_fresh = now.saturating_duration_since(last.idle_since) <= max_idle;
-            let is_usable = last.expires > now && last.connection.sender.is_ready();
-            if is_usable && is_fresh {
-                return Some(last.connection);
+        for position in (0..idle.len()).rev() {
+            let found = &idle[position];
+            let is_fresh = now.saturating_duration_since(found.idle_since) <= max_idle;
+            let is_usable = found.expires > now && found.connection.sender.is_ready();
+            if !is_usable || !is_fresh {
+                idle.remove(position);
+            } else if purpose.is_distinct_after(found.connection.last.as_ref()) {
+                return Some(idle.remove(position).connection);
             }
         }
         None
@@ -240,11 +309,12 @@
 /// Pairs a response with the connection that it came on.
 fn exchange(
     target: &Instance,
-    connection: Connection,
+    (mut connection, purpose): (Connection, Purpose),
     response: Response<Incoming>,
 ) -> (Exchange, Response<Incoming>) {
     let exchange = Exchange {
         target: target.target.clone(),
+        previous: connection.last.replace(purpose),
         connection: Some(connection),
         idle_timeout: idle_timeout(response.headers()),
     };
@@ -266,7 +336,11 @@
             debug!("the connection to {address} ended: {error}");
         }
     });
-    Ok(Connection { sender, task })
+    Ok(Connection {
+        sender,
+        task,
+        last: None,
+    })
 }
 
 /// Returns how long a connection may stay idle after this response: the timeout that the target
--- a/crates/sardinerelay-standin/src/engine.rs
+++ b/crates/sardinerelay-standin/src/engine.rs
@@ -180,7 +180,7 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    start_generation(&shared, Endpoint::Chat, &headers, &body).unwrap_or_else(|error| error)
+    answer_start(&shared, Endpoint::Chat, &headers, &body)
 }
 
 async fn completions(
@@ -188,7 +188,24 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    start_generation(&shared, Endpoint::Text, &headers, &body).unwrap_or_else(|error| error)
+    answer_start(&shared, Endpoint::Text, &headers, &body)
+}
+
+/// Starts a generation or refuses it. The answer names the generation that it is for.
+fn answer_start(
+    shared: &Arc<Shared>,
+    endpoint: Endpoint,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Response {
+    let mut response =
+        start_generation(shared, endpoint, headers, body).unwrap_or_else(|error| error);
+    if let Some(generation) = headers.get("x-generation") {
+        response
+            .headers_mut()
+            .insert("x-generation", generation.clone());
+    }
+    response
 }
 
 /// Starts a generation and returns its event stream, or the error response if the request is
--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -42,6 +42,9 @@
 /// Largest short response that is read. The list of an engine's orders has up to 4096 entries.
 const MAX_SHORT_RESPONSE_BYTES: usize = 1024 * 1024;
 
+/// Header that names the generation of a request to start one, and of the answer.
+const GENERATION_HEADER: &str = "x-generation";
+
 /// HTTP client for all engines.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -188,7 +191,7 @@
             .method(Method::POST)
             .uri(format!("http://{}{}", start.address, start.path))
             .header(header::CONTENT_TYPE, "application/json")
-            .header("x-generation", start.generation.to_string())
+            .header(GENERATION_HEADER, start.generation.to_string())
             .header("x-request-id", &start.request_id)
             .header("x-priority", u16::from(start.priority))
             .body(Full::new(start.body.clone()))
@@ -196,6 +199,9 @@
         let response = timeout(wait, self.pooled.request(request))
             .await?
             .map_err(classify)?;
+        if names_another(&response, start.generation) {
+            return Err(Error::InvalidResponse);
+        }
         check_status(response).await
     }
 
@@ -339,6 +345,13 @@
     Error::Disconnected(error)
 }
 
+/// Whether the response is for another generation. An engine may send the answer before once more. One
+/// that names no generation is not checked.
+fn names_another(response: &http::Response<Incoming>, generation: Generation) -> bool {
+    let named = response.headers().get(GENERATION_HEADER);
+    named.is_some_and(|named| named.as_bytes() != generation.to_string().as_bytes())
+}
+
 /// Returns the body of a successful response, or the error that the engine reports.
 async fn check_status(response: http::Response<Incoming>) -> Result<Incoming, Error> {
     let status = response.status();
--- /dev/null
+++ b/crates/sardinerelayd/tests/engine.rs
@@ -0,0 +1,61 @@
+//! Answers of engines that misbehave, as the daemon's client of engines takes them.
+
+use {
+    bytes::Bytes,
+    http::HeaderValue,
+    rstest::rstest,
+    sardinerelay::id::Generation,
+    sardinerelayd::engine::{Client, StartRequest},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpListener,
+    },
+};
+
+const WAIT: Duration = Duration::from_secs(2);
+const OWN: Generation = Generation::from_u128(1);
+const OTHER: Generation = Generation::from_u128(2);
+
+/// Guards against a generation that runs twice: an engine sends its refusal of another generation once more,
+/// and the refusal is taken for that of the one that it has just started.
+#[rstest]
+#[case::own(Some(OWN), true)]
+#[case::of_another(Some(OTHER), false)]
+#[case::unnamed(None, true)]
+#[tokio::test]
+async fn a_refusal_counts_only_for_its_generation(
+    #[case] named: Option<Generation>,
+    #[case] is_not_run: bool,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let header = named.map_or(String::new(), |named| format!("x-generation: {named}\r\n"));
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1024];
+        let received = stream.read(&mut request).await.expect("a request");
+        assert_ne!(received, 0);
+        let body = r#"{"error":{"message":"full","code":"full","run":"not_run"}}"#;
+        let answer = format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{header}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(answer.as_bytes()).await.expect("a write");
+        // The client closes the connection.
+        let _ = stream.read(&mut request).await;
+    });
+    let start = StartRequest {
+        address,
+        path: "/v1/completions",
+        generation: OWN,
+        request_id: HeaderValue::from_static("r"),
+        priority: 0,
+        body: Bytes::from_static(b"{}"),
+    };
+    let error = Client::new()
+        .start(&start, WAIT)
+        .await
+        .expect_err("an error");
+    assert_eq!(error.is_not_run(), is_not_run, "{error}");
+}
