--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         allocator::Allocator,
-        codec::Codec,
+        codec::{Codec, ParseError},
         group::Document,
         observations::{
             Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
@@ -137,6 +137,7 @@
 
     async fn poll_list(&self) {
         let mut is_failing = false;
+        let mut skipped_count = 0;
         let mut is_active = self.is_active.clone();
         loop {
             if is_active.wait_for(|active| *active).await.is_err() {
@@ -144,10 +145,13 @@
             }
             let began = Instant::now();
             match self.read_list().await {
-                Ok(instances) => {
+                Ok((instances, skipped)) => {
                     if std::mem::take(&mut is_failing) {
                         info!("the platform's list can be read again");
                     }
+                    if std::mem::replace(&mut skipped_count, skipped.len()) != skipped.len() {
+                        log_skipped(&skipped, instances.len());
+                    }
                     let mut state = self.state();
                     state.instances = instances;
                     state.list_read = Some(began);
@@ -164,9 +168,10 @@
         }
     }
 
-    /// Reads all pages of the list. The error is a text for the log.
-    async fn read_list(&self) -> Result<Vec<Instance>, String> {
-        let mut instances = Vec::new();
+    /// Reads all pages of the list. Also returns why entries were skipped. The error is a text for the
+    /// log.
+    async fn read_list(&self) -> Result<(Vec<Instance>, Vec<ParseError>), String> {
+        let (mut instances, mut skipped) = (Vec::new(), Vec::new());
         let mut token: Option<String> = None;
         for _ in 0..MAX_LIST_PAGES {
             let request = (self.codec.list_request)(self.list_server.address, token.as_deref());
@@ -180,13 +185,11 @@
             }
             let page =
                 (self.codec.parse_list)(response.body()).map_err(|error| error.to_string())?;
-            for error in &page.skipped {
-                debug!("skipped an entry of the list: {error}");
-            }
+            skipped.extend(page.skipped);
             instances.extend(page.instances);
             token = page.next;
             if token.is_none() {
-                return Ok(instances);
+                return Ok((instances, skipped));
             }
         }
         Err(format!("more than {MAX_LIST_PAGES} pages"))
@@ -400,6 +403,17 @@
     }
 }
 
+/// Logs that another number of entries of the list are skipped than before, and why the first of them is.
+fn log_skipped(skipped: &[ParseError], used: usize) {
+    match skipped.first() {
+        Some(first) => warn!(
+            skipped = skipped.len(), used = used, first:% = first;
+            "entries of the platform's list can't be used"
+        ),
+        None => info!(used = used; "all entries of the platform's list can be used again"),
+    }
+}
+
 fn closes_connection(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONNECTION);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
