Read the entries of the daemon's list of targets one by one

An entry of another type, or with an unknown state, made the whole list unreadable, so that the daemon went on to send work to targets that leave.

Test, on the sources before (with the list's types made public): platform, 4 of 5 cases failed (unknown state, other type, missing field, no object).

--- a/crates/sardinerelayd/src/platform.rs
+++ b/crates/sardinerelayd/src/platform.rs
@@ -10,6 +10,7 @@
     log::{debug, warn},
     sardinerelay::fleet::{Entry, Listed},
     serde::Deserialize,
+    serde_json::Value,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
@@ -20,10 +21,12 @@
 /// Consecutive failures after which a warning is logged.
 const WARN_AFTER_FAILURES: u32 = 10;
 
+/// The list as the platform sends it.
 #[derive(Debug, Deserialize)]
-struct TargetList {
+pub struct TargetList {
+    /// Parsed one by one, so that an odd entry hides no other.
     #[serde(default)]
-    targets: BTreeMap<CompactString, ListedTarget>,
+    targets: BTreeMap<CompactString, Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -48,7 +51,7 @@
         match client.json::<TargetList>(&url.to_string()).await {
             Ok(list) => {
                 failures = 0;
-                scheduler.merge_fleet_entries(&leaving_entries(&list));
+                scheduler.merge_fleet_entries(&leaving_entries(list));
             }
             Err(error) => {
                 failures += 1;
@@ -64,19 +67,25 @@
     }
 }
 
-/// Returns the leaving targets in the list. Live targets are left out: their own reports are more
-/// recent than the list.
-fn leaving_entries(list: &TargetList) -> Vec<Entry> {
-    let leaving = list
-        .targets
-        .iter()
-        .filter(|(_, target)| matches!(target.state, State::Leaving));
-    let entries = leaving.filter_map(|(name, target)| {
-        Some(Entry {
-            target: name.clone(),
-            incarnation: target.incarnation.parse().ok()?,
-            listed: Listed::Leaving,
-        })
-    });
-    entries.collect()
+/// Returns the leaving targets in the list, without entries that can't be parsed. Live targets are left
+/// out: their own reports are more recent than the list.
+pub fn leaving_entries(list: TargetList) -> Vec<Entry> {
+    let entries = list.targets.into_iter();
+    entries
+        .filter_map(|(name, entry)| leaving_entry(name, entry))
+        .collect()
+}
+
+/// Returns the entry of a target that leaves.
+fn leaving_entry(name: CompactString, entry: Value) -> Option<Entry> {
+    let parsed = serde_json::from_value::<ListedTarget>(entry);
+    let target = parsed
+        .inspect_err(|error| debug!("can't read the list's entry of {name}: {error}"))
+        .ok()?;
+    let incarnation = target.incarnation.parse().ok()?;
+    matches!(target.state, State::Leaving).then_some(Entry {
+        target: name,
+        incarnation,
+        listed: Listed::Leaving,
+    })
 }
