Bound the time for the body of a failure, and don't wait for that of a refusal

Cause: the body of a generation's failure or refusal was read with a limit on bytes only, behind the timeout for the head. While a stream was continued elsewhere, the same call hung where nothing watched the caller. Ruled out: a head that is awaited too long, and a continuation that hangs; the last line of the broken requests is "generation placed".

body::read is now the one way to read a whole body from a target; it takes a limit on bytes and one on time. An engine has 500 ms for a failure's body. Whether a request has run is known from the head, so a refusal's body is read on the side. This works since every wait for a target's bytes now ends with the request or before.

Same cause elsewhere: an order whose target refused it in the head got 504 at its timeout if the refusal had no end; now it goes to another target. A caller that left while its stream was being continued was not noticed. sardinerelayd bounds the time of all its reads from targets.

The log line "generation sent" has a reason for outcome=lost.

--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -92,10 +92,10 @@
             }
             OpenOutcome::Failure(head, body) => return Ok(client_response(head, Body::from(body))),
             OpenOutcome::NotRun(_) => {}
-            OpenOutcome::Unknown if allocation.choice.copy.is_some() || is_resumable(&job) => {
+            OpenOutcome::Unknown(_) if allocation.choice.copy.is_some() || is_resumable(&job) => {
                 return pump::resume_unanswered(job, allocation).await;
             }
-            OpenOutcome::Unknown => return Err(Refusal::OutcomeUnknown("the engine broke off")),
+            OpenOutcome::Unknown(_) => return Err(Refusal::OutcomeUnknown("the engine broke off")),
             OpenOutcome::TimedOut => return Err(Refusal::Timeout),
         }
         tried.push(allocation.choice.target.clone());
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -4,6 +4,7 @@
     super::urgency,
     crate::{
         allocation::Allocation,
+        body,
         call::{EventId, MemoryCopy},
         entry::EntryHost,
         pool::{Exchange, Outgoing, Purpose, SendError},
@@ -12,7 +13,6 @@
     bytes::Bytes,
     compact_str::CompactString,
     http::{header, response},
-    http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     log::info,
     sardinerelay::id::{Build, Target},
@@ -23,6 +23,9 @@
 /// Largest body of an engine's failure response, in bytes. After a longer one the outcome counts as
 /// unknown.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
+/// Time that an engine has for the body of a failure response, after its head. The outcome counts as
+/// unknown then, so that another engine can still continue the generation in time.
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time that a connection may have been idle for a generation to be sent on it. The engine
 /// may be closing an older one, and it would be unknown whether the generation ran.
 const MAX_GENERATION_CONNECTION_IDLE: Duration = Duration::from_millis(1500);
@@ -53,8 +56,8 @@
     Failure(response::Parts, Bytes),
     /// The generation certainly did not run.
     NotRun(NotRunReason),
-    /// The generation may run or have run.
-    Unknown,
+    /// The generation may run or have run, for this reason.
+    Unknown(&'static str),
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -116,11 +119,11 @@
     });
     let (exchange, response) = match responded.await {
         Ok(Ok(Some(responded))) => responded,
-        Ok(Ok(None)) => return OpenOutcome::Unknown,
+        Ok(Ok(None)) => return OpenOutcome::Unknown("the engine is silent"),
         Ok(Err(SendError::NotSent(_))) => return OpenOutcome::NotRun(NotRunReason::Unreachable),
         Ok(Err(SendError::NoResponse(_))) => {
             allocation.record_crash(job);
-            return OpenOutcome::Unknown;
+            return OpenOutcome::Unknown("the connection broke");
         }
         Err(_) => return OpenOutcome::TimedOut,
     };
@@ -140,26 +143,30 @@
             OpenOutcome::Stream(parts, stream)
         }
         ResponseClass::NotRun => {
-            if Limited::new(body, MAX_FAILURE_BYTES)
-                .collect()
-                .await
-                .is_ok()
-            {
-                job.entry.pool.put_back(exchange);
-            }
+            job.entry.pool.finish(exchange, body);
             OpenOutcome::NotRun(NotRunReason::Refused)
         }
-        ResponseClass::Failure => match Limited::new(body, MAX_FAILURE_BYTES).collect().await {
+        ResponseClass::Failure => match read_failure(job, body).await {
             Ok(body) => {
                 job.entry.pool.put_back(exchange);
-                OpenOutcome::Failure(parts, body.to_bytes())
+                OpenOutcome::Failure(parts, body)
             }
-            Err(_) => OpenOutcome::Unknown,
+            Err(body::Error::TimedOut) if Instant::now() >= job.deadline() => OpenOutcome::TimedOut,
+            Err(_) => OpenOutcome::Unknown("the engine's failure has no end"),
         },
-        ResponseClass::Untrusted => OpenOutcome::Unknown,
+        ResponseClass::Untrusted => OpenOutcome::Unknown("the answer is not the engine's"),
     }
 }
 
+/// Reads the body of a failure response.
+async fn read_failure(job: &Job, body: Incoming) -> Result<Bytes, body::Error> {
+    let limits = body::Limits {
+        max_bytes: MAX_FAILURE_BYTES,
+        until: job.deadline().min(Instant::now() + FAILURE_BODY_TIMEOUT),
+    };
+    body::read(body, limits).await
+}
+
 /// Returns once the engine is gone or silent, but not before [`MIN_RESPONSE_WAIT`].
 async fn wait_until_dead(entry: &EntryHost, target: &Target) {
     sleep(MIN_RESPONSE_WAIT).await;
@@ -184,7 +191,7 @@
         OpenOutcome::Stream(..) => ("streams", String::new()),
         OpenOutcome::Failure(parts, _) => ("failure", parts.status.to_string()),
         OpenOutcome::NotRun(reason) => ("not_run", reason.to_string()),
-        OpenOutcome::Unknown => ("lost", String::new()),
+        OpenOutcome::Unknown(reason) => ("lost", (*reason).to_owned()),
         OpenOutcome::TimedOut => ("late", String::new()),
     };
     if let Some(target_state) = state.targets.get_mut(target) {
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -169,13 +169,21 @@
                 }
                 StreamEnd::Broken(reason) => {
                     self.record_failure(reason);
-                    source = self.reopen().await.map(|(_, source)| source);
+                    let caller = self.chunks.clone();
+                    source = tokio::select! {
+                        () = caller.closed() => break "left",
+                        reopened = self.reopen() => reopened.map(|(_, source)| source),
+                    };
                     if source.is_none() {
                         self.abort(reason).await;
                     }
                 }
                 StreamEnd::Moved(moved, to) => {
-                    source = self.reopen_moved(moved, to).await.map(|(_, source)| source);
+                    let caller = self.chunks.clone();
+                    source = tokio::select! {
+                        () = caller.closed() => break "left",
+                        reopened = self.reopen_moved(moved, to) => reopened.map(|(_, source)| source),
+                    };
                     if source.is_none() {
                         self.abort("the engine that it was moved to did not continue it")
                             .await;
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod allocation;
 pub mod allocator;
 pub mod backlog;
+pub mod body;
 pub mod budget;
 pub mod builds;
 pub mod call;
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -10,6 +10,7 @@
 use {
     self::choice::Choice,
     crate::{
+        body,
         pool::{Cause, Exchange, Outgoing, Purpose, SendError},
         refusal::Refusal,
         request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
@@ -19,7 +20,6 @@
     axum::body::Body,
     bytes::Bytes,
     http::{Response, response},
-    http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     log::info,
     rand::Rng as _,
@@ -217,21 +217,26 @@
 ) -> Result<AttemptOutcome, SendError> {
     let class = job.classify(&response, target, sent);
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body
-        .map_err(|error| SendError::NoResponse(Cause::Body(error)))?
-        .to_bytes();
-    Ok(match class {
+    match class {
         ResponseClass::Success | ResponseClass::Failure => {
+            let limits = body::Limits {
+                max_bytes: MAX_RESPONSE_BYTES,
+                until: job.deadline(),
+            };
+            let body = match body::read(body, limits).await {
+                Ok(body) => body,
+                Err(body::Error::TimedOut) => return Ok(AttemptOutcome::TimedOut),
+                Err(error) => return Err(SendError::NoResponse(Cause::Body(error))),
+            };
             job.entry.pool.put_back(exchange);
-            AttemptOutcome::Responded(buffered_response(parts, body))
+            Ok(AttemptOutcome::Responded(buffered_response(parts, body)))
         }
         ResponseClass::NotRun => {
-            job.entry.pool.put_back(exchange);
-            AttemptOutcome::NotRun(NotRunReason::Refused)
+            job.entry.pool.finish(exchange, body);
+            Ok(AttemptOutcome::NotRun(NotRunReason::Refused))
         }
-        ResponseClass::Untrusted => AttemptOutcome::Unknown("the answer is not the target's"),
-    })
+        ResponseClass::Untrusted => Ok(AttemptOutcome::Unknown("the answer is not the target's")),
+    }
 }
 
 /// Turns a target's response into the response to the caller.
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -7,11 +7,11 @@
 //! therefore used only for a request whose answer can be told from the one before; see [`Purpose`].
 
 use {
-    crate::observations::Instance,
+    crate::{body, observations::Instance},
     bytes::Bytes,
     compact_str::CompactString,
     http::{HeaderMap, Request, Response, header::CONNECTION, header::HeaderName},
-    http_body_util::{BodyExt as _, Full, Limited},
+    http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
@@ -22,7 +22,6 @@
     socket2::SockRef,
     std::{
         collections::HashMap,
-        error::Error,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -48,6 +47,11 @@
 /// Largest response body to a request that the relay makes itself, in bytes.
 const MAX_OWN_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Largest rest of a response that is read only to use its connection again, in bytes.
+const MAX_UNREAD_BYTES: usize = 16 << 10;
+/// Longest time for which such a rest is read.
+const UNREAD_TIMEOUT: Duration = Duration::from_millis(500);
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a request got no complete response.
@@ -76,9 +80,9 @@
     /// The response names the attempt before on the connection.
     #[error("the response to the request before came once more")]
     Repeated,
-    /// The response's body broke off or is too long.
+    /// The response's body was not read in full.
     #[error("reading the response failed: {0}")]
-    Body(#[source] Box<dyn Error + Send + Sync>),
+    Body(#[source] body::Error),
 }
 
 /// What a request is for, which decides the answers that could be taken for its own.
@@ -137,10 +141,10 @@
     expires: Instant,
 }
 
-/// Idle connections by target.
-#[derive(Debug, Default)]
+/// Idle connections by target. Clones share them.
+#[derive(Debug, Clone, Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<Target, Vec<Idle>>>,
+    idle: Arc<Mutex<HashMap<Target, Vec<Idle>>>>,
 }
 
 /// The connection of a response whose body has not been read yet. Dropping it closes the
@@ -237,10 +241,12 @@
                 return Err(SendError::NoResponse(Cause::Repeated));
             }
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_OWN_RESPONSE_BYTES).collect().await;
-            let body = body
-                .map_err(|error| SendError::NoResponse(Cause::Body(error)))?
-                .to_bytes();
+            let limits = body::Limits {
+                max_bytes: MAX_OWN_RESPONSE_BYTES,
+                until: Instant::now() + time_limit,
+            };
+            let body = body::read(body, limits).await;
+            let body = body.map_err(|error| SendError::NoResponse(Cause::Body(error)))?;
             self.put_back(exchange);
             Ok(Response::from_parts(parts, body))
         });
@@ -273,6 +279,22 @@
         }
     }
 
+    /// Reads what is left of a response whose content doesn't matter, and returns its connection to the
+    /// pool. Doesn't wait for that. The connection is closed instead if the body is long or takes long.
+    pub fn finish(&self, exchange: Exchange, body: Incoming) {
+        let limits = body::Limits {
+            max_bytes: MAX_UNREAD_BYTES,
+            until: Instant::now() + UNREAD_TIMEOUT,
+        };
+        let pool = self.clone();
+        tokio::spawn(async move {
+            match body::read(body, limits).await {
+                Ok(_) => pool.put_back(exchange),
+                Err(error) => debug!("closing a connection to {}: {error}", exchange.target),
+            }
+        });
+    }
+
     /// Closes idle connections that have expired, and those to targets for which `keep` is false.
     pub fn retain_targets<Keep>(&self, keep: Keep)
     where
@@ -367,6 +389,3 @@
         .checked_sub(IDLE_TIMEOUT_MARGIN)
         .filter(|timeout| !timeout.is_zero())
 }
-
-/// A pool that several tasks of a host share.
-pub type Shared = Arc<Pool>;
