Give a caller's body a time limit, and long bodies a common share of memory

A caller that stopped in the middle of its body held its connection, and what had arrived, for good. It gets 408 now at its request's deadline: nothing has run.

Test, on the sources before: framing, a_body_that_stops_is_refused_in_time failed (no answer within 2 s).

--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body,
         call::OperatorCall,
         codec::Codec,
         distribution::MAX_TEXT_BYTES,
@@ -13,7 +14,6 @@
     axum::body::Body,
     bytes::Bytes,
     http::{HeaderValue, Request, Response, StatusCode, header},
-    http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     log::{info, warn},
     std::{
@@ -28,6 +28,11 @@
 /// or somewhat later for a large body.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time for a submitted configuration to arrive.
+const SUBMISSION_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory that submitted configurations may take together, in bytes: eight of the largest ones.
+const SUBMISSION_MEMORY_BYTES: usize = 8 * MAX_TEXT_BYTES;
+
 /// Serves operators at `address` in the background.
 ///
 /// # Errors
@@ -39,16 +44,18 @@
     handle: Handle,
     metrics: Arc<Metrics>,
 ) -> io::Result<()> {
+    let memory = body::Memory::new(SUBMISSION_MEMORY_BYTES);
     http_server::listen(address, move |request| {
         let (handle, metrics) = (handle.clone(), Arc::clone(&metrics));
-        async move { serve(codec, handle, &metrics, request).await }
+        let memory = memory.clone();
+        async move { serve(codec, (handle, memory), &metrics, request).await }
     })
     .await
 }
 
 async fn serve(
     codec: Codec,
-    handle: Handle,
+    (handle, memory): (Handle, body::Memory),
     metrics: &Metrics,
     request: Request<Incoming>,
 ) -> Response<Body> {
@@ -56,7 +63,7 @@
     let call = (codec.parse_operator_call)(request.method(), request.uri().path());
     let (label, response) = match call {
         Some(OperatorCall::Submit) => {
-            let submitted = submit(codec, &handle, request.into_body());
+            let submitted = submit(codec, (&handle, &memory), request.into_body());
             ("submit", submitted.await)
         }
         Some(OperatorCall::Read) => ("read", read(&handle).await),
@@ -71,13 +78,25 @@
     response
 }
 
-async fn submit(codec: Codec, handle: &Handle, body: Incoming) -> Response<Body> {
+async fn submit(
+    codec: Codec,
+    (handle, memory): (&Handle, &body::Memory),
+    body: Incoming,
+) -> Response<Body> {
     let began = Instant::now();
-    let body = match Limited::new(body, MAX_TEXT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let limits = body::Limits {
+        max_bytes: MAX_TEXT_BYTES,
+        until: began + SUBMISSION_BODY_TIMEOUT,
+    };
+    let body = match body::read(body, limits, memory).await {
+        Ok(body) => body,
         Err(error) => {
             warn!(reason:% = error; "reading a submitted configuration failed");
-            return http_server::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
+            let status = match error {
+                body::Error::TooLong | body::Error::BrokenOff(_) => StatusCode::BAD_REQUEST,
+                body::Error::TimedOut | body::Error::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            return http_server::text(status, format!("{error}\n"));
         }
     };
     let table = match check(codec, &body) {
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -8,6 +8,7 @@
         admission::RefusalReason,
         allocation::Allocation,
         allocator::{Allocator, Reply, Scope, State, claim, claim_for_move},
+        body,
         budget::Budget,
         codec::Codec,
         forecast::Forecast,
@@ -41,6 +42,9 @@
 
 /// Interval at which idle connections to targets are cleaned up.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+/// Memory that long bodies of callers' requests may take together, in bytes. The smallest hosts have
+/// 88 MB.
+const REQUEST_MEMORY_BYTES: usize = 24 << 20;
 /// Number of entry hosts that retry budgets assume until an observation states it.
 const DEFAULT_ENTRY_HOSTS: u32 = 100;
 /// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
@@ -61,6 +65,8 @@
     pub table: ArcSwapOption<Table>,
     /// Idle connections to targets, for reuse.
     pub pool: Pool,
+    /// Memory that long bodies of callers' requests may take together.
+    pub request_memory: body::Memory,
     /// Counters and histograms of this process.
     pub metrics: Metrics,
     /// Counts open requests, so that a planned stop can wait for them.
@@ -114,6 +120,7 @@
             codec,
             table: ArcSwapOption::empty(),
             pool: Pool::default(),
+            request_memory: body::Memory::new(REQUEST_MEMORY_BYTES),
             metrics,
             drain: Drain::default(),
             allocator: Allocator::new(Scope::Local),
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body,
         entry::EntryHost,
         generation, plain,
         refusal::Refusal,
@@ -10,14 +11,10 @@
     },
     axum::body::Body,
     http::{HeaderValue, Request, Response, header},
-    http_body_util::{BodyExt as _, LengthLimitError, Limited},
-    hyper::{
-        body::{Body as _, Incoming},
-        server::conn::http1,
-        service::service_fn,
-    },
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     log::{debug, info, warn},
+    rand::Rng as _,
     sardinerelayd::stop::RequestGuard,
     std::{convert::Infallible, sync::Arc, time::Duration, time::Instant},
     tokio::{
@@ -31,6 +28,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after which a caller should retry if this host has no configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// Mean time after which a caller should retry if the bodies of others have taken the memory of this host.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time after which a caller should retry if this host is stopping.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Smallest read buffer that hyper accepts, in bytes. It panics if asked for a smaller one.
@@ -161,7 +160,7 @@
     let id = call.id.clone();
     let job = authenticate(&entry, &head, call, arrived);
     let result = match job {
-        Ok(job) => match read_body(body, limits(&entry).max_body_bytes).await {
+        Ok(job) => match read_body(&job, body).await {
             Ok(body) => dispatch(Job { body, ..job }).await,
             Err(refusal) => Err(refusal),
         },
@@ -227,17 +226,22 @@
     })
 }
 
-/// Reads a request's body, which may have up to `max_bytes`.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<bytes::Bytes, Refusal> {
-    // A declared length that is too large is refused before any of the body arrives.
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::BodyTooLong);
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
-        Err(error) => Err(Refusal::Malformed(error.to_string())),
-    }
+/// Reads a request's body, up to the request's deadline.
+async fn read_body(job: &Job, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+    let limits = body::Limits {
+        max_bytes: limits(&job.entry).max_body_bytes,
+        until: job.deadline(),
+    };
+    let read = body::read(body, limits, &job.entry.request_memory).await;
+    read.map_err(|error| match error {
+        body::Error::TooLong => Refusal::BodyTooLong,
+        body::Error::TimedOut => Refusal::BodyTimedOut,
+        body::Error::NoMemory => Refusal::NotRun {
+            reason: "this host has no memory for the body",
+            retry_after: NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+        },
+        body::Error::BrokenOff(error) => Refusal::Malformed(error.to_string()),
+    })
 }
 
 /// Serves a job by its route's kind, and records the end of a plain call in the metrics. The task
--- a/crates/sardinerelay-gateway/src/refusal.rs
+++ b/crates/sardinerelay-gateway/src/refusal.rs
@@ -23,6 +23,9 @@
     /// The request's body exceeds the configured limit.
     #[error("the body is longer than allowed")]
     BodyTooLong,
+    /// The request's body did not arrive in time, so the request was sent to no target.
+    #[error("the body did not arrive in time; it has not run")]
+    BodyTimedOut,
     /// The request certainly did not run, so the caller can safely retry it.
     #[error("{reason}; it has not run")]
     NotRun {
@@ -47,6 +50,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown(_) => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -60,6 +64,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLong => "too_long",
+            Self::BodyTimedOut => "body_late",
             Self::NotRun { .. } => "not_run",
             Self::OutcomeUnknown(_) => "unknown",
             Self::Timeout => "timeout",
