--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -19,6 +19,7 @@
     log::{debug, info, warn},
     sardinerelay::id::{Build, Incarnation, Service, Target},
     std::{
+        cmp::Ordering,
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -189,7 +190,7 @@
             instances.extend(page.instances);
             token = page.next;
             if token.is_none() {
-                return Ok((instances, skipped));
+                return Ok((distinct(instances), skipped));
             }
         }
         Err(format!("more than {MAX_LIST_PAGES} pages"))
@@ -403,6 +404,37 @@
     }
 }
 
+/// Returns one instance of each target: the newest incarnation, as its last entry says. None of a target if
+/// entries of that incarnation name several services, since its requests could then run at a wrong one.
+pub fn distinct(instances: Vec<Instance>) -> Vec<Instance> {
+    let mut newest: HashMap<Target, (usize, bool)> = HashMap::new();
+    for (position, instance) in instances.iter().enumerate() {
+        let Some((best, is_clear)) = newest.get_mut(&instance.target) else {
+            newest.insert(instance.target.clone(), (position, true));
+            continue;
+        };
+        let known = &instances[*best];
+        match instance.incarnation.cmp(&known.incarnation) {
+            Ordering::Less => {}
+            Ordering::Equal => {
+                *is_clear &= instance.service == known.service;
+                *best = position;
+            }
+            Ordering::Greater => (*best, *is_clear) = (position, true),
+        }
+    }
+    let is_used = |position: usize, instance: &Instance| {
+        let (best, is_clear) = newest[&instance.target];
+        if best == position && !is_clear {
+            warn!(target_id = instance.target.as_str(); "a target is listed for several services and not used");
+        }
+        best == position && is_clear
+    };
+    let listed = instances.iter().enumerate();
+    let used = listed.filter(|(position, instance)| is_used(*position, instance));
+    used.map(|(_, instance)| instance.clone()).collect()
+}
+
 /// Logs that another number of entries of the list are skipped than before, and why the first of them is.
 fn log_skipped(skipped: &[ParseError], used: usize) {
     match skipped.first() {
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -6,6 +6,7 @@
     mod fixtures;
     mod leaving;
     mod limits;
+    mod list;
     mod moves;
     mod placement;
     mod quarantine;
