Answer what is open when a planned stop ends, and refuse what can't end before

Reported by other operators, and it can happen here: requests were taken late in the grace period and cut at its end without an answer.

It now takes requests for at most a third of the grace period; a request that must not be repeated is refused as not run if its route's requests took longer lately than is left; what is open at the end gets 502, or 503 if nothing was sent. This works since every path of a request now ends with the stop's deadline, which comes before the process does. sardinerelayd had the second fault too: its requests and calls end at the same deadline, by the same code.

--- a/crates/sardinerelay-gateway/src/forecast.rs
+++ b/crates/sardinerelay-gateway/src/forecast.rs
@@ -1,10 +1,14 @@
-//! Estimates the output length of generations, on which the memory that they need depends.
+//! Estimates the output length of generations, on which the memory that they need depends, and how long
+//! requests of a route take.
 //!
 //! Lengths spread over orders of magnitude, so the estimate works on their logarithms. It combines
 //! the recorded lengths of a route with the caller's hint, each weighted by how little it scatters.
 //! The caller's limit only caps the estimate.
 
-use std::collections::HashMap;
+use {
+    compact_str::CompactString,
+    std::{collections::HashMap, time::Duration},
+};
 
 /// Standard deviation of the difference between the logarithms of a hint and of the true length.
 /// Callers' hints are right at the median and often off by a factor of three.
@@ -14,6 +18,8 @@
 const INITIAL_LOG_DEVIATION: f64 = 1.0;
 /// Length that is assumed until a route's lengths are known, as a share of the caller's limit.
 const INITIAL_LIMIT_SHARE: f64 = 0.35;
+/// Weight of a new duration in the running mean.
+const DURATION_WEIGHT: f64 = 0.1;
 /// Weight of a new length in the running mean and variance.
 const LENGTH_WEIGHT: f64 = 0.04;
 
@@ -24,10 +30,12 @@
     variance: f64,
 }
 
-/// Statistics of past output lengths, by route.
+/// Statistics of past requests, by route.
 #[derive(Debug, Default)]
 pub struct Forecast {
-    routes: HashMap<compact_str::CompactString, LengthStats>,
+    routes: HashMap<CompactString, LengthStats>,
+    /// Running means of the times that successful requests took.
+    durations: HashMap<CompactString, Duration>,
 }
 
 impl Forecast {
@@ -55,6 +63,21 @@
         (tokens as u64).clamp(1, limit.max(1))
     }
 
+    /// Returns how long requests of the route took lately on average; none if there were none.
+    pub fn duration(&self, route: &str) -> Option<Duration> {
+        self.durations.get(route).copied()
+    }
+
+    /// Records how long a request took that ended with success.
+    pub fn record_duration(&mut self, route: &str, took: Duration) {
+        match self.durations.get_mut(route) {
+            Some(mean) => {
+                *mean = mean.mul_f64(1.0 - DURATION_WEIGHT) + took.mul_f64(DURATION_WEIGHT);
+            }
+            None => _ = self.durations.insert(route.into(), took),
+        }
+    }
+
     /// Records the length in tokens of a generation that ended by itself.
     pub fn record_length(&mut self, route: &str, tokens: u64) {
         let log_length = (tokens.max(1) as f64).ln();
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -125,10 +125,7 @@
     let mut response = match guard {
         Some(guard) => respond(Arc::clone(&entry), request, arrived, guard).await,
         None => {
-            let refusal = Refusal::NotRun {
-                reason: "this host stops",
-                retry_after: STOPPING_RETRY_AFTER,
-            };
+            let refusal = stopping("this host stops");
             let call = (entry.codec.parse_call)(&request.into_parts().0).ok();
             refusal.response(&entry.codec, call.as_ref().map(|call| &call.id))
         }
@@ -160,10 +157,7 @@
     let id = call.id.clone();
     let job = authenticate(&entry, &head, call, arrived);
     let result = match job {
-        Ok(job) => match read_body(&job, body).await {
-            Ok(body) => dispatch(Job { body, ..job }).await,
-            Err(refusal) => Err(refusal),
-        },
+        Ok(job) => serve_until_stop(job, body).await,
         Err(refusal) => Err(refusal),
     };
     match result {
@@ -244,6 +238,41 @@
     })
 }
 
+/// Reads a job's body and dispatches the job. Neither outlasts a planned stop of this host.
+async fn serve_until_stop(job: Job, body: Incoming) -> Result<Response<Body>, Refusal> {
+    let entry = Arc::clone(&job.entry);
+    let body = tokio::select! {
+        body = read_body(&job, body) => body?,
+        () = entry.drain.expired() => return Err(stopping("this host stops")),
+    };
+    tokio::select! {
+        result = dispatch(Job { body, ..job }) => result,
+        () = entry.drain.expired() => Err(Refusal::OutcomeUnknown("this host stops")),
+    }
+}
+
+/// The refusal of a request that this host doesn't take because it stops.
+fn stopping(reason: &'static str) -> Refusal {
+    Refusal::NotRun {
+        reason,
+        retry_after: STOPPING_RETRY_AFTER,
+    }
+}
+
+/// Whether this host stops before a job that must not be repeated could end, by the time that others of its
+/// route take.
+fn ends_after_stop(job: &Job) -> bool {
+    let is_repeatable = matches!(
+        job.route.kind,
+        Kind::Idempotent | Kind::Generation { is_resumable: true }
+    );
+    let remaining = job.entry.drain.remaining().filter(|_| !is_repeatable);
+    let usual = job.entry.forecast().duration(&job.route.name);
+    remaining
+        .zip(usual)
+        .is_some_and(|(remaining, usual)| usual > remaining)
+}
+
 /// Serves a job by its route's kind, and records the end of a plain call in the metrics. The task
 /// that forwards a generation's stream records the end of that.
 async fn dispatch(job: Job) -> Result<Response<Body>, Refusal> {
@@ -253,6 +282,9 @@
             retry_after,
         });
     }
+    if ends_after_stop(&job) {
+        return Err(stopping("this host stops before the request could end"));
+    }
     match job.route.kind {
         Kind::Generation { .. } => generation::serve(job).await,
         Kind::Idempotent | Kind::AtMostOnce => {
@@ -260,6 +292,8 @@
             if let Ok(response) = &result {
                 let took = job.arrived.elapsed();
                 let outcome = if response.status().is_success() {
+                    let mut forecast = job.entry.forecast();
+                    forecast.record_duration(&job.route.name, took);
                     "success"
                 } else {
                     "failure"
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -195,6 +195,7 @@
         if outcome == "complete" && self.job.call.last_event.is_none() {
             let mut forecast = self.job.entry.forecast();
             forecast.record_length(&self.job.route.name, tokens);
+            forecast.record_duration(&self.job.route.name, self.job.arrived.elapsed());
         }
         let took = self.job.arrived.elapsed();
         self.job
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -90,12 +90,7 @@
         .await
         .context("listening for signals")?;
     info!(host = host.as_str(), open = entry.drain.open_requests() as u64; "stop requested");
-    let time_limit = grace_period.saturating_sub(DRAIN_DELAY + EXIT_RESERVE);
-    let drained = entry.drain.run(DRAIN_DELAY, time_limit).await;
-    // Closes each keep-alive connection once its open request, if any, has its response.
-    close.send_replace(true);
-    sleep(EXIT_RESERVE / 5).await;
-    match drained {
+    match stop_within(&entry, &close, grace_period).await {
         Ok(()) => {
             info!(host = host.as_str(); "stopped");
             Ok(ExitCode::Success)
@@ -107,6 +102,30 @@
     }
 }
 
+/// Stops serving callers within the grace period: as long as the load balancer may still send requests, takes
+/// those that can end in time, then waits for the open ones. What is still open shortly before the end gets an
+/// answer.
+///
+/// # Errors
+///
+/// Returns the number of requests that had not ended by themselves.
+pub async fn stop_within(
+    entry: &EntryHost,
+    close: &watch::Sender<bool>,
+    grace_period: Duration,
+) -> Result<(), stop::Unfinished> {
+    let delay = DRAIN_DELAY.min(grace_period / 3);
+    let reserve = EXIT_RESERVE.min(grace_period / 4);
+    let drained = entry
+        .drain
+        .run(delay, grace_period.saturating_sub(delay + reserve))
+        .await;
+    // Closes each keep-alive connection once its open request, if any, has its response.
+    close.send_replace(true);
+    sleep(reserve / 5).await;
+    drained
+}
+
 /// Follows the group on a separate thread, so that traffic can't delay a configuration.
 fn start_following(entry: &Arc<EntryHost>, outgoing: UnboundedReceiver<Report>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
--- a/crates/sardinerelayd/src/api.rs
+++ b/crates/sardinerelayd/src/api.rs
@@ -112,9 +112,15 @@
     let Some(open) = api.drain.enter() else {
         return api.relay.respond(Err(stopping_refusal())).await;
     };
-    let result = match api.chain.ready().await {
-        Ok(chain) => chain.call((endpoint, request)).await,
-        Err(refusal) => Err(refusal),
+    let run = async {
+        match api.chain.ready().await {
+            Ok(chain) => chain.call((endpoint, request)).await,
+            Err(refusal) => Err(refusal),
+        }
+    };
+    let result = tokio::select! {
+        result = run => result,
+        () = api.drain.expired() => Err(unfinished_refusal()),
     };
     let response = api.relay.respond(result).await;
     // The request counts as open until its body is sent or dropped.
@@ -141,6 +147,11 @@
     Refusal::new(Code::Stopping, "this host is stopping; try another")
 }
 
+/// The refusal of a request that was still open when this host had to stop.
+fn unfinished_refusal() -> Refusal {
+    Refusal::new(Code::OutcomeUnknown, "this host stops").may_have_run()
+}
+
 /// Lists the models of the sheet in force and their adapters.
 async fn models(State(api): State<Api>, headers: HeaderMap) -> Response {
     let view = api.view.load();
@@ -205,7 +216,11 @@
     let Some(open) = api.drain.enter() else {
         return api.relay.respond(Err(stopping_refusal())).await;
     };
-    match api.proxy.call(request).await {
+    let result = tokio::select! {
+        result = api.proxy.call(request) => result,
+        () = api.drain.expired() => Err(unfinished_refusal()),
+    };
+    match result {
         Ok(response) => response.map(|body| open.attach_to(body)),
         Err(refusal) => api.relay.respond(Err(refusal)).await,
     }
--- a/crates/sardinerelayd/src/stop.rs
+++ b/crates/sardinerelayd/src/stop.rs
@@ -14,12 +14,12 @@
             atomic::{AtomicU8, Ordering},
         },
         task::{Context, Poll},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
-        time::{sleep, timeout},
+        time::{sleep, sleep_until, timeout},
     },
 };
 
@@ -32,10 +32,15 @@
 /// Phase in which the process takes no new requests.
 const CLOSED: u8 = 2;
 
+/// Time that requests which are still open at the deadline have to send their answers.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// The phase of a planned stop, and the number of open requests.
 #[derive(Debug, Clone)]
 pub struct Drain {
     phase: Arc<AtomicU8>,
+    /// When open requests are answered whether they have ended or not; none before a stop.
+    deadline: watch::Sender<Option<Instant>>,
     /// Number of open requests; a planned stop waits until it is 0.
     open: watch::Sender<usize>,
 }
@@ -55,6 +60,7 @@
     fn default() -> Self {
         Self {
             phase: Arc::new(AtomicU8::new(SERVING)),
+            deadline: watch::Sender::new(None),
             open: watch::Sender::new(0),
         }
     }
@@ -76,13 +82,32 @@
         self.phase.load(Ordering::SeqCst) != SERVING
     }
 
+    /// Returns how long requests may still take; none if no stop has begun.
+    pub fn remaining(&self) -> Option<Duration> {
+        let deadline = *self.deadline.borrow();
+        deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
+    }
+
+    /// Waits until a stop's deadline has passed. A request that is still open then gets an answer that says
+    /// what is known of it, instead of a closed connection.
+    pub async fn expired(&self) {
+        let mut changes = self.deadline.subscribe();
+        let deadline = changes.wait_for(Option::is_some).await;
+        let deadline = deadline.ok().and_then(|deadline| *deadline);
+        match deadline {
+            Some(deadline) => sleep_until(deadline.into()).await,
+            // This struct holds the sender, so the wait can't fail.
+            None => std::future::pending().await,
+        }
+    }
+
     /// The number of open requests.
     pub fn open_requests(&self) -> usize {
         *self.open.borrow()
     }
 
-    /// Carries out a planned stop: reports not ready, refuses new requests after `delay`, and then
-    /// waits up to `deadline` for the open ones.
+    /// Carries out a planned stop: reports not ready, refuses new requests after `delay`, waits up to
+    /// `deadline` for the open ones, and shortly for the answers of those that have not ended.
     ///
     /// # Errors
     ///
@@ -92,6 +117,8 @@
             "planned stop: not ready, {} requests open",
             self.open_requests()
         );
+        self.deadline
+            .send_replace(Some(Instant::now() + delay + deadline));
         self.phase.store(DRAINING, Ordering::SeqCst);
         // Requests that the load balancer sends before it sees the change are still served.
         sleep(delay).await;
@@ -101,11 +128,16 @@
             self.open_requests()
         );
         let mut open = self.open.subscribe();
-        let finished = timeout(deadline, open.wait_for(|open| *open == 0)).await;
-        match finished {
-            Ok(_) => Ok(()),
-            Err(_) => Err(Unfinished(self.open_requests())),
+        if timeout(deadline, open.wait_for(|open| *open == 0))
+            .await
+            .is_ok()
+        {
+            return Ok(());
         }
+        let unfinished = Unfinished(self.open_requests());
+        // Whether they could send their answers changes nothing here.
+        let _ = timeout(ANSWER_TIME, open.wait_for(|open| *open == 0)).await;
+        Err(unfinished)
     }
 }
 
