Believe in one build only by a list that was read after the question

Cause: a list counted as current for 3 s, by a clock that stands still while the host does. Ruled out: streams of a recorded build; records are kept by the attempt's ID wherever it is taken up.

The list now tells a stream's build only if it was read after the question was asked, reckoned from when the host asked for it. Voters do the same, and are asked side by side. This works since any target that began the stream was listed before the caller came here.

--- a/crates/sardinerelay-gateway/src/allocator/origins.rs
+++ b/crates/sardinerelay-gateway/src/allocator/origins.rs
@@ -5,8 +5,12 @@
     crate::origin::Query,
     sardinerelay::id::Build,
     std::time::{Duration, Instant},
+    tokio::time::sleep,
 };
 
+/// Interval at which a new list is looked for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How a host knows which build began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -17,9 +21,27 @@
 }
 
 impl Allocator {
-    /// Returns the build that began a stream and how it is known, none if it isn't. It is also known if
-    /// all targets had one build since the stream can have begun.
-    pub fn find_origin(&self, query: &Query) -> Option<(Build, Source)> {
+    /// Waits up to `time_limit` until it is known which build began a stream, and how. It is also known if
+    /// all targets had one build since the stream can have begun, by a list that was read after this call.
+    pub async fn find_origin(
+        &self,
+        query: &Query,
+        time_limit: Duration,
+    ) -> Option<(Build, Source)> {
+        let asked = Instant::now();
+        loop {
+            if let Some(found) = self.known_origin(query, asked) {
+                return Some(found);
+            }
+            if asked.elapsed() >= time_limit {
+                return None;
+            }
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Returns the build that began a stream and how that is known, for a question that was asked at `asked`.
+    fn known_origin(&self, query: &Query, asked: Instant) -> Option<(Build, Source)> {
         let now = Instant::now();
         let state = self.state();
         if let Some(recorded) = state.origins.find(&query.stream, now) {
@@ -29,7 +51,7 @@
         let only = state
             .targets
             .builds
-            .only_build(&query.service, window, now)?;
+            .only_build(&query.service, window, (asked, now))?;
         Some((only, Source::OnlyBuild))
     }
 }
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -168,6 +168,7 @@
             stamp,
             wait_ms: OBSERVATIONS_TIMEOUT.as_millis() as u64,
         };
+        let asked = Instant::now().into_std();
         let response = client
             .call::<_, Option<Packed<Observations>>>(
                 FOLLOW_OBSERVATIONS_METHOD,
@@ -182,6 +183,7 @@
                 } = &mut observations;
                 builds.assign(instances);
                 stamp = observations.stamp;
+                observations.asked = Some(asked);
                 entry.allocator.merge(&observations);
                 entry.adopt_limits(&observations.limits);
                 let is_fresh = observations.list_age_ms < OBSERVATIONS_TIMEOUT.as_millis() as u64;
--- a/crates/sardinerelay-gateway/src/generation/taken_up.rs
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -12,8 +12,8 @@
     tokio::time::timeout,
 };
 
-/// Time that voters get to say which build began a stream.
-const MAX_QUERY_TIME: Duration = Duration::from_millis(200);
+/// Time in which it must turn out which build began a stream. A voter waits that long for a newer list.
+const MAX_QUERY_TIME: Duration = Duration::from_millis(600);
 /// Timeout of one call to a voter. It is longer, because a call that times out takes the connection with it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which a caller should retry when no voter could be asked.
@@ -22,11 +22,10 @@
 /// together take no longer than the first one may.
 const WINDOW_TIMEOUTS: u32 = 2;
 
-/// What voters say of a stream.
-enum Answer {
-    Known(Build),
+/// Why it isn't known which build began a stream.
+enum Unknown {
     /// No voter that answered knows it.
-    Unknown,
+    ToAll,
     /// No voter answered in time.
     Unreachable,
 }
@@ -45,21 +44,17 @@
         service: job.service.clone(),
         window_ms: (job.route.timeout * WINDOW_TIMEOUTS).as_millis() as u64,
     };
-    let (build, source) = match job.entry.allocator.find_origin(&query) {
-        Some((build, Source::Record)) => (build, "own"),
-        Some((build, Source::OnlyBuild)) => (build, "only"),
-        None => match ask_voters(job, &query).await {
-            Answer::Known(build) => (build, "voter"),
-            Answer::Unknown => {
-                let reason = "it isn't known which build began the stream";
-                return Err(refuse(job, reason, job.remaining_or_timeout()));
-            }
-            Answer::Unreachable => {
-                let reason = "no voter says which build began the stream";
-                let jitter = rand::rng().random_range(0.75..1.4);
-                return Err(refuse(job, reason, UNREACHABLE_RETRY_AFTER.mul_f64(jitter)));
-            }
-        },
+    let (build, source) = match find(job, &query).await {
+        Ok(found) => found,
+        Err(Unknown::ToAll) => {
+            let reason = "it isn't known which build began the stream";
+            return Err(refuse(job, reason, job.remaining_or_timeout()));
+        }
+        Err(Unknown::Unreachable) => {
+            let reason = "no voter says which build began the stream";
+            let jitter = rand::rng().random_range(0.75..1.4);
+            return Err(refuse(job, reason, UNREACHABLE_RETRY_AFTER.mul_f64(jitter)));
+        }
     };
     info!(
         request = job.call.id.as_str(), stream = job.call.stream(), build = build.as_str(),
@@ -73,9 +68,33 @@
     Ok(Some(build))
 }
 
+/// Finds the build that began a stream, and how that is known: here or at voters, whoever knows first.
+async fn find(job: &Job, query: &Query) -> Result<(Build, &'static str), Unknown> {
+    let own = async {
+        let found = job.entry.allocator.find_origin(query, MAX_QUERY_TIME).await;
+        found.map(|(build, source)| match source {
+            Source::Record => (build, "own"),
+            Source::OnlyBuild => (build, "only"),
+        })
+    };
+    let voters = ask_voters(job, query);
+    tokio::pin!(own, voters);
+    tokio::select! {
+        biased;
+        found = &mut own => match found {
+            Some(found) => Ok(found),
+            None => voters.await.map(|build| (build, "voter")),
+        },
+        answer = &mut voters => match answer {
+            Ok(build) => Ok((build, "voter")),
+            Err(unknown) => own.await.ok_or(unknown),
+        },
+    }
+}
+
 /// Asks all voters side by side. The host that passed on the stream's begin may have followed others than
 /// this one does.
-async fn ask_voters(job: &Job, query: &Query) -> Answer {
+async fn ask_voters(job: &Job, query: &Query) -> Result<Build, Unknown> {
     let voters = job.entry.voters().all;
     let calls = voters
         .iter()
@@ -95,9 +114,9 @@
         None
     });
     match asked.await {
-        Ok(Some(build)) => Answer::Known(build),
-        _ if has_answer => Answer::Unknown,
-        _ => Answer::Unreachable,
+        Ok(Some(build)) => Ok(build),
+        _ if has_answer => Err(Unknown::ToAll),
+        _ => Err(Unknown::Unreachable),
     }
 }
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -78,6 +78,8 @@
 /// Label of [`RELOCATE_METHOD`] in metrics.
 const RELOCATE_LABEL: &str = "move";
 
+/// Longest time that [`ORIGIN_METHOD`] waits for a list that is newer than the call.
+const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(450);
 /// Longest time that one call may wait for a newer configuration or newer observations.
 const MAX_FOLLOW_WAIT: Duration = Duration::from_secs(10);
 
@@ -286,7 +288,8 @@
     })?;
     module.register_async_method(ORIGIN_METHOD, |parameters, context, _| async move {
         let query: Query = context.counters.parse_call(&parameters)?;
-        let origin = context.shared.allocator.find_origin(&query);
+        let allocator = &context.shared.allocator;
+        let origin = allocator.find_origin(&query, MAX_ORIGIN_WAIT).await;
         RpcResult::Ok(origin.map(|(build, _)| build))
     })?;
     module.register_async_method(PERMIT_METHOD, |parameters, context, _| async move {
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -137,6 +137,10 @@
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
+    /// When the host that received these had asked for them; `None` at the host that made them. The
+    /// message may have waited since then, so ages are certain only against this time.
+    #[serde(skip)]
+    pub asked: Option<Instant>,
 }
 
 /// Channel with the newest observations of this host.
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -347,6 +347,7 @@
             refused_requests,
             suspect_requests,
             ages_updated: Some(now),
+            asked: None,
             changed_stamp: 0,
         }
     }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -76,7 +76,9 @@
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
             self.list_read = Some(read);
-            self.builds.record(&observations.instances, read);
+            let confirmed = observations.asked.unwrap_or(now);
+            let confirmed = instant_before(confirmed, observations.list_age_ms);
+            self.builds.record(&observations.instances, read, confirmed);
             self.merge_list(observations, now, &mut changes);
         }
         for report in &observations.loads {
--- a/crates/sardinerelay-gateway/tests/decisions/builds.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/builds.rs
@@ -127,7 +127,9 @@
     let now = Instant::now();
     let at = |seconds: u64| now + Duration::from_secs(seconds);
     let mut history = History::default();
-    let only = |history: &History, second| history.only_build(&SERVICE.into(), WINDOW, at(second));
+    let only = |history: &History, second| {
+        history.only_build(&SERVICE.into(), WINDOW, (at(second), at(second)))
+    };
     for second in 0..40 {
         // Replaced at 20 s.
         let builds = if second < 20 {
@@ -135,7 +137,7 @@
         } else {
             ["v2", "v2"]
         };
-        history.record(&listed(&builds), at(second));
+        history.record(&listed(&builds), at(second), at(second));
         let expected: Option<&str> = match second {
             // The list has to be known for the whole window.
             0..12 => None,
@@ -150,7 +152,7 @@
         );
     }
     assert_eq!(only(&history, 60), None, "the list is too old");
-    history.record(&listed(&["v2"]), at(60));
+    history.record(&listed(&["v2"]), at(60), at(60));
     assert_eq!(
         only(&history, 61),
         None,
@@ -158,6 +160,29 @@
     );
 }
 
+/// Guards against a host that was out of step and takes the only build of its last list for that of a stream
+/// which began at a newer one.
+#[rstest]
+#[case::read_after_the_question(20, 20, Some("v1"))]
+#[case::read_before_the_question(19, 19, None)]
+#[case::waited_at_a_host_that_stood_still(20, 19, None)]
+fn only_a_list_read_after_the_question_tells_the_only_build(
+    #[case] last_read: u64,
+    #[case] last_confirmed: u64,
+    #[case] expected: Option<&str>,
+) {
+    let now = Instant::now();
+    let at = |seconds: u64| now + Duration::from_secs(seconds);
+    let mut history = History::default();
+    for second in 0..last_read {
+        history.record(&listed(&["v1"]), at(second), at(second.min(last_confirmed)));
+    }
+    history.record(&listed(&["v1"]), at(last_read), at(last_confirmed));
+    let question = (at(20), at(20));
+    let only = history.only_build(&SERVICE.into(), WINDOW, question);
+    assert_eq!(only.as_deref(), expected);
+}
+
 #[test]
 fn the_build_of_another_stream_is_given() {
     let now = Instant::now();
