--- a/crates/sardinerelay-gateway/src/table.rs
+++ b/crates/sardinerelay-gateway/src/table.rs
@@ -125,6 +125,9 @@
 /// An error in a draft, and the route, organisation or service at fault.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum CheckError {
+    /// The version is 0, which stands for no configuration.
+    #[error("the version must be at least 1")]
+    ZeroVersion,
     /// A route names a service that is not defined.
     #[error("route {route}: there is no service {service}")]
     UnknownService {
@@ -193,6 +196,9 @@
     /// Returns all errors of the draft.
     pub fn check(draft: Draft) -> Result<Self, Vec<CheckError>> {
         let mut errors = Vec::new();
+        if draft.version == 0 {
+            errors.push(CheckError::ZeroVersion);
+        }
         let mut services_by_name = HashMap::new();
         for (index, service) in draft.services.iter().enumerate() {
             if services_by_name
