Send the events that came together with one before which another is missing

Test, on the sources before: streams, events_before_a_missing_one_reach_the_caller failed (events 3, 4, 5 where 1 to 5 are right).

--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -334,13 +334,16 @@
         deadline: TokioInstant,
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
+        let mut ended = None;
         while let Some(event) = splitter.next_event() {
             if !std::mem::replace(&mut self.has_engine_begun, true) {
                 self.allocation.record_started();
                 self.job.entry.record_answered(&self.job);
             }
             if !self.is_contiguous(&event) {
-                return Some(StreamEnd::Broken("an event is missing"));
+                // The events before it count as delivered and are still sent.
+                ended = Some(StreamEnd::Broken("an event is missing"));
+                break;
             }
             if self.is_new(&event) {
                 bytes.extend_from_slice(&event.bytes);
@@ -349,7 +352,7 @@
             }
         }
         if bytes.is_empty() {
-            return None;
+            return ended;
         }
         let now = Instant::now();
         if let Some(last_sent) = self.last_sent.replace(now) {
@@ -371,7 +374,7 @@
         }
         tokio::select! {
             sent = self.chunks.send(Ok(bytes.freeze())) => {
-                sent.err().map(|_| StreamEnd::CallerLeft)
+                sent.err().map(|_| StreamEnd::CallerLeft).or(ended)
             }
             () = sleep_until(deadline) => Some(StreamEnd::TimedOut),
         }
