Say once that a target is listed for several services, and lock nothing more for requests of a host that doesn't stop

From the second reading: the line came with each reading of the list; it now counts among the skipped entries, which are logged when their number changes. The times of a route's requests are looked up only during a planned stop.

--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -266,11 +266,14 @@
         job.route.kind,
         Kind::Idempotent | Kind::Generation { is_resumable: true }
     );
-    let remaining = job.entry.drain.remaining().filter(|_| !is_repeatable);
+    if is_repeatable || !job.entry.drain.is_draining() {
+        return false;
+    }
     let usual = job.entry.forecast().duration(&job.route.name);
-    remaining
-        .zip(usual)
-        .is_some_and(|(remaining, usual)| usual > remaining)
+    let remaining = job.entry.drain.remaining();
+    usual
+        .zip(remaining)
+        .is_some_and(|(usual, remaining)| usual > remaining)
 }
 
 /// Serves a job by its route's kind, and records the end of a plain call in the metrics. The task
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -190,7 +190,9 @@
             instances.extend(page.instances);
             token = page.next;
             if token.is_none() {
-                return Ok((distinct(instances), skipped));
+                let (used, errors) = distinct(instances);
+                skipped.extend(errors);
+                return Ok((used, skipped));
             }
         }
         Err(format!("more than {MAX_LIST_PAGES} pages"))
@@ -406,8 +408,9 @@
 }
 
 /// Returns one instance of each target: the newest incarnation, as its last entry says. None of a target if
-/// entries of that incarnation name several services, since its requests could then run at a wrong one.
-pub fn distinct(instances: Vec<Instance>) -> Vec<Instance> {
+/// entries of that incarnation name several services, since its requests could then run at a wrong one; these
+/// targets are in the errors.
+pub fn distinct(instances: Vec<Instance>) -> (Vec<Instance>, Vec<ParseError>) {
     let mut newest: HashMap<Target, (usize, bool)> = HashMap::new();
     for (position, instance) in instances.iter().enumerate() {
         let Some((best, is_clear)) = newest.get_mut(&instance.target) else {
@@ -424,16 +427,18 @@
             Ordering::Greater => (*best, *is_clear) = (position, true),
         }
     }
-    let is_used = |position: usize, instance: &Instance| {
-        let (best, is_clear) = newest[&instance.target];
-        if best == position && !is_clear {
-            warn!(target_id = instance.target.as_str(); "a target is listed for several services and not used");
+    let (mut used, mut errors) = (Vec::new(), Vec::new());
+    for (position, instance) in instances.into_iter().enumerate() {
+        match newest[&instance.target] {
+            (best, _) if best != position => {}
+            (_, true) => used.push(instance),
+            (_, false) => {
+                let error = ParseError::new(instance.target, "it is listed for several services");
+                errors.push(error);
+            }
         }
-        best == position && is_clear
-    };
-    let listed = instances.iter().enumerate();
-    let used = listed.filter(|(position, instance)| is_used(*position, instance));
-    used.map(|(_, instance)| instance.clone()).collect()
+    }
+    (used, errors)
 }
 
 /// Logs that another number of entries of the list are skipped than before, and why the first of them is.
--- a/crates/sardinerelay-gateway/tests/decisions/list.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/list.rs
@@ -34,7 +34,7 @@
 ) {
     let other = instance(1);
     let listed = [entries, std::slice::from_ref(&other)].concat();
-    let used = distinct(listed);
+    let (used, errors) = distinct(listed);
     let (of_target, others): (Vec<_>, Vec<_>) = used
         .into_iter()
         .partition(|used| used.target == instance(0).target);
@@ -42,5 +42,6 @@
     let found = found.map(|found| (found.incarnation, found.service.as_str(), found.leaving));
     assert_eq!(found, expected);
     assert!(of_target.len() <= 1);
+    assert_eq!(errors.is_empty(), expected.is_some(), "{errors:?}");
     assert_eq!(others, [other]);
 }
