--- a/crates/sardinerelay-gateway/src/forecast.rs
+++ b/crates/sardinerelay-gateway/src/forecast.rs
@@ -18,6 +18,8 @@
 const INITIAL_LOG_DEVIATION: f64 = 1.0;
 /// Length that is assumed until a route's lengths are known, as a share of the caller's limit.
 const INITIAL_LIMIT_SHARE: f64 = 0.35;
+/// Largest number of routes whose statistics are kept. Routes come and go with configurations.
+const MAX_ROUTES: usize = 4_096;
 /// Weight of a new duration in the running mean.
 const DURATION_WEIGHT: f64 = 0.1;
 /// Weight of a new length in the running mean and variance.
@@ -74,7 +76,7 @@
             Some(mean) => {
                 *mean = mean.mul_f64(1.0 - DURATION_WEIGHT) + took.mul_f64(DURATION_WEIGHT);
             }
-            None => _ = self.durations.insert(route.into(), took),
+            None => insert_bounded(&mut self.durations, route, took),
         }
     }
 
@@ -87,7 +89,7 @@
                 mean: log_length,
                 variance,
             };
-            self.routes.insert(route.into(), stats);
+            insert_bounded(&mut self.routes, route, stats);
             return;
         };
         let deviation = log_length - stats.mean;
@@ -96,3 +98,11 @@
             (1.0 - LENGTH_WEIGHT) * (stats.variance + LENGTH_WEIGHT * deviation * deviation);
     }
 }
+
+/// Inserts the statistics of a route. Forgets those of all others first if there are too many.
+fn insert_bounded<Stats>(routes: &mut HashMap<CompactString, Stats>, route: &str, stats: Stats) {
+    if routes.len() >= MAX_ROUTES {
+        routes.clear();
+    }
+    routes.insert(route.into(), stats);
+}
