Remember what makes targets crash in the replicated register

Cause: refused parts of prompts and refused requests were kept in memory only. Before: group::refusals fails by construction, no replica knew what was refused after a restart.

--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -36,22 +36,31 @@
             RequestReport::Crashed(crash) => state.record_request_crash(crash, now),
             RequestReport::Answered(request) => state.requests.clear(*request),
             RequestReport::Refused(requests) => {
-                if state.requests.adopt(requests, now) {
-                    info!(requests = requests.len(); "adopted requests that another host refuses");
-                }
+                drop(state);
+                return self.adopt_refused_requests(requests);
             }
         }
         drop(state);
         self.changed.notify_one();
     }
 
-    /// Adopts the parts that another host refuses.
+    /// Adopts the requests that another host or the group refuses.
+    pub fn adopt_refused_requests(&self, requests: &[Refused]) {
+        if self.state().requests.adopt(requests, Instant::now()) {
+            info!(requests = requests.len(); "adopted requests that another host refuses");
+        }
+        self.changed.notify_one();
+    }
+
+    /// Adopts the parts that another host or the group refuses.
     pub fn adopt_refused_parts(&self, parts: &[Refused]) {
         let now = Instant::now();
         let mut state = self.state();
         if state.quarantine.adopt(parts, now) {
             info!(parts = parts.len(); "adopted parts of prompts that another host refuses");
             self.decide(&mut state, now);
+            drop(state);
+            self.changed.notify_one();
         }
     }
 }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -5,6 +5,7 @@
 
 pub mod discovery;
 pub mod driver;
+pub mod exclusions;
 pub mod links;
 pub mod member;
 pub mod register;
@@ -15,7 +16,7 @@
 pub use self::{
     driver::{MemberStatus, Outcome},
     links::Clients,
-    register::Document,
+    register::{Document, Exclusion},
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
@@ -33,7 +34,7 @@
         reload,
     },
     discovery::Search,
-    driver::{Driver, Input},
+    driver::{Driver, Input, Published},
     links::Links,
     log::{info, warn},
     sardinerelay::{
@@ -114,6 +115,7 @@
     newest: watch::Receiver<Option<Arc<Document>>>,
     status: watch::Receiver<MemberStatus>,
     leadership: watch::Receiver<SoftState>,
+    exclusions: watch::Receiver<Vec<Exclusion>>,
     clients: Arc<Clients>,
     publisher: Arc<Publisher>,
 }
@@ -144,35 +146,35 @@
     config.election_timeout = MIN_ELECTION_TIMEOUT;
     config.proposal_bytes = MAX_PROPOSAL_BYTES;
     let links = Links::new(own_id, Arc::clone(&clients), HEARTBEAT_INTERVAL);
-    let newest = watch::Sender::new(None);
-    let status = watch::Sender::new(MemberStatus::default());
     let no_leader = SoftState {
         role: Role::Follower,
         leader: None,
         term: 0,
     };
-    let leadership = watch::Sender::new(no_leader);
+    let published = Published {
+        newest: watch::Sender::new(None),
+        status: watch::Sender::new(MemberStatus::default()),
+        leadership: watch::Sender::new(no_leader),
+        exclusions: watch::Sender::default(),
+    };
     let (inputs, queue) = channel(INPUT_QUEUE_CAPACITY);
     let publisher = Arc::new(Publisher::start().map_err(FatalError::Thread)?);
     let handle = Handle {
         publisher: Arc::clone(&publisher),
         inputs,
-        newest: newest.subscribe(),
-        status: status.subscribe(),
-        leadership: leadership.subscribe(),
+        newest: published.newest.subscribe(),
+        status: published.status.subscribe(),
+        leadership: published.leadership.subscribe(),
+        exclusions: published.exclusions.subscribe(),
         clients,
     };
-    let driver = Driver::new(
-        config,
-        files,
-        links,
-        publisher,
-        (newest, status, leadership),
-    )?;
+    let driver = Driver::new(config, files, links, publisher, published)?;
     let listen = SocketAddr::from((settings.address, settings.peer_port));
+    let allocator = Arc::clone(&shared.allocator);
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
     tokio::spawn(maintain_membership(settings, own_id, path, handle.clone()));
+    tokio::spawn(exclusions::run(handle.clone(), allocator));
     Ok(RunningReplica {
         handle,
         driver,
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -8,7 +8,7 @@
     super::{
         links::Links,
         member,
-        register::{Command, Document, Register},
+        register::{Command, Document, Exclusion, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
     crate::distribution::Publisher,
@@ -79,10 +79,24 @@
     Join(Host, bool, Sender<MemberStatus>),
     /// Asks for the status of the host with this ID.
     Status(Host, Sender<MemberStatus>),
+    /// Refuses these subjects. There is no reply: whoever asks looks at what is published.
+    Exclude(Vec<Exclusion>),
     /// Transfers leadership to another voter.
     Transfer,
 }
 
+/// Channels on which the driver publishes what other tasks follow.
+#[derive(Debug)]
+pub(super) struct Published {
+    /// The newest configuration that may be given to entry hosts.
+    pub(super) newest: watch::Sender<Option<Arc<Document>>>,
+    /// This replica's status in the group.
+    pub(super) status: watch::Sender<MemberStatus>,
+    pub(super) leadership: watch::Sender<raft::SoftState>,
+    /// What the group refuses.
+    pub(super) exclusions: watch::Sender<Vec<Exclusion>>,
+}
+
 /// What a replica knows of the group, and of one host in it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -111,11 +125,9 @@
     applied: Index,
     /// Whether the register has been as new as the leader's since this process started.
     has_caught_up: bool,
-    newest: watch::Sender<Option<Arc<Document>>>,
+    published: Published,
     /// Distributes the newest configuration to entry hosts.
     publisher: Arc<Publisher>,
-    own_status: watch::Sender<MemberStatus>,
-    leadership: watch::Sender<raft::SoftState>,
     links: Links,
     disk: Disk,
     /// Proposals of this replica that are not committed yet, by log index.
@@ -135,17 +147,16 @@
         (store, durable): (Store, DurableState),
         links: Links,
         publisher: Arc<Publisher>,
-        (newest, own_status, leadership): (
-            watch::Sender<Option<Arc<Document>>>,
-            watch::Sender<MemberStatus>,
-            watch::Sender<raft::SoftState>,
-        ),
+        published: Published,
     ) -> Result<Self, FatalError> {
         let register = decode_register(&durable.snapshot.data)?;
         register
             .newest
             .iter()
             .for_each(|newest| publisher.record(newest));
+        published
+            .exclusions
+            .send_replace(register.exclusions.clone());
         let applied = durable.snapshot.meta.last.index;
         let snapshot_bytes = durable.snapshot.data.len();
         let replica = Replica::new(config, durable, Instant::now())?;
@@ -155,10 +166,8 @@
             register,
             applied,
             has_caught_up: false,
-            newest,
+            published,
             publisher,
-            own_status,
-            leadership,
             links,
             disk,
             pending_proposals: BTreeMap::new(),
@@ -231,6 +240,11 @@
             Input::Status(host, reply) => {
                 let _ = reply.send(self.status_of(host));
             }
+            Input::Exclude(exclusions) => {
+                if let Err(error) = self.propose(Command::Exclude(exclusions)) {
+                    debug!("exclusions can't be proposed now: {error}");
+                }
+            }
             Input::Transfer => match self.replica.transfer(None) {
                 Ok(to) => info!(to = to; "transferring leadership"),
                 Err(error) => debug!("leadership can't be transferred: {error}"),
@@ -245,7 +259,7 @@
             let _ = reply.send(Outcome::Done(self.register.version()));
             return;
         }
-        match self.propose(&Command::Submit(document)) {
+        match self.propose(Command::Submit(document)) {
             Ok(Position { index, .. }) => {
                 if let Some(replaced) = self.pending_proposals.insert(index, reply) {
                     let _ = replaced.send(Outcome::Unknown);
@@ -257,9 +271,9 @@
         }
     }
 
-    fn propose(&mut self, command: &Command) -> Result<Position, RequestError> {
+    fn propose(&mut self, command: Command) -> Result<Position, RequestError> {
         // This never fails, because integers and bytes can always be encoded.
-        let data = postcard::to_stdvec(command).map_err(|_| RequestError::NotApplicable)?;
+        let data = command.encode().map_err(|_| RequestError::NotApplicable)?;
         self.replica.propose(Bytes::from(data))
     }
 
@@ -338,7 +352,7 @@
                 let _ = reply.send(Outcome::Unknown);
             }
         }
-        self.leadership.send_replace(soft_state);
+        self.published.leadership.send_replace(soft_state);
         let status = self.replica.status();
         info!(
             term = soft_state.term, leader = soft_state.leader.unwrap_or_default(), leads = is_leader,
@@ -346,7 +360,7 @@
             "leadership changed"
         );
         let own = self.replica.id();
-        self.own_status.send_replace(self.status_of(own));
+        self.published.status.send_replace(self.status_of(own));
     }
 
     /// Replaces the register by a snapshot from the leader.
@@ -373,7 +387,7 @@
         self.applied = index;
         match entry.payload {
             Payload::Data(data) => {
-                let command = postcard::from_bytes(&data).map_err(state::Error::from)?;
+                let command = Command::decode(&data).map_err(state::Error::from)?;
                 let version = self.register.apply(command);
                 info!(index = index, version = version; "applied a command");
                 self.publish();
@@ -391,16 +405,23 @@
                 let members: BTreeSet<Host> = membership.hosts().collect();
                 self.links.retain_members(&members);
                 let own = self.replica.id();
-                self.own_status.send_replace(self.status_of(own));
+                self.published.status.send_replace(self.status_of(own));
             }
             Payload::Empty => {}
         }
         Ok(())
     }
 
-    /// Publishes the newest configuration, unless it already is published, or a newer one may have
-    /// been accepted before this process started.
+    /// Publishes what is refused and the newest configuration. The latter isn't published if a newer
+    /// one may have been accepted before this process started.
     fn publish(&self) {
+        self.published.exclusions.send_if_modified(|known| {
+            let is_new = *known != self.register.exclusions;
+            if is_new {
+                known.clone_from(&self.register.exclusions);
+            }
+            is_new
+        });
         if let Some(newest) = &self.register.newest {
             self.publisher.record(newest);
         }
@@ -408,13 +429,14 @@
             return;
         }
         let published = self
+            .published
             .newest
             .borrow()
             .as_ref()
             .map_or(0, |document| document.version);
         if self.register.version() > published {
             let newest = self.register.newest.clone().map(Arc::new);
-            self.newest.send_replace(newest);
+            self.published.newest.send_replace(newest);
             self.publisher.offer();
         }
     }
@@ -446,7 +468,7 @@
         };
         let proposed = match step {
             Step::Change(change) => self.replica.change(change).map(|_| ()),
-            Step::Grow(voters) => self.propose(&Command::Grow(voters as u32)).map(|_| ()),
+            Step::Grow(voters) => self.propose(Command::Grow(voters as u32)).map(|_| ()),
         };
         match proposed {
             Ok(()) => info!(step:? = step; "repairing the membership"),
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -4,6 +4,8 @@
 mod cluster;
 #[path = "group/membership.rs"]
 mod membership;
+#[path = "group/refusals.rs"]
+mod refusals;
 #[path = "group/rejoin.rs"]
 mod rejoin;
 #[path = "group/restart.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -54,6 +54,7 @@
 struct Running {
     runtime: Runtime,
     replica: RunningReplica,
+    allocator: Arc<Allocator>,
 }
 
 /// A group of replicas, which ends when this is dropped.
@@ -96,20 +97,28 @@
             .enable_all()
             .build()
             .expect("a runtime");
+        let allocator = Arc::new(Allocator::new(Scope::Group));
         let shared = SharedState {
             observations: Arc::new(watch::Sender::new(Arc::new(Observations::default()))),
             followers: Arc::new(Followers::default()),
-            allocator: Arc::new(Allocator::new(Scope::Group)),
+            allocator: Arc::clone(&allocator),
             metrics: Arc::new(Metrics::new().expect("instruments")),
         };
         let replica = runtime.block_on(group::start(settings, shared));
         let replica = replica.expect("the replica starts");
-        self.replicas[host] = Some(Running { runtime, replica });
+        self.replicas[host] = Some(Running {
+            runtime,
+            replica,
+            allocator,
+        });
     }
 
     /// Ends a replica without notice. Its files stay.
     pub fn kill(&mut self, host: usize) {
-        if let Some(Running { runtime, replica }) = self.replicas[host].take() {
+        if let Some(Running {
+            runtime, replica, ..
+        }) = self.replicas[host].take()
+        {
             drop(replica);
             runtime.shutdown_timeout(Duration::from_secs(5));
         }
@@ -222,6 +231,11 @@
         newest.as_ref().map_or(0, |document| document.version)
     }
 
+    /// Returns the allocator of a replica's host.
+    pub fn allocator(&self, host: usize) -> &Allocator {
+        &self.running(host).allocator
+    }
+
     fn handle(&self, host: usize) -> &Handle {
         &self.running(host).replica.handle
     }
