Make copies of generations only while engines end without notice

Cause: each generation that moves began a full copy on its new engine's link, and each new one on two links, where the next moves queued; copies took memory, so others were preempted. They stay for engines that crash: for 120 s after the list has lost one that had announced nothing. Engines in other zones count 0.15 of load instead of 0.04, and 0.9 for moves: memory takes twice as long between zones, and partitions interrupt what crosses them.

--- a/crates/sardinerelay-gateway/src/group/exclusions.rs
+++ b/crates/sardinerelay-gateway/src/group/exclusions.rs
@@ -19,8 +19,8 @@
     tokio::time::{MissedTickBehavior, interval},
 };
 
-/// Interval at which the leader looks for refused subjects that the register doesn't hold. It is well
-/// below the time that a part of a prompt takes to crash the next target.
+/// Interval at which the leader looks for refused subjects that the register doesn't hold. Until it has
+/// them, a loss of power of all hosts would make them forgotten.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a subject must still be refused to be worth a command.
 const MIN_REMAINING: Duration = Duration::from_secs(10);
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -1,8 +1,9 @@
 //! Chooses the engine that runs a generation and the engine that keeps a copy of its memory.
 //!
 //! Engines have little memory, and some of them are reclaimed every few seconds. A generation is
-//! placed where its whole expected length fits. A copy is placed only where memory would otherwise
-//! stay free, so that copies never displace running generations. See `docs/design/platform.md`.
+//! placed where its whole expected length fits. A copy is made only after an engine has ended without
+//! notice, and placed only where memory would otherwise stay free: otherwise copies take the links and
+//! the memory that generations need to move. See `docs/design/migration.md`.
 
 use {
     crate::{
@@ -29,12 +30,16 @@
 const MAX_MOVE_FILL: f64 = 1.25;
 /// Tokens by which each running generation of another host is expected to grow.
 const GROWTH_TOKENS: u64 = 350;
-/// Load added to an engine in another availability zone than the caller.
-const OTHER_ZONE_LOAD: f64 = 0.04;
-/// Load added on top of [`OTHER_ZONE_LOAD`] to a second engine. It is high so that the copy is in
+/// Load added to an engine in another availability zone than the caller. A partition between zones
+/// interrupts the streams that cross it.
+const OTHER_ZONE_LOAD: f64 = 0.15;
+/// Load added on top of [`OTHER_ZONE_LOAD`] to an engine that keeps a copy. It is high so that the copy is in
 /// the caller's zone if the engine is not: a partition between zones then leaves one of them
 /// reachable.
-const SECONDARY_OTHER_ZONE_LOAD: f64 = 0.3;
+const COPY_OTHER_ZONE_LOAD: f64 = 0.3;
+/// Load added on top of [`OTHER_ZONE_LOAD`] to an engine that a generation moves to. Memory takes twice
+/// as long between zones, and the link of an engine that stops has no time for that.
+const MOVE_OTHER_ZONE_LOAD: f64 = 0.9;
 /// Load added during the first seconds after a target's start, when it is still slow.
 const COLD_START_LOAD: f64 = 0.25;
 /// Load added to a target that fails all of its requests.
@@ -197,7 +202,7 @@
 }
 
 /// Chooses a second engine of the same build for a generation that runs on `primary`, other than those
-/// in `avoid`. Returns `None` if none has room.
+/// in `avoid`. Returns `None` if none has room, or if it is for a copy and engines end only with notice.
 pub fn choose_secondary<R>(
     targets: &Targets,
     need: &Need,
@@ -208,10 +213,13 @@
 where
     R: Rng + ?Sized,
 {
+    if secondary == Secondary::Copy && !targets.ends_unannounced(&need.service, now) {
+        return None;
+    }
     let share = targets.limit_share(scope);
-    let max_fill = match secondary {
-        Secondary::Copy => MAX_COPY_FILL,
-        Secondary::Move => MAX_MOVE_FILL,
+    let (max_fill, other_zone_load) = match secondary {
+        Secondary::Copy => (MAX_COPY_FILL, COPY_OTHER_ZONE_LOAD),
+        Secondary::Move => (MAX_MOVE_FILL, MOVE_OTHER_ZONE_LOAD),
     };
     let mut feasible: Vec<(f64, &State)> = targets
         .usable(&need.service, now)
@@ -221,11 +229,11 @@
         .filter_map(|state| {
             let load = committed_share(state, need, now)
                 + memory_share(state, need, need.prompt_tokens + need.output_tokens);
-            if !fits_now(state, need, now) {
+            if state.is_full(now) || !fits_now(state, need, now) {
                 return None;
             }
             let score = load + penalty(state, &need.zone, now);
-            let zone_load = f64::from(state.instance.zone != need.zone) * SECONDARY_OTHER_ZONE_LOAD;
+            let zone_load = f64::from(state.instance.zone != need.zone) * other_zone_load;
             let limit_load = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
             (load <= max_fill).then_some((score + zone_load + limit_load, state))
         })
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -18,7 +18,7 @@
         limit::Limit,
         observations::{Instance, Observations},
     },
-    sardinerelay::id::{Incarnation, Target},
+    sardinerelay::id::{Incarnation, Service, Target},
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
         time::{Duration, Instant},
@@ -40,6 +40,12 @@
 /// Age of a load report from which the target's load counts as unknown.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
+/// Time for which an end without notice is taken as a sign that others may follow.
+const UNANNOUNCED_END_RETENTION: Duration = Duration::from_secs(120);
+/// Longest time between two lists for the second one to show an end without notice. In a longer time
+/// a target may have announced its end too.
+const MAX_LIST_GAP: Duration = Duration::from_secs(3);
+
 /// All targets that this host knows.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -48,6 +54,8 @@
     list_read: Option<Instant>,
     /// Incarnations that were leaving or are no longer listed, and since when.
     left_incarnations: HashMap<(Target, Incarnation), Instant>,
+    /// When a target of each service last ended without notice.
+    unannounced_ends: HashMap<Service, Instant>,
     /// Largest number of entry hosts in any observations.
     entry_hosts: u32,
     /// The builds that were listed lately.
@@ -75,11 +83,16 @@
         self.entry_hosts = self.entry_hosts.max(observations.entry_hosts);
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
-            self.list_read = Some(read);
+            let last_read = self.list_read.replace(read);
+            let is_seamless =
+                last_read.is_some_and(|last| read.saturating_duration_since(last) < MAX_LIST_GAP);
             let confirmed = observations.asked.unwrap_or(now);
             let confirmed = instant_before(confirmed, observations.list_age_ms);
             self.builds.record(&observations.instances, read, confirmed);
-            self.merge_list(observations, now, &mut changes);
+            let ended = self.merge_list(observations, now, &mut changes);
+            if is_seamless {
+                self.record_unannounced_ends(&ended, now);
+            }
         }
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
@@ -277,11 +290,34 @@
         expired
     }
 
-    fn merge_list(&mut self, observations: &Observations, now: Instant, changes: &mut Vec<Change>) {
+    /// Whether a target of the service has recently ended without notice, so that others may.
+    pub fn ends_unannounced(&self, service: &str, now: Instant) -> bool {
+        let last = self.unannounced_ends.get(service);
+        last.is_some_and(|last| now.saturating_duration_since(*last) < UNANNOUNCED_END_RETENTION)
+    }
+
+    fn record_unannounced_ends(&mut self, ended: &[State], now: Instant) {
+        let unannounced = ended
+            .iter()
+            .filter(|state| state.known_leaving_since.is_none() && state.closing_since.is_none());
+        for state in unannounced {
+            let service = state.instance.service.clone();
+            self.unannounced_ends.insert(service, now);
+        }
+    }
+
+    /// Merges a list. Returns what was known of the targets and incarnations that have ended.
+    fn merge_list(
+        &mut self,
+        observations: &Observations,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) -> Vec<State> {
+        let mut ended = Vec::new();
         self.left_incarnations
             .retain(|_, since| now.saturating_duration_since(*since) < LEFT_RETENTION);
         for instance in &observations.instances {
-            self.merge_instance(instance, now, changes);
+            ended.extend(self.merge_instance(instance, now, changes));
         }
         let is_listed = |target: &Target| {
             let mut listed = observations.instances.iter();
@@ -298,16 +334,25 @@
                 let incarnation = state.instance.incarnation;
                 self.left_incarnations
                     .insert((target.clone(), incarnation), now);
+                ended.push(state);
             }
             changes.push(Change::Gone(target));
         }
+        ended
     }
 
-    fn merge_instance(&mut self, instance: &Instance, now: Instant, changes: &mut Vec<Change>) {
+    /// Merges an entry of the list. Returns what was known of the incarnation that it replaces.
+    fn merge_instance(
+        &mut self,
+        instance: &Instance,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) -> Option<State> {
         let target = &instance.target;
         let key = (target.clone(), instance.incarnation);
         let known = self.states.get(target);
         let is_same = known.is_some_and(|state| state.instance.incarnation == instance.incarnation);
+        let mut ended = None;
         if !is_same {
             let left_since = self.left_incarnations.get(&key).copied();
             let state = State {
@@ -325,12 +370,10 @@
                 full_until: None,
                 limit: Limit::default(),
             };
-            self.states.insert(target.clone(), state);
+            ended = self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
         }
-        let Some(state) = self.states.get_mut(target) else {
-            return;
-        };
+        let state = self.states.get_mut(target)?;
         state.instance = instance.clone();
         state.cold_until = now + Duration::from_millis(instance.cold_ms);
         if instance.leaving && state.known_leaving_since.is_none() {
@@ -338,6 +381,7 @@
             self.left_incarnations.insert(key, now);
             changes.push(Change::Leaving(target.clone()));
         }
+        ended
     }
 }
 
