--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -263,7 +263,7 @@
         let now = Instant::now();
         let mut state = self.state();
         state.targets.record_no_room(engine, now);
-        state.drop_destinations(|to| to == engine);
+        state.drop_destinations(|_, to| to == engine);
     }
 
     /// Records that a request's engine has read its prompt and begun to answer it.
@@ -313,7 +313,11 @@
     /// Places moving generations and waiting requests as far as there is memory, and delivers the
     /// decisions.
     fn decide(&self, state: &mut State, now: Instant) {
-        state.drop_leaving_destinations(now);
+        // Several engines may be reclaimed at once, and not all are noticed at the same moment.
+        state.drop_destinations(|targets, to| {
+            let known = targets.get(to);
+            known.is_none_or(|known| known.leaving_since(now).is_some())
+        });
         let State {
             targets,
             quarantine,
@@ -369,29 +373,14 @@
 }
 
 impl State {
-    /// Takes destinations away from generations that still wait to move there, with the room that was
-    /// kept for them.
+    /// Takes the destinations that are `lost` from generations that still wait to move there, and
+    /// releases the memory that was kept for them.
     fn drop_destinations<Lost>(&mut self, lost: Lost)
     where
-        Lost: Fn(&Target) -> bool,
+        Lost: Fn(&Targets, &Target) -> bool,
     {
-        for (run, to) in self.moves.drop_destinations(lost) {
-            self.targets.release(&to, run);
-        }
-    }
-
-    /// Takes away the destinations that have begun to leave themselves: several engines may be
-    /// reclaimed at once, and not all are noticed at the same moment.
-    fn drop_leaving_destinations(&mut self, now: Instant) {
-        if self.moves.is_empty() {
-            return;
-        }
         let targets = &self.targets;
-        let is_leaving = |to: &Target| {
-            let known = targets.get(to);
-            known.is_none_or(|known| known.leaving_since(now).is_some())
-        };
-        let dropped = self.moves.drop_destinations(is_leaving);
+        let dropped = self.moves.drop_destinations(|to| lost(targets, to));
         for (run, to) in dropped {
             self.targets.release(&to, run);
         }
@@ -464,5 +453,6 @@
         Change::Closing(target) => log(target, "closes its connections"),
         Change::Leaving(target) => log(target, "leaves"),
         Change::Gone(target) => log(target, "gone"),
+        Change::Ended(target) => log(target, "ended without notice"),
     }
 }
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -2,9 +2,9 @@
 //!
 //! An engine with several long generations may be reclaimed with less than two seconds of notice.
 //! Memory copies queue on its link, so if all generations began to copy at once, none would finish
-//! its last copy in time. They therefore move one after another. If the notice is too short for all of
-//! them, most are saved if those with the least memory go first. Each gets a destination as soon as one is found, so that the memory there isn't
-//! given to new generations while it waits. See `docs/design/migration.md`.
+//! its last copy in time. They therefore move one after another. The notice may be too short for all
+//! of them; most are saved if those with the least memory go first. Each gets a destination as soon
+//! as one is found, so that the memory there isn't given to new generations while it waits. See `docs/design/migration.md`.
 
 use {
     crate::{placement::Need, targets::RunId},
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -73,6 +73,8 @@
     Leaving(Target),
     /// A target is no longer listed.
     Gone(Target),
+    /// A target has ended without notice.
+    Ended(Target),
 }
 
 impl Targets {
@@ -91,7 +93,7 @@
             self.builds.record(&observations.instances, read, confirmed);
             let ended = self.merge_list(observations, now, &mut changes);
             if is_seamless {
-                self.record_unannounced_ends(&ended, now);
+                self.record_unannounced_ends(&ended, now, &mut changes);
             }
         }
         for report in &observations.loads {
@@ -296,13 +298,21 @@
         last.is_some_and(|last| now.saturating_duration_since(*last) < UNANNOUNCED_END_RETENTION)
     }
 
-    fn record_unannounced_ends(&mut self, ended: &[State], now: Instant) {
+    fn record_unannounced_ends(
+        &mut self,
+        ended: &[State],
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        self.unannounced_ends
+            .retain(|_, last| now.saturating_duration_since(*last) < UNANNOUNCED_END_RETENTION);
         let unannounced = ended
             .iter()
             .filter(|state| state.known_leaving_since.is_none() && state.closing_since.is_none());
         for state in unannounced {
             let service = state.instance.service.clone();
             self.unannounced_ends.insert(service, now);
+            changes.push(Change::Ended(state.instance.target.clone()));
         }
     }
 
