--- a/crates/sardinerelay-gateway/src/group/register.rs
+++ b/crates/sardinerelay-gateway/src/group/register.rs
@@ -8,11 +8,11 @@
     crate::{observations::or_default, quarantine::Subject},
     bytes::Bytes,
     log::warn,
-    sardinerelay::id::Version,
+    sardinerelay::{id::Version, unix_time::unix_ms},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime},
     },
 };
 
@@ -65,12 +65,6 @@
     }
 }
 
-/// Returns the milliseconds since 1970, 0 before.
-fn unix_ms(time: SystemTime) -> u64 {
-    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// A command in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
--- a/crates/sardinerelay/src/ledger.rs
+++ b/crates/sardinerelay/src/ledger.rs
@@ -6,7 +6,10 @@
 //! of two organisations therefore has two records, and a tombstone consists of the digest alone.
 
 use {
-    crate::id::{Host, Incarnation, Organisation},
+    crate::{
+        id::{Host, Incarnation, Organisation},
+        unix_time::{unix_ms, whole_ms},
+    },
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
     sha2::{Digest as _, Sha256},
@@ -253,10 +256,10 @@
             return Begin::Expired;
         }
         let time_ms = key_time_ms(&intent.key.key)
-            .filter(|&time| time <= clock_ms.saturating_add(as_millis_u64(MAX_KEY_SKEW)));
+            .filter(|&time| time <= clock_ms.saturating_add(whole_ms(MAX_KEY_SKEW)));
         let expires_ms = time_ms
             .unwrap_or(clock_ms)
-            .saturating_add(as_millis_u64(RECORD_LIFETIME));
+            .saturating_add(whole_ms(RECORD_LIFETIME));
         if expires_ms <= clock_ms {
             return Begin::Expired;
         }
@@ -480,11 +483,3 @@
         .find(|&position| text.is_char_boundary(position))
         .unwrap_or(0)
 }
-
-fn unix_ms(time: SystemTime) -> u64 {
-    as_millis_u64(time.duration_since(UNIX_EPOCH).unwrap_or_default())
-}
-
-fn as_millis_u64(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod sheet;
 pub mod state;
 pub mod stream;
+pub mod unix_time;
 pub mod wal;
--- a/crates/sardinerelayd/src/operator.rs
+++ b/crates/sardinerelayd/src/operator.rs
@@ -31,6 +31,7 @@
         },
         sheet::{self, Sheet},
         state::{Command, Reply},
+        unix_time::unix_ms,
     },
     serde::de::DeserializeOwned,
     std::{sync::Arc, time::Duration},
@@ -170,7 +171,7 @@
         };
         Ok(Some(PublishedSheet {
             version: report::version(accepted),
-            accepted_at_ms: stops::unix_ms(accepted.at),
+            accepted_at_ms: unix_ms(accepted.at),
             toml: sheet.to_toml(),
         }))
     }
--- a/crates/sardinerelayd/src/operator/stops.rs
+++ b/crates/sardinerelayd/src/operator/stops.rs
@@ -8,11 +8,12 @@
         id::{Incarnation, Version},
         operator::{StopProgress, StopRequest, StopStage, StopWatchRequest, Subject},
         state::{self, Command, PlannedStop, Reply, Stop},
+        unix_time::unix_ms,
     },
     std::{
         collections::BTreeMap,
         sync::{Mutex, PoisonError},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant, SystemTime},
     },
     tokio::time::{sleep, timeout},
 };
@@ -217,9 +218,3 @@
         Subject::Target(target) => state::Subject::Target(target.clone()),
     }
 }
-
-/// Converts a time to milliseconds since the Unix epoch.
-pub(super) fn unix_ms(time: SystemTime) -> u64 {
-    time.duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -35,11 +35,12 @@
         ledger::Owner,
         resume::{self, Sealer},
         state::Command,
+        unix_time::unix_ms,
         wal,
     },
     std::{
         sync::Arc,
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime},
     },
     tempfile::TempDir,
     tokio::{net::TcpListener, runtime::Builder, sync::watch, time::sleep},
@@ -77,7 +78,7 @@
             return ExitCode::General;
         }
     };
-    let incarnation = unix_ms();
+    let incarnation = unix_ms(SystemTime::now());
     // Dropping the temporary directory deletes it, so it must exist until the daemon ends.
     let (settings, _temporary_directory) = match control_settings(config, incarnation) {
         Ok(settings) => settings,
@@ -359,7 +360,7 @@
 
 /// Starts the stand-in engine and submits a sheet for it.
 async fn start_development_engine(config: &Config, control: &Handle) -> Result<()> {
-    let sheet = dev::start(&config.zone, unix_ms()).await?;
+    let sheet = dev::start(&config.zone, unix_ms(SystemTime::now())).await?;
     let digest = sheet.digest();
     let submit = Command::Submit {
         digest,
@@ -473,10 +474,3 @@
     }
     text
 }
-
-fn unix_ms() -> Incarnation {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    elapsed.as_millis() as Incarnation
-}
