--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -3,6 +3,7 @@
 //! A replica starts from its files if it has any. Without files it either founds the group together
 //! with the other seeds or joins the group as a learner. See `docs/design/platform.md`.
 
+mod channels;
 pub mod discovery;
 pub mod driver;
 pub mod exclusions;
@@ -14,7 +15,7 @@
 mod rpc;
 
 pub use self::{
-    driver::{MemberStatus, Outcome},
+    channels::{MemberStatus, Outcome},
     links::Clients,
     register::{Document, Exclusion},
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
@@ -33,8 +34,9 @@
         exit_code::ExitCode,
         reload,
     },
+    channels::{Input, Published},
     discovery::Search,
-    driver::{Driver, Input, Published},
+    driver::Driver,
     links::Links,
     log::{info, warn},
     sardinerelay::{
--- a/crates/sardinerelay-gateway/src/group/discovery.rs
+++ b/crates/sardinerelay-gateway/src/group/discovery.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        driver::MemberStatus,
+        channels::MemberStatus,
         links::Clients,
         member,
         rpc::{STATUS_METHOD, StatusRequest},
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -6,19 +6,19 @@
 
 use {
     super::{
+        channels::{Input, MemberStatus, Outcome, Published},
         links::Links,
         member,
-        register::{Command, Document, Exclusion, Register},
+        register::{Command, Document, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
     crate::distribution::Publisher,
     bytes::Bytes,
-    log::{debug, info, warn},
+    log::{debug, info},
     sardinerelay::{
-        id::{Host, Index, Version},
+        id::{Host, Index},
         raft::{
-            self, DurableState, Message, Payload, Position, Ready, Replica, RequestError, Role,
-            Snapshot,
+            self, DurableState, Payload, Position, Ready, Replica, RequestError, Role, Snapshot,
         },
         state,
         wal::Store,
@@ -28,7 +28,6 @@
         disk::{Disk, SnapshotThreshold},
         reads::Reads,
     },
-    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::Ipv4Addr,
@@ -36,7 +35,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{mpsc::Receiver, oneshot::Sender, watch},
+        sync::{mpsc::Receiver, oneshot::Sender},
         time::{Instant as TokioInstant, sleep_until},
     },
 };
@@ -53,69 +52,6 @@
 /// Interval at which the leader checks whether the membership needs a repair.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Outcome of a request to the leader.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The request is done. Carries the configuration's version at that time, 0 if there is none.
-    Done(Version),
-    /// The replica is not the leader, or refused the request. Carries the leader's ID if it is
-    /// known.
-    NotLeader(Option<Host>),
-    /// The request may or may not have been done.
-    Unknown,
-}
-
-/// A request to the driver.
-#[derive(Debug)]
-pub(super) enum Input {
-    /// Messages from the replica with this ID.
-    Step(Host, Vec<Message>),
-    /// Stores a configuration.
-    Submit(Document, Sender<Outcome>),
-    /// Asks for the newest committed version, confirmed by a quorum.
-    Confirm(Sender<Outcome>),
-    /// The host with this ID asks to join. The flag says whether it was started together with the
-    /// whole system.
-    Join(Host, bool, Sender<MemberStatus>),
-    /// Asks for the status of the host with this ID.
-    Status(Host, Sender<MemberStatus>),
-    /// Refuses these subjects. There is no reply: whoever asks looks at what is published.
-    Exclude(Vec<Exclusion>),
-    /// Transfers leadership to another voter.
-    Transfer,
-}
-
-/// Channels on which the driver publishes what other tasks follow.
-#[derive(Debug)]
-pub(super) struct Published {
-    /// The newest configuration that may be given to entry hosts.
-    pub(super) newest: watch::Sender<Option<Arc<Document>>>,
-    /// This replica's status in the group.
-    pub(super) status: watch::Sender<MemberStatus>,
-    pub(super) leadership: watch::Sender<raft::SoftState>,
-    /// What the group refuses.
-    pub(super) exclusions: watch::Sender<Vec<Exclusion>>,
-}
-
-/// What a replica knows of the group, and of one host in it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberStatus {
-    /// The leader, if it is known.
-    pub leader: Option<Host>,
-    /// Whether the replica that answers is the leader and has committed an entry in its term.
-    #[serde(rename = "leads")]
-    pub is_leader: bool,
-    /// Whether the host is a member, as a voter or a learner. True also while a change of the
-    /// membership isn't committed.
-    #[serde(rename = "member")]
-    pub is_member: bool,
-    /// Whether the host is a voter.
-    #[serde(rename = "votes")]
-    pub is_voter: bool,
-    /// The IDs of all members.
-    pub members: Vec<Host>,
-}
-
 /// The task that owns the replica.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -497,15 +433,3 @@
     }
     Ok(postcard::from_bytes(data).map_err(state::Error::from)?)
 }
-
-impl From<RequestError> for Outcome {
-    fn from(error: RequestError) -> Self {
-        match error {
-            RequestError::NotLeader { leader } => Self::NotLeader(leader),
-            error => {
-                warn!(reason:% = error; "the replica refused a request");
-                Self::NotLeader(None)
-            }
-        }
-    }
-}
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Handle,
-        driver::{Input, MemberStatus, Outcome},
+        channels::{Input, MemberStatus, Outcome},
         register::Document,
         report::{AllocationReport, RequestReport},
     },
