Find targets that ended without notice before a list is merged

Two functions of the merge returned what they replaced only for this. One pass over the known targets, with a set of what is listed, does it, and the merge itself looks listed targets up in a set too, where it compared each known target with each listed one. Behaviour stays as it is, but that the log tells of the end before it tells that the target is gone.

--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -20,7 +20,7 @@
     },
     sardinerelay::id::{Incarnation, Service, Target},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -91,10 +91,10 @@
             let confirmed = observations.asked.unwrap_or(now);
             let confirmed = instant_before(confirmed, observations.list_age_ms);
             self.builds.record(&observations.instances, read, confirmed);
-            let ended = self.merge_list(observations, now, &mut changes);
             if is_seamless {
-                self.record_unannounced_ends(&ended, now, &mut changes);
+                self.record_unannounced_ends(&observations.instances, now, &mut changes);
             }
+            self.merge_list(observations, now, &mut changes);
         }
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
@@ -295,20 +295,29 @@
     /// Whether a target of the service has recently ended without notice, so that others may.
     pub fn ends_unannounced(&self, service: &str, now: Instant) -> bool {
         let last = self.unannounced_ends.get(service);
-        last.is_some_and(|last| now.saturating_duration_since(*last) < UNANNOUNCED_END_RETENTION)
+        last.is_some_and(|last| is_recent_end(*last, now))
     }
 
+    /// Records which known targets have ended without notice, by a list that was read soon after the
+    /// one before.
     fn record_unannounced_ends(
         &mut self,
-        ended: &[State],
+        listed: &[Instance],
         now: Instant,
         changes: &mut Vec<Change>,
     ) {
         self.unannounced_ends
-            .retain(|_, last| now.saturating_duration_since(*last) < UNANNOUNCED_END_RETENTION);
-        let unannounced = ended
+            .retain(|_, last| is_recent_end(*last, now));
+        let listed: HashSet<(&Target, Incarnation)> = listed
             .iter()
-            .filter(|state| state.known_leaving_since.is_none() && state.closing_since.is_none());
+            .map(|instance| (&instance.target, instance.incarnation))
+            .collect();
+        let unannounced = self.states.values().filter(|state| {
+            let instance = &state.instance;
+            !listed.contains(&(&instance.target, instance.incarnation))
+                && state.known_leaving_since.is_none()
+                && state.closing_since.is_none()
+        });
         for state in unannounced {
             let service = state.instance.service.clone();
             self.unannounced_ends.insert(service, now);
@@ -316,27 +325,18 @@
         }
     }
 
-    /// Merges a list. Returns what was known of the targets and incarnations that have ended.
-    fn merge_list(
-        &mut self,
-        observations: &Observations,
-        now: Instant,
-        changes: &mut Vec<Change>,
-    ) -> Vec<State> {
-        let mut ended = Vec::new();
+    fn merge_list(&mut self, observations: &Observations, now: Instant, changes: &mut Vec<Change>) {
         self.left_incarnations
             .retain(|_, since| now.saturating_duration_since(*since) < LEFT_RETENTION);
         for instance in &observations.instances {
-            ended.extend(self.merge_instance(instance, now, changes));
+            self.merge_instance(instance, now, changes);
         }
-        let is_listed = |target: &Target| {
-            let mut listed = observations.instances.iter();
-            listed.any(|instance| instance.target == *target)
-        };
+        let listed = observations.instances.iter();
+        let listed: HashSet<&Target> = listed.map(|instance| &instance.target).collect();
         let gone: Vec<Target> = self
             .states
             .keys()
-            .filter(|target| !is_listed(target))
+            .filter(|target| !listed.contains(target))
             .cloned()
             .collect();
         for target in gone {
@@ -344,25 +344,16 @@
                 let incarnation = state.instance.incarnation;
                 self.left_incarnations
                     .insert((target.clone(), incarnation), now);
-                ended.push(state);
             }
             changes.push(Change::Gone(target));
         }
-        ended
     }
 
-    /// Merges an entry of the list. Returns what was known of the incarnation that it replaces.
-    fn merge_instance(
-        &mut self,
-        instance: &Instance,
-        now: Instant,
-        changes: &mut Vec<Change>,
-    ) -> Option<State> {
+    fn merge_instance(&mut self, instance: &Instance, now: Instant, changes: &mut Vec<Change>) {
         let target = &instance.target;
         let key = (target.clone(), instance.incarnation);
         let known = self.states.get(target);
         let is_same = known.is_some_and(|state| state.instance.incarnation == instance.incarnation);
-        let mut ended = None;
         if !is_same {
             let left_since = self.left_incarnations.get(&key).copied();
             let state = State {
@@ -380,10 +371,12 @@
                 full_until: None,
                 limit: Limit::default(),
             };
-            ended = self.states.insert(target.clone(), state);
+            self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
         }
-        let state = self.states.get_mut(target)?;
+        let Some(state) = self.states.get_mut(target) else {
+            return;
+        };
         state.instance = instance.clone();
         state.cold_until = now + Duration::from_millis(instance.cold_ms);
         if instance.leaving && state.known_leaving_since.is_none() {
@@ -391,10 +384,13 @@
             self.left_incarnations.insert(key, now);
             changes.push(Change::Leaving(target.clone()));
         }
-        ended
     }
 }
 
+fn is_recent_end(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < UNANNOUNCED_END_RETENTION
+}
+
 /// Returns the time `age_ms` milliseconds before `now`, or `now` if the clock doesn't reach so far
 /// back.
 pub(crate) fn instant_before(now: Instant, age_ms: u64) -> Instant {
