--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -30,17 +30,13 @@
 
     /// Records what is known of a request that may make targets crash.
     pub fn record_request(&self, report: &RequestReport) {
-        let now = Instant::now();
-        let mut state = self.state();
         match report {
-            RequestReport::Crashed(crash) => state.record_request_crash(crash, now),
-            RequestReport::Answered(request) => state.requests.clear(*request),
-            RequestReport::Refused(requests) => {
-                drop(state);
-                return self.adopt_refused_requests(requests);
+            RequestReport::Crashed(crash) => {
+                self.state().record_request_crash(crash, Instant::now());
             }
+            RequestReport::Answered(request) => self.state().requests.clear(*request),
+            RequestReport::Refused(requests) => self.adopt_refused_requests(requests),
         }
-        drop(state);
         self.changed.notify_one();
     }
 
@@ -48,8 +44,8 @@
     pub fn adopt_refused_requests(&self, requests: &[Refused]) {
         if self.state().requests.adopt(requests, Instant::now()) {
             info!(requests = requests.len(); "adopted requests that another host refuses");
+            self.changed.notify_one();
         }
-        self.changed.notify_one();
     }
 
     /// Adopts the parts that another host or the group refuses.
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -94,6 +94,13 @@
     responses: u32,
 }
 
+impl Closing {
+    /// Whether it is more than a response that closes the connection by chance.
+    fn is_confirmed(&self) -> bool {
+        self.responses >= MIN_CLOSING_RESPONSES
+    }
+}
+
 impl Observer {
     /// Creates an observer of the list that is served at `list`. All hosts together may request
     /// `max_rate` pages a second there. `is_active` says whether this host polls.
@@ -344,7 +351,7 @@
         state.closing.retain(|key, _| listed.contains(key));
         let loads = state.loads.iter().map(|(key, (load, read))| {
             let closing = state.closing.get(key);
-            let closing = closing.filter(|closing| closing.responses >= MIN_CLOSING_RESPONSES);
+            let closing = closing.filter(|closing| closing.is_confirmed());
             LoadReport {
                 target: key.0.clone(),
                 incarnation: key.1,
@@ -428,11 +435,11 @@
         closing.responses == 1
     }
 
-    /// Whether an engine has closed the connection often enough to count as closing.
+    /// Whether an engine counts as closing its connections.
     fn is_closing(&self, engine: &Instance) -> bool {
         let key = (engine.target.clone(), engine.incarnation);
         let closing = self.closing.get(&key);
-        closing.is_some_and(|closing| closing.responses >= MIN_CLOSING_RESPONSES)
+        closing.is_some_and(Closing::is_confirmed)
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions/moves.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/moves.rs
@@ -2,6 +2,7 @@
 
 use {
     super::fixtures::{instance, need, observations},
+    sardinerelay::id::Target,
     sardinerelay_gateway::{
         allocator::{Allocator, Reply, Scope},
         moves::{Departure, Moves},
@@ -283,7 +284,7 @@
     assert_eq!(destination(&third), Some(instance(2).target));
 }
 
-fn destination(reply: &Reply) -> Option<sardinerelay::id::Target> {
+fn destination(reply: &Reply) -> Option<Target> {
     match reply {
         Reply::Placed(choice, _) => Some(choice.target.clone()),
         Reply::Refused(..) | Reply::Waiting => None,
