Decide apart from the reads when load reports are read

The early reads after a leave had no test, since the decision stood in the loop that makes them. It is observer::schedule now, with tests of the spread, of the early reads and of their bound.

--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -4,7 +4,10 @@
 //! Only the group's leader polls, and hosts that know of no leader. The number of pollers thereby
 //! doesn't grow with the group, and each side of a partition has at least one.
 
+pub mod schedule;
+
 use {
+    self::schedule::Schedule,
     crate::{
         allocator::Allocator,
         codec::{Codec, ParseError},
@@ -20,7 +23,7 @@
     sardinerelay::id::{Build, Incarnation, Service, Target},
     std::{
         cmp::Ordering,
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
@@ -40,10 +43,6 @@
 /// Number of successive responses with `Connection: close` after which a target counts as closing
 /// its connections. A single one may come by chance.
 const MIN_CLOSING_RESPONSES: u32 = 2;
-/// Interval at which the load report of an engine is read.
-const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time over which the reads of all load reports are spread after an engine has begun to leave.
-const HURRIED_READS_TIME: Duration = Duration::from_millis(30);
 /// Timeout of one request for a page of the list or a load report.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest number of pages that are read. A longer list counts as unreadable.
@@ -210,48 +209,22 @@
         Err(format!("more than {MAX_LIST_PAGES} pages"))
     }
 
-    /// Reads every engine's load report once in each interval. The reads are spread over the
-    /// interval.
-    ///
-    /// Engines are reclaimed several at once, and each has little time for its generations to move.
-    /// When one begins to leave, all are therefore read at once.
+    /// Reads every engine's load report as [`Schedule`] says.
     async fn poll_load_reports(self: &Arc<Self>) {
-        let mut next_reads: BTreeMap<Target, Instant> = BTreeMap::new();
-        let mut last_hurry = Instant::now();
+        let mut schedule = Schedule::new(Instant::now());
         let mut is_active = self.is_active.clone();
         loop {
             if is_active.wait_for(|active| *active).await.is_err() {
                 return;
             }
             let now = Instant::now();
-            let engines = self.engines();
-            next_reads.retain(|target, _| engines.iter().any(|engine| engine.target == *target));
-            let count = engines.len().max(1) as u32;
-            for (index, engine) in engines.into_iter().enumerate() {
-                let offset = LOAD_REPORT_INTERVAL / count * index as u32;
-                let due = next_reads
-                    .entry(engine.target.clone())
-                    .or_insert(now + offset);
-                if *due > now {
-                    continue;
-                }
-                *due = now + LOAD_REPORT_INTERVAL;
+            for engine in schedule.due(self.engines(), now) {
                 let observer = Arc::clone(self);
                 tokio::spawn(async move { observer.read_load_report(&engine).await });
             }
-            let due = next_reads.values().min().copied();
-            let wait = due.map_or(LOAD_REPORT_INTERVAL, |due| {
-                due.saturating_duration_since(now)
-            });
-            let pause = sleep(wait.clamp(Duration::from_millis(5), LOAD_REPORT_INTERVAL));
             tokio::select! {
-                () = pause => {}
-                () = self.closing_seen.notified() => {
-                    if last_hurry.elapsed() > LOAD_REPORT_INTERVAL {
-                        last_hurry = Instant::now();
-                        hurry(&mut next_reads, last_hurry);
-                    }
-                }
+                () = sleep(schedule.wait(now)) => {}
+                () = self.closing_seen.notified() => schedule.hurry(Instant::now()),
             }
         }
     }
@@ -477,15 +450,6 @@
     (used, errors)
 }
 
-/// Makes all reads due within [`HURRIED_READS_TIME`], unless they are due earlier.
-fn hurry(next_reads: &mut BTreeMap<Target, Instant>, now: Instant) {
-    let count = next_reads.len().max(1) as u32;
-    for (index, due) in next_reads.values_mut().enumerate() {
-        let soon = now + HURRIED_READS_TIME / count * index as u32;
-        *due = soon.min(*due);
-    }
-}
-
 /// Logs that another number of entries of the list are skipped than before, and why the first of them is.
 fn log_skipped(skipped: &[ParseError], used: usize) {
     match skipped.first() {
--- /dev/null
+++ b/crates/sardinerelay-gateway/tests/decisions/reads.rs
@@ -0,0 +1,81 @@
+//! When load reports are read.
+
+use {
+    super::fixtures::instance,
+    sardinerelay_gateway::{
+        observations::Instance,
+        observer::schedule::{HURRIED_TIME, INTERVAL, Schedule},
+    },
+    std::time::{Duration, Instant},
+};
+
+const ENGINES: usize = 11;
+
+fn engines() -> Vec<Instance> {
+    (0..ENGINES).map(instance).collect()
+}
+
+/// Runs the schedule for this long. Returns how often each engine is read, and the largest number of
+/// reads at one moment.
+fn reads(schedule: &mut Schedule, began: Instant, time: Duration) -> (Vec<usize>, usize) {
+    let mut counts = vec![0; ENGINES];
+    let (mut now, mut most) = (began, 0);
+    while now < began + time {
+        let due = schedule.due(engines(), now);
+        most = most.max(due.len());
+        for engine in due {
+            let number = (0..ENGINES).find(|number| instance(*number).target == engine.target);
+            counts[number.expect("it is one of them")] += 1;
+        }
+        now += schedule.wait(now);
+    }
+    (counts, most)
+}
+
+#[test]
+fn every_report_is_read_once_an_interval_and_not_all_at_once() {
+    let now = Instant::now();
+    let mut schedule = Schedule::new(now);
+    let (counts, most) = reads(&mut schedule, now, INTERVAL * 4);
+    assert_eq!(counts, [4; ENGINES]);
+    assert_eq!(most, 1);
+}
+
+/// Two engines are reclaimed at once, and the report of one of them has just been read. The other's leave must not
+/// wait for the rest of the interval.
+#[test]
+fn all_reports_are_read_soon_after_one_engine_has_begun_to_leave() {
+    let began = Instant::now();
+    let mut schedule = Schedule::new(began);
+    reads(&mut schedule, began, INTERVAL * 2);
+    let noticed = began + INTERVAL * 2;
+    schedule.hurry(noticed);
+    let (counts, _) = reads(&mut schedule, noticed, HURRIED_TIME * 2);
+    assert_eq!(counts, [1; ENGINES]);
+}
+
+/// A group of engines that leaves one after another must not multiply the reads of all others.
+#[test]
+fn reports_are_hurried_once_an_interval() {
+    let began = Instant::now();
+    let mut schedule = Schedule::new(began);
+    reads(&mut schedule, began, INTERVAL * 2);
+    let mut now = began + INTERVAL * 2;
+    let mut total = 0;
+    for _ in 0..10 {
+        schedule.hurry(now);
+        let (counts, _) = reads(&mut schedule, now, INTERVAL / 10);
+        total += counts.iter().sum::<usize>();
+        now += INTERVAL / 10;
+    }
+    assert!(total <= 2 * ENGINES, "{total} reads in one interval");
+}
+
+#[test]
+fn an_engine_that_is_no_longer_listed_is_not_waited_for() {
+    let now = Instant::now();
+    let mut schedule = Schedule::new(now);
+    schedule.due(engines(), now);
+    assert!(schedule.due(Vec::new(), now).is_empty());
+    assert_eq!(schedule.wait(now), INTERVAL);
+}
