Test in which zone generations begin and where they move

The weights of other zones in placement had no test of their own. The test of short notice described memory beyond the prompt as prompt, so its generations had none left to grow; it now states prompt and output apart.

--- a/crates/sardinerelay-gateway/tests/decisions/moves.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/moves.rs
@@ -137,8 +137,13 @@
     for (run, tokens) in (0..).zip(memory) {
         // The longer a prompt, the more there is to say about it.
         let moving = Departure {
+            need: Need {
+                prompt_tokens: tokens,
+                output_tokens: tokens / 2,
+                ..need()
+            },
             tokens,
-            ..departure(run, tokens / 2)
+            ..departure(run, 0)
         };
         moves.request(moving, began);
     }
--- a/crates/sardinerelay-gateway/tests/decisions/placement.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -217,6 +217,45 @@
     assert!(chosen(Secondary::Move).is_some());
 }
 
+/// Memory takes twice as long between zones as within one, and an engine that is reclaimed has time for a
+/// few moves only. Its generations therefore move within the zone, though an engine elsewhere has more room.
+#[test]
+fn generations_move_within_the_zone_while_there_is_room() {
+    let now = Instant::now();
+    let moved_to = |used: &[u64]| {
+        let targets = targets(used, now);
+        let primary = targets.get(&instance(0).target).expect("listed");
+        let constraints = (Secondary::Move, Scope::Group, primary, &[][..]);
+        let mut rng = StdRng::seed_from_u64(5);
+        choose_secondary(&targets, &need(), constraints, &mut rng, now)
+    };
+    // The fourth engine is in the zone of the first.
+    assert_eq!(
+        moved_to(&[0, 2_000, 30_000, 20_000]),
+        Some(instance(3).target)
+    );
+    assert_eq!(
+        moved_to(&[0, 2_000, 30_000, 28_000]),
+        Some(instance(1).target)
+    );
+}
+
+/// A partition between zones interrupts the streams that cross it, so a somewhat fuller engine in the
+/// caller's zone is better than an emptier one in another. A much fuller one isn't.
+#[rstest]
+#[case::somewhat_fuller(3_000, 0)]
+#[case::much_fuller(9_000, 1)]
+fn generations_start_in_the_callers_zone_unless_it_is_much_fuller(
+    #[case] used: u64,
+    #[case] expected: usize,
+) {
+    let now = Instant::now();
+    let targets = targets(&[used, 0], now);
+    let mut rng = StdRng::seed_from_u64(5);
+    let choice = choose(&targets, &need(), (Scope::Group, &[]), &mut rng, now).expect("room");
+    assert_eq!(choice.target, instance(expected).target);
+}
+
 /// Whether a generation on the first engine gets a copy after these lists.
 fn gets_copy(lists: &[(Duration, Observations)], after: Duration) -> bool {
     let now = Instant::now() + Duration::from_secs(1000);
