Read the regions of availability zones, and let observations name the readers of load reports

Evacuations need the names of the zones, homes need their regions. The field of the observations stands at the end, so hosts of the release before ignore it.

--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -15,7 +15,7 @@
     serde::{Deserialize, Deserializer, Serialize},
     std::{
         collections::{BTreeMap, HashMap},
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -134,6 +134,10 @@
     /// The builds of the instances.
     #[serde(deserialize_with = "or_default")]
     pub builds: Builds,
+    /// Addresses of the hosts among which the targets are divided whose load reports are read. Empty if one
+    /// host reads all.
+    #[serde(deserialize_with = "or_default")]
+    pub readers: Vec<Ipv4Addr>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -350,6 +350,7 @@
             limits,
             refused_requests,
             suspect_requests,
+            readers: Vec::new(),
             ages_updated: Some(now),
             asked: None,
             changed_stamp: 0,
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -3,8 +3,9 @@
 use {
     crate::{budget, reload},
     compact_str::CompactString,
-    sardinerelay::id::Zone,
+    sardinerelay::id::{Region, Zone},
     std::{
+        collections::BTreeMap,
         fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -21,6 +22,8 @@
     pub host: CompactString,
     /// This host's availability zone, whose targets are preferred.
     pub zone: Zone,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<Zone, Region>,
     /// This host's address, at which the metrics server and, with a replica, the peer server
     /// listen.
     pub address: Ipv4Addr,
--- a/crates/sardinerelay/src/id.rs
+++ b/crates/sardinerelay/src/id.rs
@@ -8,6 +8,9 @@
 /// An availability zone's name, for example `lakes-a`.
 pub type Zone = CompactString;
 
+/// A region: availability zones that are near one another.
+pub type Region = CompactString;
+
 /// An organisation's name in the sheet.
 pub type Organisation = CompactString;
 
