Keep operators' orders to evacuate zones in the register, and let hosts learn them

Operators need to keep attempts away from the targets of an availability zone. Orders are commands of the replicated register with the zone's revision as their base, so that a delayed one can't take effect after a later one was acknowledged. Voters publish them, entry hosts learn them from the voters that they follow before they put a configuration in force, and targets of evacuated zones aren't usable.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -17,6 +17,7 @@
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
+        group::Evacuations,
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         origin::Origins,
@@ -147,6 +148,19 @@
         self.decide(&mut state, now);
     }
 
+    /// Obeys orders for zones unless newer ones are known, and decides about waiting requests.
+    pub fn set_evacuations(&self, evacuations: &Evacuations) {
+        let now = Instant::now();
+        let mut state = self.state();
+        for (zone, order) in state.targets.set_evacuations(evacuations, now) {
+            info!(
+                zone = zone.as_str(), evacuated = order.is_evacuated, revision = order.revision;
+                "obeying an order for a zone"
+            );
+        }
+        self.decide(&mut state, now);
+    }
+
     /// Requests an engine for `run`, which may be queued until `deadline`. Waits up to `wait` for
     /// the decision; another call with the same number continues the same request.
     pub async fn acquire(
@@ -316,7 +330,9 @@
         // Several engines may be reclaimed at once, and not all are noticed at the same moment.
         state.drop_destinations(|targets, to| {
             let known = targets.get(to);
-            known.is_none_or(|known| known.leaving_since(now).is_some())
+            known.is_none_or(|known| {
+                known.leaving_since(now).is_some() || targets.is_evacuated(known)
+            })
         });
         let State {
             targets,
--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{origin::StreamId, statement::Statement},
     compact_str::CompactString,
-    sardinerelay::id::Model,
+    sardinerelay::id::{Model, Zone},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -108,12 +108,16 @@
 }
 
 /// What an operator's request asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorCall {
     /// Stores a configuration.
     Submit,
     /// Reads the newest configuration.
     Read,
+    /// Evacuates a zone: its targets get no further attempts.
+    Evacuate(Zone),
+    /// Ends a zone's evacuation.
+    Restore(Zone),
 }
 
 /// A request to an engine to copy a running generation's memory to another engine.
--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -1,6 +1,11 @@
-//! The operators' API of a host with a replica: submits a configuration and reads the newest one.
+//! The operators' API of a host with a replica: submits a configuration, reads the newest one and
+//! evacuates zones.
+
+mod evacuation;
+pub mod pulse;
 
 use {
+    self::{evacuation::Orders, pulse::Pulse},
     crate::{
         body,
         call::OperatorCall,
@@ -16,12 +21,15 @@
     http::{HeaderValue, Request, Response, StatusCode, header},
     hyper::body::Incoming,
     log::{info, warn},
+    sardinerelay::id::Zone,
     std::{
+        collections::BTreeSet,
         io,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// Time for the group to confirm an operator's request. Operators try another host after a second,
@@ -33,7 +41,7 @@
 /// Memory that submitted configurations may take together, in bytes: eight of the largest ones.
 const SUBMISSION_MEMORY_BYTES: usize = 8 * MAX_TEXT_BYTES;
 
-/// Serves operators at `address` in the background.
+/// Serves operators at `address` in the background. They may give orders for `zones`.
 ///
 /// # Errors
 ///
@@ -41,21 +49,30 @@
 pub async fn listen(
     address: SocketAddr,
     codec: Codec,
-    handle: Handle,
+    (handle, zones): (Handle, BTreeSet<Zone>),
     metrics: Arc<Metrics>,
 ) -> io::Result<()> {
     let memory = body::Memory::new(SUBMISSION_MEMORY_BYTES);
+    let pulse = Pulse::new(Instant::now());
+    let orders = Arc::new(Orders { zones, pulse });
+    let checked = Arc::clone(&orders);
+    tokio::spawn(async move {
+        loop {
+            checked.pulse.check(Instant::now());
+            sleep(pulse::INTERVAL).await;
+        }
+    });
     http_server::listen(address, move |request| {
         let (handle, metrics) = (handle.clone(), Arc::clone(&metrics));
-        let memory = memory.clone();
-        async move { serve(codec, (handle, memory), &metrics, request).await }
+        let (memory, orders) = (memory.clone(), Arc::clone(&orders));
+        async move { serve(codec, (handle, memory, &orders), &metrics, request).await }
     })
     .await
 }
 
 async fn serve(
     codec: Codec,
-    (handle, memory): (Handle, body::Memory),
+    (handle, memory, orders): (Handle, body::Memory, &Orders),
     metrics: &Metrics,
     request: Request<Incoming>,
 ) -> Response<Body> {
@@ -67,11 +84,17 @@
             ("submit", submitted.await)
         }
         Some(OperatorCall::Read) => ("read", read(&handle).await),
+        Some(OperatorCall::Evacuate(zone)) => {
+            ("evacuate", orders.carry_out(&handle, zone, true).await)
+        }
+        Some(OperatorCall::Restore(zone)) => {
+            ("restore", orders.carry_out(&handle, zone, false).await)
+        }
         None => return http_server::text(StatusCode::NOT_FOUND, "there is no such call\n"),
     };
     let outcome = match response.status() {
         StatusCode::OK => "done",
-        StatusCode::BAD_REQUEST => "invalid",
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => "invalid",
         _ => "unconfirmed",
     };
     metrics.record_request(label, outcome, began.elapsed());
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! State that all requests on an entry host share.
 
 mod crashes;
+mod evacuations;
 mod statements;
 
 use {
@@ -12,7 +13,7 @@
         budget::Budget,
         codec::Codec,
         forecast::Forecast,
-        group::{AllocationReport, LocalAllocation},
+        group::{AllocationReport, LocalAllocation, Revision},
         metrics::Metrics,
         moves::Departure,
         observations::Instance,
@@ -37,7 +38,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{sync::mpsc::UnboundedSender, time::sleep},
+    tokio::{
+        sync::{mpsc::UnboundedSender, watch},
+        time::sleep,
+    },
 };
 
 /// Interval at which idle connections to targets are cleaned up.
@@ -76,6 +80,8 @@
     pub allocator: Allocator,
     /// Client of the group's allocator.
     pub remote: RemoteAllocator,
+    /// Highest revision of the orders for zones; none until this host has learned them.
+    evacuations: watch::Sender<Option<Revision>>,
     /// Clients of the voters.
     voters: Mutex<Voters>,
     /// Crashes that this host has reported.
@@ -125,6 +131,7 @@
             drain: Drain::default(),
             allocator: Allocator::new(Scope::Local),
             remote: RemoteAllocator::default(),
+            evacuations: watch::Sender::default(),
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
             forecast: Mutex::default(),
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! unreachable causes no delay. A configuration is never replaced by an older one.
 
 mod configuration;
+mod evacuations;
 mod transfer;
 
 use {
@@ -17,8 +18,9 @@
         reporter::{self, Report},
     },
     configuration::Updates,
+    jsonrpsee::types::ErrorCode,
     log::{debug, info},
-    sardinerelayd::peer::Packed,
+    sardinerelayd::peer::{Error, Packed},
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -56,7 +58,7 @@
     tokio::spawn(reporter::run(Arc::clone(&entry), outgoing));
     let updates = Arc::new(Updates::new(Arc::clone(&entry)));
     tokio::spawn(transfer::fetch(Arc::clone(&updates)));
-    let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
+    let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 3]> = BTreeMap::new();
     let last_fresh = Arc::new(watch::Sender::new(LastFresh::default()));
     let mut leader = None;
     loop {
@@ -79,9 +81,14 @@
                 info!(address:% = address; "following");
                 let configuration =
                     configuration::watch(Arc::clone(&updates), Arc::clone(&client), rank);
+                let evacuations = evacuations::watch(Arc::clone(&entry), Arc::clone(&client));
                 let observations =
                     follow_observations(Arc::clone(&entry), client, rank, Arc::clone(&last_fresh));
-                [tokio::spawn(configuration), tokio::spawn(observations)]
+                [
+                    tokio::spawn(configuration),
+                    tokio::spawn(evacuations),
+                    tokio::spawn(observations),
+                ]
             });
         }
         sleep(MEMBERS_INTERVAL).await;
@@ -97,6 +104,11 @@
     }
 }
 
+/// Whether the other host has an earlier version, which doesn't know the method.
+fn is_unknown_method(error: &Error) -> bool {
+    matches!(error, Error::Remote { code, .. } if *code == ErrorCode::MethodNotFound.code())
+}
+
 /// When fresh observations were last received, from any host.
 #[derive(Debug, Clone, Copy, Default)]
 struct LastFresh(Option<Instant>);
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -3,7 +3,7 @@
 //! All followed hosts are watched side by side. `transfer` fetches what they offer.
 
 use {
-    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY},
+    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY, is_unknown_method},
     crate::{
         control,
         distribution::{Stamp, Watch},
@@ -13,7 +13,6 @@
         },
     },
     bytes::Bytes,
-    jsonrpsee::types::ErrorCode,
     log::{info, warn},
     sardinerelay::id::Version,
     sardinerelayd::peer::{Client, Error, Packed},
@@ -150,6 +149,8 @@
 /// Watches which version one host offers. `rank` is the host's position in the order of preference.
 pub async fn watch(updates: Arc<Updates>, client: Arc<Client>, rank: usize) {
     let _withdrawal = Withdrawal(Arc::clone(&updates), client.address());
+    // A configuration must not be in force before the zones are known that get no attempts.
+    updates.entry.learn_evacuations().await;
     let mut known = 0;
     let mut is_unreachable = false;
     loop {
@@ -197,11 +198,6 @@
     }
 }
 
-/// Whether the other host has an earlier version, which doesn't know the method.
-fn is_unknown_method(error: &Error) -> bool {
-    matches!(error, Error::Remote { code, .. } if *code == ErrorCode::MethodNotFound.code())
-}
-
 /// Waits for a newer configuration of a host that has an earlier version and sends it whole.
 async fn follow_whole(updates: &Updates, client: &Client) -> Result<(), Error> {
     let follow = FollowConfiguration {
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -6,6 +6,7 @@
 mod channels;
 pub mod discovery;
 pub mod driver;
+pub mod evacuation;
 pub mod exclusions;
 pub mod links;
 pub mod member;
@@ -16,6 +17,7 @@
 
 pub use self::{
     channels::{MemberStatus, Outcome},
+    evacuation::{Evacuations, Revision},
     links::Clients,
     register::{Document, Exclusion},
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
@@ -24,7 +26,7 @@
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration,
         FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
         REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
-        WATCH_CONFIGURATION_METHOD,
+        WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD, WatchEvacuations,
     },
 };
 
@@ -37,10 +39,11 @@
     channels::{Input, Published},
     discovery::Search,
     driver::Driver,
+    evacuation::Order,
     links::Links,
     log::{info, warn},
     sardinerelay::{
-        id::{Host, Version},
+        id::{Host, Version, Zone},
         raft::{Config, DurableState, Role, SoftState},
         wal::{self, Identity, Recovered, Store},
     },
@@ -107,6 +110,10 @@
     /// The group has not accepted a configuration yet.
     #[error("no configuration was accepted yet")]
     Empty,
+    /// Another order for the zone has taken effect since this one was received, or there are orders for
+    /// too many zones.
+    #[error("the order is out of date")]
+    OutOfDate,
 }
 
 /// A handle for requests to the group, through the replica on this host or the leader on another
@@ -118,6 +125,7 @@
     status: watch::Receiver<MemberStatus>,
     leadership: watch::Receiver<SoftState>,
     exclusions: watch::Receiver<Vec<Exclusion>>,
+    evacuations: watch::Receiver<Option<Arc<Evacuations>>>,
     clients: Arc<Clients>,
     publisher: Arc<Publisher>,
 }
@@ -158,6 +166,7 @@
         status: watch::Sender::new(MemberStatus::default()),
         leadership: watch::Sender::new(no_leader),
         exclusions: watch::Sender::default(),
+        evacuations: watch::Sender::default(),
     };
     let (inputs, queue) = channel(INPUT_QUEUE_CAPACITY);
     let publisher = Arc::new(Publisher::start().map_err(FatalError::Thread)?);
@@ -168,15 +177,17 @@
         status: published.status.subscribe(),
         leadership: published.leadership.subscribe(),
         exclusions: published.exclusions.subscribe(),
+        evacuations: published.evacuations.subscribe(),
         clients,
     };
     let driver = Driver::new(config, files, links, publisher, published)?;
     let listen = SocketAddr::from((settings.address, settings.peer_port));
-    let allocator = Arc::clone(&shared.allocator);
+    let (allocator, metrics) = (Arc::clone(&shared.allocator), Arc::clone(&shared.metrics));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
     tokio::spawn(maintain_membership(settings, own_id, path, handle.clone()));
-    tokio::spawn(exclusions::run(handle.clone(), allocator));
+    tokio::spawn(exclusions::run(handle.clone(), Arc::clone(&allocator)));
+    tokio::spawn(evacuation::run(handle.clone(), allocator, metrics));
     Ok(RunningReplica {
         handle,
         driver,
@@ -389,6 +400,62 @@
         }
     }
 
+    /// Evacuates a zone or ends its evacuation. Returns the revision at which the zone got into that state.
+    ///
+    /// A quorum first confirms which order for the zone is the last. This one takes effect only if no other
+    /// has done so in between, however long it is delayed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if this is not confirmed within `time_limit`, or if another order took effect
+    /// first. Ordering again is safe.
+    pub async fn order_zone(
+        &self,
+        zone: Zone,
+        is_evacuated: bool,
+        time_limit: Duration,
+    ) -> Result<Revision, Error> {
+        let began = Instant::now();
+        let query = &rpc::ZoneQuery { zone: zone.clone() };
+        let attempt = |leader: Option<Host>| async move {
+            match leader {
+                None => self.confirmed_revision(&query.zone).await,
+                Some(leader) => self.forward(leader, rpc::ZONE_STATE_METHOD, query).await,
+            }
+        };
+        let base = self.call_leader(attempt, time_limit).await?;
+        let order = &Order {
+            zone,
+            is_evacuated,
+            base,
+        };
+        let attempt = |leader: Option<Host>| async move {
+            match leader {
+                None => {
+                    self.call_local(|reply| Input::Order(order.clone(), reply))
+                        .await
+                }
+                Some(leader) => self.forward(leader, rpc::ORDER_METHOD, order).await,
+            }
+        };
+        let remaining = time_limit.saturating_sub(began.elapsed());
+        match self.call_leader(attempt, remaining).await? {
+            0 => Err(Error::OutOfDate),
+            revision => Ok(revision),
+        }
+    }
+
+    /// Returns the revision of a zone after a quorum has confirmed that this replica is the leader.
+    async fn confirmed_revision(&self, zone: &str) -> Outcome {
+        match self.call_local(Input::Confirm).await {
+            Outcome::Done(_) => match self.evacuations.borrow().as_deref() {
+                Some(evacuations) => Outcome::Done(evacuations.revision_of(zone)),
+                None => Outcome::Unknown,
+            },
+            outcome => outcome,
+        }
+    }
+
     /// Asks the replica to transfer leadership to another voter, before a planned stop.
     pub async fn transfer(&self) {
         // Sending fails only if the driver has ended. Then there is no leadership to transfer.
--- a/crates/sardinerelay-gateway/src/group/channels.rs
+++ b/crates/sardinerelay-gateway/src/group/channels.rs
@@ -1,7 +1,10 @@
 //! What other tasks ask of the driver, and what it answers and publishes.
 
 use {
-    super::register::{Document, Exclusion},
+    super::{
+        evacuation::{Evacuations, Order},
+        register::{Document, Exclusion},
+    },
     log::warn,
     sardinerelay::{
         id::{Host, Version},
@@ -40,6 +43,9 @@
     Status(Host, Sender<MemberStatus>),
     /// Refuses these subjects. There is no reply: whoever asks looks at what is published.
     Exclude(Vec<Exclusion>),
+    /// Evacuates a zone or ends its evacuation. The outcome carries the zone's revision, 0 if the order
+    /// was out of date.
+    Order(Order, Sender<Outcome>),
     /// Transfers leadership to another voter.
     Transfer,
 }
@@ -54,6 +60,8 @@
     pub(super) leadership: watch::Sender<SoftState>,
     /// What the group refuses.
     pub(super) exclusions: watch::Sender<Vec<Exclusion>>,
+    /// The orders for zones; none until this replica has been as new as the leader's.
+    pub(super) evacuations: watch::Sender<Option<Arc<Evacuations>>>,
 }
 
 /// What a replica knows of the group, and of one host in it.
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -181,6 +181,12 @@
                     debug!("exclusions can't be proposed now: {error}");
                 }
             }
+            Input::Order(order, reply) => match self.propose(Command::Order(order)) {
+                Ok(Position { index, .. }) => self.await_commit(index, reply),
+                Err(error) => {
+                    let _ = reply.send(error.into());
+                }
+            },
             Input::Transfer => match self.replica.transfer(None) {
                 Ok(to) => info!(to = to; "transferring leadership"),
                 Err(error) => debug!("leadership can't be transferred: {error}"),
@@ -196,17 +202,20 @@
             return;
         }
         match self.propose(Command::Submit(document)) {
-            Ok(Position { index, .. }) => {
-                if let Some(replaced) = self.pending_proposals.insert(index, reply) {
-                    let _ = replaced.send(Outcome::Unknown);
-                }
-            }
+            Ok(Position { index, .. }) => self.await_commit(index, reply),
             Err(error) => {
                 let _ = reply.send(error.into());
             }
         }
     }
 
+    /// Lets the reply to a proposal wait until it is committed.
+    fn await_commit(&mut self, index: Index, reply: Sender<Outcome>) {
+        if let Some(replaced) = self.pending_proposals.insert(index, reply) {
+            let _ = replaced.send(Outcome::Unknown);
+        }
+    }
+
     fn propose(&mut self, command: Command) -> Result<Position, RequestError> {
         // This never fails, because integers and bytes can always be encoded.
         let data = command.encode().map_err(|_| RequestError::NotApplicable)?;
@@ -324,11 +333,17 @@
         match entry.payload {
             Payload::Data(data) => {
                 let command = Command::decode(&data).map_err(state::Error::from)?;
+                let order = match &command {
+                    Command::Order(order) => Some(order.clone()),
+                    _ => None,
+                };
                 let version = self.register.apply(command);
                 info!(index = index, version = version; "applied a command");
                 self.publish();
                 if let Some(reply) = self.pending_proposals.remove(&index) {
-                    let _ = reply.send(Outcome::Done(version));
+                    let evacuations = &self.register.evacuations;
+                    let done = order.map_or(version, |order| evacuations.revision_in_force(&order));
+                    let _ = reply.send(Outcome::Done(done));
                 }
             }
             Payload::Membership(membership) => {
@@ -348,8 +363,8 @@
         Ok(())
     }
 
-    /// Publishes what is refused and the newest configuration. The latter isn't published if a newer
-    /// one may have been accepted before this process started.
+    /// Publishes what is refused, the orders for zones and the newest configuration. The last two aren't
+    /// published if newer ones may have been accepted before this process started.
     fn publish(&self) {
         self.published.exclusions.send_if_modified(|known| {
             let is_new = *known != self.register.exclusions;
@@ -364,6 +379,13 @@
         if !self.has_caught_up {
             return;
         }
+        self.published.evacuations.send_if_modified(|known| {
+            let is_new = known.as_deref() != Some(&self.register.evacuations);
+            if is_new {
+                *known = Some(Arc::new(self.register.evacuations.clone()));
+            }
+            is_new
+        });
         let published = self
             .published
             .newest
--- a/crates/sardinerelay-gateway/src/group/register.rs
+++ b/crates/sardinerelay-gateway/src/group/register.rs
@@ -1,10 +1,11 @@
 //! The replicated state machine: the newest configuration, how many voters the group should have,
-//! and what is refused because it makes targets crash.
+//! what is refused because it makes targets crash, and which zones are evacuated.
 //!
 //! The highest version wins. A submission with the current version or a lower one changes nothing
 //! but succeeds all the same, because it may be a retry after the first response was lost.
 
 use {
+    super::evacuation::{Evacuations, Order},
     crate::{observations::or_default, quarantine::Subject},
     bytes::Bytes,
     log::warn,
@@ -16,7 +17,8 @@
     },
 };
 
-/// Version of a stored document that holds exclusions. Configurations have a version of 1 or more.
+/// Version of a stored document that holds exclusions or an order. Configurations have a version of 1
+/// or more.
 const EXCLUSIONS_VERSION: Version = 0;
 /// Largest number of exclusions. The one that ends first makes room for another.
 const MAX_EXCLUSIONS: usize = 512;
@@ -74,13 +76,15 @@
     Grow(u32),
     /// Refuses these subjects until they end.
     Exclude(Vec<Exclusion>),
+    /// Evacuates a zone or ends its evacuation, unless the order is out of date.
+    Order(Order),
 }
 
 /// A command as the log stores it, by position: the order of the variants must not change.
 ///
-/// Replicas of earlier versions end if they find a variant that they don't know. Exclusions are
-/// therefore stored as a document with [`EXCLUSIONS_VERSION`], which those replicas ignore because
-/// it is not above the register's version.
+/// Replicas of earlier versions end if they find a variant that they don't know. Exclusions
+/// and orders are therefore stored as a document with [`EXCLUSIONS_VERSION`], which those replicas
+/// ignore because it is not above the register's version.
 #[derive(Debug, Serialize, Deserialize)]
 enum Stored {
     Submit(Document),
@@ -101,12 +105,16 @@
                 version: EXCLUSIONS_VERSION,
                 body: postcard::to_stdvec(&exclusions)?.into(),
             }),
+            Self::Order(order) => Stored::Submit(Document {
+                version: EXCLUSIONS_VERSION,
+                body: order.encode()?.into(),
+            }),
         };
         postcard::to_stdvec(&stored)
     }
 
-    /// Decodes a command from the log. Exclusions in a form that a later version has written are
-    /// left out, since that version still holds them.
+    /// Decodes a command from the log. Exclusions and orders in a form that a later version has
+    /// written are left out, since that version still holds them.
     ///
     /// # Errors
     ///
@@ -114,16 +122,24 @@
     pub fn decode(data: &[u8]) -> Result<Self, postcard::Error> {
         Ok(match postcard::from_bytes(data)? {
             Stored::Submit(document) if document.version == EXCLUSIONS_VERSION => {
-                let exclusions = postcard::from_bytes(&document.body).unwrap_or_else(|error| {
-                    warn!(reason:% = error; "exclusions in the log can't be read and are left out");
-                    Vec::new()
-                });
-                Self::Exclude(exclusions)
+                Self::decode_unversioned(&document.body)
             }
             Stored::Submit(document) => Self::Submit(document),
             Stored::Grow(voters) => Self::Grow(voters),
         })
     }
+
+    /// Decodes what is stored as a document without a version of its own.
+    fn decode_unversioned(body: &[u8]) -> Self {
+        let decoded = match Order::decode(body) {
+            Some(order) => order.map(Self::Order),
+            None => postcard::from_bytes(body).map(Self::Exclude),
+        };
+        decoded.unwrap_or_else(|error| {
+            warn!(reason:% = error; "a command in the log can't be read and is left out");
+            Self::Exclude(Vec::new())
+        })
+    }
 }
 
 /// The replicated state, which snapshots contain.
@@ -137,6 +153,9 @@
     /// What is refused. Snapshots of earlier versions end before it.
     #[serde(deserialize_with = "or_default")]
     pub exclusions: Vec<Exclusion>,
+    /// The orders for zones. Snapshots of earlier versions end before them.
+    #[serde(deserialize_with = "or_default")]
+    pub evacuations: Evacuations,
 }
 
 impl Register {
@@ -149,6 +168,9 @@
             Command::Submit(_) => {}
             Command::Grow(voters) => self.desired_voters = self.desired_voters.max(voters),
             Command::Exclude(exclusions) => self.exclude(&exclusions),
+            Command::Order(order) => {
+                self.evacuations.apply(&order);
+            }
         }
         self.version()
     }
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -4,6 +4,7 @@
     super::{
         Handle,
         channels::{Input, MemberStatus, Outcome},
+        evacuation::{Evacuations, Order, Revision},
         register::Document,
         report::{AllocationReport, RequestReport},
     },
@@ -25,7 +26,7 @@
         types::{ErrorCode, ErrorObjectOwned},
     },
     log::{debug, warn},
-    sardinerelay::id::{Build, Host, Version},
+    sardinerelay::id::{Build, Host, Version, Zone},
     sardinerelayd::{
         control::FatalError,
         peer::{NotificationHandler, Packed, STEP, Server, SharedCounters, Step},
@@ -43,6 +44,12 @@
 pub(super) const SUBMIT_METHOD: &str = "register.submit";
 /// Asks for the newest version of the configuration, confirmed by a quorum.
 pub(super) const CONFIRM_METHOD: &str = "register.confirm";
+/// Asks for the revision of a zone, confirmed by a quorum.
+pub(super) const ZONE_STATE_METHOD: &str = "evacuation.state";
+/// Evacuates a zone or ends its evacuation.
+pub(super) const ORDER_METHOD: &str = "evacuation.order";
+/// Waits for orders for zones that are newer than those that the caller knows.
+pub const WATCH_EVACUATIONS_METHOD: &str = "evacuation.watch";
 /// Asks for the status of a host. A host that isn't a voter yet also uses it to ask to join.
 pub(super) const STATUS_METHOD: &str = "group.standing";
 /// Waits until there is a newer configuration.
@@ -80,6 +87,9 @@
 
 /// Longest time that [`ORIGIN_METHOD`] waits for a list that is newer than the call.
 const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(450);
+/// Time for which a voter that knows no leader, and may therefore lack the newest orders, keeps a host
+/// waiting that knows none. Another voter can answer in the meantime.
+const LEADERLESS_WATCH_DELAY: Duration = Duration::from_secs(1);
 /// Longest time that one call may wait for a newer configuration or newer observations.
 const MAX_FOLLOW_WAIT: Duration = Duration::from_secs(10);
 
@@ -89,6 +99,22 @@
     pub(super) document: Packed<Document>,
 }
 
+/// Parameters of [`ZONE_STATE_METHOD`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ZoneQuery {
+    pub(super) zone: Zone,
+}
+
+/// Parameters of [`WATCH_EVACUATIONS_METHOD`]. The result is [`Evacuations`], or `null` if the wait ends
+/// without newer ones or before this voter has caught up with the leader.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WatchEvacuations {
+    /// The highest revision that the host knows, none after its start.
+    pub known: Option<Revision>,
+    /// Time to wait for a higher one, in milliseconds.
+    pub wait_ms: u64,
+}
+
 /// The host of a request that is only about the group.
 pub const NO_HOST: Host = 0;
 
@@ -216,6 +242,22 @@
     module.register_async_method(CONFIRM_METHOD, |_, context, _| async move {
         RpcResult::<Outcome>::Ok(context.handle.call_local(Input::Confirm).await)
     })?;
+    module.register_async_method(ZONE_STATE_METHOD, |parameters, context, _| async move {
+        let ZoneQuery { zone } = context.counters.parse_call(&parameters)?;
+        RpcResult::Ok(context.handle.confirmed_revision(&zone).await)
+    })?;
+    module.register_async_method(ORDER_METHOD, |parameters, context, _| async move {
+        let order: Order = context.counters.parse_call(&parameters)?;
+        let input = |reply| Input::Order(order, reply);
+        RpcResult::Ok(context.handle.call_local(input).await)
+    })?;
+    module.register_async_method(
+        WATCH_EVACUATIONS_METHOD,
+        |parameters, context, _| async move {
+            let watch: WatchEvacuations = context.counters.parse_call(&parameters)?;
+            RpcResult::Ok(watch_evacuations(&context.handle, &watch).await)
+        },
+    )?;
     module.register_async_method(STATUS_METHOD, |parameters, context, _| async move {
         let request: StatusRequest = context.counters.parse_call(&parameters)?;
         RpcResult::Ok(status(&context.handle, request).await)
@@ -347,6 +389,26 @@
     Some(Packed(Document::clone(&document)))
 }
 
+async fn watch_evacuations(handle: &Handle, watch: &WatchEvacuations) -> Option<Evacuations> {
+    let began = Instant::now();
+    let wait = capped_wait(watch.wait_ms);
+    if watch.known.is_none() {
+        let mut leadership = handle.leadership.clone();
+        let has_leader = leadership.wait_for(|soft| soft.leader.is_some());
+        // Without a leader, what this voter knows is better than nothing.
+        let _ = timeout(wait.min(LEADERLESS_WATCH_DELAY), has_leader).await;
+    }
+    let mut newest = handle.evacuations.clone();
+    let is_newer = |evacuations: &Option<Arc<Evacuations>>| {
+        let newest = evacuations.as_ref();
+        newest.is_some_and(|newest| watch.known.is_none_or(|known| newest.revision > known))
+    };
+    let remaining = wait.saturating_sub(began.elapsed());
+    let found = timeout(remaining, newest.wait_for(is_newer)).await;
+    let evacuations = found.ok()?.ok()?.clone()?;
+    Some(Evacuations::clone(&evacuations))
+}
+
 async fn follow_observations(
     published: &ObservationsSender,
     follow: &FollowObservations,
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -1,12 +1,13 @@
 //! Metrics of one process, recorded with `opentelemetry` and encoded as Prometheus text.
 
 use {
+    crate::group::Evacuations,
     anyhow::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
-    sardinerelayd::metrics::{Exporter, counter, latency_histogram},
+    sardinerelayd::metrics::{Exporter, counter, gauge, latency_histogram},
     std::time::Duration,
 };
 
@@ -28,6 +29,9 @@
     limit_changes: Counter<u64>,
     statements: Counter<u64>,
     permits: Counter<u64>,
+    evacuated_zones: Gauge<u64>,
+    evacuation_revision: Gauge<u64>,
+    evacuation_moves: Counter<u64>,
 }
 
 impl Metrics {
@@ -57,6 +61,20 @@
                 "permits",
                 "Requests for permits of limited targets by outcome",
             ),
+            evacuated_zones: gauge(
+                &meter,
+                "evacuated_zones",
+                "Zones whose targets get no attempts",
+            ),
+            evacuation_revision: gauge(
+                &meter,
+                "evacuation_revision",
+                "Revision of the orders for zones that this host obeys",
+            ),
+            evacuation_moves: count(
+                "evacuation_moves",
+                "Generations moved out of evacuated zones by outcome",
+            ),
             export,
         })
     }
@@ -111,6 +129,19 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the orders for zones that this host obeys.
+    pub fn record_evacuations(&self, evacuations: &Evacuations) {
+        let zones = evacuations.evacuated().count();
+        self.evacuated_zones.record(zones as u64, &[]);
+        self.evacuation_revision.record(evacuations.revision, &[]);
+    }
+
+    /// Records the end of an attempt to move a generation out of an evacuated zone.
+    pub fn record_evacuation_move(&self, outcome: &'static str) {
+        self.evacuation_moves
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -139,7 +139,7 @@
 }
 
 /// Responds to a readiness check or a request for metrics. The host is ready once it has a
-/// configuration, until it drains.
+/// configuration, which it gets only after the orders for zones, until it drains.
 fn readiness_response(entry: &EntryHost, request: &Request<Incoming>) -> Response<Body> {
     let path = request.uri().path();
     if request.method() != Method::GET {
@@ -213,7 +213,8 @@
     })
     .await
     .with_context(|| format!("listening on {metrics_address}"))?;
-    control::listen(settings.control_address, codec, handle.clone(), metrics)
+    let operators = (handle.clone(), settings.zones());
+    control::listen(settings.control_address, codec, operators, metrics)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
     let list_source = (settings.list_address, settings.max_list_calls_per_second);
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -5,7 +5,7 @@
     compact_str::CompactString,
     sardinerelay::id::{Region, Zone},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -69,6 +69,13 @@
     pub grace_period: Duration,
 }
 
+impl Voter {
+    /// Returns the zones for which operators may give orders.
+    pub fn zones(&self) -> BTreeSet<Zone> {
+        self.common.regions.keys().cloned().collect()
+    }
+}
+
 impl fmt::Debug for Common {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -3,6 +3,7 @@
 //! A target that is about to stop never gets new work again in that incarnation, even if an older
 //! list still shows it as staying.
 
+mod evacuation;
 mod state;
 mod statements;
 
@@ -60,6 +61,8 @@
     entry_hosts: u32,
     /// The builds that were listed lately.
     pub builds: builds::History,
+    /// Which zones are evacuated.
+    orders: evacuation::Orders,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -94,6 +97,7 @@
             if is_seamless {
                 self.record_unannounced_ends(&observations.instances, now, &mut changes);
             }
+            self.orders.record_list(read);
             self.merge_list(observations, now, &mut changes);
         }
         for report in &observations.loads {
@@ -184,6 +188,7 @@
     ) -> impl Iterator<Item = &'a State> + 'a {
         self.states.values().filter(move |state| {
             state.instance.service == service
+                && !self.is_evacuated(state)
                 && state.leaving_since(now).is_none()
                 && !state.is_resting(now)
                 && !state.health.is_down(now)
@@ -368,6 +373,7 @@
                 backlog: Backlog::default(),
                 health: Health::default(),
                 cold_until: now,
+                is_presumed_cold: false,
                 full_until: None,
                 limit: Limit::default(),
             };
@@ -379,6 +385,7 @@
         };
         state.instance = instance.clone();
         state.cold_until = now + Duration::from_millis(instance.cold_ms);
+        state.is_presumed_cold = self.orders.is_presumed_cold(&instance.zone);
         if instance.leaving && state.known_leaving_since.is_none() {
             state.known_leaving_since = Some(now);
             self.left_incarnations.insert(key, now);
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -71,6 +71,9 @@
     pub health: Health,
     /// Until when it counts as slow after its start.
     pub cold_until: Instant,
+    /// Whether it counts as cold because the evacuation of its zone has ended and no list that was read later
+    /// is known yet.
+    pub is_presumed_cold: bool,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
@@ -157,7 +160,7 @@
 
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
-        now < self.cold_until
+        self.is_presumed_cold || now < self.cold_until
     }
 }
 
--- a/crates/sardinerelay-gateway/src/targets/statements.rs
+++ b/crates/sardinerelay-gateway/src/targets/statements.rs
@@ -36,7 +36,9 @@
             return None;
         }
         let ends = self.states.values().filter(|state| {
-            state.instance.service == service && state.leaving_since(now).is_none()
+            state.instance.service == service
+                && state.leaving_since(now).is_none()
+                && !self.is_evacuated(state)
         });
         let ends = ends.filter_map(|state| state.rests_until);
         let rests = ends.map(|end| end.saturating_duration_since(now));
--- a/crates/sardinerelayd/src/metrics.rs
+++ b/crates/sardinerelayd/src/metrics.rs
@@ -4,7 +4,7 @@
 
 mod export;
 
-pub use self::export::{Exporter, counter, latency_histogram};
+pub use self::export::{Exporter, counter, gauge, latency_histogram};
 
 use {
     crate::refusal::Code,
--- a/crates/sardinerelayd/src/metrics/export.rs
+++ b/crates/sardinerelayd/src/metrics/export.rs
@@ -2,7 +2,7 @@
 
 use {
     anyhow::Result,
-    opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider as _},
+    opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder as _, Registry, TextEncoder},
 };
@@ -70,3 +70,11 @@
         .with_description(description)
         .build()
 }
+
+/// Builds a gauge. The prefix `sardinerelay_` is added to its name.
+pub fn gauge(meter: &Meter, name: &str, description: &'static str) -> Gauge<u64> {
+    meter
+        .u64_gauge(format!("sardinerelay_{name}"))
+        .with_description(description)
+        .build()
+}
