--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -2,6 +2,8 @@
 
 #[path = "group/cluster.rs"]
 mod cluster;
+#[path = "group/evacuation.rs"]
+mod evacuation;
 #[path = "group/membership.rs"]
 mod membership;
 #[path = "group/refusals.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -10,8 +10,9 @@
     sardinerelay_gateway::{
         allocator::{Allocator, Scope},
         group::{
-            self, Clients, Document, Handle, MemberStatus, RunningReplica, Settings, SharedState,
-            StatusRequest, discovery::Search, member,
+            self, Clients, Document, Evacuations, Handle, MemberStatus, RunningReplica, Settings,
+            SharedState, StatusRequest, WATCH_EVACUATIONS_METHOD, WatchEvacuations,
+            discovery::Search, member,
         },
         metrics::Metrics,
         observations::{Followers, Observations},
@@ -153,6 +154,25 @@
         running.runtime.block_on(submitted).is_ok()
     }
 
+    /// Orders through a replica that a zone is evacuated or isn't. Returns whether it is acknowledged.
+    pub fn order_zone(&self, host: usize, zone: &str, is_evacuated: bool) -> bool {
+        let handle = self.handle(host);
+        let ordered = handle.order_zone(zone.into(), is_evacuated, REQUEST_TIMEOUT);
+        self.running(host).runtime.block_on(ordered).is_ok()
+    }
+
+    /// Asks a replica for the orders for zones, as an entry host does after its start.
+    pub fn watch_evacuations(&self, host: usize) -> Option<Evacuations> {
+        let client = Clients::new(PEER_PORT).get(self.address(host));
+        let watch = WatchEvacuations {
+            known: None,
+            wait_ms: REQUEST_TIMEOUT.as_millis() as u64,
+        };
+        let called = client.call(WATCH_EVACUATIONS_METHOD, &watch, 2 * REQUEST_TIMEOUT);
+        let called = self.running(host).runtime.block_on(called);
+        called.unwrap_or_default()
+    }
+
     /// Moves leadership until one of `hosts` is the leader. Returns that host.
     pub fn move_leadership(&self, hosts: &[usize]) -> usize {
         let began = Instant::now();
