Send nothing to evacuated zones, and move running generations out of them

Each send asks whether the target's zone is evacuated, also after the allocating host has chosen it. Copies there aren't used. Generations with a good while left are moved after those on engines that stop, one of each engine at a time. The addresses of the groups of replicas in tests collided from the ninth group on; they now differ for 16.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -27,6 +27,9 @@
 /// than is generated in the two seconds that a reservation lasts, so that other generations on the
 /// engine can grow without displacing this one.
 const MAX_RESERVED_OUTPUT_TOKENS: u64 = 1000;
+/// Smallest number of tokens that a generation must still be expected to produce to be moved out of an
+/// evacuated zone. They take about two seconds, a move between zones takes up to one.
+const MIN_EVACUATION_TOKENS: u64 = 200;
 
 /// A running request's claim on the memory of its engines. Dropping it releases the memory.
 #[derive(Debug)]
@@ -187,30 +190,39 @@
         let leaving_for = copy_state
             .leaving_since(now)
             .map(|since| now.saturating_duration_since(since));
-        let is_usable =
-            !copy_state.health.is_down(now) && leaving_for.is_none_or(|age| age < MAX_LEAVING_TIME);
+        let is_usable = !copy_state.health.is_down(now)
+            && !state.targets.is_evacuated(copy_state)
+            && leaving_for.is_none_or(|age| age < MAX_LEAVING_TIME);
         is_usable.then(|| copy.clone())
     }
 
     /// Whether the engine stays, and whether the one with the copy does. An engine stays unless it
-    /// is gone or leaving. Without a copy the second value is false.
+    /// is gone or leaving, or its zone is evacuated. Without a copy the second value is false.
     pub fn engines_stay(&self) -> (bool, bool) {
         let now = Instant::now();
         let state = self.entry.state();
         let stays = |target: &Target| {
             let known = state.targets.get(target);
-            known.is_some_and(|known| known.leaving_since(now).is_none())
+            known.is_some_and(|known| {
+                known.leaving_since(now).is_none() && !state.targets.is_evacuated(known)
+            })
         };
         let copy = self.choice.copy.as_ref();
         (stays(&self.choice.target), copy.is_some_and(stays))
     }
 
     /// Describes a move off the present engine, to one that is not in `avoid`. Returns none if the
-    /// present engine is gone.
+    /// present engine is gone, or if only its zone is evacuated and the generation ends soon.
     pub fn departure(&self, avoid: &[Target]) -> Option<Departure> {
         let state = self.entry.state();
         let from = state.targets.get(&self.choice.target)?;
         let claim = from.claims.get(&self.run);
+        let tokens = claim.map_or(self.need.prompt_tokens, |claim| claim.tokens);
+        let expected = self.need.prompt_tokens + self.need.output_tokens;
+        let is_leaving = from.leaving_since(Instant::now()).is_some();
+        if !is_leaving && expected.saturating_sub(tokens) < MIN_EVACUATION_TOKENS {
+            return None;
+        }
         Some(Departure {
             run: self.run,
             from: self.choice.target.clone(),
@@ -218,7 +230,7 @@
                 zone: from.instance.zone.clone(),
                 ..self.need.clone()
             },
-            tokens: claim.map_or(self.need.prompt_tokens, |claim| claim.tokens),
+            tokens,
             avoid: avoid.to_vec(),
         })
     }
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -344,6 +344,12 @@
             subscribers,
             undelivered,
         } = state;
+        moves.put_first(|from| {
+            let known = targets.get(from);
+            known.is_none_or(|known| {
+                known.leaving_since(now).is_some() || !targets.is_evacuated(known)
+            })
+        });
         // Running generations get memory before new ones.
         let moving = moves.decide(now, |departure| {
             let from = targets.get(&departure.from)?;
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -199,9 +199,12 @@
             _ => (self.acquire_locally(run, &need, deadline).await, 0),
         };
         match reply {
-            Reply::Placed(choice, _) => {
+            Reply::Placed(mut choice, _) => {
                 pending.is_granted = true;
                 let mut state = self.state();
+                choice
+                    .copy
+                    .take_if(|copy| state.targets.is_target_evacuated(copy));
                 claim(&mut state.targets, run, &need, &choice, Instant::now());
                 state.quarantine.record_sent(run, &need.shared_parts);
                 self.record_sent(
@@ -229,7 +232,11 @@
         let mut state = self.state();
         state.targets.add_missing(instances, now);
         match state.targets.get(&choice.target) {
-            Some(known) => !known.wants_none(now) && need.accepts(&known.instance.build),
+            Some(known) => {
+                !known.wants_none(now)
+                    && !state.targets.is_evacuated(known)
+                    && need.accepts(&known.instance.build)
+            }
             None => need.build.is_none(),
         }
     }
@@ -259,7 +266,8 @@
     }
 
     /// Waits for an engine to which a generation can move, and for its turn to move. Returns the
-    /// engine and the number of the host that allocated it, 0 if this host did.
+    /// engine and the number of the host that allocated it, 0 if this host did. An engine in a zone that is
+    /// evacuated isn't used, also if the allocating host doesn't know of the order yet.
     pub async fn relocate(self: Arc<Self>, departure: Departure) -> Option<(Target, u32)> {
         let now = Instant::now();
         let Some((reply, allocated_by)) = self.remote.relocate(&departure).await else {
@@ -270,6 +278,11 @@
         };
         let mut state = self.state();
         state.targets.add_missing(&instances, now);
+        if state.targets.is_target_evacuated(&choice.target) {
+            drop(state);
+            self.report(AllocationReport::Moved(departure.run, false));
+            return None;
+        }
         claim_for_move(&mut state.targets, &departure, &choice.target, now);
         Some((choice.target, allocated_by))
     }
@@ -278,6 +291,10 @@
     fn relocate_locally(&self, departure: &Departure, now: Instant) -> Option<Target> {
         let mut state = self.state();
         let from = state.targets.get(&departure.from)?;
+        // Only the allocating host knows whose turn it is. A generation on an engine that doesn't stop can wait.
+        if from.leaving_since(now).is_none() && state.targets.is_evacuated(from) {
+            return None;
+        }
         let constraints = (Secondary::Move, Scope::Local, from, &departure.avoid[..]);
         let to = placement::choose_secondary(
             &state.targets,
--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -95,6 +95,7 @@
         let result = transfer.result.as_mut().await;
         let to = transfer.to.clone();
         self.transfer = None;
+        record_evacuation(job, &allocation.choice.target, &result);
         match result {
             Ok(moved) => self.done = Some((moved, to)),
             // `transfer::run` has logged the reason.
@@ -109,7 +110,7 @@
         }
     }
 
-    /// Requests a destination if the engine is leaving. Does nothing if an engine that stays has a
+    /// Requests a destination if the engine is leaving or its zone is evacuated. Does nothing if an engine that stays has a
     /// copy, if the service doesn't support moves, or while an earlier attempt is pending.
     pub(super) fn request_if_due(&mut self, job: &Job, allocation: &Allocation) {
         let (stays, copy_stays) = allocation.engines_stay();
@@ -158,6 +159,18 @@
     }
 }
 
+/// Records the end of an attempt to move a generation out of an evacuated zone.
+fn record_evacuation(job: &Job, from: &Target, result: &Result<Moved, transfer::TransferError>) {
+    if !job.entry.state().targets.is_target_evacuated(from) {
+        return;
+    }
+    job.entry.metrics.record_evacuation_move(match result {
+        Ok(Moved::AtDestination(_)) => "moved",
+        Ok(Moved::AtSource(_)) => "stopped",
+        Err(_) => "failed",
+    });
+}
+
 /// Whether the service's engines can move the generation. A resumable one is restarted instead.
 fn can_move(job: &Job) -> bool {
     job.engine().is_some_and(|engine| engine.supports_moves) && !is_resumable(job)
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -65,7 +65,7 @@
 /// Why an engine did not run a generation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(super) enum NotRunReason {
-    #[error("the engine has gone")]
+    #[error("the engine has gone or its zone is evacuated")]
     Gone,
     #[error("the engine can't be reached")]
     Unreachable,
@@ -87,11 +87,11 @@
 /// Sends the generation to the engine of `allocation`.
 pub(super) async fn open(job: &Job, allocation: &Allocation, start: StartPoint) -> OpenOutcome {
     let target = &allocation.choice.target;
-    let Some(instance) = job.entry.instance(target) else {
+    let Some(instance) = job.entry.sendable_instance(target) else {
         return OpenOutcome::NotRun(NotRunReason::Gone);
     };
     let copy_engine = allocation.choice.copy.as_ref();
-    let copy_engine = copy_engine.and_then(|copy| job.entry.instance(copy));
+    let copy_engine = copy_engine.and_then(|copy| job.entry.sendable_instance(copy));
     let urgency = match start.last_event.is_some() || start.copy_from.is_some() {
         true => CONTINUED_URGENCY,
         false => urgency(job.priority),
@@ -200,6 +200,7 @@
             OpenOutcome::NotRun(NotRunReason::Unreachable) => {
                 target_state.health.record_unreachable(now)
             }
+            OpenOutcome::NotRun(NotRunReason::Gone) => {}
             _ => target_state.health.record_failure(now),
         }
     }
--- a/crates/sardinerelay-gateway/src/generation/reserve.rs
+++ b/crates/sardinerelay-gateway/src/generation/reserve.rs
@@ -32,7 +32,7 @@
     let Some(lifetime) = engine.and_then(|engine| engine.max_reservation) else {
         return ReserveOutcome::Skipped;
     };
-    let Some(instance) = job.entry.instance(&allocation.choice.target) else {
+    let Some(instance) = job.entry.sendable_instance(&allocation.choice.target) else {
         return ReserveOutcome::Skipped;
     };
     let reserve = ReservationRequest {
--- a/crates/sardinerelay-gateway/src/generation/taken_up.rs
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         allocator::Source, group::ORIGIN_METHOD, origin::Query, refusal::Refusal, request::Job,
+        targets::State,
     },
     futures::{StreamExt as _, stream::FuturesUnordered},
     log::info,
@@ -128,7 +129,9 @@
         .targets
         .all()
         .filter(|state| state.instance.service == job.service);
-    of_service.any(|state| state.instance.build == *build && state.leaving_since(now).is_none())
+    let takes_work =
+        |known: &State| known.leaving_since(now).is_none() && !state.targets.is_evacuated(known);
+    of_service.any(|known| known.instance.build == *build && takes_work(known))
         || state.targets.list_age(now).is_none()
 }
 
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -50,6 +50,24 @@
     last_requested: Instant,
     /// When the move was granted; none while it waits for its turn.
     started: Option<Instant>,
+    /// Whether the engine that it leaves is about to stop. Otherwise only its zone is evacuated, and the
+    /// generation can stay where it is.
+    is_reclaimed: bool,
+}
+
+impl PlannedMove {
+    /// Position in the order of moves. Generations on engines that stop come first, those with the least
+    /// memory before others, since the notice isn't long enough for all. An evacuation has no such end, so
+    /// those come first that would lose most if the zone failed.
+    fn rank(&self) -> (bool, u64, Reverse<u64>) {
+        let need = &self.departure.need;
+        let tokens = self.departure.tokens;
+        let remaining = (need.prompt_tokens + need.output_tokens).saturating_sub(tokens);
+        match self.is_reclaimed {
+            true => (false, tokens, Reverse(remaining)),
+            false => (true, u64::MAX - tokens, Reverse(remaining)),
+        }
+    }
 }
 
 /// Requested moves and moves under way, those with the least memory to copy first and, of equal ones,
@@ -78,30 +96,41 @@
             destination: None,
             last_requested: now,
             started: None,
+            is_reclaimed: true,
         });
-        self.planned.sort_by_key(|planned| {
-            let need = &planned.departure.need;
-            let tokens = planned.departure.tokens;
-            let remaining = (need.prompt_tokens + need.output_tokens).saturating_sub(tokens);
-            (tokens, Reverse(remaining))
-        });
+        self.planned.sort_by_key(PlannedMove::rank);
         failed
     }
 
+    /// Puts the generations that leave engines which are about to stop first. The others leave an evacuated
+    /// zone.
+    pub fn put_first<Reclaimed>(&mut self, is_reclaimed: Reclaimed)
+    where
+        Reclaimed: Fn(&Target) -> bool,
+    {
+        for planned in &mut self.planned {
+            planned.is_reclaimed = is_reclaimed(&planned.departure.from);
+        }
+        self.planned.sort_by_key(PlannedMove::rank);
+    }
+
     /// Whether no move is requested or under way.
     pub fn is_empty(&self) -> bool {
         self.planned.is_empty()
     }
 
     /// Gives each generation a destination if `place` finds one, and returns those that may move
-    /// now: an engine takes part in one move at a time, as source or destination.
+    /// now: an engine takes part in one move at a time, as source or destination. A generation that leaves
+    /// an evacuated zone gets a destination only when it is the next one of its engine and all those have one
+    /// whose engines are about to stop.
     pub fn decide<Place>(&mut self, now: Instant, mut place: Place) -> Vec<(RunId, Target)>
     where
         Place: FnMut(&Departure) -> Option<Target>,
     {
-        for planned in &mut self.planned {
-            if planned.destination.is_none() {
-                planned.destination = place(&planned.departure);
+        for index in 0..self.planned.len() {
+            let planned = &self.planned[index];
+            if planned.destination.is_none() && (planned.is_reclaimed || self.is_next(index)) {
+                self.planned[index].destination = place(&self.planned[index].departure);
             }
         }
         let mut granted = Vec::new();
@@ -161,6 +190,16 @@
         self.planned.remove(index).destination
     }
 
+    /// Whether no generation on an engine that is about to stop lacks a destination, and no other one on the
+    /// same engine has one.
+    fn is_next(&self, index: usize) -> bool {
+        let from = &self.planned[index].departure.from;
+        self.planned.iter().all(|other| match &other.destination {
+            Some(_) => other.departure.from != *from,
+            None => !other.is_reclaimed,
+        })
+    }
+
     /// Whether a move uses the link of an engine, as its source or destination.
     fn is_link_busy(&self, engine: &Target, now: Instant) -> bool {
         self.planned.iter().any(|planned| {
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -66,7 +66,7 @@
 /// Why a target did not run a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 enum NotRunReason {
-    #[error("the target has gone")]
+    #[error("the target has gone or its zone is evacuated")]
     Gone,
     #[error("the target can't be reached")]
     Unreachable,
@@ -165,7 +165,7 @@
     (now, deadline): (Instant, Instant),
     is_last: bool,
 ) -> AttemptOutcome {
-    let Some(instance) = job.entry.instance(target) else {
+    let Some(instance) = job.entry.sendable_instance(target) else {
         return AttemptOutcome::NotRun(NotRunReason::Gone);
     };
     let run = job.entry.next_run_id();
@@ -271,6 +271,7 @@
             AttemptOutcome::NotRun(NotRunReason::Unreachable) => {
                 target_state.health.record_unreachable(now)
             }
+            AttemptOutcome::NotRun(NotRunReason::Gone) => {}
             _ => target_state.health.record_failure(now),
         }
     }
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -267,7 +267,7 @@
     fn address(&self, host: usize) -> Ipv4Addr {
         let process = process::id();
         let second = 40 + (process % 50) as u8;
-        let third = (process / 50 % 32) as u8 * 8 + self.number % 8;
+        let third = (process / 50 % 16) as u8 * 16 + self.number % 16;
         Ipv4Addr::new(127, second, third, host as u8 + 1)
     }
 
