--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -3,8 +3,9 @@
 use {
     crate::{budget, reload},
     compact_str::CompactString,
-    sardinerelay::id::Zone,
+    sardinerelay::id::{Region, Zone},
     std::{
+        collections::{BTreeMap, BTreeSet},
         fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -21,6 +22,8 @@
     pub host: CompactString,
     /// This host's availability zone, whose targets are preferred.
     pub zone: Zone,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<Zone, Region>,
     /// This host's address, at which the metrics server and, with a replica, the peer server
     /// listen.
     pub address: Ipv4Addr,
@@ -66,6 +69,13 @@
     pub grace_period: Duration,
 }
 
+impl Voter {
+    /// Returns the zones for which operators may give orders.
+    pub fn zones(&self) -> BTreeSet<Zone> {
+        self.common.regions.keys().cloned().collect()
+    }
+}
+
 impl fmt::Debug for Common {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
