Place generations by the time that they take, not by memory alone

Engines of speeds 0.6 to 1.6 got work by memory only, so long generations held memory on slow engines for longest. Entry hosts now measure the pace of each stream and report it in pace.report, at most one message a second; hosts of the release before ignore it. The score adds the time by which a generation would end later than on an idle engine of typical speed, at most 0.4 of an engine's memory. Without a known pace the scores stay as they were.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -7,6 +7,7 @@
         group::AllocationReport,
         moves::Departure,
         observations::Instance,
+        pace::Pace,
         placement::{self, Choice, Need, Secondary},
         quarantine::Crash,
         request::Job,
@@ -111,6 +112,24 @@
         }
     }
 
+    /// Records how many tokens per second the engine decoded for the request, here and at the
+    /// allocating host.
+    pub fn record_pace(&self, tokens_per_second: f64) {
+        let target = &self.choice.target;
+        let mut state = self.entry.state();
+        let Some(known) = state.targets.get(target) else {
+            return;
+        };
+        let pace = Pace {
+            target: target.clone(),
+            incarnation: known.instance.incarnation,
+            tokens_per_second: tokens_per_second.round() as u32,
+        };
+        state.targets.record_pace(&pace, Instant::now());
+        drop(state);
+        self.entry.report(pace);
+    }
+
     /// Records that the engine has refused the request for lack of memory.
     pub fn record_no_room(&self) {
         self.record_full(&self.choice.target);
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -12,6 +12,7 @@
         allocation::Allocation,
         call::EventId,
         origin::Began,
+        pace::Meter,
         refusal::Refusal,
         request::Job,
         sse::{Event, Splitter},
@@ -99,6 +100,8 @@
     /// the route's attempts.
     pub(super) runs: u32,
     tokens_per_event: u64,
+    /// Measures the present engine.
+    meter: Meter,
 }
 
 /// Forwards a stream until it ends.
@@ -151,6 +154,7 @@
             longest_pause: Duration::ZERO,
             continuations: 0,
             runs: 1,
+            meter: Meter::default(),
         }
     }
 
@@ -160,7 +164,10 @@
             let Some(current) = source.take() else {
                 break "broken";
             };
-            match self.forward_from(current).await {
+            self.meter.reset();
+            let ended = self.forward_from(current).await;
+            self.report_pace();
+            match ended {
                 StreamEnd::Complete => break "complete",
                 StreamEnd::CallerLeft => break "left",
                 StreamEnd::TimedOut => {
@@ -335,6 +342,7 @@
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
         let mut ended = None;
+        let events_before = self.events;
         while let Some(event) = splitter.next_event() {
             if !std::mem::replace(&mut self.has_engine_begun, true) {
                 self.allocation.record_started();
@@ -355,6 +363,10 @@
             return ended;
         }
         let now = Instant::now();
+        self.meter.record(self.events - events_before, now);
+        if self.meter.is_due() {
+            self.report_pace();
+        }
         if let Some(last_sent) = self.last_sent.replace(now) {
             let pause = now.saturating_duration_since(last_sent);
             self.longest_pause = self.longest_pause.max(pause);
@@ -372,6 +384,9 @@
             self.allocation
                 .record_progress(self.events * self.tokens_per_event);
         }
+        if self.chunks.capacity() == 0 {
+            self.meter.reset();
+        }
         tokio::select! {
             sent = self.chunks.send(Ok(bytes.freeze())) => {
                 sent.err().map(|_| StreamEnd::CallerLeft).or(ended)
@@ -380,6 +395,14 @@
         }
     }
 
+    /// Reports how fast the engine has decoded since the last report, if that was measured.
+    fn report_pace(&mut self) {
+        if let Some(events_per_second) = self.meter.take() {
+            let tokens_per_second = events_per_second * self.tokens_per_event as f64;
+            self.allocation.record_pace(tokens_per_second);
+        }
+    }
+
     /// Records the build whose first event goes to the caller. Only that build may continue the
     /// stream, here or at another host.
     fn record_origin(&mut self) {
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -22,8 +22,8 @@
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration,
-        FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
-        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
+        FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PACE_METHOD, PERMIT_METHOD,
+        RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
         WATCH_CONFIGURATION_METHOD,
     },
 };
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -15,6 +15,7 @@
         moves::Departure,
         observations::{Followers, Observations, ObservationsSender, or_default},
         origin::{Began, Query},
+        pace::Pace,
         placement::Need,
         targets::RunId,
     },
@@ -67,6 +68,8 @@
 pub const LIMIT_METHOD: &str = "limit.report";
 /// Notifies the allocating host of [`RequestReport`]s.
 pub const REQUEST_METHOD: &str = "quarantine.report";
+/// Notifies the allocating host of [`Pace`]s. Hosts of earlier versions ignore it.
+pub const PACE_METHOD: &str = "pace.report";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -382,6 +385,7 @@
             LIMIT_METHOD => context.apply_limits(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
+            PACE_METHOD => context.apply_paces(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -424,6 +428,17 @@
         Ok(())
     }
 
+    /// Records how fast engines decode.
+    fn apply_paces(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(paces),): (Packed<Vec<Pace>>,) = serde_json::from_str(parameters)?;
+        let now = Instant::now();
+        let mut state = self.allocator.state();
+        paces
+            .iter()
+            .for_each(|pace| state.targets.record_pace(pace, now));
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod observations;
 pub mod observer;
 pub mod origin;
+pub mod pace;
 pub mod patch;
 pub mod placement;
 pub mod plain;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -5,6 +5,10 @@
 //! notice, and placed only where memory would otherwise stay free: otherwise copies take the links and
 //! the memory that generations need to move. See `docs/design/migration.md`.
 
+mod score;
+
+pub use self::score::Terms;
+
 use {
     crate::{
         allocator::Scope,
@@ -60,8 +64,6 @@
 const MIN_SHARED_RATIO: f64 = 0.15;
 /// Number of engines that are preferred for a prefix.
 const PREFERRED_ENGINES: usize = 2;
-/// Load added for each second until the prompt would be read.
-const LOAD_PER_WAIT_SECOND: f64 = 2.0;
 /// An engine that needs longer than this to read its present prompts gets no further ones. It reads
 /// prompts side by side, so one more delays all of them, while a request in the queue delays none.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
@@ -153,7 +155,8 @@
         .filter(|state| need.accepts(&state.instance.build))
         .collect();
     let share = targets.limit_share(scope);
-    let mut feasible: Vec<(f64, &State)> = candidates
+    let typical = targets.typical_rate(&need.service);
+    let mut feasible: Vec<(Terms, &State)> = candidates
         .iter()
         .filter(|state| state.limit.has_permit(share, now))
         .filter_map(|state| {
@@ -161,11 +164,13 @@
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
                 return None;
             }
-            let load = load_with(state, need, now)? + penalty(state, &need.zone, now);
-            Some((
-                load + LOAD_PER_WAIT_SECOND * read_wait.as_secs_f64(),
-                *state,
-            ))
+            let terms = Terms {
+                memory: load_with(state, need, now)?,
+                reading: score::reading(read_wait),
+                finishing: score::finishing(state, need, &typical, now),
+                ..Terms::of(state, &need.zone, now)
+            };
+            Some((terms, *state))
         })
         .collect();
     feasible.shuffle(rng);
@@ -180,7 +185,7 @@
     let best = feasible
         .iter()
         .take(sample_size(scope))
-        .min_by(|left, right| left.0.total_cmp(&right.0))?;
+        .min_by(|left, right| left.0.total().total_cmp(&right.0.total()))?;
     let target = best.1.instance.target.clone();
     let copy = match need.wants_copy {
         true => {
@@ -221,7 +226,8 @@
         Secondary::Copy => (MAX_COPY_FILL, COPY_OTHER_ZONE_LOAD),
         Secondary::Move => (MAX_MOVE_FILL, MOVE_OTHER_ZONE_LOAD),
     };
-    let mut feasible: Vec<(f64, &State)> = targets
+    let typical = targets.typical_rate(&need.service);
+    let mut feasible: Vec<(Terms, &State)> = targets
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
@@ -232,10 +238,14 @@
             if state.is_full(now) || !fits_now(state, need, now) {
                 return None;
             }
-            let score = load + penalty(state, &need.zone, now);
-            let zone_load = f64::from(state.instance.zone != need.zone) * other_zone_load;
-            let limit_load = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
-            (load <= max_fill).then_some((score + zone_load + limit_load, state))
+            let mut terms = Terms::of(state, &need.zone, now);
+            terms.memory = load;
+            terms.zone += f64::from(state.instance.zone != need.zone) * other_zone_load;
+            terms.limit = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
+            if secondary == Secondary::Move {
+                terms.finishing = score::finishing(state, need, &typical, now);
+            }
+            (load <= max_fill).then_some((terms, state))
         })
         .collect();
     feasible.shuffle(rng);
@@ -247,7 +257,7 @@
         .into_iter()
         .take(sample)
         .chain(other_zone.into_iter().take(sample))
-        .min_by(|left, right| left.0.total_cmp(&right.0))
+        .min_by(|left, right| left.0.total().total_cmp(&right.0.total()))
         .map(|(_, state)| state.instance.target.clone())
 }
 
@@ -295,22 +305,9 @@
     tokens as f64 / memory.max(1) as f64
 }
 
-/// Returns the load added for reasons other than memory: recent failures, another zone, a recent
-/// start.
-fn penalty(state: &State, zone: &Zone, now: Instant) -> f64 {
-    let mut penalty = FAILURE_LOAD * state.health.failure_rate(now);
-    if state.instance.zone != *zone {
-        penalty += OTHER_ZONE_LOAD;
-    }
-    if state.is_cold(now) {
-        penalty += COLD_START_LOAD;
-    }
-    penalty
-}
-
 /// Moves the engines that probably have a prefix cached to the front, so that they are part of
 /// every sample, and lowers their load by what reading the prefix again would cost.
-fn prefer(feasible: &mut [(f64, &State)], preferred: &[Target], shared: f64) {
+fn prefer(feasible: &mut [(Terms, &State)], preferred: &[Target], shared: f64) {
     for (position, target) in preferred.iter().enumerate() {
         let found = feasible
             .iter()
@@ -318,7 +315,7 @@
         if let Some(index) = found
             && position < feasible.len()
         {
-            feasible[index].0 -= MAX_AFFINITY_LOAD * shared;
+            feasible[index].0.cached = -MAX_AFFINITY_LOAD * shared;
             feasible.swap(position, index);
         }
     }
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -4,16 +4,20 @@
     crate::{
         entry::EntryHost,
         group::{
-            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD,
-            RequestReport,
+            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, PACE_METHOD, REPORT_METHOD,
+            REQUEST_METHOD, RequestReport,
         },
         limit::permit,
         origin::Began,
+        pace::{Batch, Pace},
     },
     log::debug,
     sardinerelayd::peer::Packed,
     serde::Serialize,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
@@ -31,6 +35,8 @@
     Request(RequestReport),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
+    /// How fast an engine decoded a generation.
+    Pace(Pace),
 }
 
 impl From<AllocationReport> for Report {
@@ -51,6 +57,12 @@
     }
 }
 
+impl From<Pace> for Report {
+    fn from(pace: Pace) -> Self {
+        Self::Pace(pace)
+    }
+}
+
 impl From<RequestReport> for Report {
     fn from(report: RequestReport) -> Self {
         Self::Request(report)
@@ -62,6 +74,7 @@
 /// host can't be reached; what targets say then shows the same, only later. A stream that no voter knows
 /// can't be taken up elsewhere while several builds serve.
 pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
+    let mut paces = Batch::default();
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut streams) = (Vec::new(), Vec::new());
@@ -72,6 +85,7 @@
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
                 Report::Began(began) => streams.push(began),
+                Report::Pace(pace) => paces.push(pace),
             }
             // Fails when the queue is empty.
             next = outgoing.try_recv().ok();
@@ -80,6 +94,7 @@
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, REQUEST_METHOD, requests).await;
+        send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
     }
 }
 
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -3,10 +3,14 @@
 //! A target that is about to stop never gets new work again in that incarnation, even if an older
 //! list still shows it as staying.
 
+mod speed;
 mod state;
 mod statements;
 
-pub use self::state::{MemoryClaim, State};
+pub use self::{
+    speed::slowdown,
+    state::{MemoryClaim, State},
+};
 
 use {
     crate::{
@@ -18,7 +22,10 @@
         limit::Limit,
         observations::{Instance, Observations},
     },
-    sardinerelay::id::{Incarnation, Service, Target},
+    sardinerelay::{
+        estimate::{Speed, Typical},
+        id::{Incarnation, Service, Target},
+    },
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
@@ -60,6 +67,8 @@
     entry_hosts: u32,
     /// The builds that were listed lately.
     pub builds: builds::History,
+    /// How fast the targets of each service are.
+    typical_rates: HashMap<Service, Typical>,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -370,6 +379,7 @@
                 cold_until: now,
                 full_until: None,
                 limit: Limit::default(),
+                speed: Speed::default(),
             };
             self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -8,6 +8,7 @@
         limit::Limit,
         observations::{Instance, Load},
     },
+    sardinerelay::estimate::Speed,
     std::{
         collections::{HashMap, VecDeque},
         time::{Duration, Instant},
@@ -75,7 +76,10 @@
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
     pub limit: Limit,
+    /// How fast it is, as far as this host knows.
+    pub speed: Speed,
 }
+
 impl State {
     /// Tokens of memory that the target is expected to need for its present requests: its load
     /// report, plus what was sent there since, plus the growth of running requests. A request of
@@ -140,6 +144,12 @@
         self.claims.len().max(reported as usize)
     }
 
+    /// Share of its slots that are in use with this many further requests, from 0 to 1.
+    pub fn occupancy(&self, further: usize, now: Instant) -> f64 {
+        let requests = self.active_requests(now) + further;
+        (requests as f64 / f64::from(self.instance.slots.max(1))).min(1.0)
+    }
+
     /// Whether it refused a request for lack of memory within the last `FULL_DURATION`.
     pub fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -3,6 +3,7 @@
 mod decisions {
     mod builds;
     mod distribution;
+    mod even;
     mod fixtures;
     mod leaving;
     mod limits;
