--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -4,10 +4,14 @@
 //! list still shows it as staying.
 
 mod evacuation;
+mod speed;
 mod state;
 mod statements;
 
-pub use self::state::{MemoryClaim, State};
+pub use self::{
+    speed::slowdown,
+    state::{MemoryClaim, State},
+};
 
 use {
     crate::{
@@ -19,7 +23,10 @@
         limit::Limit,
         observations::{Instance, Observations},
     },
-    sardinerelay::id::{Incarnation, Service, Target},
+    sardinerelay::{
+        estimate::{Speed, Typical},
+        id::{Incarnation, Service, Target},
+    },
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
@@ -63,6 +70,8 @@
     pub builds: builds::History,
     /// Which zones are evacuated.
     orders: evacuation::Orders,
+    /// How fast the targets of each service are.
+    typical_rates: HashMap<Service, Typical>,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -376,6 +385,7 @@
                 is_presumed_cold: false,
                 full_until: None,
                 limit: Limit::default(),
+                speed: Speed::default(),
             };
             self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -4,6 +4,7 @@
     mod builds;
     mod distribution;
     mod evacuation;
+    mod even;
     mod fixtures;
     mod leaving;
     mod limits;
