Count every page of the list against the platform's rate

The interval between reads of the list allowed for one page. A list of 61 pages with 210 calls a second was begun every 250 ms, so the leader could make up to 244 calls a second (computed, not measured), and a 429 was followed by another call within 250 ms from the first page on.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -309,13 +309,22 @@
     /// Tasks that one host should do for the group run where this is true. They thereby go on while
     /// there is no leader.
     pub fn leads_or_leaderless(&self) -> watch::Receiver<bool> {
+        self.watch_leadership(|soft| soft.role == Role::Leader || soft.leader.is_none())
+    }
+
+    /// Returns a channel that says whether this replica is the leader.
+    pub fn leads(&self) -> watch::Receiver<bool> {
+        self.watch_leadership(|soft| soft.role == Role::Leader)
+    }
+
+    /// Returns a channel with a property of the leadership.
+    fn watch_leadership(&self, property: fn(&SoftState) -> bool) -> watch::Receiver<bool> {
         let mut leadership = self.leadership.clone();
-        let is_active = |soft: &SoftState| soft.role == Role::Leader || soft.leader.is_none();
-        let (sender, receiver) = watch::channel(true);
+        let (sender, receiver) = watch::channel(property(&leadership.borrow()));
         tokio::spawn(async move {
             loop {
-                let active = is_active(&leadership.borrow_and_update());
-                sender.send_if_modified(|known| std::mem::replace(known, active) != active);
+                let value = property(&leadership.borrow_and_update());
+                sender.send_if_modified(|known| std::mem::replace(known, value) != value);
                 if leadership.changed().await.is_err() {
                     return;
                 }
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -4,10 +4,14 @@
 //! Only the group's leader polls, and hosts that know of no leader. The number of pollers thereby
 //! doesn't grow with the group, and each side of a partition has at least one.
 
+pub mod paging;
 pub mod schedule;
 
 use {
-    self::schedule::Schedule,
+    self::{
+        paging::{Failure, List, Paging},
+        schedule::Schedule,
+    },
     crate::{
         allocator::Allocator,
         codec::{Codec, ParseError},
@@ -18,7 +22,7 @@
         pool::{Pool, Purpose},
         table::Table,
     },
-    http::{HeaderMap, header},
+    http::{HeaderMap, StatusCode, header},
     log::{debug, info, warn},
     sardinerelay::id::{Build, Incarnation, Service, Target},
     std::{
@@ -34,19 +38,11 @@
     },
 };
 
-/// Shortest interval at which the list is read. The allowed rate may make it longer.
-const MIN_LIST_INTERVAL: Duration = Duration::from_millis(250);
-/// Largest number of hosts that are expected to read the list at the same time.
-const MAX_LIST_READERS: f64 = 8.0;
-/// Share of the allowed rate of list calls that is used.
-const LIST_RATE_SHARE: f64 = 0.6;
 /// Number of successive responses with `Connection: close` after which a target counts as closing
 /// its connections. A single one may come by chance.
 const MIN_CLOSING_RESPONSES: u32 = 2;
 /// Timeout of one request for a page of the list or a load report.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest number of pages that are read. A longer list counts as unreadable.
-const MAX_LIST_PAGES: usize = 200;
 /// Shortest interval between two publications.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -57,7 +53,8 @@
     pool: Pool,
     /// The server of the platform's list, in the form that the connection pool takes.
     list_server: Instance,
-    list_interval: Duration,
+    /// Pages of the list that all hosts together may request per second.
+    max_list_rate: f64,
     followers: Arc<Followers>,
     /// This host's allocator, whose refused parts are published.
     allocator: Arc<Allocator>,
@@ -65,6 +62,8 @@
     state: Mutex<State>,
     /// Whether this host polls.
     is_active: watch::Receiver<bool>,
+    /// Whether this host is the group's leader.
+    is_leader: watch::Receiver<bool>,
     /// Notified when a list or a load report has been read.
     changed: tokio::sync::Notify,
     /// Notified when an engine has begun to close its connections.
@@ -102,15 +101,15 @@
 
 impl Observer {
     /// Creates an observer of the list that is served at `list`. All hosts together may request
-    /// `max_rate` pages a second there. `is_active` says whether this host polls.
+    /// `max_rate` pages a second there. `is_active` says whether this host polls,
+    /// `is_leader` whether it does so as the group's leader.
     pub fn new(
         codec: Codec,
         (list, max_rate): (SocketAddr, f64),
         (observations, followers): (ObservationsSender, Arc<Followers>),
         allocator: Arc<Allocator>,
-        is_active: watch::Receiver<bool>,
+        (is_active, is_leader): (watch::Receiver<bool>, watch::Receiver<bool>),
     ) -> Self {
-        let interval_s = MAX_LIST_READERS / (max_rate * LIST_RATE_SHARE).max(0.1);
         Self {
             codec,
             pool: Pool::default(),
@@ -125,12 +124,13 @@
                 cold_ms: 0,
                 build: Build::default(),
             },
-            list_interval: MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval_s)),
+            max_list_rate: max_rate,
             followers,
             allocator,
             observations,
             state: Mutex::default(),
             is_active,
+            is_leader,
             changed: tokio::sync::Notify::new(),
             closing_seen: tokio::sync::Notify::new(),
         }
@@ -151,13 +151,20 @@
         let mut is_failing = false;
         let mut skipped_count = 0;
         let mut is_active = self.is_active.clone();
+        let mut paging = Paging::new(self.max_list_rate, Instant::now());
         loop {
             if is_active.wait_for(|active| *active).await.is_err() {
                 return;
             }
-            let began = Instant::now();
-            match self.read_list().await {
-                Ok((instances, skipped)) => {
+            match self.read_page(&mut paging).await {
+                Ok(None) => {}
+                Ok(Some(List {
+                    instances,
+                    mut skipped,
+                    began,
+                })) => {
+                    let (instances, errors) = distinct(instances);
+                    skipped.extend(errors);
                     if std::mem::take(&mut is_failing) {
                         info!("the platform's list can be read again");
                     }
@@ -176,37 +183,43 @@
                     }
                 }
             }
-            sleep(self.list_interval.saturating_sub(began.elapsed())).await;
+            sleep(paging.wait(Instant::now())).await;
         }
     }
 
-    /// Reads all pages of the list. Also returns why entries were skipped. The error is a text for the
+    /// Reads the next page of the list. Returns the list after its last page. The error is a text for the
     /// log.
-    async fn read_list(&self) -> Result<(Vec<Instance>, Vec<ParseError>), String> {
-        let (mut instances, mut skipped) = (Vec::new(), Vec::new());
-        let mut token: Option<String> = None;
-        for _ in 0..MAX_LIST_PAGES {
-            let request = (self.codec.list_request)(self.list_server.address, token.as_deref());
-            let response = self
-                .pool
-                .call(&self.list_server, (request, Purpose::Read), READ_TIMEOUT)
-                .await;
-            let response = response.map_err(|error| error.to_string())?;
-            if !response.status().is_success() {
-                return Err(format!("status {}", response.status()));
+    async fn read_page(&self, paging: &mut Paging) -> Result<Option<List>, String> {
+        let token = paging.begin(*self.is_leader.borrow(), Instant::now());
+        let request = (self.codec.list_request)(self.list_server.address, token);
+        let response = self
+            .pool
+            .call(&self.list_server, (request, Purpose::Read), READ_TIMEOUT)
+            .await;
+        let now = Instant::now();
+        let read = match response {
+            Err(error) => Err((Failure::NoResponse, error.to_string())),
+            Ok(response) if response.status().is_success() => {
+                let page = (self.codec.parse_list)(response.body());
+                page.map_err(|error| (Failure::NoResponse, error.to_string()))
             }
-            let page =
-                (self.codec.parse_list)(response.body()).map_err(|error| error.to_string())?;
-            skipped.extend(page.skipped);
-            instances.extend(page.instances);
-            token = page.next;
-            if token.is_none() {
-                let (used, errors) = distinct(instances);
-                skipped.extend(errors);
-                return Ok((used, skipped));
+            Ok(response) => {
+                let status = response.status();
+                let failure = match status {
+                    StatusCode::TOO_MANY_REQUESTS => Failure::Limited,
+                    _ if status.is_client_error() => Failure::Refused,
+                    _ => Failure::NoResponse,
+                };
+                Err((failure, format!("status {status}")))
+            }
+        };
+        match read {
+            Ok(page) => paging.record(page, now),
+            Err((failure, reason)) => {
+                paging.record_failure(failure, now);
+                Err(reason)
             }
         }
-        Err(format!("more than {MAX_LIST_PAGES} pages"))
     }
 
     /// Reads every engine's load report as [`Schedule`] says.
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -222,7 +222,7 @@
         list_source,
         (observations, followers),
         allocator,
-        handle.leads_or_leaderless(),
+        (handle.leads_or_leaderless(), handle.leads()),
     ));
     tokio::spawn(observer.run(handle.newest()));
     let host = common.host.as_str();
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -8,6 +8,7 @@
     mod limits;
     mod list;
     mod moves;
+    mod paging;
     mod placement;
     mod quarantine;
     mod read_times;
