--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -10,8 +10,10 @@
     mod limits;
     mod list;
     mod moves;
+    mod paging;
     mod placement;
     mod quarantine;
+    mod read_times;
     mod reads;
     mod register;
     mod repair;
