--- a/crates/sardinerelay-gateway/tests/decisions/evacuation.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/evacuation.rs
@@ -1,7 +1,7 @@
 //! Orders that evacuate zones: the register, and what hosts do with the orders.
 
 use {
-    super::fixtures::{SERVICE, instance, observations, targets},
+    super::fixtures::{SERVICE, instance, need, observations, targets},
     rand::{Rng as _, SeedableRng as _, rngs::StdRng},
     sardinerelay::id::Zone,
     sardinerelay_gateway::{
@@ -10,6 +10,8 @@
             evacuation::{Evacuations, Order, ZoneOrder},
             register::{Command, Document, Kind, Register},
         },
+        moves::{Departure, Moves},
+        placement::Need,
         targets::Targets,
     },
     serde::{Deserialize, Serialize},
@@ -235,3 +237,49 @@
     assert!(!pulse.check(after(9_700)));
     assert!(pulse.check(after(10_100)));
 }
+
+/// Guards against moves out of a zone that take the links and the room from generations whose engines stop.
+#[test]
+fn generations_of_engines_that_stop_move_before_those_of_an_evacuated_zone() {
+    let now = Instant::now();
+    let departure = |run: u64, from: usize, tokens: u64| Departure {
+        run,
+        from: instance(from).target,
+        need: Need {
+            output_tokens: 5_000,
+            ..need()
+        },
+        tokens,
+        avoid: Vec::new(),
+    };
+    // Engine 1 is in an evacuated zone, engine 2 stops.
+    let mut moves = Moves::default();
+    for (run, from, tokens) in [(1, 1, 3_100), (2, 1, 4_000), (3, 2, 5_000), (4, 2, 3_200)] {
+        moves.request(departure(run, from, tokens), now);
+    }
+    moves.put_first(|from| *from != instance(1).target);
+    let mut room = 1;
+    let mut asked = Vec::new();
+    let mut decide = |moves: &mut Moves, room: &mut u32, now: Instant| {
+        let granted = moves.decide(now, |departure| {
+            asked.push(departure.run);
+            let has_room = *room > 0;
+            *room = room.saturating_sub(1);
+            has_room.then(|| instance(9).target)
+        });
+        let granted = granted.into_iter().map(|(run, _)| run);
+        (granted.collect::<Vec<u64>>(), std::mem::take(&mut asked))
+    };
+    // While one whose engine stops has no room, no other generation takes any.
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![4], vec![4, 3]));
+    room = 4;
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![], vec![3, 2]));
+    moves.remove(4);
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![3], vec![]));
+    moves.remove(3);
+    // Then those that would lose most, one of each engine at a time.
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![2], vec![]));
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![], vec![]));
+    moves.remove(2);
+    assert_eq!(decide(&mut moves, &mut room, now), (vec![1], vec![1]));
+}
