--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -52,6 +52,8 @@
 const MAX_ALLOCATIONS: usize = 8;
 /// Mean time after which a caller should retry when no engine accepts its generation.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Mean time after which a caller should retry when all engines are in evacuated zones.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Largest number of chunks that are queued for a caller that reads slowly. Reading from the engine
 /// pauses while the queue is full.
 const MAX_QUEUED_CHUNKS: usize = 32;
@@ -113,6 +115,18 @@
     let deadline = job.arrived + job.route.objective.mul_f64(MAX_WAIT_SHARE);
     let deadline = deadline.min(job.deadline());
     for _ in 0..MAX_ALLOCATIONS {
+        let now = Instant::now();
+        if job
+            .entry
+            .state()
+            .targets
+            .is_service_evacuated(&job.service, now)
+        {
+            return Err(Refusal::NotRun {
+                reason: "all engines are in evacuated zones",
+                retry_after: EVACUATED_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+            });
+        }
         if let Some(retry_after) = job.entry.rest_of_all(&job.service) {
             return Err(Refusal::NotRun {
                 reason: "all engines want no requests for now",
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -97,7 +97,7 @@
             if is_seamless {
                 self.record_unannounced_ends(&observations.instances, now, &mut changes);
             }
-            self.orders.record_list(read);
+            self.orders.record_list(confirmed);
             self.merge_list(observations, now, &mut changes);
         }
         for report in &observations.loads {
--- a/crates/sardinerelay-gateway/src/targets/evacuation.rs
+++ b/crates/sardinerelay-gateway/src/targets/evacuation.rs
@@ -30,7 +30,7 @@
         self.restored.contains_key(zone)
     }
 
-    /// Ends the presumptions that a list which was read at `read` makes needless.
+    /// Ends the presumptions that a list makes needless which was not read before `read`.
     pub(super) fn record_list(&mut self, read: Instant) {
         self.restored
             .retain(|_, at| read < *at + LIST_DISTRUST_DURATION);
@@ -77,6 +77,19 @@
         self.orders.evacuations.is_evacuated(&state.instance.zone)
     }
 
+    /// Whether all targets of a service that don't leave lie in evacuated zones, so that no request to it has a
+    /// chance. Returns false if none is known.
+    pub fn is_service_evacuated(&self, service: &str, now: Instant) -> bool {
+        if self.orders.evacuations.evacuated().next().is_none() {
+            return false;
+        }
+        let targets = self.all().filter(|state| {
+            state.instance.service == service && state.leaving_since(now).is_none()
+        });
+        let mut targets = targets.peekable();
+        targets.peek().is_some() && targets.all(|state| self.is_evacuated(state))
+    }
+
     /// Whether a target is known and lies in an evacuated zone.
     pub fn is_target_evacuated(&self, target: &str) -> bool {
         self.get(target)
