Send observations as updates, and publish them on all voters

The full set of observations went to each entry host up to 8 times a second, from the leader.

targets.follow answers with what changed since the follower's stamp: a publisher records the stamp at which each item last changed and the last 4,096 removals, and a view applies updates, checked by a digest of the list. Load reports are sent only to who needs them; closed connections, leaves and silence are sent to all, so that a host without load reports still sees them. Voters other than the leader follow the leader and publish what they received. Entry hosts follow a voter of their own zone, and two more after 700 ms without fresh observations. board.follow is still served, and used at voters that don't know targets.follow. A voter that becomes the leader begins with the list that it received.

The property test found that a view which returned to a source accepted an update older than the one it showed; the newest stamp of each source now counts.

The fixtures of the group and path tests state the new zone of SharedState; the group's also starts the task that republishes.

--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -4,21 +4,22 @@
 //! unreachable causes no delay. A configuration is never replaced by an older one.
 
 mod configuration;
+mod observations;
+mod republisher;
+mod subscription;
 mod transfer;
 
+pub use self::{observations::choose as choose_publishers, republisher::republish};
+
 use {
     crate::{
         entry::{EntryHost, Voters},
-        group::{
-            Clients, FOLLOW_OBSERVATIONS_METHOD, FollowObservations, MemberStatus, StatusRequest,
-            discovery::Search, member,
-        },
-        observations::Observations,
+        group::{Clients, MemberStatus, StatusRequest, discovery::Search, member},
         reporter::{self, Report},
     },
     configuration::Updates,
-    log::{debug, info},
-    sardinerelayd::peer::Packed,
+    log::info,
+    observations::Publishers,
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -26,11 +27,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{
-        sync::{mpsc::UnboundedReceiver, watch},
-        task::JoinHandle,
-        time::{Instant, sleep},
-    },
+    tokio::{sync::mpsc::UnboundedReceiver, task::JoinHandle, time::sleep},
 };
 
 /// Largest number of hosts that are followed at once.
@@ -43,9 +40,6 @@
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which hosts are queried for the members of the group.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(1500);
-/// Time without fresh observations from any host after which those of all followed hosts are
-/// requested. Observations with a list that is older than this don't count as fresh.
-const OBSERVATIONS_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Follows the group for as long as the process runs, and forwards the reports that arrive at
 /// `outgoing` to the allocating host.
@@ -56,18 +50,19 @@
     tokio::spawn(reporter::run(Arc::clone(&entry), outgoing));
     let updates = Arc::new(Updates::new(Arc::clone(&entry)));
     tokio::spawn(transfer::fetch(Arc::clone(&updates)));
-    let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
-    let last_fresh = Arc::new(watch::Sender::new(LastFresh::default()));
+    let mut tasks: BTreeMap<Ipv4Addr, JoinHandle<()>> = BTreeMap::new();
+    let mut publishers = Publishers::new(Arc::clone(&entry));
     let mut leader = None;
     loop {
         let followed = choose_hosts(&entry.settings.common.host, &addresses, leader);
-        tasks.retain(|address, tasks| {
+        tasks.retain(|address, task| {
             let is_followed = followed.contains(address);
             if !is_followed {
-                tasks.iter().for_each(JoinHandle::abort);
+                task.abort();
             }
             is_followed
         });
+        publishers.follow(&clients, &addresses, leader);
         let client = |address: &Ipv4Addr| clients.get(*address);
         entry.set_voters(Voters {
             followed: followed.iter().map(client).collect(),
@@ -77,14 +72,13 @@
             tasks.entry(*address).or_insert_with(|| {
                 let client = clients.get(*address);
                 info!(address:% = address; "following");
-                let configuration =
-                    configuration::watch(Arc::clone(&updates), Arc::clone(&client), rank);
-                let observations =
-                    follow_observations(Arc::clone(&entry), client, rank, Arc::clone(&last_fresh));
-                [tokio::spawn(configuration), tokio::spawn(observations)]
+                tokio::spawn(configuration::watch(Arc::clone(&updates), client, rank))
             });
         }
-        sleep(MEMBERS_INTERVAL).await;
+        tokio::join!(
+            sleep(MEMBERS_INTERVAL),
+            publishers.ask_zones(&clients, &addresses)
+        );
         if let Some((found_leader, members)) = query_members(&clients, &addresses).await {
             leader = Some(found_leader);
             addresses = members;
@@ -97,10 +91,6 @@
     }
 }
 
-/// When fresh observations were last received, from any host.
-#[derive(Debug, Clone, Copy, Default)]
-struct LastFresh(Option<Instant>);
-
 /// Returns the hosts that this one follows: the leader, and others in an order that depends on this
 /// host's name, so that entry hosts spread evenly over them.
 fn choose_hosts(
@@ -139,63 +129,3 @@
     let members = status.members.into_iter().map(member::address);
     Some((member::address(status.leader?), members.collect()))
 }
-
-/// Follows the observations of one host. Those of the leader are always followed, those of other
-/// hosts only while no fresh ones arrive.
-///
-/// `rank` is the host's position in the order of preference. The host at position 0 is followed in
-/// place of a leader that isn't known or counts as unreachable.
-async fn follow_observations(
-    entry: Arc<EntryHost>,
-    client: Arc<sardinerelayd::peer::Client>,
-    rank: usize,
-    last_fresh: Arc<watch::Sender<LastFresh>>,
-) {
-    let mut stamp = 0;
-    loop {
-        let is_stale =
-            |last: &LastFresh| last.0.is_none_or(|at| at.elapsed() > OBSERVATIONS_TIMEOUT);
-        let leader = entry.remote.client().map(|leader| leader.address());
-        let is_preferred = match leader {
-            Some(leader) => leader == client.address(),
-            None => rank == 0,
-        };
-        if !is_preferred && !is_stale(&last_fresh.borrow()) {
-            sleep(OBSERVATIONS_TIMEOUT / 4).await;
-            continue;
-        }
-        let follow = FollowObservations {
-            stamp,
-            wait_ms: OBSERVATIONS_TIMEOUT.as_millis() as u64,
-        };
-        let asked = Instant::now().into_std();
-        let response = client
-            .call::<_, Option<Packed<Observations>>>(
-                FOLLOW_OBSERVATIONS_METHOD,
-                &follow,
-                OBSERVATIONS_TIMEOUT + FOLLOW_RESPONSE_MARGIN,
-            )
-            .await;
-        match response {
-            Ok(Some(Packed(mut observations))) => {
-                let Observations {
-                    builds, instances, ..
-                } = &mut observations;
-                builds.assign(instances);
-                stamp = observations.stamp;
-                observations.asked = Some(asked);
-                entry.allocator.merge(&observations);
-                entry.adopt_limits(&observations.limits);
-                let is_fresh = observations.list_age_ms < OBSERVATIONS_TIMEOUT.as_millis() as u64;
-                if is_fresh {
-                    last_fresh.send_replace(LastFresh(Some(Instant::now())));
-                }
-            }
-            Ok(None) => {}
-            Err(error) => {
-                debug!("no observations from {}: {error}", client.address());
-                sleep(FOLLOW_RETRY_DELAY).await;
-            }
-        }
-    }
-}
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -198,7 +198,7 @@
 }
 
 /// Whether the other host has an earlier version, which doesn't know the method.
-fn is_unknown_method(error: &Error) -> bool {
+pub(super) fn is_unknown_method(error: &Error) -> bool {
     matches!(error, Error::Remote { code, .. } if *code == ErrorCode::MethodNotFound.code())
 }
 
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -21,10 +21,10 @@
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
-        FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration,
-        FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
-        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
-        WATCH_CONFIGURATION_METHOD,
+        FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
+        FollowConfiguration, FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD,
+        RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
+        WATCH_CONFIGURATION_METHOD, ZONE_METHOD,
     },
 };
 
@@ -324,6 +324,27 @@
         receiver
     }
 
+    /// Returns a channel with the leader on another host whose observations this host follows. None if
+    /// this host is the leader or knows of none, that is, where [`Self::leads_or_leaderless`] is true.
+    pub fn followed_leader(&self) -> watch::Receiver<Option<Ipv4Addr>> {
+        let mut leadership = self.leadership.clone();
+        let followed = |soft: &SoftState| match soft.role {
+            Role::Leader => None,
+            _ => soft.leader.map(member::address),
+        };
+        let (sender, receiver) = watch::channel(None);
+        tokio::spawn(async move {
+            loop {
+                let leader = followed(&leadership.borrow_and_update());
+                sender.send_if_modified(|known| std::mem::replace(known, leader) != leader);
+                if leadership.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        receiver
+    }
+
     /// Returns the clients of the peer servers of other hosts.
     pub fn clients(&self) -> &Arc<Clients> {
         &self.clients
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -13,7 +13,9 @@
         limit::permit,
         metrics::Metrics,
         moves::Departure,
-        observations::{Followers, Observations, ObservationsSender, or_default},
+        observations::{
+            Followers, Observations, ObservationsSender, or_default, served::Served, update,
+        },
         origin::{Began, Query},
         placement::Need,
         targets::RunId,
@@ -25,7 +27,7 @@
         types::{ErrorCode, ErrorObjectOwned},
     },
     log::{debug, warn},
-    sardinerelay::id::{Build, Host, Version},
+    sardinerelay::id::{Build, Host, Version, Zone},
     sardinerelayd::{
         control::FatalError,
         peer::{NotificationHandler, Packed, STEP, Server, SharedCounters, Step},
@@ -51,7 +53,12 @@
 pub const FETCH_CONFIGURATION_METHOD: &str = "configuration.fetch";
 /// Waits for a newer configuration and returns it whole. Entry hosts of earlier versions use it.
 pub const FOLLOW_CONFIGURATION_METHOD: &str = "configuration.follow";
-/// Waits for newer observations of targets.
+/// Waits for an update of the observations of targets. Its parameter is an [`update::Request`], and the
+/// result a packed [`update::Update`], or `null` if nothing was published yet.
+pub const FOLLOW_TARGETS_METHOD: &str = "targets.follow";
+/// Asks for a host's availability zone.
+pub const ZONE_METHOD: &str = "targets.zone";
+/// Waits for newer observations of targets and returns them whole. Hosts of earlier versions use it.
 pub const FOLLOW_OBSERVATIONS_METHOD: &str = "board.follow";
 
 /// Asks for an engine for a generation.
@@ -78,6 +85,11 @@
 /// Label of [`RELOCATE_METHOD`] in metrics.
 const RELOCATE_LABEL: &str = "move";
 
+/// Label in metrics of an update with changes.
+const DELTA_LABEL: &str = "delta";
+/// Label in metrics of an update that only says that nothing changed.
+const KEEP_ALIVE_LABEL: &str = "keep_alive";
+
 /// Longest time that [`ORIGIN_METHOD`] waits for a list that is newer than the call.
 const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(450);
 /// Longest time that one call may wait for a newer configuration or newer observations.
@@ -159,6 +171,8 @@
 /// State of a host with a replica that its methods use.
 #[derive(Debug, Clone)]
 pub struct SharedState {
+    /// This host's availability zone.
+    pub zone: Zone,
     /// Publishes what this host observes of targets.
     pub observations: ObservationsSender,
     /// The entry hosts that follow this host.
@@ -172,6 +186,8 @@
 struct Context {
     handle: Handle,
     shared: SharedState,
+    /// The observations as they are served to followers.
+    served: Arc<Served>,
     counters: SharedCounters,
 }
 
@@ -193,6 +209,7 @@
     let handler = notification_handler(notifications, Arc::clone(&counters));
     let context = Context {
         handle,
+        served: Served::start(shared.observations.subscribe()),
         shared,
         counters: Arc::clone(&counters),
     };
@@ -255,6 +272,13 @@
             RpcResult::Ok(follow_observations(&context.shared.observations, &follow).await)
         },
     )?;
+    module.register_async_method(FOLLOW_TARGETS_METHOD, |parameters, context, _| async move {
+        let Packed(request): Packed<update::Request> = context.counters.parse_call(&parameters)?;
+        RpcResult::Ok(follow_targets(&context, &request).await)
+    })?;
+    module.register_async_method(ZONE_METHOD, |_, context, _| async move {
+        RpcResult::Ok(context.shared.zone.clone())
+    })?;
     module.register_async_method(ACQUIRE_METHOD, |parameters, context, _| async move {
         let Packed(acquire): Packed<Acquire> = context.counters.parse_call(&parameters)?;
         let Acquire {
@@ -358,6 +382,21 @@
     Some(Packed(observations.with_current_ages()))
 }
 
+async fn follow_targets(context: &Context, request: &update::Request) -> Option<serde_json::Value> {
+    let wait = capped_wait(request.wait_ms);
+    let (update, reason) = context.served.next(request, wait).await?;
+    let kind = match (reason, &update.changes) {
+        (Some(reason), _) => reason.label(),
+        (None, Some(_)) => DELTA_LABEL,
+        (None, None) => KEEP_ALIVE_LABEL,
+    };
+    // Encoding fails only for a value that can't be serialized, and updates can.
+    let encoded = serde_json::to_value(Packed(update)).ok()?;
+    let bytes = encoded.as_str().map_or(0, str::len);
+    context.shared.metrics.record_update(kind, bytes);
+    Some(encoded)
+}
+
 fn capped_wait(wait_ms: u64) -> Duration {
     Duration::from_millis(wait_ms).min(MAX_FOLLOW_WAIT)
 }
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     limit_changes: Counter<u64>,
     statements: Counter<u64>,
     permits: Counter<u64>,
+    updates: Counter<u64>,
+    update_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -57,6 +59,11 @@
                 "permits",
                 "Requests for permits of limited targets by outcome",
             ),
+            updates: count("updates", "Updates of observations sent by kind"),
+            update_bytes: count(
+                "update_bytes",
+                "Bytes of updates of observations sent by kind",
+            ),
             export,
         })
     }
@@ -111,6 +118,14 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that an update of the observations was sent. `kind` is `delta`, `keep_alive` or the reason
+    /// of a full snapshot.
+    pub fn record_update(&self, kind: &'static str, bytes: usize) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.updates.add(1, &labels);
+        self.update_bytes.add(bytes as u64, &labels);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -4,6 +4,12 @@
 //! the observations of one or more of them. The number of hosts that poll the platform thereby
 //! doesn't depend on the number of entry hosts. See `docs/design/platform.md`.
 
+mod list;
+pub mod publisher;
+pub mod served;
+pub mod update;
+pub mod view;
+
 use {
     crate::{
         limit::permit,
@@ -101,6 +107,17 @@
     pub closing_ms: Option<u64>,
 }
 
+/// What load reports show of a target, for followers that ask for no load reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sign {
+    pub target: Target,
+    pub incarnation: Incarnation,
+    /// Milliseconds since it began to close its connections; none if it doesn't.
+    pub closing_ms: Option<u64>,
+    /// Whether its load reports have stopped while those of others arrive.
+    pub is_silent: bool,
+}
+
 /// All that one host has observed.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observations {
@@ -138,6 +155,10 @@
     /// host reads all.
     #[serde(deserialize_with = "or_default")]
     pub readers: Vec<Ipv4Addr>,
+    /// What load reports show of the targets of which they show anything. None unless the observations
+    /// were received as updates; then the load reports themselves say it.
+    #[serde(skip)]
+    pub signs: Option<Vec<Sign>>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -204,6 +225,20 @@
             || self.suspect_requests != previous.suspect_requests
     }
 
+    /// Returns these observations with the stamps that follow those of `previous`, which the same host
+    /// published before.
+    pub fn succeeding(mut self, previous: &Self) -> Self {
+        self.stamp = match previous.stamp {
+            0 => u64::from(rand::random::<u32>()) + 1,
+            stamp => stamp + 1,
+        };
+        self.changed_stamp = match self.differs_beyond_loads(previous) {
+            true => self.stamp,
+            false => previous.changed_stamp,
+        };
+        self
+    }
+
     /// Returns the observations with their ages as of now.
     pub fn with_current_ages(&self) -> Self {
         let mut current = self.clone();
@@ -218,6 +253,11 @@
                 *closing += elapsed_ms;
             }
         }
+        for sign in current.signs.iter_mut().flatten() {
+            if let Some(closing) = &mut sign.closing_ms {
+                *closing += elapsed_ms;
+            }
+        }
         for limit in &mut current.limits {
             limit.age += elapsed;
         }
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -17,6 +17,7 @@
         },
         pool::{Pool, Purpose},
         table::Table,
+        targets::instant_before,
     },
     http::{HeaderMap, header},
     log::{debug, info, warn},
@@ -288,30 +289,33 @@
         }
     }
 
-    /// Publishes the observations after changes, at most once in `MIN_PUBLISH_INTERVAL`.
+    /// Publishes the observations after changes, at most once in `MIN_PUBLISH_INTERVAL`, while this host
+    /// polls. Otherwise those of the leader are published instead.
     async fn publish(&self) {
         let mut ticks = interval(MIN_PUBLISH_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut stamp = rand::random::<u32>().into();
+        let mut is_active = self.is_active.clone();
         loop {
+            if !*is_active.borrow() {
+                if is_active.wait_for(|active| *active).await.is_err() {
+                    return;
+                }
+                self.state().adopt(&self.observations.borrow());
+            }
             ticks.tick().await;
             tokio::select! {
                 () = self.changed.notified() => {}
                 () = self.allocator.changed.notified() => {}
+                _ = is_active.changed() => continue,
             }
-            stamp += 1;
-            let mut observations = self.snapshot(stamp);
             let previous = self.observations.borrow().clone();
-            observations.changed_stamp = match observations.differs_beyond_loads(&previous) {
-                true => stamp,
-                false => previous.changed_stamp,
-            };
+            let observations = self.snapshot().succeeding(&previous);
             self.observations.send_replace(Arc::new(observations));
         }
     }
 
     /// Returns what was read last, and forgets targets that are no longer listed.
-    fn snapshot(&self, stamp: u64) -> Observations {
+    fn snapshot(&self) -> Observations {
         let now = Instant::now();
         let age = |read: Instant| now.saturating_duration_since(read).as_millis() as u64;
         let mut state = self.state();
@@ -340,7 +344,7 @@
         let suspect_requests = allocator.requests.suspects();
         drop(allocator);
         Observations {
-            stamp,
+            stamp: 0,
             loads: loads.collect(),
             builds: Builds::of(&state.instances),
             instances: state.instances.clone(),
@@ -351,6 +355,7 @@
             refused_requests,
             suspect_requests,
             readers: Vec::new(),
+            signs: None,
             ages_updated: Some(now),
             asked: None,
             changed_stamp: 0,
@@ -394,6 +399,26 @@
 }
 
 impl State {
+    /// Adopts what the leader published last, where it is newer, when this host begins to poll. Followers
+    /// then see no older list than before, and engines are known before the first list is read.
+    fn adopt(&mut self, published: &Observations) {
+        let updated = published.ages_updated.unwrap_or_else(Instant::now);
+        let read = instant_before(updated, published.list_age_ms);
+        if published.asked.is_none() || self.list_read.is_some_and(|known| known >= read) {
+            return;
+        }
+        self.instances.clone_from(&published.instances);
+        self.list_read = Some(read);
+        for report in &published.loads {
+            let key = (report.target.clone(), report.incarnation);
+            let read = instant_before(updated, report.age_ms);
+            let known = self.loads.entry(key).or_insert((report.load, read));
+            if known.1 < read {
+                *known = (report.load, read);
+            }
+        }
+    }
+
     /// Records whether a target's response closes the connection. Returns whether it is the first
     /// response that does.
     fn record_closing(&mut self, key: &(Target, Incarnation), closes: bool) -> bool {
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -58,6 +58,8 @@
 /// Time after a supposed crash in which a load report shows that the target did not crash. A crashed
 /// target takes longer to start again.
 const ALIVE_CHECK_TIME: Duration = Duration::from_millis(1500);
+/// Time in which a load report that was read reaches an entry host.
+const REPORT_DELAY: Duration = Duration::from_millis(800);
 /// Time after its last crash for which a subject is remembered as suspect.
 const SUSPICION_LIFETIME: Duration = Duration::from_secs(120);
 /// Time for which a subject is refused. After it the subject has to be blamed anew.
@@ -299,6 +301,15 @@
             .retain(|_, suspect| !suspect.targets.is_empty());
     }
 
+    /// Whether load reports may still show that a target did not crash.
+    pub fn awaits_reports(&self, now: Instant) -> bool {
+        let mut crashes = self
+            .suspects
+            .values()
+            .flat_map(|suspect| suspect.targets.values());
+        crashes.any(|at| now.saturating_duration_since(*at) < ALIVE_CHECK_TIME + REPORT_DELAY)
+    }
+
     /// Adopts what another host refuses. Returns whether any of it is new.
     pub fn adopt(&mut self, subjects: &[Refused], now: Instant) -> bool {
         let mut is_new = false;
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -190,6 +190,7 @@
     let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::Group));
     let shared = group::SharedState {
+        zone: common.zone.clone(),
         observations: Arc::clone(&observations),
         followers: Arc::clone(&followers),
         allocator: Arc::clone(&allocator),
@@ -216,6 +217,11 @@
     control::listen(settings.control_address, codec, handle.clone(), metrics)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
+    tokio::spawn(follow::republish(
+        common.host.clone(),
+        handle.clone(),
+        Arc::clone(&observations),
+    ));
     let list_source = (settings.list_address, settings.max_list_calls_per_second);
     let observer = Arc::new(Observer::new(
         codec,
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -16,7 +16,7 @@
         group::LocalAllocation,
         health::Health,
         limit::Limit,
-        observations::{Instance, Observations},
+        observations::{Instance, Observations, Sign},
     },
     sardinerelay::id::{Incarnation, Service, Target},
     std::{
@@ -34,9 +34,9 @@
 const LEFT_RETENTION: Duration = Duration::from_secs(120);
 /// Age of a target's load report from which it counts as silent if other targets' reports are
 /// fresh.
-const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
+pub(crate) const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
 /// Age below which another target's load report shows that reports arrive at all.
-const FRESH_REPORT_AGE: Duration = Duration::from_millis(800);
+pub(crate) const FRESH_REPORT_AGE: Duration = Duration::from_millis(800);
 /// Age of a load report from which the target's load counts as unknown.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -116,9 +116,33 @@
                 changes.push(Change::Leaving(report.target.clone()));
             }
         }
+        if let Some(signs) = &observations.signs {
+            self.merge_signs(signs, now, &mut changes);
+        }
         changes
     }
 
+    /// Merges what another host's load reports show.
+    fn merge_signs(&mut self, signs: &[Sign], now: Instant, changes: &mut Vec<Change>) {
+        for state in self.states.values_mut() {
+            state.reported_silent = None;
+        }
+        for sign in signs {
+            let Some(state) = self.states.get_mut(&sign.target) else {
+                continue;
+            };
+            if state.instance.incarnation != sign.incarnation {
+                continue;
+            }
+            let since = sign.closing_ms.map(|age| instant_before(now, age));
+            if since.is_some() && state.closing_since.is_none() {
+                changes.push(Change::Closing(sign.target.clone()));
+            }
+            state.closing_since = since;
+            state.reported_silent = sign.is_silent.then_some(now);
+        }
+    }
+
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
         for instance in instances {
@@ -167,6 +191,12 @@
 
     fn is_state_silent(&self, state: &State, now: Instant) -> bool {
         let age = |read: Instant| now.saturating_duration_since(read);
+        if state
+            .reported_silent
+            .is_some_and(|reported| age(reported) < MAX_REPORT_AGE)
+        {
+            return true;
+        }
         let is_old = state
             .load
             .is_some_and(|(_, read)| age(read) > SILENT_REPORT_AGE);
@@ -363,6 +393,7 @@
                 rests_until: None,
                 closing_since: None,
                 load: None,
+                reported_silent: None,
                 claims: HashMap::new(),
                 remote_sends: VecDeque::new(),
                 backlog: Backlog::default(),
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -60,6 +60,9 @@
     pub closing_since: Option<Instant>,
     /// Its last load report, and when that was read.
     pub load: Option<(Load, Instant)>,
+    /// When another host last told that its load reports have stopped, if it did in its newest
+    /// observations.
+    pub reported_silent: Option<Instant>,
     /// This host's requests on it and the copies that it keeps for them.
     pub claims: HashMap<RunId, MemoryClaim>,
     /// Generations that other hosts sent there recently: when, and the tokens of memory that each
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -16,5 +16,6 @@
     mod requests;
     mod sse;
     mod table;
+    mod updates;
     mod waiting;
 }
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -4,6 +4,8 @@
 mod cluster;
 #[path = "group/membership.rs"]
 mod membership;
+#[path = "group/observations.rs"]
+mod observations;
 #[path = "group/refusals.rs"]
 mod refusals;
 #[path = "group/rejoin.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -2,6 +2,7 @@
 //! like a process.
 
 use {
+    compact_str::format_compact,
     sardinerelay::{
         id::Host,
         raft::DurableState,
@@ -9,14 +10,16 @@
     },
     sardinerelay_gateway::{
         allocator::{Allocator, Scope},
+        follow,
         group::{
             self, Clients, Document, Handle, MemberStatus, RunningReplica, Settings, SharedState,
             StatusRequest, discovery::Search, member,
         },
         metrics::Metrics,
-        observations::{Followers, Observations},
+        observations::{Followers, Observations, ObservationsSender},
         reload::{self, SharedSettings},
     },
+    serde::{Serialize, de::DeserializeOwned},
     std::{
         collections::BTreeMap,
         fs,
@@ -55,6 +58,7 @@
     runtime: Runtime,
     replica: RunningReplica,
     allocator: Arc<Allocator>,
+    observations: ObservationsSender,
 }
 
 /// A group of replicas, which ends when this is dropped.
@@ -98,18 +102,27 @@
             .build()
             .expect("a runtime");
         let allocator = Arc::new(Allocator::new(Scope::Group));
+        let observations: ObservationsSender =
+            Arc::new(watch::Sender::new(Arc::new(Observations::default())));
         let shared = SharedState {
-            observations: Arc::new(watch::Sender::new(Arc::new(Observations::default()))),
+            zone: format_compact!("zone-{host}"),
+            observations: Arc::clone(&observations),
             followers: Arc::new(Followers::default()),
             allocator: Arc::clone(&allocator),
             metrics: Arc::new(Metrics::new().expect("instruments")),
         };
         let replica = runtime.block_on(group::start(settings, shared));
         let replica = replica.expect("the replica starts");
+        runtime.spawn(follow::republish(
+            format_compact!("replica-{host}"),
+            replica.handle.clone(),
+            Arc::clone(&observations),
+        ));
         self.replicas[host] = Some(Running {
             runtime,
             replica,
             allocator,
+            observations,
         });
     }
 
@@ -236,6 +249,28 @@
         &self.running(host).allocator
     }
 
+    /// Returns what a replica's host publishes of targets.
+    pub fn observations(&self, host: usize) -> &ObservationsSender {
+        &self.running(host).observations
+    }
+
+    /// Calls a method of a replica's host as an entry host does.
+    pub fn call<Parameter, Reply>(
+        &self,
+        host: usize,
+        method: &'static str,
+        parameter: &Parameter,
+    ) -> Reply
+    where
+        Parameter: Serialize,
+        Reply: DeserializeOwned,
+    {
+        let client = Clients::new(PEER_PORT).get(self.address(host));
+        let called = client.call(method, parameter, REQUEST_TIMEOUT);
+        let reply = self.running(host).runtime.block_on(called);
+        reply.expect("the host replies")
+    }
+
     fn handle(&self, host: usize) -> &Handle {
         &self.running(host).replica.handle
     }
