--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     evacuated_zones: Gauge<u64>,
     evacuation_revision: Gauge<u64>,
     evacuation_moves: Counter<u64>,
+    updates: Counter<u64>,
+    update_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -75,6 +77,11 @@
                 "evacuation_moves",
                 "Generations moved out of evacuated zones by outcome",
             ),
+            updates: count("updates", "Updates of observations sent by kind"),
+            update_bytes: count(
+                "update_bytes",
+                "Bytes of updates of observations sent by kind",
+            ),
             export,
         })
     }
@@ -142,6 +149,14 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that an update of the observations was sent. `kind` is `delta`, `keep_alive` or the reason
+    /// of a full snapshot.
+    pub fn record_update(&self, kind: &'static str, bytes: usize) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.updates.add(1, &labels);
+        self.update_bytes.add(bytes as u64, &labels);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -20,5 +20,6 @@
     mod requests;
     mod sse;
     mod table;
+    mod updates;
     mod waiting;
 }
