Make at most 250 reads of load reports a second, and let engines count as silent accordingly later

With more engines the reads grew without bound, and all of them were made within 30 ms after a leave. A host now makes at most 250 reads in any second, those first that are due longest. From 157 engines for one host on, the intervals grow with the number of engines, and with them the ages from which an engine counts as silent and up to which another's report counts as fresh. Each host computes the factor from the engines and readers that the observations name, so nothing further is published.

--- a/crates/sardinerelay-gateway/src/observer/schedule.rs
+++ b/crates/sardinerelay-gateway/src/observer/schedule.rs
@@ -13,7 +13,7 @@
     crate::observations::Instance,
     sardinerelay::id::Target,
     std::{
-        collections::{BTreeMap, HashSet},
+        collections::{BTreeMap, HashSet, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -38,6 +38,11 @@
 pub const MIN_HURRY_INTERVAL: Duration = Duration::from_millis(230);
 /// Largest number of reads that repeat an unanswered one.
 const MAX_REPEATS: u32 = 3;
+/// Largest number of reads that one host makes in any second.
+pub const MAX_READS_PER_S: usize = 250;
+/// Number of reads a second for regular reads. The rest is for repeated reads and those after leaves.
+const REGULAR_READS_PER_S: f64 = 200.0;
+const SECOND: Duration = Duration::from_secs(1);
 /// Shortest pause between two looks at what is due.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -83,6 +88,14 @@
     last_hurry: Instant,
     /// When all reports are read again because another engine began to leave soon after the last time.
     next_hurry: Option<Instant>,
+    /// When the reads of the last second were sent.
+    sent: VecDeque<Instant>,
+}
+
+/// Returns the factor by which the intervals grow because one host reads the reports of this many engines.
+pub fn stretch(engines: usize) -> f64 {
+    let regular = INTERVAL.as_secs_f64() * REGULAR_READS_PER_S;
+    (engines as f64 / regular).max(1.0)
 }
 
 impl Schedule {
@@ -92,6 +105,7 @@
             reads: BTreeMap::new(),
             last_hurry: now,
             next_hurry: None,
+            sent: VecDeque::new(),
         }
     }
 
@@ -105,14 +119,26 @@
             self.hurry(now);
         }
         let is_few = engines.len() <= FEW_ENGINES;
+        let stretch = stretch(engines.len());
         let spread = if is_few { FEW_INTERVAL } else { INTERVAL };
-        let spacing = spread / engines.len().max(1) as u32;
-        let mut due = Vec::new();
+        let spacing = spread.mul_f64(stretch) / engines.len().max(1) as u32;
+        let mut candidates = Vec::new();
         for (engine, index) in engines.iter().zip(0..) {
             let reads = self.reads.entry(engine.target.clone());
             let reads = reads.or_insert_with(|| Reads::new(now + spacing * index));
-            if reads.next > now {
-                continue;
+            if reads.next <= now {
+                candidates.push((reads.next, *engine));
+            }
+        }
+        candidates.sort_by_key(|(next, _)| *next);
+        let is_old = |sent: &Instant| now.saturating_duration_since(*sent) >= SECOND;
+        while self.sent.front().is_some_and(is_old) {
+            self.sent.pop_front();
+        }
+        let mut due = Vec::new();
+        for (_, engine) in candidates {
+            if self.sent.len() >= MAX_READS_PER_S {
+                break;
             }
             let known = known(engine);
             let interval = if is_few {
@@ -120,8 +146,12 @@
             } else {
                 known.interval()
             };
-            if reads.is_due(known, interval, now) {
-                due.push(Instance::clone(engine));
+            let reads = self.reads.get_mut(&engine.target);
+            let interval = interval.mul_f64(stretch);
+            let longest = QUIET_INTERVAL.mul_f64(stretch);
+            if reads.is_some_and(|reads| reads.is_due(known, (interval, longest), now)) {
+                self.sent.push_back(now);
+                due.push(engine.clone());
             }
         }
         if self.reads.len() != engines.len() {
@@ -140,10 +170,11 @@
     }
 
     /// Makes all reports due within [`HURRIED_TIME`], unless they are due earlier. If that was done less
-    /// than [`MIN_HURRY_INTERVAL`] ago, does so again after that time: the engines of a group don't begin
+    /// than [`MIN_HURRY_INTERVAL`], stretched as intervals are, ago, does so again after that time: the engines of a group don't begin
     /// to leave at the same moment.
     pub fn hurry(&mut self, now: Instant) {
-        let earliest = self.last_hurry + MIN_HURRY_INTERVAL;
+        let pause = MIN_HURRY_INTERVAL.mul_f64(stretch(self.reads.len()));
+        let earliest = self.last_hurry + pause;
         if now < earliest {
             self.next_hurry = Some(earliest);
             return;
@@ -169,8 +200,14 @@
         }
     }
 
-    /// Whether the report is to be read now, and when it is looked at next.
-    fn is_due(&mut self, known: Known, interval: Duration, now: Instant) -> bool {
+    /// Whether the report is to be read now. Regular reads follow after `interval`, and after `longest` at
+    /// most if an early read replaces one.
+    fn is_due(
+        &mut self,
+        known: Known,
+        (interval, longest): (Duration, Duration),
+        now: Instant,
+    ) -> bool {
         let is_answered = self.sent.is_none_or(|sent| known.reported >= Some(sent));
         let is_regular = self.regular <= now;
         let is_repeated = !is_answered && !known.is_leaving && self.repeats < MAX_REPEATS;
@@ -187,7 +224,7 @@
         if is_regular {
             // Keeps the engine's place among the others, unless it fell behind.
             self.regular = (self.regular + interval).max(now + interval / 2);
-        } else if is_hurried && self.regular + interval <= now + QUIET_INTERVAL {
+        } else if is_hurried && self.regular + interval <= now + longest {
             // The early read replaces the regular one.
             self.regular += interval;
         }
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -17,6 +17,7 @@
         health::Health,
         limit::Limit,
         observations::{Instance, Observations},
+        observer::schedule,
     },
     sardinerelay::id::{Incarnation, Service, Target},
     std::{
@@ -60,6 +61,9 @@
     unannounced_ends: HashMap<Service, Instant>,
     /// Largest number of entry hosts in any observations.
     entry_hosts: u32,
+    /// Number of engines whose reports one host reads. The ages from which an engine counts as silent grow with
+    /// it, as the intervals between reads do.
+    engines_per_reader: usize,
     /// The builds that were listed lately.
     pub builds: builds::History,
 }
@@ -98,6 +102,7 @@
             }
             self.merge_list(observations, now, &mut changes);
         }
+        self.count_engines(observations);
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
             let Some(state) = self.states.get_mut(&report.target) else {
@@ -121,6 +126,20 @@
         changes
     }
 
+    /// Counts the targets of the services whose targets report their load.
+    fn count_engines(&mut self, observations: &Observations) {
+        let reported = observations.loads.iter();
+        let reported = reported.filter_map(|report| self.states.get(&report.target));
+        let services: HashSet<&Service> = reported.map(|state| &state.instance.service).collect();
+        if services.is_empty() {
+            return;
+        }
+        let engines = self.states.values();
+        let engines = engines.filter(|state| services.contains(&state.instance.service));
+        let readers = observations.readers.len().max(1);
+        self.engines_per_reader = engines.count().div_ceil(readers);
+    }
+
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
         for instance in instances {
@@ -169,12 +188,13 @@
 
     fn is_state_silent(&self, state: &State, now: Instant) -> bool {
         let age = |read: Instant| now.saturating_duration_since(read);
-        let is_old = state
-            .load
-            .is_some_and(|(_, read)| age(read) > SILENT_REPORT_AGE);
+        let stretch = schedule::stretch(self.engines_per_reader);
+        let silent_age = SILENT_REPORT_AGE.mul_f64(stretch);
+        let is_old = state.load.is_some_and(|(_, read)| age(read) > silent_age);
         is_old && {
+            let fresh_age = FRESH_REPORT_AGE.mul_f64(stretch);
             let mut loads = self.states.values().filter_map(|other| other.load);
-            loads.any(|(_, read)| age(read) < FRESH_REPORT_AGE)
+            loads.any(|(_, read)| age(read) < fresh_age)
         }
     }
 
--- a/crates/sardinerelay-gateway/tests/decisions/placement.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/placement.rs
@@ -178,6 +178,21 @@
     assert_eq!(targets.usable(SERVICE, later(now, 2_000)).count(), 2);
 }
 
+/// With 1,000 engines, one host reads a report every 5 s. The engines between two reads must not count as silent,
+/// unless more hosts read.
+#[test]
+fn engines_count_as_silent_later_if_their_reports_are_read_less_often() {
+    let now = Instant::now();
+    let mut many = observations(1, &[0; 1_000]);
+    many.loads[0].age_ms = 6_000;
+    let mut targets = Targets::default();
+    targets.merge(&many, now);
+    assert!(!targets.is_silent(&instance(0).target, now));
+    many.readers = (1..=8).map(|host| [127, 0, 0, host].into()).collect();
+    targets.merge(&many, now);
+    assert!(targets.is_silent(&instance(0).target, now));
+}
+
 #[test]
 fn without_any_fresh_report_no_engine_counts_as_silent() {
     let now = Instant::now();
