Count reads of load reports and list pages, and keep one idle connection to an engine that is read

An operator could not see how many reads were made or failed, or at which interval. There are metrics of reads and pages by outcome and of the interval. The reader's pool kept up to 32 idle connections to an engine and entries of targets that had gone. It keeps one, and closes those to targets that are no longer listed.

--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
     anyhow::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
     sardinerelayd::metrics::{Exporter, counter, latency_histogram},
     std::time::Duration,
@@ -28,6 +28,9 @@
     limit_changes: Counter<u64>,
     statements: Counter<u64>,
     permits: Counter<u64>,
+    list_pages: Counter<u64>,
+    load_reads: Counter<u64>,
+    load_interval: Gauge<f64>,
 }
 
 impl Metrics {
@@ -57,6 +60,13 @@
                 "permits",
                 "Requests for permits of limited targets by outcome",
             ),
+            list_pages: count("list_pages", "Pages of the platform's list by outcome"),
+            load_reads: count("load_reads", "Reads of load reports by outcome"),
+            load_interval: meter
+                .f64_gauge("sardinerelay_load_interval")
+                .with_unit("s")
+                .with_description("Interval between reads of a load report")
+                .build(),
             export,
         })
     }
@@ -111,6 +121,21 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a page of the platform's list was asked for.
+    pub fn record_list_page(&self, outcome: &'static str) {
+        self.list_pages.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records that a load report was asked for.
+    pub fn record_load_read(&self, outcome: &'static str) {
+        self.load_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the interval at which this host reads the report of an engine.
+    pub fn record_load_interval(&self, interval: Duration) {
+        self.load_interval.record(interval.as_secs_f64(), &[]);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -16,6 +16,7 @@
         allocator::Allocator,
         codec::{Codec, ParseError},
         group::Document,
+        metrics::Metrics,
         observations::{
             Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
         },
@@ -43,6 +44,9 @@
 const MIN_CLOSING_RESPONSES: u32 = 2;
 /// Timeout of one request for a page of the list or a load report.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// Largest number of idle connections to an engine, or to the list's server. Reads of one engine rarely
+/// overlap.
+const MAX_IDLE_PER_SERVER: usize = 1;
 /// Shortest interval between two publications.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -58,6 +62,7 @@
     followers: Arc<Followers>,
     /// This host's allocator, whose refused parts are published.
     allocator: Arc<Allocator>,
+    metrics: Arc<Metrics>,
     observations: ObservationsSender,
     state: Mutex<State>,
     /// Whether this host polls.
@@ -107,12 +112,12 @@
         codec: Codec,
         (list, max_rate): (SocketAddr, f64),
         (observations, followers): (ObservationsSender, Arc<Followers>),
-        allocator: Arc<Allocator>,
+        (allocator, metrics): (Arc<Allocator>, Arc<Metrics>),
         (is_active, is_leader): (watch::Receiver<bool>, watch::Receiver<bool>),
     ) -> Self {
         Self {
             codec,
-            pool: Pool::default(),
+            pool: Pool::with_max_idle(MAX_IDLE_PER_SERVER),
             list_server: Instance {
                 target: "list".into(),
                 incarnation: 0,
@@ -127,6 +132,7 @@
             max_list_rate: max_rate,
             followers,
             allocator,
+            metrics,
             observations,
             state: Mutex::default(),
             is_active,
@@ -171,6 +177,7 @@
                     if std::mem::replace(&mut skipped_count, skipped.len()) != skipped.len() {
                         log_skipped(&skipped, instances.len());
                     }
+                    self.close_unlisted(&instances);
                     let mut state = self.state();
                     state.instances = instances;
                     state.list_read = Some(began);
@@ -187,6 +194,14 @@
         }
     }
 
+    /// Closes the idle connections to targets that are no longer listed.
+    fn close_unlisted(&self, instances: &[Instance]) {
+        let listed: HashSet<&Target> = instances.iter().map(|instance| &instance.target).collect();
+        let list_server = &self.list_server.target;
+        self.pool
+            .retain_targets(|target| target == list_server || listed.contains(target));
+    }
+
     /// Reads the next page of the list. Returns the list after its last page. The error is a text for the
     /// log.
     async fn read_page(&self, paging: &mut Paging) -> Result<Option<List>, String> {
@@ -214,8 +229,12 @@
             }
         };
         match read {
-            Ok(page) => paging.record(page, now),
+            Ok(page) => {
+                self.metrics.record_list_page("read");
+                paging.record(page, now)
+            }
             Err((failure, reason)) => {
+                self.metrics.record_list_page(failure.label());
                 paging.record_failure(failure, now);
                 Err(reason)
             }
@@ -267,6 +286,7 @@
         {
             Ok(response) if response.status().is_success() => response,
             Ok(response) => {
+                self.metrics.record_load_read("status");
                 debug!(
                     "no load report from {}: status {}",
                     engine.target,
@@ -275,12 +295,14 @@
                 return false;
             }
             Err(error) => {
+                self.metrics.record_load_read("no_response");
                 debug!("no load report from {}: {error}", engine.target);
                 return false;
             }
         };
         match (self.codec.parse_load)(response.body()) {
             Ok(mut load) => {
+                self.metrics.record_load_read("read");
                 let head = (self.codec.parse_response_head)(response.headers());
                 self.allocator
                     .record_limit(engine, head.statement.limit, sent);
@@ -295,6 +317,7 @@
                 is_first_closing
             }
             Err(error) => {
+                self.metrics.record_load_read("invalid");
                 debug!("the load report of {} is invalid: {error}", engine.target);
                 false
             }
@@ -396,6 +419,8 @@
         let state = self.state();
         let allocator = self.allocator.state();
         let engines = state.engines();
+        self.metrics
+            .record_load_interval(schedule::interval(engines.len()));
         let known = |engine: &Instance| {
             let load = state
                 .loads
--- a/crates/sardinerelay-gateway/src/observer/paging.rs
+++ b/crates/sardinerelay-gateway/src/observer/paging.rs
@@ -40,6 +40,17 @@
     NoResponse,
 }
 
+impl Failure {
+    /// Returns the failure's label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Limited => "limited",
+            Self::Refused => "refused",
+            Self::NoResponse => "no_response",
+        }
+    }
+}
+
 /// A list that was read to its end.
 #[derive(Debug, PartialEq, Eq)]
 pub struct List {
--- a/crates/sardinerelay-gateway/src/observer/schedule.rs
+++ b/crates/sardinerelay-gateway/src/observer/schedule.rs
@@ -98,6 +98,14 @@
     (engines as f64 / regular).max(1.0)
 }
 
+/// Returns the interval at which the report of an engine with claims is read, one of this many.
+pub fn interval(engines: usize) -> Duration {
+    match engines <= FEW_ENGINES {
+        true => FEW_INTERVAL,
+        false => INTERVAL.mul_f64(stretch(engines)),
+    }
+}
+
 impl Schedule {
     /// Creates a schedule that knows no engine.
     pub fn new(now: Instant) -> Self {
@@ -120,8 +128,7 @@
         }
         let is_few = engines.len() <= FEW_ENGINES;
         let stretch = stretch(engines.len());
-        let spread = if is_few { FEW_INTERVAL } else { INTERVAL };
-        let spacing = spread.mul_f64(stretch) / engines.len().max(1) as u32;
+        let spacing = interval(engines.len()) / engines.len().max(1) as u32;
         let mut candidates = Vec::new();
         for (engine, index) in engines.iter().zip(0..) {
             let reads = self.reads.entry(engine.target.clone());
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -42,7 +42,7 @@
 /// Time by which idle connections are closed earlier than the target states, so that it doesn't
 /// close them while a request is on its way.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
-/// Largest number of idle connections that are kept to one target.
+/// Largest number of idle connections that are kept to one target for requests of callers.
 const MAX_IDLE_PER_TARGET: usize = 32;
 /// Largest response body to a request that the relay makes itself, in bytes.
 const MAX_OWN_RESPONSE_BYTES: usize = 4 << 20;
@@ -149,6 +149,8 @@
 #[derive(Debug, Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<Target, Vec<Idle>>>>,
+    /// Largest number of idle connections that are kept to one target.
+    max_idle: usize,
     /// Memory that long responses may take together.
     pub memory: body::Memory,
 }
@@ -157,6 +159,7 @@
     fn default() -> Self {
         Self {
             idle: Arc::default(),
+            max_idle: MAX_IDLE_PER_TARGET,
             memory: body::Memory::new(RESPONSE_MEMORY_BYTES),
         }
     }
@@ -186,6 +189,14 @@
 }
 
 impl Pool {
+    /// Creates a pool that keeps at most this many idle connections to one target.
+    pub fn with_max_idle(max_idle: usize) -> Self {
+        Self {
+            max_idle,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request to a target and reads the head of the response. A new connection is opened
     /// if no idle one may be used.
     ///
@@ -285,7 +296,7 @@
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = all.entry(exchange.target).or_default();
         idle.retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
-        if idle.len() < MAX_IDLE_PER_TARGET {
+        if idle.len() < self.max_idle {
             idle.push(Idle {
                 connection,
                 idle_since: now,
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -213,15 +213,20 @@
     })
     .await
     .with_context(|| format!("listening on {metrics_address}"))?;
-    control::listen(settings.control_address, codec, handle.clone(), metrics)
-        .await
-        .with_context(|| format!("listening on {}", settings.control_address))?;
+    control::listen(
+        settings.control_address,
+        codec,
+        handle.clone(),
+        Arc::clone(&metrics),
+    )
+    .await
+    .with_context(|| format!("listening on {}", settings.control_address))?;
     let list_source = (settings.list_address, settings.max_list_calls_per_second);
     let observer = Arc::new(Observer::new(
         codec,
         list_source,
         (observations, followers),
-        allocator,
+        (allocator, metrics),
         (handle.leads_or_leaderless(), handle.leads()),
     ));
     tokio::spawn(observer.run(handle.newest()));
