--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -34,6 +34,9 @@
     evacuation_moves: Counter<u64>,
     updates: Counter<u64>,
     update_bytes: Counter<u64>,
+    list_pages: Counter<u64>,
+    load_reads: Counter<u64>,
+    load_interval: Gauge<f64>,
 }
 
 impl Metrics {
@@ -82,6 +85,13 @@
                 "update_bytes",
                 "Bytes of updates of observations sent by kind",
             ),
+            list_pages: count("list_pages", "Pages of the platform's list by outcome"),
+            load_reads: count("load_reads", "Reads of load reports by outcome"),
+            load_interval: meter
+                .f64_gauge("sardinerelay_load_interval")
+                .with_unit("s")
+                .with_description("Interval between reads of a load report")
+                .build(),
             export,
         })
     }
@@ -157,6 +167,21 @@
         self.update_bytes.add(bytes as u64, &labels);
     }
 
+    /// Records that a page of the platform's list was asked for.
+    pub fn record_list_page(&self, outcome: &'static str) {
+        self.list_pages.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records that a load report was asked for.
+    pub fn record_load_read(&self, outcome: &'static str) {
+        self.load_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the interval at which this host reads the report of an engine.
+    pub fn record_load_interval(&self, interval: Duration) {
+        self.load_interval.record(interval.as_secs_f64(), &[]);
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/observations/publisher.rs
+++ b/crates/sardinerelay-gateway/src/observations/publisher.rs
@@ -11,7 +11,7 @@
     crate::{
         limit::{Rate, permit},
         quarantine::{Refused, Subject},
-        targets::{FRESH_REPORT_AGE, SILENT_REPORT_AGE, instant_before},
+        targets::{ReportAges, instant_before},
     },
     compact_str::CompactString,
     sardinerelay::id::{Incarnation, Target},
@@ -352,8 +352,10 @@
     /// received, or else by the load reports, as [`crate::targets::Targets::is_silent`] does.
     fn publish_silence(&mut self, observations: &Observations, now: Instant) {
         let age = |read: Instant| now.saturating_duration_since(read);
-        let mut loads = self.items.values().filter_map(|item| item.load);
-        let do_reports_arrive = loads.any(|(_, read)| age(read) < FRESH_REPORT_AGE);
+        let loads = self.items.values().filter_map(|item| item.load);
+        let readers = observations.readers.len().max(1);
+        let ages = ReportAges::new(loads.clone().count().div_ceil(readers));
+        let do_reports_arrive = loads.into_iter().any(|(_, read)| age(read) < ages.fresh);
         let told = observations.signs.as_ref().map(|signs| -> HashSet<_> {
             let silent = signs.iter().filter(|sign| sign.is_silent);
             silent
@@ -364,7 +366,7 @@
             let is_silent = match &told {
                 Some(told) => told.contains(&(&item.instance.target, item.instance.incarnation)),
                 None => {
-                    let is_old = |(_, read)| age(read) > SILENT_REPORT_AGE;
+                    let is_old = |(_, read)| age(read) > ages.silent;
                     do_reports_arrive && item.load.is_some_and(is_old)
                 }
             };
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -215,7 +215,8 @@
     .await
     .with_context(|| format!("listening on {metrics_address}"))?;
     let operators = (handle.clone(), settings.zones());
-    control::listen(settings.control_address, codec, operators, metrics)
+    let control_metrics = Arc::clone(&metrics);
+    control::listen(settings.control_address, codec, operators, control_metrics)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
     tokio::spawn(follow::republish(
@@ -228,7 +229,7 @@
         codec,
         list_source,
         (observations, followers),
-        allocator,
+        (allocator, metrics),
         (handle.leads_or_leaderless(), handle.leads()),
     ));
     tokio::spawn(observer.run(handle.newest()));
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -22,6 +22,7 @@
         health::Health,
         limit::Limit,
         observations::{Instance, Observations, Sign},
+        observer::schedule,
     },
     sardinerelay::{
         estimate::{Speed, Typical},
@@ -42,11 +43,31 @@
 const LEFT_RETENTION: Duration = Duration::from_secs(120);
 /// Age of a target's load report from which it counts as silent if other targets' reports are
 /// fresh. It is longer than the longest interval between reads, one repeated read and a publication.
-pub(crate) const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
+const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
 /// Age below which another target's load report shows that reports arrive at all. When no reports
 /// arrive any more, the newest is up to an interval between reads younger than the oldest, so this
 /// is shorter than [`SILENT_REPORT_AGE`] by at least that.
-pub(crate) const FRESH_REPORT_AGE: Duration = Duration::from_millis(300);
+const FRESH_REPORT_AGE: Duration = Duration::from_millis(300);
+/// Ages of load reports by which silent engines are recognised.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReportAges {
+    /// Age from which an engine counts as silent if the reports of others are fresh.
+    pub(crate) silent: Duration,
+    /// Age below which a report shows that reports arrive at all.
+    pub(crate) fresh: Duration,
+}
+
+impl ReportAges {
+    /// Returns the ages if one host reads the reports of this many engines.
+    pub(crate) fn new(engines_per_reader: usize) -> Self {
+        let stretch = schedule::stretch(engines_per_reader);
+        Self {
+            silent: SILENT_REPORT_AGE.mul_f64(stretch),
+            fresh: FRESH_REPORT_AGE.mul_f64(stretch),
+        }
+    }
+}
+
 /// Age of a load report from which the target's load counts as unknown.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -68,6 +89,9 @@
     unannounced_ends: HashMap<Service, Instant>,
     /// Largest number of entry hosts in any observations.
     entry_hosts: u32,
+    /// Number of engines whose reports one host reads. The ages from which an engine counts as silent grow with
+    /// it, as the intervals between reads do.
+    engines_per_reader: usize,
     /// The builds that were listed lately.
     pub builds: builds::History,
     /// Which zones are evacuated.
@@ -111,6 +135,7 @@
             self.orders.record_list(confirmed);
             self.merge_list(observations, now, &mut changes);
         }
+        self.count_engines(observations);
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
             let Some(state) = self.states.get_mut(&report.target) else {
@@ -158,6 +183,20 @@
         }
     }
 
+    /// Counts the targets of the services whose targets report their load.
+    fn count_engines(&mut self, observations: &Observations) {
+        let reported = observations.loads.iter();
+        let reported = reported.filter_map(|report| self.states.get(&report.target));
+        let services: HashSet<&Service> = reported.map(|state| &state.instance.service).collect();
+        if services.is_empty() {
+            return;
+        }
+        let engines = self.states.values();
+        let engines = engines.filter(|state| services.contains(&state.instance.service));
+        let readers = observations.readers.len().max(1);
+        self.engines_per_reader = engines.count().div_ceil(readers);
+    }
+
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
         for instance in instances {
@@ -212,12 +251,11 @@
         {
             return true;
         }
-        let is_old = state
-            .load
-            .is_some_and(|(_, read)| age(read) > SILENT_REPORT_AGE);
+        let ages = ReportAges::new(self.engines_per_reader);
+        let is_old = state.load.is_some_and(|(_, read)| age(read) > ages.silent);
         is_old && {
             let mut loads = self.states.values().filter_map(|other| other.load);
-            loads.any(|(_, read)| age(read) < FRESH_REPORT_AGE)
+            loads.any(|(_, read)| age(read) < ages.fresh)
         }
     }
 
