--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limiter;
 pub mod operator;
 pub mod orders;
+pub mod pacing;
 pub mod raft;
 pub mod refusal_code;
 pub mod resume;
