Keep cold targets within the rate that their service states

The configuration's coldPerS and coldStartS, the settings bounds.coldOverrun and bounds.coldSlack and Cold-Ms in answers are read. The allocating host paces engines of such a service at all times and gives permits for cold plain targets; hosts on their own use the hash of sardinerelay::pacing. Requests that get 421 and refused reservations are given back. Cold engines get short prompts first. Services without coldPerS are decided as before.

--- a/crates/sardinerelay-gateway/examples/permit_cost.rs
+++ b/crates/sardinerelay-gateway/examples/permit_cost.rs
@@ -62,6 +62,7 @@
     Request {
         targets: (0..3).map(|next| known((first + next) % count)).collect(),
         max_wait: Duration::ZERO,
+        cold: Vec::new(),
     }
 }
 
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -22,6 +22,7 @@
         origin::Origins,
         placement::{self, Choice, Need, Secondary},
         quarantine::{Quarantine, Rules},
+        settings,
         targets::{Change, MemoryClaim, RunId, Targets, instant_before},
     },
     log::info,
@@ -120,6 +121,13 @@
         }
     }
 
+    /// Applies the settings of this host.
+    pub fn configure(&self, settings: &settings::Common) {
+        let mut state = self.state();
+        state.targets.pacing.host = settings.host.clone();
+        state.targets.pacing.tolerance = settings.cold_tolerance;
+    }
+
     /// Locks the state. Callers must not hold the lock for longer than a decision takes.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/sardinerelay-gateway/src/allocator/limits.rs
+++ b/crates/sardinerelay-gateway/src/allocator/limits.rs
@@ -2,16 +2,18 @@
 
 use {
     super::Allocator,
-    crate::{
-        limit::{Statement, permit},
-        observations::Instance,
-    },
+    crate::{limit::permit, observations::Instance, statement, table},
     std::time::Instant,
 };
 
 impl Allocator {
-    /// Records what an engine's load report states about its rate limit.
-    pub fn record_limit(&self, engine: &Instance, statement: Statement, sent: Instant) {
+    /// Records what an engine's load report states of the engine itself.
+    pub fn record_statement(
+        &self,
+        engine: &Instance,
+        statement: &statement::Statement,
+        sent: Instant,
+    ) {
         let now = Instant::now();
         let mut state = self.state();
         let known = state.targets.get(&engine.target);
@@ -19,12 +21,22 @@
             return;
         }
         let target = &engine.target;
-        let change = state.targets.record_limit(target, statement, sent, now);
+        if let Some(left) = statement.cold {
+            state.targets.record_cold(target, left, now);
+        }
+        let change = state
+            .targets
+            .record_limit(target, statement.limit, sent, now);
         if change.is_some() {
             self.decide(&mut state, now);
         }
     }
 
+    /// Sets which services state how many requests a cold target can handle.
+    pub fn set_services(&self, services: &[table::Service]) {
+        self.state().targets.set_paced_services(services);
+    }
+
     /// Grants a permit to send a call to a target that states a rate limit.
     pub fn grant(&self, request: &permit::Request) -> permit::Reply {
         let mut state = self.state();
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -114,6 +114,8 @@
         reports: UnboundedSender<Report>,
     ) -> Self {
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
+        let allocator = Allocator::new(Scope::Local);
+        allocator.configure(&settings.common);
         Self {
             reports,
             settings,
@@ -123,7 +125,7 @@
             request_memory: body::Memory::new(REQUEST_MEMORY_BYTES),
             metrics,
             drain: Drain::default(),
-            allocator: Allocator::new(Scope::Local),
+            allocator,
             remote: RemoteAllocator::default(),
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
--- a/crates/sardinerelay-gateway/src/entry/statements.rs
+++ b/crates/sardinerelay-gateway/src/entry/statements.rs
@@ -30,6 +30,9 @@
         let change = state
             .targets
             .record_limit(target, statement.limit, sent, now);
+        if let Some(left) = statement.cold {
+            state.targets.record_cold(target, left, now);
+        }
         if statement.is_leaving && state.targets.mark_leaving(target, now) {
             info!(target_id = target.as_str(); "target says that it leaves");
             self.metrics.record_statement("leaving");
@@ -66,6 +69,18 @@
         }
     }
 
+    /// Gives back a request that another target turned away, here and at the allocating host.
+    pub fn record_misdirected(&self, target: &Target) {
+        let mut state = self.state();
+        let Some(known) = state.targets.get(target) else {
+            return;
+        };
+        let misdirected = (target.clone(), known.instance.incarnation);
+        state.targets.give_back(&misdirected, Instant::now());
+        drop(state);
+        self.report(misdirected);
+    }
+
     /// Returns the time after which a target of the service takes work again, if none does now because
     /// they want no requests from this host. It is spread, so that callers don't return together.
     pub fn rest_of_all(&self, service: &Service) -> Option<Duration> {
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -122,6 +122,7 @@
         let began = Instant::now();
         match control::check(self.entry.codec, &text) {
             Ok(table) => {
+                self.entry.allocator.set_services(table.services());
                 self.entry.table.store(Some(Arc::new(table)));
                 let (took_ms, check_ms) = (receipt.took.as_millis(), began.elapsed().as_millis());
                 info!(
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -16,7 +16,7 @@
         observations::{Followers, Observations, ObservationsSender, or_default},
         origin::{Began, Query},
         placement::Need,
-        targets::RunId,
+        targets::{Misdirected, RunId},
     },
     compact_str::CompactString,
     jsonrpsee::{
@@ -67,6 +67,8 @@
 pub const LIMIT_METHOD: &str = "limit.report";
 /// Notifies the allocating host of [`RequestReport`]s.
 pub const REQUEST_METHOD: &str = "quarantine.report";
+/// Notifies the allocating host of requests that were counted for a target and turned away with 421.
+pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -381,6 +383,7 @@
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
             _ => Ok(()),
         };
@@ -424,6 +427,16 @@
         Ok(())
     }
 
+    /// Gives back requests that targets didn't get.
+    fn give_back(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(misdirected),): (Packed<Vec<Misdirected>>,) = serde_json::from_str(parameters)?;
+        let mut state = self.allocator.state();
+        for target in &misdirected {
+            state.targets.give_back(target, Instant::now());
+        }
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
@@ -445,7 +458,13 @@
                     let mut state = self.allocator.state();
                     state.targets.record_remote_send(&sent, Instant::now());
                 }
-                AllocationReport::Full(target) => self.allocator.record_no_room(&target),
+                AllocationReport::Full(target) => {
+                    // The engine refused the memory, so the generation wasn't sent there.
+                    let mut state = self.allocator.state();
+                    state.targets.give_back_any(&target, Instant::now());
+                    drop(state);
+                    self.allocator.record_no_room(&target);
+                }
                 AllocationReport::Started(run) => self.allocator.record_answered(run),
                 AllocationReport::Ended(run) => self.allocator.release(run),
                 AllocationReport::Moved(run, succeeded) => {
--- a/crates/sardinerelay-gateway/src/limit/permit.rs
+++ b/crates/sardinerelay-gateway/src/limit/permit.rs
@@ -8,6 +8,7 @@
     super::{Described, Limit, Rate, Reached, Statement},
     crate::{
         allocator::Scope,
+        observations::or_default,
         targets::{State, Targets, instant_before},
     },
     log::info,
@@ -43,6 +44,9 @@
     pub targets: Vec<Known>,
     /// Time for which the call can wait.
     pub max_wait: Duration,
+    /// Whether the host knows each of the targets to be cold. Hosts of earlier versions don't send it.
+    #[serde(deserialize_with = "or_default")]
+    pub cold: Vec<bool>,
 }
 
 /// The reply to a [`Request`].
@@ -91,15 +95,25 @@
         let share = self.limit_share(scope);
         let mut retry_after: Option<Duration> = None;
         for (position, known) in request.targets.iter().enumerate() {
+            let is_cold = request.cold.get(position).copied().unwrap_or_default();
             let Some(limit) = self.limit_mut(&known.target, known.incarnation) else {
                 continue;
             };
             if let Some(rate) = known.rate {
                 limit.adopt_if_unknown(rate, now);
             }
-            match limit.take(share, request.max_wait, now) {
+            let paced = self.take_pace(&known.target, (scope, is_cold), now);
+            let taken = match (paced, self.limit_mut(&known.target, known.incarnation)) {
+                (Ok(()), Some(limit)) => limit.take(share, request.max_wait, now),
+                (Err(retry_after), _) => Err(Reached { retry_after }),
+                (_, None) => continue,
+            };
+            match taken {
                 Ok(wait) => return Reply::Granted(position as u32, wait),
                 Err(Reached { retry_after: after }) => {
+                    if paced.is_ok() {
+                        self.give_back(&(known.target.clone(), known.incarnation), now);
+                    }
                     retry_after = Some(retry_after.map_or(after, |before| before.min(after)));
                 }
             }
@@ -113,6 +127,7 @@
         if let Some(state) = self.get_mut(target) {
             state.limit.charge(share, now);
         }
+        self.charge_pace(target, now);
     }
 
     /// Records what the response to a request states that was sent to a target at `sent`. Returns the
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -270,7 +270,7 @@
             Ok(mut load) => {
                 let head = (self.codec.parse_response_head)(response.headers());
                 self.allocator
-                    .record_limit(engine, head.statement.limit, sent);
+                    .record_statement(engine, &head.statement, sent);
                 load.leaving |= head.statement.is_leaving;
                 let key = (engine.target.clone(), engine.incarnation);
                 let mut state = self.state();
@@ -364,6 +364,7 @@
             if let Some(document) = document {
                 match (self.codec.parse_configuration)(&document.body).map(Table::check) {
                     Ok(Ok(table)) => {
+                        self.allocator.set_services(table.services());
                         let engines = table.services().iter();
                         let engines = engines.filter(|service| service.engine.is_some());
                         self.state().engine_services =
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -5,6 +5,8 @@
 //! notice, and placed only where memory would otherwise stay free: otherwise copies take the links and
 //! the memory that generations need to move. See `docs/design/migration.md`.
 
+mod cold;
+
 use {
     crate::{
         allocator::Scope,
@@ -156,6 +158,7 @@
     let mut feasible: Vec<(f64, &State)> = candidates
         .iter()
         .filter(|state| state.limit.has_permit(share, now))
+        .filter(|state| targets.has_pace(state, scope, now))
         .filter_map(|state| {
             let read_wait = state.backlog.estimated_wait(need.prompt_tokens, now);
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
@@ -168,6 +171,7 @@
             ))
         })
         .collect();
+    cold::arrange(&mut feasible, targets, need, now);
     feasible.shuffle(rng);
     let shared = need.shared_tokens as f64 / need.prompt_tokens.max(1) as f64;
     if shared >= MIN_SHARED_RATIO {
@@ -225,6 +229,11 @@
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
+        .filter(|state| match secondary {
+            // A generation that continues from its copy can't wait until its engine has room.
+            Secondary::Copy => !targets.is_paced(state, now),
+            Secondary::Move => targets.has_pace(state, scope, now),
+        })
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = committed_share(state, need, now)
--- a/crates/sardinerelay-gateway/src/plain/choice.rs
+++ b/crates/sardinerelay-gateway/src/plain/choice.rs
@@ -8,7 +8,7 @@
         limit::permit::{Known, Reply, Request},
         placement,
         request::Job,
-        targets::State,
+        targets::{State, Targets},
     },
     rand::Rng as _,
     sardinerelay::id::Target,
@@ -45,15 +45,19 @@
     known: Known,
     /// Whether it may get the call only with a permit.
     is_limited: bool,
+    /// Whether it is cold, and may therefore get only a part of the calls.
+    is_cold: bool,
     /// For how long this host isn't given permits for it.
     denied_for: Duration,
 }
 
 impl Candidate {
-    fn new(state: &State, now: Instant) -> Self {
+    fn new(targets: &Targets, state: &State, now: Instant) -> Self {
+        let is_cold = targets.is_paced(state, now);
         Self {
+            is_cold,
             known: state.known_limit(),
-            is_limited: state.limit.is_limited(now),
+            is_limited: is_cold || state.limit.is_limited(now),
             denied_for: state.limit.denied_for(now),
         }
     }
@@ -101,7 +105,7 @@
     let ranked = placement::rank_plain(&state.targets, constraints, &mut rand::rng(), now);
     ranked
         .into_iter()
-        .map(|state| Candidate::new(state, now))
+        .map(|known| Candidate::new(&state.targets, known, now))
         .collect()
 }
 
@@ -120,12 +124,18 @@
 async fn take_permit(job: &Job, limited: &[Candidate], max_wait: Duration) -> Permit {
     let can_be_asked = |candidate: &&Candidate| candidate.denied_for <= max_wait;
     let asked = limited.iter().filter(can_be_asked);
-    let targets: Vec<Known> = asked.map(|candidate| candidate.known.clone()).collect();
+    let (targets, cold): (Vec<Known>, Vec<bool>) = asked
+        .map(|candidate| (candidate.known.clone(), candidate.is_cold))
+        .unzip();
     if targets.is_empty() {
         let denied = limited.iter().map(|candidate| candidate.denied_for);
         return denied.min().map_or(Permit::Unavailable, Permit::Refused);
     }
-    let request = Request { targets, max_wait };
+    let request = Request {
+        targets,
+        max_wait,
+        cold,
+    };
     let reply = job.entry.acquire_permit(request.clone()).await;
     job.entry.metrics.record_permit(reply.label());
     match reply {
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -4,11 +4,12 @@
     crate::{
         entry::EntryHost,
         group::{
-            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD,
-            RequestReport,
+            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, REPORT_METHOD,
+            REQUEST_METHOD, RequestReport,
         },
         limit::permit,
         origin::Began,
+        targets::Misdirected,
     },
     log::debug,
     sardinerelayd::peer::Packed,
@@ -29,6 +30,8 @@
     Limit(permit::Change),
     /// What is known of a request that may make targets crash.
     Request(RequestReport),
+    /// A target didn't get a request that was counted for it.
+    Misdirected(Misdirected),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
 }
@@ -45,6 +48,12 @@
     }
 }
 
+impl From<Misdirected> for Report {
+    fn from(misdirected: Misdirected) -> Self {
+        Self::Misdirected(misdirected)
+    }
+}
+
 impl From<Began> for Report {
     fn from(began: Began) -> Self {
         Self::Began(began)
@@ -65,12 +74,14 @@
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut streams) = (Vec::new(), Vec::new());
+        let mut misdirected = Vec::new();
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
                 Report::Allocation(report) => allocations.push(report),
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
+                Report::Misdirected(target) => misdirected.push(target),
                 Report::Began(began) => streams.push(began),
             }
             // Fails when the queue is empty.
@@ -80,6 +91,7 @@
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, REQUEST_METHOD, requests).await;
+        send(&entry, MISDIRECTED_METHOD, misdirected).await;
     }
 }
 
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -150,6 +150,9 @@
             self.entry
                 .record_rest(target, response.status(), head.statement.rest);
         }
+        if class == ResponseClass::NotRun && response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.entry.record_misdirected(target);
+        }
         class
     }
 }
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -3,7 +3,10 @@
 use {
     crate::{budget, reload},
     compact_str::CompactString,
-    sardinerelay::id::{Region, Zone},
+    sardinerelay::{
+        id::{Region, Zone},
+        pacing::Tolerance,
+    },
     std::{
         collections::BTreeMap,
         fmt,
@@ -24,6 +27,8 @@
     pub zone: Zone,
     /// The region of each availability zone.
     pub regions: BTreeMap<Zone, Region>,
+    /// How far beyond the rate that they state cold targets may be loaded.
+    pub cold_tolerance: Tolerance,
     /// This host's address, at which the metrics server and, with a replica, the peer server
     /// listen.
     pub address: Ipv4Addr,
--- a/crates/sardinerelay-gateway/src/statement.rs
+++ b/crates/sardinerelay-gateway/src/statement.rs
@@ -14,6 +14,8 @@
     pub is_leaving: bool,
     /// For how long it wants no requests.
     pub rest: Rest,
+    /// For how long it is still cold, if it says so.
+    pub cold: Option<Duration>,
 }
 
 /// For how long a target that turned a request away wants none from this host.
--- a/crates/sardinerelay-gateway/src/table.rs
+++ b/crates/sardinerelay-gateway/src/table.rs
@@ -80,6 +80,10 @@
     pub max_connections: u32,
     /// Properties of its targets if they are engines, otherwise `None`.
     pub engine: Option<Engine>,
+    /// Requests in a second that a cold target can handle; none if it handles any number.
+    pub cold_rate: Option<f64>,
+    /// Time for which a target is cold after its start, if it is stated.
+    pub cold_start: Option<Duration>,
 }
 
 /// An organisation with its keys.
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -3,10 +3,14 @@
 //! A target that is about to stop never gets new work again in that incarnation, even if an older
 //! list still shows it as staying.
 
+mod pacing;
 mod state;
 mod statements;
 
-pub use self::state::{MemoryClaim, State};
+pub use self::{
+    pacing::{Misdirected, Pacing},
+    state::{MemoryClaim, State},
+};
 
 use {
     crate::{
@@ -18,7 +22,10 @@
         limit::Limit,
         observations::{Instance, Observations},
     },
-    sardinerelay::id::{Incarnation, Service, Target},
+    sardinerelay::{
+        id::{Incarnation, Service, Target},
+        pacing::Window,
+    },
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
@@ -60,6 +67,8 @@
     entry_hosts: u32,
     /// The builds that were listed lately.
     pub builds: builds::History,
+    /// What bounds the requests to cold targets.
+    pub pacing: Pacing,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -82,7 +91,10 @@
     /// ignored.
     pub fn merge(&mut self, observations: &Observations, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
-        self.entry_hosts = self.entry_hosts.max(observations.entry_hosts);
+        if observations.entry_hosts > self.entry_hosts {
+            self.entry_hosts = observations.entry_hosts;
+            self.divide_bounds();
+        }
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
             let last_read = self.list_read.replace(read);
@@ -368,6 +380,8 @@
                 backlog: Backlog::default(),
                 health: Health::default(),
                 cold_until: now,
+                stated_cold_until: None,
+                pace: Window::default(),
                 full_until: None,
                 limit: Limit::default(),
             };
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -8,6 +8,7 @@
         limit::Limit,
         observations::{Instance, Load},
     },
+    sardinerelay::pacing::Window,
     std::{
         collections::{HashMap, VecDeque},
         time::{Duration, Instant},
@@ -71,6 +72,10 @@
     pub health: Health,
     /// Until when it counts as slow after its start.
     pub cold_until: Instant,
+    /// Until when it counts as cold because it has said so itself.
+    pub stated_cold_until: Option<Instant>,
+    /// The requests of the last second, if its service states how many it can handle while cold.
+    pub pace: Window,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
@@ -157,7 +162,7 @@
 
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
-        now < self.cold_until
+        now < self.cold_until || self.stated_cold_until.is_some_and(|until| now < until)
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod decisions {
     mod builds;
+    mod cold;
     mod distribution;
     mod fixtures;
     mod leaving;
--- a/crates/sardinerelay-gateway/tests/decisions/limits.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/limits.rs
@@ -43,6 +43,7 @@
     Request {
         targets: vec![known(number, Some(requests))],
         max_wait: Duration::ZERO,
+        cold: Vec::new(),
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions/table.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/table.rs
@@ -33,6 +33,8 @@
             name: "orders".into(),
             max_connections: 10,
             engine: None,
+            cold_rate: None,
+            cold_start: None,
         }],
         organisations: Some(vec![
             Account {
