Keep requests in the regions that their route and organisation allow

homeRegions of routes and tenants are read. Placement, copies, moves and the plain choice leave out targets in other regions; the allocating host gets the homes at the end of place.acquire and place.relocate, and entry hosts check its replies, since one of the release before ignores the field. Without a reachable target that is allowed the request is refused at once as not run.

--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -17,6 +17,7 @@
 use {
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
+        homes::Regions,
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         origin::Origins,
@@ -126,6 +127,7 @@
         let mut state = self.state();
         state.targets.pacing.host = settings.host.clone();
         state.targets.pacing.tolerance = settings.cold_tolerance;
+        state.targets.regions = Regions::new(settings.regions.clone());
     }
 
     /// Locks the state. Callers must not hold the lock for longer than a decision takes.
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -223,10 +223,21 @@
         let now = Instant::now();
         let mut state = self.state();
         state.targets.add_missing(instances, now);
-        match state.targets.get(&choice.target) {
-            Some(known) => !known.wants_none(now) && need.accepts(&known.instance.build),
-            None => need.build.is_none(),
-        }
+        let targets = &state.targets;
+        let chosen = [Some(&choice.target), choice.copy.as_ref()];
+        let mut chosen = chosen
+            .into_iter()
+            .flatten()
+            .map(|target| targets.get(target));
+        let is_home = chosen.all(|known| match known {
+            Some(known) => targets.allow(&need.homes, known),
+            None => need.homes.is_anywhere(),
+        });
+        is_home
+            && match targets.get(&choice.target) {
+                Some(known) => !known.wants_none(now) && need.accepts(&known.instance.build),
+                None => need.build.is_none(),
+            }
     }
 
     /// Returns for how long a generation is refused because a part of its prompt makes engines
@@ -264,7 +275,14 @@
             return None;
         };
         let mut state = self.state();
+        // An allocating host of an earlier version doesn't know the regions that are allowed.
         state.targets.add_missing(&instances, now);
+        let to = state.targets.get(&choice.target)?;
+        if !state.targets.allow(&departure.need.homes, to) {
+            drop(state);
+            self.report(AllocationReport::Moved(departure.run, false));
+            return None;
+        }
         claim_for_move(&mut state.targets, &departure, &choice.target, now);
         Some((choice.target, allocated_by))
     }
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -215,6 +215,9 @@
         service: service.unwrap_or_default(),
         organisation: account.map(|account| account.name.clone()),
         priority: priority.unwrap_or(route.priority),
+        homes: account.map_or(route.homes.clone(), |account| {
+            route.homes.and(&account.homes)
+        }),
         call,
         arrived,
     })
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -68,6 +68,7 @@
 ///
 /// Returns the refusal that the relay sends as its own response.
 pub async fn serve(job: Job) -> Result<Response<Body>, Refusal> {
+    job.check_homes()?;
     job.entry.record_first_attempt(&job.service);
     let build = taken_up::required_build(&job).await?;
     let need = need(&job, build);
@@ -186,6 +187,7 @@
             && output_tokens >= MIN_COPY_OUTPUT_TOKENS,
         shared_parts,
         build,
+        homes: job.homes.clone(),
     }
 }
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -10,6 +10,7 @@
     crate::{
         allocator::{Allocator, Answer},
         distribution::{Fetch, Watch},
+        homes::Homes,
         limit::permit,
         metrics::Metrics,
         moves::Departure,
@@ -146,6 +147,9 @@
     /// The build that must run it. Hosts of earlier versions don't send it.
     #[serde(deserialize_with = "or_default")]
     pub build: Option<Build>,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// Parameters of [`RELOCATE_METHOD`].
@@ -156,6 +160,9 @@
     /// Longest time that this call may wait.
     #[serde(rename = "wait")]
     pub max_wait: Duration,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// State of a host with a replica that its methods use.
@@ -265,8 +272,13 @@
             remaining,
             max_wait,
             build,
+            homes,
         } = acquire;
-        let need = Need { build, ..need };
+        let need = Need {
+            build,
+            homes,
+            ..need
+        };
         let began = Instant::now();
         let allocator = &context.shared.allocator;
         let reply = allocator
@@ -279,9 +291,11 @@
     module.register_async_method(RELOCATE_METHOD, |parameters, context, _| async move {
         let Packed(relocate): Packed<Relocate> = context.counters.parse_call(&parameters)?;
         let Relocate {
-            departure,
+            mut departure,
             max_wait,
+            homes,
         } = relocate;
+        departure.need.homes = homes;
         let began = Instant::now();
         let reply = context.shared.allocator.relocate(departure, max_wait).await;
         let metrics = &context.shared.metrics;
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod generation;
 pub mod group;
 pub mod health;
+pub mod homes;
 pub mod http_server;
 pub mod limit;
 pub mod logging;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -11,6 +11,7 @@
     crate::{
         allocator::Scope,
         call::{Part, PartId},
+        homes::Homes,
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
@@ -110,6 +111,9 @@
     /// because hosts of earlier versions can't parse a longer one.
     #[serde(skip)]
     pub build: Option<Build>,
+    /// The regions in which it may run. Messages carry them beside the need too.
+    #[serde(skip)]
+    pub homes: Homes,
 }
 
 impl Need {
@@ -153,6 +157,7 @@
         .usable(&need.service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter(|state| need.accepts(&state.instance.build))
+        .filter(|state| targets.allow(&need.homes, state))
         .collect();
     let share = targets.limit_share(scope);
     let mut feasible: Vec<(f64, &State)> = candidates
@@ -229,6 +234,7 @@
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
+        .filter(|state| targets.allow(&need.homes, state))
         .filter(|state| match secondary {
             // A generation that continues from its copy can't wait until its engine has room.
             Secondary::Copy => !targets.is_paced(state, now),
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -81,6 +81,7 @@
 ///
 /// Returns the refusal that the relay sends as its own response.
 pub async fn serve(job: &Job) -> Result<Response<Body>, Refusal> {
+    job.check_homes()?;
     job.entry.record_first_attempt(&job.service);
     let deadline = job.deadline();
     let is_idempotent = job.route.kind == Kind::Idempotent;
--- a/crates/sardinerelay-gateway/src/plain/choice.rs
+++ b/crates/sardinerelay-gateway/src/plain/choice.rs
@@ -105,6 +105,7 @@
     let ranked = placement::rank_plain(&state.targets, constraints, &mut rand::rng(), now);
     ranked
         .into_iter()
+        .filter(|known| state.targets.allow(&job.homes, known))
         .map(|known| Candidate::new(&state.targets, known, now))
         .collect()
 }
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -86,6 +86,7 @@
                 remaining,
                 max_wait: MAX_CALL_WAIT.min(remaining + ALLOCATOR_RESPONSE_MARGIN / 2),
                 build: need.build.clone(),
+                homes: need.homes.clone(),
             });
             match self.call(ACQUIRE_METHOD, &acquire).await? {
                 (Reply::Waiting, _) if !remaining.is_zero() => {}
@@ -100,6 +101,7 @@
         let relocate = Packed(Relocate {
             departure: departure.clone(),
             max_wait: MAX_CALL_WAIT,
+            homes: departure.need.homes.clone(),
         });
         loop {
             match self.call(RELOCATE_METHOD, &relocate).await? {
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -6,7 +6,9 @@
         call::{Call, EventId, Forward, MemoryCopy, ResponseHead},
         entry::EntryHost,
         fingerprint,
+        homes::Homes,
         quarantine::Subject,
+        refusal::Refusal,
         table::{Engine, Route},
     },
     bytes::Bytes,
@@ -14,8 +16,10 @@
     http::{HeaderMap, Request, Response, StatusCode, header, request},
     http_body_util::Full,
     hyper::body::Incoming,
+    rand::{Rng as _, rng},
     sardinerelay::id::{Organisation, Service, Target},
     std::{
+        ops::Range,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -24,6 +28,11 @@
 /// Time by which the relay gives up earlier than the caller, so that its response still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Mean time after which a caller should retry when no target in the allowed regions is reachable.
+const NO_HOME_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Factors by which that time is varied at random, so that callers don't return together.
+const RETRY_AFTER_JITTER: Range<f64> = 0.5..1.5;
+
 /// An authenticated request with its route.
 #[derive(Debug)]
 pub struct Job {
@@ -44,6 +53,8 @@
     pub organisation: Option<Organisation>,
     /// The organisation's priority or, if it has none, the route's; 0 is the most urgent.
     pub priority: u8,
+    /// The regions that its route and its organisation allow.
+    pub homes: Homes,
     /// When its head had arrived. Time limits count from here.
     pub arrived: Instant,
 }
@@ -103,6 +114,23 @@
         service.engine
     }
 
+    /// Refuses the request if no target that this host could reach is in a region that is allowed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub fn check_homes(&self) -> Result<(), Refusal> {
+        let state = self.entry.state();
+        let targets = &state.targets;
+        match targets.lack_home(&self.service, &self.homes, Instant::now()) {
+            false => Ok(()),
+            true => Err(Refusal::NotRun {
+                reason: "no target in the allowed regions can be reached",
+                retry_after: NO_HOME_RETRY_AFTER.mul_f64(rng().random_range(RETRY_AFTER_JITTER)),
+            }),
+        }
+    }
+
     /// Returns how long the caller still waits, or none if it stated no deadline.
     pub fn remaining(&self, now: Instant) -> Option<Duration> {
         let limit = self.call.time_limit?.min(self.route.timeout);
--- a/crates/sardinerelay-gateway/src/table.rs
+++ b/crates/sardinerelay-gateway/src/table.rs
@@ -4,6 +4,7 @@
 //! checked and indexed. A draft with any error is refused as a whole.
 
 use {
+    crate::homes::Homes,
     compact_str::CompactString,
     rand::Rng,
     sardinerelay::id::{self, Organisation, Version},
@@ -53,6 +54,8 @@
     pub max_attempts: u32,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// The regions in which its requests may run.
+    pub homes: Homes,
 }
 
 /// Properties of the engines that a service consists of.
@@ -94,6 +97,8 @@
     pub keys: Vec<CompactString>,
     /// Priority that takes precedence over the route's.
     pub priority: Option<u8>,
+    /// The regions in which its requests may run.
+    pub homes: Homes,
 }
 
 /// What callers may send, and how long they may take.
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -19,6 +19,7 @@
         builds,
         group::LocalAllocation,
         health::Health,
+        homes::{Homes, Regions},
         limit::Limit,
         observations::{Instance, Observations},
     },
@@ -69,6 +70,8 @@
     pub builds: builds::History,
     /// What bounds the requests to cold targets.
     pub pacing: Pacing,
+    /// The region of each availability zone.
+    pub regions: Regions,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -203,6 +206,22 @@
         })
     }
 
+    /// Whether a request with these homes may reach the target.
+    pub fn allow(&self, homes: &Homes, state: &State) -> bool {
+        self.regions.allow(homes, &state.instance.zone)
+    }
+
+    /// Whether the service has targets, of which those that may get work are all outside the homes.
+    pub fn lack_home(&self, service: &str, homes: &Homes, now: Instant) -> bool {
+        let is_listed = || {
+            self.states
+                .values()
+                .any(|state| state.instance.service == service)
+        };
+        let mut usable = self.usable(service, now);
+        !homes.is_anywhere() && is_listed() && !usable.any(|state| self.allow(homes, state))
+    }
+
     /// Records that a request uses memory of a target.
     pub fn claim(&mut self, target: &str, run: RunId, claim: MemoryClaim) {
         if let Some(state) = self.states.get_mut(target) {
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -5,6 +5,7 @@
     mod cold;
     mod distribution;
     mod fixtures;
+    mod homes;
     mod leaving;
     mod limits;
     mod list;
--- a/crates/sardinerelay-gateway/tests/decisions/builds.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/builds.rs
@@ -10,6 +10,7 @@
         allocator::{Answer, Reply, Scope},
         builds::History,
         group::Acquire,
+        homes::Homes,
         observations::{Builds, Instance, Observations},
         origin::{Began, Origins},
         placement::{self, Choice, Need, Secondary},
@@ -244,6 +245,7 @@
         remaining: Duration::from_secs(1),
         max_wait: Duration::from_secs(2),
         build: Some("v1".into()),
+        homes: Homes::new(vec!["north".into()]),
     };
     let earlier: EarlierAcquire = as_earlier(&acquire);
     assert_eq!(
@@ -258,6 +260,7 @@
     };
     let present: Acquire = as_earlier(&earlier);
     assert_eq!((present.run, present.build), (7, None));
+    assert!(present.homes.is_anywhere());
 }
 
 #[test]
--- a/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/fixtures.rs
@@ -91,5 +91,6 @@
         wants_copy: false,
         shared_parts: Vec::new(),
         build: None,
+        homes: Default::default(),
     }
 }
--- a/crates/sardinerelay-gateway/tests/decisions/table.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/table.rs
@@ -22,6 +22,7 @@
         services: vec![("orders".into(), 1)],
         max_attempts: 1,
         is_public: false,
+        homes: Default::default(),
     }
 }
 
@@ -41,11 +42,13 @@
                 name: "north".into(),
                 keys: vec!["n1".into(), "n2".into()],
                 priority: Some(3),
+                homes: Default::default(),
             },
             Account {
                 name: "south".into(),
                 keys: vec!["s1".into()],
                 priority: None,
+                homes: Default::default(),
             },
         ]),
         limits: Limits {
