Don't take an answer with the status of no answer for one

The HTTP parser accepts any status of three digits from 100, and passes on 101. Both programs passed such answers on, and took a refusal with one for certain. A status outside 200 to 599 now leaves the outcome unknown, as a broken connection does.

All places where a target's status is read: gateway request::classify (plain calls and generations) and Pool::call (load reports, list, reservations, transfers); daemon engine::check_status, Client::short_call, engine::order::exchange and service::send.

--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -7,10 +7,10 @@
 //! therefore used only for a request whose answer can be told from the one before; see [`Purpose`].
 
 use {
-    crate::{body, observations::Instance},
+    crate::{body, observations::Instance, request::is_answer},
     bytes::Bytes,
     compact_str::CompactString,
-    http::{HeaderMap, Request, Response, header::CONNECTION, header::HeaderName},
+    http::{HeaderMap, Request, Response, StatusCode, header::CONNECTION, header::HeaderName},
     http_body_util::Full,
     hyper::{
         body::Incoming,
@@ -84,6 +84,9 @@
     /// The response names the attempt before on the connection.
     #[error("the response to the request before came once more")]
     Repeated,
+    /// The response has a status that ends no request.
+    #[error("the response has status {0}")]
+    Status(StatusCode),
     /// The response's body was not read in full.
     #[error("reading the response failed: {0}")]
     Body(#[source] body::Error),
@@ -255,6 +258,9 @@
             if exchange.answers_previous(&response) {
                 return Err(SendError::NoResponse(Cause::Repeated));
             }
+            if !is_answer(response.status()) {
+                return Err(SendError::NoResponse(Cause::Status(response.status())));
+            }
             let (parts, body) = response.into_parts();
             let limits = body::Limits {
                 max_bytes: MAX_OWN_RESPONSE_BYTES,
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -192,6 +192,9 @@
 /// address. Anything else counts as the target's only if it bears the target's signature and is not
 /// encoded.
 pub fn classify(id: &CompactString, status: StatusCode, head: &ResponseHead) -> ResponseClass {
+    if !is_answer(status) {
+        return ResponseClass::Untrusted;
+    }
     let is_own = head.id.as_ref() == Some(id);
     if is_own && (head.not_run || status == StatusCode::MISDIRECTED_REQUEST) {
         return ResponseClass::NotRun;
@@ -206,6 +209,12 @@
     }
 }
 
+/// Whether a target may end a request with this status. The parser accepts any status of three digits from
+/// 100, and passes on 101 as if it were the last one.
+pub fn is_answer(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Returns the path and query for the request line, also if the caller sent an absolute URI.
 fn origin_form(head: &request::Parts) -> http::Uri {
     let path = head.uri.path_and_query().cloned();
--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -311,6 +311,9 @@
         let exchange = async {
             let response = client.request(request).await.map_err(classify)?;
             let status = response.status();
+            if !is_answer(status) {
+                return Err(Error::InvalidResponse);
+            }
             let body = read_body(response.into_body()).await?;
             match status {
                 // A generation that no longer exists need not be cancelled.
@@ -352,9 +355,18 @@
     named.is_some_and(|named| named.as_bytes() != generation.to_string().as_bytes())
 }
 
+/// Whether a target may end a request with this status. The parser accepts any status of three digits from
+/// 100, and passes on 101 as if it were the last one.
+pub(crate) fn is_answer(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Returns the body of a successful response, or the error that the engine reports.
 async fn check_status(response: http::Response<Incoming>) -> Result<Incoming, Error> {
     let status = response.status();
+    if !is_answer(status) {
+        return Err(Error::InvalidResponse);
+    }
     if status.is_success() {
         return Ok(response.into_body());
     }
--- a/crates/sardinerelayd/src/engine/order.rs
+++ b/crates/sardinerelayd/src/engine/order.rs
@@ -4,7 +4,7 @@
 //! system call lies between the check and the sending. See `docs/design/orders.md`.
 
 use {
-    super::{ENGINE_CONNECT_TIMEOUT, ErrorResponse, read_body},
+    super::{ENGINE_CONNECT_TIMEOUT, ErrorResponse, is_answer, read_body},
     bytes::Bytes,
     compact_str::CompactString,
     http::{Method, Request, StatusCode, header},
@@ -172,6 +172,9 @@
     let answer = async {
         let response = sender.send_request(request).await.ok()?;
         let status = response.status();
+        if !is_answer(status) {
+            return None;
+        }
         if status.is_success() {
             return Some(Outcome::Accepted);
         }
--- a/crates/sardinerelayd/src/service.rs
+++ b/crates/sardinerelayd/src/service.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        engine::is_answer,
         filter::identify::{Caller, authenticate, read_body, request_id},
         intent::{Decision, LedgerClient},
         refusal::{Code, Refusal},
@@ -318,6 +319,9 @@
                     }
                     SendError::Unanswered(server.name.clone())
                 })?;
+            if !is_answer(response.status()) {
+                return Err(SendError::Unanswered(server.name.clone()));
+            }
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, MAX_SERVICE_RESPONSE_BYTES)
                 .collect()
--- a/crates/sardinerelayd/tests/e2e/calls.rs
+++ b/crates/sardinerelayd/tests/e2e/calls.rs
@@ -6,8 +6,13 @@
         harness::{Cluster, Process, api_key, eventually, start_standin, test_sheet},
     },
     http::Method,
+    rstest::rstest,
     serde_json::Value,
     std::net::SocketAddr,
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpListener,
+    },
     uuid::Uuid,
 };
 
@@ -212,3 +217,57 @@
     );
     assert_eq!(run_count(&again, &id).await, 1);
 }
+
+/// Starts a service that answers each call with these bytes and closes the connection.
+async fn start_raw_service(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            if stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                // The relay may have closed the connection.
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    });
+    address
+}
+
+/// Guards against an answer with the status of no answer that reaches the caller, or that is stored as the
+/// answer of a keyed call.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_valid_status_is_none(
+    #[values(
+        "000 Nothing",
+        "099 Low",
+        "600 High",
+        "999 High",
+        "101 Switching Protocols",
+        "100 Continue\r\n\r\nHTTP/1.1 100 Continue",
+        "2000 Long",
+        "20"
+    )]
+    status: &str,
+) {
+    let answer = match status {
+        "20" => "HTTP/1.1 20".to_owned(),
+        status if status.starts_with('1') => format!("HTTP/1.1 {status}\r\nX-Odd: 1\r\n\r\n"),
+        status => format!("HTTP/1.1 {status}\r\nX-Odd: 1\r\nContent-Length: 4\r\n\r\ndone"),
+    };
+    let service = start_raw_service(answer).await;
+    let mut cluster = Cluster::new(1, 1, &["--bootstrap"]);
+    cluster.start();
+    cluster.put_in_force(&test_sheet(1, &[], &[service])).await;
+    let address = cluster.listen_address(0);
+    let id = Uuid::now_v7().to_string();
+    for _ in 0..2 {
+        let (status, code, text) = place_order(address, "brakeline", &id, "punch 7").await;
+        assert_eq!((status, code.as_str()), (409, "outcome_unknown"), "{text}");
+    }
+    let authorization = format!("Bearer {}", api_key("brakeline"));
+    let headers = [("authorization", authorization.as_str())];
+    let (status, text) = client::send(address, Method::GET, "/shop/stock", &headers, "").await;
+    assert_eq!(status, 409, "{text}");
+}
--- a/crates/sardinerelayd/tests/engine.rs
+++ b/crates/sardinerelayd/tests/engine.rs
@@ -59,3 +59,52 @@
         .expect_err("an error");
     assert_eq!(error.is_not_run(), is_not_run, "{error}");
 }
+
+/// Guards against an answer with the status of no answer that counts as a refusal, or as a stream.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_valid_status_leaves_the_outcome_unknown(
+    #[values(
+        "000 Nothing",
+        "099 Low",
+        "600 High",
+        "999 High",
+        "101 Switching Protocols",
+        "100 Continue\r\n\r\nHTTP/1.1 100 Continue",
+        "2000 Long",
+        "20"
+    )]
+    status: &'static str,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1024];
+        let received = stream.read(&mut request).await.expect("a request");
+        assert_ne!(received, 0);
+        let body = r#"{"error":{"message":"full","code":"full","run":"not_run"}}"#;
+        let head = format!("HTTP/1.1 {status}\r\nx-generation: {OWN}\r\n");
+        let answer = match status {
+            "20" => "HTTP/1.1 20".to_owned(),
+            "101 Switching Protocols" => format!("{head}\r\n{body}"),
+            status if status.starts_with("100") => format!("{head}\r\n"),
+            _ => format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()),
+        };
+        // Ends the connection too.
+        stream.write_all(answer.as_bytes()).await.expect("a write");
+    });
+    let start = StartRequest {
+        address,
+        path: "/v1/completions",
+        generation: OWN,
+        request_id: HeaderValue::from_static("r"),
+        priority: 0,
+        body: Bytes::from_static(b"{}"),
+    };
+    let error = Client::new()
+        .start(&start, WAIT)
+        .await
+        .expect_err("an error");
+    assert!(!error.is_not_run(), "{error}");
+}
