Close connections of callers that read nothing for 10 s

A plain call's answer that its caller doesn't read kept its claim on the 8 MiB that all long answers share, for as long as the connection was open, and other long answers had an unknown outcome. A stream whose deadline had passed waited for its caller to read before it released its engine. The kernel now closes a connection whose caller reads nothing for 10 s, and the stream's end doesn't wait.

--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -16,6 +16,7 @@
     log::{debug, info, warn},
     rand::Rng as _,
     sardinerelayd::stop::RequestGuard,
+    socket2::SockRef,
     std::{convert::Infallible, sync::Arc, time::Duration, time::Instant},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -32,6 +33,9 @@
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time after which a caller should retry if this host is stopping.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time after which a connection is closed whose caller reads nothing although there is something to read.
+/// What it doesn't read occupies memory that other requests need.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest read buffer that hyper accepts, in bytes. It panics if asked for a smaller one.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 /// Limits that apply to callers until a configuration is in force.
@@ -77,6 +81,10 @@
         debug!("setting TCP_NODELAY on a caller's connection failed: {error}");
         return;
     }
+    let socket = SockRef::from(&stream);
+    if let Err(error) = socket.set_tcp_user_timeout(Some(UNREAD_TIMEOUT)) {
+        debug!("limiting a caller's unread time failed: {error}");
+    }
     let limits = limits(&entry);
     let service = service_fn(|request| {
         let entry = Arc::clone(&entry);
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -164,7 +164,7 @@
                 StreamEnd::Complete => break "complete",
                 StreamEnd::CallerLeft => break "left",
                 StreamEnd::TimedOut => {
-                    self.abort("the deadline has passed").await;
+                    self.abort("the deadline has passed");
                     break "late";
                 }
                 StreamEnd::Broken(reason) => {
@@ -175,7 +175,7 @@
                         reopened = self.reopen() => reopened.map(|(_, source)| source),
                     };
                     if source.is_none() {
-                        self.abort(reason).await;
+                        self.abort(reason);
                     }
                 }
                 StreamEnd::Moved(moved, to) => {
@@ -185,8 +185,7 @@
                         reopened = self.reopen_moved(moved, to) => reopened.map(|(_, source)| source),
                     };
                     if source.is_none() {
-                        self.abort("the engine that it was moved to did not continue it")
-                            .await;
+                        self.abort("the engine that it was moved to did not continue it");
                     }
                 }
             }
@@ -412,9 +411,14 @@
     }
 
     /// Closes the caller's connection, so that the response doesn't look complete.
-    async fn abort(&self, reason: &'static str) {
-        // Sending fails only if the caller has closed the connection already.
-        let _ = self.chunks.send(Err(StreamAborted(reason))).await;
+    ///
+    /// Doesn't wait until the caller reads, so that the memory at the engine is released in any case.
+    fn abort(&self, reason: &'static str) {
+        let chunks = self.chunks.clone();
+        tokio::spawn(async move {
+            // Sending fails only if the caller has closed the connection already.
+            let _ = chunks.send(Err(StreamAborted(reason))).await;
+        });
     }
 
     /// Logs that the engine failed. Unless it was leaving, this counts against its health.
