--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -18,11 +18,13 @@
     crate::{
         admission::{Decision, Queue, RefusalReason, Waiter},
         group::Evacuations,
+        homes::Regions,
         moves::{Departure, Moves},
         observations::{Instance, Observations},
         origin::Origins,
         placement::{self, Choice, Need, Secondary},
         quarantine::{Quarantine, Rules},
+        settings,
         targets::{Change, MemoryClaim, RunId, Targets, instant_before},
     },
     log::info,
@@ -121,6 +123,14 @@
         }
     }
 
+    /// Applies the settings of this host.
+    pub fn configure(&self, settings: &settings::Common) {
+        let mut state = self.state();
+        state.targets.pacing.host = settings.host.clone();
+        state.targets.pacing.tolerance = settings.cold_tolerance;
+        state.targets.regions = Regions::new(settings.regions.clone());
+    }
+
     /// Locks the state. Callers must not hold the lock for longer than a decision takes.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -11,6 +11,7 @@
     crate::{
         allocator::{Allocator, Answer},
         distribution::{Fetch, Watch},
+        homes::Homes,
         limit::permit,
         metrics::Metrics,
         moves::Departure,
@@ -20,7 +21,7 @@
         origin::{Began, Query},
         pace::Pace,
         placement::Need,
-        targets::RunId,
+        targets::{Misdirected, RunId},
     },
     compact_str::CompactString,
     jsonrpsee::{
@@ -84,6 +85,8 @@
 pub const REQUEST_METHOD: &str = "quarantine.report";
 /// Notifies the allocating host of [`Pace`]s. Hosts of earlier versions ignore it.
 pub const PACE_METHOD: &str = "pace.report";
+/// Notifies the allocating host of requests that were counted for a target and turned away with 421.
+pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -185,6 +188,9 @@
     /// The build that must run it. Hosts of earlier versions don't send it.
     #[serde(deserialize_with = "or_default")]
     pub build: Option<Build>,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// Parameters of [`RELOCATE_METHOD`].
@@ -195,6 +201,9 @@
     /// Longest time that this call may wait.
     #[serde(rename = "wait")]
     pub max_wait: Duration,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// State of a host with a replica that its methods use.
@@ -332,8 +341,13 @@
             remaining,
             max_wait,
             build,
+            homes,
         } = acquire;
-        let need = Need { build, ..need };
+        let need = Need {
+            build,
+            homes,
+            ..need
+        };
         let began = Instant::now();
         let allocator = &context.shared.allocator;
         let reply = allocator
@@ -346,9 +360,11 @@
     module.register_async_method(RELOCATE_METHOD, |parameters, context, _| async move {
         let Packed(relocate): Packed<Relocate> = context.counters.parse_call(&parameters)?;
         let Relocate {
-            departure,
+            mut departure,
             max_wait,
+            homes,
         } = relocate;
+        departure.need.homes = homes;
         let began = Instant::now();
         let reply = context.shared.allocator.relocate(departure, max_wait).await;
         let metrics = &context.shared.metrics;
@@ -485,6 +501,7 @@
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
             PACE_METHOD => context.apply_paces(parameters),
             _ => Ok(()),
@@ -540,6 +557,16 @@
         Ok(())
     }
 
+    /// Gives back requests that targets didn't get.
+    fn give_back(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(misdirected),): (Packed<Vec<Misdirected>>,) = serde_json::from_str(parameters)?;
+        let mut state = self.allocator.state();
+        for target in &misdirected {
+            state.targets.give_back(target, Instant::now());
+        }
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
@@ -561,7 +588,13 @@
                     let mut state = self.allocator.state();
                     state.targets.record_remote_send(&sent, Instant::now());
                 }
-                AllocationReport::Full(target) => self.allocator.record_no_room(&target),
+                AllocationReport::Full(target) => {
+                    // The engine refused the memory, so the generation wasn't sent there.
+                    let mut state = self.allocator.state();
+                    state.targets.give_back_any(&target, Instant::now());
+                    drop(state);
+                    self.allocator.record_no_room(&target);
+                }
                 AllocationReport::Started(run) => self.allocator.record_answered(run),
                 AllocationReport::Ended(run) => self.allocator.release(run),
                 AllocationReport::Moved(run, succeeded) => {
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -5,6 +5,7 @@
 //! notice, and placed only where memory would otherwise stay free: otherwise copies take the links and
 //! the memory that generations need to move. See `docs/design/migration.md`.
 
+mod cold;
 mod score;
 
 pub use self::score::Terms;
@@ -13,6 +14,7 @@
     crate::{
         allocator::Scope,
         call::{Part, PartId},
+        homes::Homes,
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
@@ -110,6 +112,9 @@
     /// because hosts of earlier versions can't parse a longer one.
     #[serde(skip)]
     pub build: Option<Build>,
+    /// The regions in which it may run. Messages carry them beside the need too.
+    #[serde(skip)]
+    pub homes: Homes,
 }
 
 impl Need {
@@ -153,12 +158,14 @@
         .usable(&need.service, now)
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter(|state| need.accepts(&state.instance.build))
+        .filter(|state| targets.allow(&need.homes, state))
         .collect();
     let share = targets.limit_share(scope);
     let typical = targets.typical_rate(&need.service);
     let mut feasible: Vec<(Terms, &State)> = candidates
         .iter()
         .filter(|state| state.limit.has_permit(share, now))
+        .filter(|state| targets.has_pace(state, scope, now))
         .filter_map(|state| {
             let read_wait = state.backlog.estimated_wait(need.prompt_tokens, now);
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
@@ -173,6 +180,7 @@
             Some((terms, *state))
         })
         .collect();
+    cold::arrange(&mut feasible, targets, need, now);
     feasible.shuffle(rng);
     let shared = need.shared_tokens as f64 / need.prompt_tokens.max(1) as f64;
     if shared >= MIN_SHARED_RATIO {
@@ -231,6 +239,12 @@
         .usable(&need.service, now)
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
+        .filter(|state| targets.allow(&need.homes, state))
+        .filter(|state| match secondary {
+            // A generation that continues from its copy can't wait until its engine has room.
+            Secondary::Copy => !targets.is_paced(state, now),
+            Secondary::Move => targets.has_pace(state, scope, now),
+        })
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = committed_share(state, need, now)
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -4,12 +4,13 @@
     crate::{
         entry::EntryHost,
         group::{
-            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, PACE_METHOD, REPORT_METHOD,
-            REQUEST_METHOD, RequestReport,
+            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
+            REPORT_METHOD, REQUEST_METHOD, RequestReport,
         },
         limit::permit,
         origin::Began,
         pace::{Batch, Pace},
+        targets::Misdirected,
     },
     log::debug,
     sardinerelayd::peer::Packed,
@@ -33,6 +34,8 @@
     Limit(permit::Change),
     /// What is known of a request that may make targets crash.
     Request(RequestReport),
+    /// A target didn't get a request that was counted for it.
+    Misdirected(Misdirected),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
     /// How fast an engine decoded a generation.
@@ -51,6 +54,12 @@
     }
 }
 
+impl From<Misdirected> for Report {
+    fn from(misdirected: Misdirected) -> Self {
+        Self::Misdirected(misdirected)
+    }
+}
+
 impl From<Began> for Report {
     fn from(began: Began) -> Self {
         Self::Began(began)
@@ -78,12 +87,14 @@
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut streams) = (Vec::new(), Vec::new());
+        let mut misdirected = Vec::new();
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
                 Report::Allocation(report) => allocations.push(report),
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
+                Report::Misdirected(target) => misdirected.push(target),
                 Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
@@ -95,6 +106,7 @@
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, REQUEST_METHOD, requests).await;
         send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
+        send(&entry, MISDIRECTED_METHOD, misdirected).await;
     }
 }
 
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -4,11 +4,13 @@
 //! list still shows it as staying.
 
 mod evacuation;
+mod pacing;
 mod speed;
 mod state;
 mod statements;
 
 pub use self::{
+    pacing::{Misdirected, Pacing},
     speed::slowdown,
     state::{MemoryClaim, State},
 };
@@ -20,6 +22,7 @@
         builds,
         group::LocalAllocation,
         health::Health,
+        homes::{Homes, Regions},
         limit::Limit,
         observations::{Instance, Observations, Sign},
         observer::schedule,
@@ -27,6 +30,7 @@
     sardinerelay::{
         estimate::{Speed, Typical},
         id::{Incarnation, Service, Target},
+        pacing::Window,
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -98,6 +102,10 @@
     orders: evacuation::Orders,
     /// How fast the targets of each service are.
     typical_rates: HashMap<Service, Typical>,
+    /// What bounds the requests to cold targets.
+    pub pacing: Pacing,
+    /// The region of each availability zone.
+    pub regions: Regions,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -120,7 +128,10 @@
     /// ignored.
     pub fn merge(&mut self, observations: &Observations, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
-        self.entry_hosts = self.entry_hosts.max(observations.entry_hosts);
+        if observations.entry_hosts > self.entry_hosts {
+            self.entry_hosts = observations.entry_hosts;
+            self.divide_bounds();
+        }
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
             let last_read = self.list_read.replace(read);
@@ -275,6 +286,22 @@
         })
     }
 
+    /// Whether a request with these homes may reach the target.
+    pub fn allow(&self, homes: &Homes, state: &State) -> bool {
+        self.regions.allow(homes, &state.instance.zone)
+    }
+
+    /// Whether the service has targets, of which those that may get work are all outside the homes.
+    pub fn lack_home(&self, service: &str, homes: &Homes, now: Instant) -> bool {
+        let is_listed = || {
+            self.states
+                .values()
+                .any(|state| state.instance.service == service)
+        };
+        let mut usable = self.usable(service, now);
+        !homes.is_anywhere() && is_listed() && !usable.any(|state| self.allow(homes, state))
+    }
+
     /// Records that a request uses memory of a target.
     pub fn claim(&mut self, target: &str, run: RunId, claim: MemoryClaim) {
         if let Some(state) = self.states.get_mut(target) {
@@ -454,6 +481,8 @@
                 health: Health::default(),
                 cold_until: now,
                 is_presumed_cold: false,
+                stated_cold_until: None,
+                pace: Window::default(),
                 full_until: None,
                 limit: Limit::default(),
                 speed: Speed::default(),
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -8,7 +8,7 @@
         limit::Limit,
         observations::{Instance, Load},
     },
-    sardinerelay::estimate::Speed,
+    sardinerelay::{estimate::Speed, pacing::Window},
     std::{
         collections::{HashMap, VecDeque},
         time::{Duration, Instant},
@@ -78,6 +78,10 @@
     /// Whether it counts as cold because the evacuation of its zone has ended and no list that was read later
     /// is known yet.
     pub is_presumed_cold: bool,
+    /// Until when it counts as cold because it has said so itself.
+    pub stated_cold_until: Option<Instant>,
+    /// The requests of the last second, if its service states how many it can handle while cold.
+    pub pace: Window,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
@@ -173,7 +177,9 @@
 
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.is_presumed_cold || now < self.cold_until
+        self.is_presumed_cold
+            || now < self.cold_until
+            || self.stated_cold_until.is_some_and(|until| now < until)
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,10 +2,12 @@
 
 mod decisions {
     mod builds;
+    mod cold;
     mod distribution;
     mod evacuation;
     mod even;
     mod fixtures;
+    mod homes;
     mod leaving;
     mod limits;
     mod list;
