Choose plain targets by expected delay, and compare at most 64 engines in a decision

Calls to plain targets went by this host's own calls, so slow targets got as much as fast ones. They now go to the better of two random targets by a learned delay.

Decisions, releases and records of read prompts walked all targets. They use indexes by run and service; of more than 64 engines a random sample, the least loaded and those of the prefix are compared. Up to 64 all are, in the same order as before.

--- a/crates/sardinerelay-gateway/src/backlog.rs
+++ b/crates/sardinerelay-gateway/src/backlog.rs
@@ -99,6 +99,11 @@
         self.last_read = Some(now);
     }
 
+    /// Whether a request's prompt is still to be read.
+    pub fn contains(&self, run: RunId) -> bool {
+        self.unread.iter().any(|unread| unread.run == run)
+    }
+
     /// Removes the prompt of a request that has ended, whether or not it was read.
     pub fn remove(&mut self, run: RunId) {
         self.unread.retain(|unread| unread.run != run);
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -16,7 +16,10 @@
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
-    sardinerelay::id::{Build, Organisation, Service, Target, Zone},
+    sardinerelay::{
+        estimate::choice::best_of,
+        id::{Build, Organisation, Service, Target, Zone},
+    },
     serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -67,9 +70,12 @@
 /// An engine that needs longer than this to read its present prompts gets no further ones. It reads
 /// prompts side by side, so one more delays all of them, while a request in the queue delays none.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
-/// Upper bound of the random load added to plain targets, so that hosts with the same view choose
-/// differently.
-const MAX_RANDOM_LOAD: f64 = 0.05;
+/// Number of plain targets compared. A host sees only its own calls there, so all hosts would choose the
+/// target that was fastest in the last seconds.
+const PLAIN_SAMPLE_SIZE: usize = 2;
+/// A plain target whose expected delay exceeds the lowest one by this factor is chosen only if no other
+/// is left, since it probably fails. The slowest targets that work are slower by a factor of 2.7.
+const MAX_DELAY_RATIO: f64 = 4.0;
 /// Shortest time after which a refused caller is asked to retry.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Number of waiting requests from which an engine counts as full.
@@ -149,8 +155,14 @@
 where
     R: Rng + ?Sized,
 {
-    let candidates: Vec<&State> = targets
-        .usable(&need.service, now)
+    let prefix = prefix_hash(&need.shared_parts);
+    // A sample may have none of the required build.
+    let candidates: Vec<&State> = match need.build {
+        Some(_) => targets.usable(&need.service, now).collect(),
+        None => targets.candidates(&need.service, Some(prefix), rng, now),
+    };
+    let candidates: Vec<&State> = candidates
+        .into_iter()
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter(|state| need.accepts(&state.instance.build))
         .collect();
@@ -178,7 +190,7 @@
     if shared >= MIN_SHARED_RATIO {
         prefer(
             &mut feasible,
-            &preferred_engines(&candidates, &need.shared_parts),
+            &preferred_engines(targets, &candidates, (&need.service, prefix)),
             shared,
         );
     }
@@ -227,8 +239,9 @@
         Secondary::Move => (MAX_MOVE_FILL, MOVE_OTHER_ZONE_LOAD),
     };
     let typical = targets.typical_rate(&need.service);
-    let mut feasible: Vec<(Terms, &State)> = targets
-        .usable(&need.service, now)
+    let candidates = targets.candidates(&need.service, None, rng, now);
+    let mut feasible: Vec<(Terms, &State)> = candidates
+        .into_iter()
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
         .filter(|state| !avoid.contains(&state.instance.target))
@@ -321,14 +334,33 @@
     }
 }
 
-/// Returns the engines that should have a prefix cached. Rendezvous hashing lets all hosts agree on
-/// them without communication (Thaler and Ravishankar, 1998).
-fn preferred_engines(candidates: &[&State], shared_parts: &[PartId]) -> Vec<Target> {
+/// Returns the hash of a prompt's shared parts.
+fn prefix_hash(shared_parts: &[PartId]) -> u64 {
     let mut hasher = DefaultHasher::new();
     for part in shared_parts {
         part.hash(&mut hasher);
     }
-    let prefix = hasher.finish();
+    hasher.finish()
+}
+
+/// Returns the engines that should have a prefix cached. Rendezvous hashing lets all hosts agree on
+/// them without communication (Thaler and Ravishankar, 1998). It hashes all engines, so it is used
+/// only while all are candidates.
+fn preferred_engines(
+    targets: &Targets,
+    candidates: &[&State],
+    (service, prefix): (&str, u64),
+) -> Vec<Target> {
+    if targets.is_sampled(service) {
+        let successors = targets.successors(service, prefix);
+        let is_candidate = |target: &&Target| {
+            candidates
+                .iter()
+                .any(|state| state.instance.target == **target)
+        };
+        let preferred = successors.filter(is_candidate).take(PREFERRED_ENGINES);
+        return preferred.cloned().collect();
+    }
     let mut ranked: Vec<(u64, &State)> = candidates
         .iter()
         .map(|state| {
@@ -344,7 +376,8 @@
         .collect()
 }
 
-/// Returns the usable targets of a plain service, other than those in `avoid`, least loaded first.
+/// Returns the usable targets of a plain service, other than those in `avoid`, best first: the one with
+/// the lower expected delay of two random ones, then the others by their delay.
 pub fn rank_plain<'a, R>(
     targets: &'a Targets,
     (service, zone, avoid): (&'a str, &Zone, &[Target]),
@@ -354,28 +387,18 @@
 where
     R: Rng + ?Sized,
 {
-    let mut ranked: Vec<(f64, &State)> = targets
-        .usable(service, now)
+    let typical = targets.typical_rate(service);
+    let candidates = targets.candidates(service, None, rng, now).into_iter();
+    let mut ranked: Vec<(f64, &State)> = candidates
         .filter(|state| !avoid.contains(&state.instance.target))
-        .map(|state| {
-            let slots = f64::from(state.instance.slots.max(1));
-            let load = state.claims.len() as f64 / slots * HOST_LOAD_FACTOR;
-            let random_load = rng.random::<f64>() * MAX_RANDOM_LOAD;
-            let zone_load = f64::from(state.instance.zone != *zone) * PLAIN_OTHER_ZONE_LOAD;
-            let failure_load = FAILURE_LOAD * state.health.failure_rate(now);
-            let cold_load = f64::from(state.is_cold(now)) * COLD_START_LOAD;
-            (
-                load + random_load + zone_load + failure_load + cold_load,
-                state,
-            )
-        })
+        .map(|state| (score::plain(state, zone, &typical, now), state))
         .collect();
     ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
+    let lowest = ranked.first().map_or(0.0, |(delay, _)| *delay);
+    let comparable = ranked.partition_point(|(delay, _)| *delay <= MAX_DELAY_RATIO * lowest);
+    let delay = |position: usize| ranked[position].0;
+    if let Some(best) = best_of(PLAIN_SAMPLE_SIZE, comparable, delay, rng) {
+        ranked[..=best].rotate_right(1);
+    }
     ranked.into_iter().map(|(_, state)| state).collect()
 }
-
-/// Assumed ratio of all requests on a plain target to this host's own, since a host doesn't see the
-/// requests of others.
-const HOST_LOAD_FACTOR: f64 = 3.0;
-/// Load added to a plain target in another availability zone than the host.
-const PLAIN_OTHER_ZONE_LOAD: f64 = 0.8;
--- a/crates/sardinerelay-gateway/src/placement/score.rs
+++ b/crates/sardinerelay-gateway/src/placement/score.rs
@@ -3,7 +3,10 @@
 use {
     super::{COLD_START_LOAD, FAILURE_LOAD, Need, OTHER_ZONE_LOAD},
     crate::targets::{State, slowdown},
-    sardinerelay::{estimate::Typical, id::Zone},
+    sardinerelay::{
+        estimate::{Typical, choice::expected_delay},
+        id::Zone,
+    },
     serde::Serialize,
     std::time::{Duration, Instant},
 };
@@ -17,6 +20,16 @@
 /// further, but slow ones get work before those are full.
 const MAX_FINISH_LOAD: f64 = 0.4;
 
+/// Assumed ratio of all requests on a plain target to this host's own, since a host doesn't see the
+/// requests of others.
+const HOST_LOAD_FACTOR: f64 = 3.0;
+/// Delay added for a plain target in another availability zone than the host, as a multiple of that of
+/// an idle target of typical speed.
+const PLAIN_OTHER_ZONE_DELAY: f64 = 0.8;
+/// Factor by which the delay of a plain target that fails all calls is raised. A failed call is sent
+/// again, and its caller has waited for nothing.
+const PLAIN_FAILURE_FACTOR: f64 = 10.0;
+
 /// The terms of an engine's score. All are shares of its memory or count as such.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Terms {
@@ -77,3 +90,14 @@
     let factor = slowdown(state.occupancy(1, now)) / state.speed.relative(typical, now);
     (LOAD_PER_FINISH_SECOND * idle * (factor - 1.0)).clamp(-MAX_FINISH_LOAD, MAX_FINISH_LOAD)
 }
+
+/// Returns the expected delay of a call at a plain target, as a multiple of that at an idle one of
+/// typical speed.
+pub(super) fn plain(state: &State, zone: &Zone, typical: &Typical, now: Instant) -> f64 {
+    let slots = f64::from(state.instance.slots.max(1));
+    let occupancy = state.claims.len() as f64 / slots * HOST_LOAD_FACTOR;
+    let delay = expected_delay(occupancy, state.speed.relative(typical, now))
+        + f64::from(state.instance.zone != *zone) * PLAIN_OTHER_ZONE_DELAY
+        + f64::from(state.is_cold(now)) * COLD_START_LOAD;
+    delay * (1.0 + PLAIN_FAILURE_FACTOR * state.health.failure_rate(now))
+}
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -108,7 +108,7 @@
         let now = Instant::now();
         let is_last = !is_idempotent || runs + 1 >= job.route.max_attempts;
         let outcome = attempt(job, &target, (now, deadline), is_last).await;
-        record(job, &target, &outcome, send_index);
+        record(job, &target, &outcome, (send_index, now));
         tried.push(target);
         match outcome {
             AttemptOutcome::Responded(response)
@@ -251,7 +251,12 @@
 }
 
 /// Logs the outcome of a send and records it in the target's health.
-fn record(job: &Job, target: &Target, outcome: &AttemptOutcome, send_index: usize) {
+fn record(
+    job: &Job,
+    target: &Target,
+    outcome: &AttemptOutcome,
+    (send_index, sent): (usize, Instant),
+) {
     let now = Instant::now();
     let mut state = job.entry.state();
     let list_age = state.targets.list_age(now).unwrap_or_default();
@@ -263,6 +268,16 @@
         AttemptOutcome::Unknown(reason) => ("unknown".to_owned(), (*reason).to_owned()),
         AttemptOutcome::TimedOut => ("slow".to_owned(), String::new()),
     };
+    // A timed out call took at least this long. Failures may take no time and aren't counted.
+    let is_measured = match outcome {
+        AttemptOutcome::Responded(response) => response.status().is_success(),
+        AttemptOutcome::TimedOut => true,
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => false,
+    };
+    if is_measured {
+        let took = now.saturating_duration_since(sent);
+        state.targets.record_service_time(target, took, now);
+    }
     if let Some(target_state) = state.targets.get_mut(target) {
         match outcome {
             AttemptOutcome::Responded(response) if !response.status().is_server_error() => {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -3,11 +3,13 @@
 //! A target that is about to stop never gets new work again in that incarnation, even if an older
 //! list still shows it as staying.
 
+mod index;
 mod speed;
 mod state;
 mod statements;
 
 pub use self::{
+    index::MAX_CANDIDATES,
     speed::slowdown,
     state::{MemoryClaim, State},
 };
@@ -69,6 +71,7 @@
     pub builds: builds::History,
     /// How fast the targets of each service are.
     typical_rates: HashMap<Service, Typical>,
+    index: index::Index,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -104,6 +107,7 @@
                 self.record_unannounced_ends(&observations.instances, now, &mut changes);
             }
             self.merge_list(observations, now, &mut changes);
+            self.index.set_targets(&self.states);
         }
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
@@ -125,16 +129,21 @@
                 changes.push(Change::Leaving(report.target.clone()));
             }
         }
+        self.index.set_loads(&self.states);
         changes
     }
 
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
+        let known = self.states.len();
         for instance in instances {
             if !self.states.contains_key(&instance.target) {
                 self.merge_instance(instance, now, &mut Vec::new());
             }
         }
+        if self.states.len() != known {
+            self.index.set_targets(&self.states);
+        }
     }
 
     /// Returns the number of entry hosts, this one included: the largest that was ever observed, 0
@@ -179,10 +188,8 @@
         let is_old = state
             .load
             .is_some_and(|(_, read)| age(read) > SILENT_REPORT_AGE);
-        is_old && {
-            let mut loads = self.states.values().filter_map(|other| other.load);
-            loads.any(|(_, read)| age(read) < FRESH_REPORT_AGE)
-        }
+        let newest = self.index.newest_load;
+        is_old && newest.is_some_and(|read| age(read) < FRESH_REPORT_AGE)
     }
 
     /// Iterates over the targets of a service that may get work.
@@ -191,19 +198,24 @@
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = &'a State> + 'a {
-        self.states.values().filter(move |state| {
-            state.instance.service == service
-                && state.leaving_since(now).is_none()
-                && !state.is_resting(now)
-                && !state.health.is_down(now)
-                && !self.is_state_silent(state, now)
-        })
+        let of_service = self.index.targets_of_service(service);
+        let states = of_service.filter_map(|target| self.states.get(target));
+        states.filter(move |state| self.is_usable(state, now))
+    }
+
+    /// Whether a target may get work.
+    fn is_usable(&self, state: &State, now: Instant) -> bool {
+        state.leaving_since(now).is_none()
+            && !state.is_resting(now)
+            && !state.health.is_down(now)
+            && !self.is_state_silent(state, now)
     }
 
     /// Records that a request uses memory of a target.
     pub fn claim(&mut self, target: &str, run: RunId, claim: MemoryClaim) {
         if let Some(state) = self.states.get_mut(target) {
             state.claims.insert(run, claim);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -211,6 +223,7 @@
     pub fn record_sent(&mut self, target: &str, run: RunId, prompt: u64, now: Instant) {
         if let Some(state) = self.states.get_mut(target) {
             state.backlog.record_sent(run, prompt, now);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -223,8 +236,10 @@
 
     /// Records that a request's engine has read its prompt.
     pub fn record_prompt_read(&mut self, run: RunId, now: Instant) {
-        for state in self.states.values_mut() {
-            state.backlog.record_prompt_read(run, now);
+        for target in self.index.targets_of(run) {
+            if let Some(state) = self.states.get_mut(target) {
+                state.backlog.record_prompt_read(run, now);
+            }
         }
     }
 
@@ -266,7 +281,10 @@
     /// Records that a request now runs on the target that its memory was moved to. Its claims on
     /// other targets are dropped.
     pub fn complete_move(&mut self, to: &str, run: RunId) {
-        for (target, state) in &mut self.states {
+        for target in self.index.targets_of(run) {
+            let Some(state) = self.states.get_mut(target) else {
+                continue;
+            };
             if target != to {
                 state.claims.remove(&run);
             } else if let Some(claim) = state.claims.get_mut(&run) {
@@ -278,12 +296,14 @@
     /// Drops all claims of a request and its prompt from the backlogs. Returns whether there were
     /// any claims.
     pub fn release_everywhere(&mut self, run: RunId) -> bool {
-        let states = self.states.values_mut();
-        let released = states.filter_map(|state| {
-            state.backlog.remove(run);
-            state.claims.remove(&run)
-        });
-        released.count() > 0
+        let mut is_released = false;
+        for target in self.index.remove(run) {
+            if let Some(state) = self.states.get_mut(&target) {
+                state.backlog.remove(run);
+                is_released |= state.claims.remove(&run).is_some();
+            }
+        }
+        is_released
     }
 
     /// Drops claims that were made longer than `max_age` ago. Returns their requests.
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -144,6 +144,11 @@
         self.claims.len().max(reported as usize)
     }
 
+    /// Whether a run has a claim or an unread prompt there.
+    pub fn has_run(&self, run: RunId) -> bool {
+        self.claims.contains_key(&run) || self.backlog.contains(run)
+    }
+
     /// Share of its slots that are in use with this many further requests, from 0 to 1.
     pub fn occupancy(&self, further: usize, now: Instant) -> f64 {
         let requests = self.active_requests(now) + further;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod decisions {
     mod builds;
+    mod candidates;
     mod distribution;
     mod even;
     mod fixtures;
--- a/crates/sardinerelay-gateway/tests/decisions/even.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/even.rs
@@ -1,13 +1,13 @@
 //! Even load on targets of different speed.
 
 use {
-    super::fixtures::{instance, need, targets},
+    super::fixtures::{SERVICE, ZONES, instance, need, targets},
     rand::{SeedableRng as _, rngs::StdRng},
     rstest::rstest,
     sardinerelay_gateway::{
         allocator::{Scope, claim},
         pace::{Batch, Meter, Pace},
-        placement::{Need, choose},
+        placement::{Need, choose, rank_plain},
         targets::{Targets, slowdown},
     },
     std::time::{Duration, Instant},
@@ -178,3 +178,55 @@
     }
     assert_eq!(messages, 5);
 }
+
+/// Calls that go to each of three plain targets.
+fn plain_choices(targets: &Targets, zone: usize, now: Instant) -> [u32; 3] {
+    let mut chosen = [0; 3];
+    let mut rng = StdRng::seed_from_u64(7);
+    let zone = ZONES[zone].into();
+    for _ in 0..600 {
+        let ranked = rank_plain(targets, (SERVICE, &zone, &[]), &mut rng, now);
+        assert_eq!(ranked.len(), 3, "all remain for retries");
+        let number = (0..3).find(|number| instance(*number).target == ranked[0].instance.target);
+        chosen[number.expect("listed")] += 1;
+    }
+    chosen
+}
+
+/// All hosts learn at the same time which target is fastest. If each chose it, it would be overloaded
+/// next.
+#[test]
+fn the_fastest_plain_target_gets_more_calls_but_not_all() {
+    let start = Instant::now();
+    let mut targets = targets(&[0; 3], start);
+    let took = [75, 45, 28].map(Duration::from_millis);
+    for step in 0..20 {
+        for (number, took) in took.into_iter().enumerate() {
+            targets.record_service_time(&instance(number).target, took, at(start, step));
+        }
+    }
+    let now = at(start, 20);
+    // Away from all targets, so that the zone doesn't matter.
+    let chosen = plain_choices(&targets, 1, now);
+    assert!(chosen[2] > chosen[0], "{chosen:?}");
+    assert!(chosen.iter().all(|count| *count < 480), "{chosen:?}");
+}
+
+/// A target that fails most of its calls must get none while another works.
+#[test]
+fn a_failing_plain_target_is_chosen_last() {
+    let now = Instant::now();
+    let mut targets = targets(&[0; 3], now);
+    let failing = targets.get_mut(&instance(0).target).expect("listed");
+    (0..4).for_each(|_| failing.health.record_failure(now));
+    assert_eq!(plain_choices(&targets, 0, now)[0], 0);
+}
+
+/// Without other differences calls stay in their zone whenever they can.
+#[test]
+fn a_plain_target_of_the_zone_is_preferred() {
+    let now = Instant::now();
+    let targets = targets(&[0; 3], now);
+    let chosen = plain_choices(&targets, 0, now);
+    assert!(chosen[0] > chosen[1] && chosen[0] > chosen[2], "{chosen:?}");
+}
--- a/crates/sardinerelay/src/estimate.rs
+++ b/crates/sardinerelay/src/estimate.rs
@@ -5,7 +5,12 @@
 //! interquartile mean ignores a single slow request, and all of them weigh less with age, so that a
 //! target that gets little load because it was slow is tried again.
 
-use std::{collections::VecDeque, time::Duration, time::Instant};
+pub mod choice;
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 /// Time after which a sample counts half.
 const HALF_LIFE: Duration = Duration::from_secs(10);
