--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -1,13 +1,17 @@
 //! Metrics of one process, recorded with `opentelemetry` and encoded as Prometheus text.
 
 use {
+    crate::targets::Targets,
     anyhow::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
     sardinerelayd::metrics::{Exporter, counter, latency_histogram},
-    std::time::Duration,
+    std::{
+        slice,
+        time::{Duration, Instant},
+    },
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -28,6 +32,8 @@
     limit_changes: Counter<u64>,
     statements: Counter<u64>,
     permits: Counter<u64>,
+    spread: Gauge<f64>,
+    speed: Gauge<f64>,
 }
 
 impl Metrics {
@@ -57,6 +63,14 @@
                 "permits",
                 "Requests for permits of limited targets by outcome",
             ),
+            spread: meter
+                .f64_gauge("sardinerelay_work_spread")
+                .with_description("Expected work of a service's busiest target to the mean")
+                .build(),
+            speed: meter
+                .f64_gauge("sardinerelay_target_speed")
+                .with_description("Learned speed of a service's slowest and fastest target")
+                .build(),
             export,
         })
     }
@@ -111,6 +125,18 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records how evenly the targets of each service are loaded, and their learned speeds.
+    pub fn record_balances(&self, targets: &Targets, now: Instant) {
+        for (service, balance) in targets.balances(now) {
+            let service = KeyValue::new("service", service.to_string());
+            let labels = |target| [service.clone(), KeyValue::new("target", target)];
+            self.spread
+                .record(balance.spread, slice::from_ref(&service));
+            self.speed.record(balance.slowest, &labels("slowest"));
+            self.speed.record(balance.fastest, &labels("fastest"));
+        }
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -146,6 +146,8 @@
         return http_server::text(StatusCode::METHOD_NOT_ALLOWED, "");
     }
     if path == METRICS_PATH {
+        let now = Instant::now();
+        entry.metrics.record_balances(&entry.state().targets, now);
         return metrics_response(&entry.metrics, request);
     }
     if path != entry.codec.ready_path {
@@ -206,8 +208,10 @@
     let mut running = group::start(replica, shared).await?;
     let handle = running.handle.clone();
     let served_metrics = Arc::clone(&metrics);
+    let measured = Arc::clone(&allocator);
     let metrics_address = SocketAddr::from((common.address, common.metrics_port));
     http_server::listen(metrics_address, move |request| {
+        served_metrics.record_balances(&measured.state().targets, Instant::now());
         let response = metrics_response(&served_metrics, &request);
         async move { response }
     })
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     index::MAX_CANDIDATES,
-    speed::slowdown,
+    speed::{Balance, slowdown},
     state::{MemoryClaim, State},
 };
 
--- a/crates/sardinerelay-gateway/tests/decisions/even.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/even.rs
@@ -230,3 +230,14 @@
     let chosen = plain_choices(&targets, 0, now);
     assert!(chosen[0] > chosen[1] && chosen[0] > chosen[2], "{chosen:?}");
 }
+
+/// Operators must see that one target has all the work.
+#[test]
+fn the_balance_of_a_service_shows_a_busy_target() {
+    let now = Instant::now();
+    let idle = targets(&[0; 3], now).balances(now);
+    assert_eq!(idle[SERVICE].spread, 1.0);
+    let busy = targets(&[9_000, 0, 0], now).balances(now);
+    assert_eq!(busy[SERVICE].spread, 3.0);
+    assert_eq!((busy[SERVICE].slowest, busy[SERVICE].fastest), (1.0, 1.0));
+}
