--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -1,14 +1,17 @@
 //! Metrics of one process, recorded with `opentelemetry` and encoded as Prometheus text.
 
 use {
-    crate::group::Evacuations,
+    crate::{group::Evacuations, targets::Targets},
     anyhow::Result,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram},
     },
     sardinerelayd::metrics::{Exporter, counter, gauge, latency_histogram},
-    std::time::Duration,
+    std::{
+        slice,
+        time::{Duration, Instant},
+    },
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -37,6 +40,8 @@
     list_pages: Counter<u64>,
     load_reads: Counter<u64>,
     load_interval: Gauge<f64>,
+    spread: Gauge<f64>,
+    speed: Gauge<f64>,
 }
 
 impl Metrics {
@@ -92,6 +97,14 @@
                 .with_unit("s")
                 .with_description("Interval between reads of a load report")
                 .build(),
+            spread: meter
+                .f64_gauge("sardinerelay_work_spread")
+                .with_description("Expected work of a service's busiest target to the mean")
+                .build(),
+            speed: meter
+                .f64_gauge("sardinerelay_target_speed")
+                .with_description("Learned speed of a service's slowest and fastest target")
+                .build(),
             export,
         })
     }
@@ -182,6 +195,18 @@
         self.load_interval.record(interval.as_secs_f64(), &[]);
     }
 
+    /// Records how evenly the targets of each service are loaded, and their learned speeds.
+    pub fn record_balances(&self, targets: &Targets, now: Instant) {
+        for (service, balance) in targets.balances(now) {
+            let service = KeyValue::new("service", service.to_string());
+            let labels = |target| [service.clone(), KeyValue::new("target", target)];
+            self.spread
+                .record(balance.spread, slice::from_ref(&service));
+            self.speed.record(balance.slowest, &labels("slowest"));
+            self.speed.record(balance.fastest, &labels("fastest"));
+        }
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -4,14 +4,16 @@
 //! list still shows it as staying.
 
 mod evacuation;
+mod index;
 mod pacing;
 mod speed;
 mod state;
 mod statements;
 
 pub use self::{
+    index::MAX_CANDIDATES,
     pacing::{Misdirected, Pacing},
-    speed::slowdown,
+    speed::{Balance, slowdown},
     state::{MemoryClaim, State},
 };
 
@@ -106,6 +108,7 @@
     pub pacing: Pacing,
     /// The region of each availability zone.
     pub regions: Regions,
+    index: index::Index,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -145,6 +148,7 @@
             }
             self.orders.record_list(confirmed);
             self.merge_list(observations, now, &mut changes);
+            self.index.set_targets(&self.states);
         }
         self.count_engines(observations);
         for report in &observations.loads {
@@ -170,6 +174,7 @@
         if let Some(signs) = &observations.signs {
             self.merge_signs(signs, now, &mut changes);
         }
+        self.index.set_loads(&self.states);
         changes
     }
 
@@ -210,11 +215,15 @@
 
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
+        let known = self.states.len();
         for instance in instances {
             if !self.states.contains_key(&instance.target) {
                 self.merge_instance(instance, now, &mut Vec::new());
             }
         }
+        if self.states.len() != known {
+            self.index.set_targets(&self.states);
+        }
     }
 
     /// Returns the number of entry hosts, this one included: the largest that was ever observed, 0
@@ -264,10 +273,8 @@
         }
         let ages = ReportAges::new(self.engines_per_reader);
         let is_old = state.load.is_some_and(|(_, read)| age(read) > ages.silent);
-        is_old && {
-            let mut loads = self.states.values().filter_map(|other| other.load);
-            loads.any(|(_, read)| age(read) < ages.fresh)
-        }
+        let newest = self.index.newest_load;
+        is_old && newest.is_some_and(|read| age(read) < ages.fresh)
     }
 
     /// Iterates over the targets of a service that may get work.
@@ -276,14 +283,18 @@
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = &'a State> + 'a {
-        self.states.values().filter(move |state| {
-            state.instance.service == service
-                && !self.is_evacuated(state)
-                && state.leaving_since(now).is_none()
-                && !state.is_resting(now)
-                && !state.health.is_down(now)
-                && !self.is_state_silent(state, now)
-        })
+        let of_service = self.index.targets_of_service(service);
+        let states = of_service.filter_map(|target| self.states.get(target));
+        states.filter(move |state| self.is_usable(state, now))
+    }
+
+    /// Whether a target may get work.
+    fn is_usable(&self, state: &State, now: Instant) -> bool {
+        !self.is_evacuated(state)
+            && state.leaving_since(now).is_none()
+            && !state.is_resting(now)
+            && !state.health.is_down(now)
+            && !self.is_state_silent(state, now)
     }
 
     /// Whether a request with these homes may reach the target.
@@ -306,6 +317,7 @@
     pub fn claim(&mut self, target: &str, run: RunId, claim: MemoryClaim) {
         if let Some(state) = self.states.get_mut(target) {
             state.claims.insert(run, claim);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -313,6 +325,7 @@
     pub fn record_sent(&mut self, target: &str, run: RunId, prompt: u64, now: Instant) {
         if let Some(state) = self.states.get_mut(target) {
             state.backlog.record_sent(run, prompt, now);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -325,8 +338,10 @@
 
     /// Records that a request's engine has read its prompt.
     pub fn record_prompt_read(&mut self, run: RunId, now: Instant) {
-        for state in self.states.values_mut() {
-            state.backlog.record_prompt_read(run, now);
+        for target in self.index.targets_of(run) {
+            if let Some(state) = self.states.get_mut(target) {
+                state.backlog.record_prompt_read(run, now);
+            }
         }
     }
 
@@ -368,7 +383,10 @@
     /// Records that a request now runs on the target that its memory was moved to. Its claims on
     /// other targets are dropped.
     pub fn complete_move(&mut self, to: &str, run: RunId) {
-        for (target, state) in &mut self.states {
+        for target in self.index.targets_of(run) {
+            let Some(state) = self.states.get_mut(target) else {
+                continue;
+            };
             if target != to {
                 state.claims.remove(&run);
             } else if let Some(claim) = state.claims.get_mut(&run) {
@@ -380,12 +398,14 @@
     /// Drops all claims of a request and its prompt from the backlogs. Returns whether there were
     /// any claims.
     pub fn release_everywhere(&mut self, run: RunId) -> bool {
-        let states = self.states.values_mut();
-        let released = states.filter_map(|state| {
-            state.backlog.remove(run);
-            state.claims.remove(&run)
-        });
-        released.count() > 0
+        let mut is_released = false;
+        for target in self.index.remove(run) {
+            if let Some(state) = self.states.get_mut(&target) {
+                state.backlog.remove(run);
+                is_released |= state.claims.remove(&run).is_some();
+            }
+        }
+        is_released
     }
 
     /// Drops claims that were made longer than `max_age` ago. Returns their requests.
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod decisions {
     mod builds;
+    mod candidates;
     mod cold;
     mod distribution;
     mod evacuation;
