--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -120,6 +120,8 @@
         reports: UnboundedSender<Report>,
     ) -> Self {
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
+        let allocator = Allocator::new(Scope::Local);
+        allocator.configure(&settings.common);
         Self {
             reports,
             settings,
@@ -129,7 +131,7 @@
             request_memory: body::Memory::new(REQUEST_MEMORY_BYTES),
             metrics,
             drain: Drain::default(),
-            allocator: Allocator::new(Scope::Local),
+            allocator,
             remote: RemoteAllocator::default(),
             evacuations: watch::Sender::default(),
             voters: Mutex::default(),
@@ -231,14 +233,25 @@
         let now = Instant::now();
         let mut state = self.state();
         state.targets.add_missing(instances, now);
-        match state.targets.get(&choice.target) {
-            Some(known) => {
-                !known.wants_none(now)
-                    && !state.targets.is_evacuated(known)
-                    && need.accepts(&known.instance.build)
+        let targets = &state.targets;
+        let chosen = [Some(&choice.target), choice.copy.as_ref()];
+        let mut chosen = chosen
+            .into_iter()
+            .flatten()
+            .map(|target| targets.get(target));
+        let is_home = chosen.all(|known| match known {
+            Some(known) => targets.allow(&need.homes, known),
+            None => need.homes.is_anywhere(),
+        });
+        is_home
+            && match targets.get(&choice.target) {
+                Some(known) => {
+                    !known.wants_none(now)
+                        && !targets.is_evacuated(known)
+                        && need.accepts(&known.instance.build)
+                }
+                None => need.build.is_none(),
             }
-            None => need.build.is_none(),
-        }
     }
 
     /// Returns for how long a generation is refused because a part of its prompt makes engines
@@ -277,8 +290,10 @@
             return None;
         };
         let mut state = self.state();
+        // An allocating host of an earlier version doesn't know the regions that are allowed.
         state.targets.add_missing(&instances, now);
-        if state.targets.is_target_evacuated(&choice.target) {
+        let to = state.targets.get(&choice.target)?;
+        if state.targets.is_evacuated(to) || !state.targets.allow(&departure.need.homes, to) {
             drop(state);
             self.report(AllocationReport::Moved(departure.run, false));
             return None;
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -12,6 +12,7 @@
         allocation::Allocation,
         call::EventId,
         origin::Began,
+        pace::Meter,
         refusal::Refusal,
         request::Job,
         sse::{Event, Splitter},
@@ -99,6 +100,8 @@
     /// the route's attempts.
     pub(super) runs: u32,
     tokens_per_event: u64,
+    /// Measures the present engine.
+    meter: Meter,
 }
 
 /// Forwards a stream until it ends.
@@ -151,6 +154,7 @@
             longest_pause: Duration::ZERO,
             continuations: 0,
             runs: 1,
+            meter: Meter::default(),
         }
     }
 
@@ -160,11 +164,14 @@
             let Some(current) = source.take() else {
                 break "broken";
             };
-            match self.forward_from(current).await {
+            self.meter.reset();
+            let ended = self.forward_from(current).await;
+            self.report_pace();
+            match ended {
                 StreamEnd::Complete => break "complete",
                 StreamEnd::CallerLeft => break "left",
                 StreamEnd::TimedOut => {
-                    self.abort("the deadline has passed").await;
+                    self.abort("the deadline has passed");
                     break "late";
                 }
                 StreamEnd::Broken(reason) => {
@@ -175,7 +182,7 @@
                         reopened = self.reopen() => reopened.map(|(_, source)| source),
                     };
                     if source.is_none() {
-                        self.abort(reason).await;
+                        self.abort(reason);
                     }
                 }
                 StreamEnd::Moved(moved, to) => {
@@ -185,8 +192,7 @@
                         reopened = self.reopen_moved(moved, to) => reopened.map(|(_, source)| source),
                     };
                     if source.is_none() {
-                        self.abort("the engine that it was moved to did not continue it")
-                            .await;
+                        self.abort("the engine that it was moved to did not continue it");
                     }
                 }
             }
@@ -335,6 +341,7 @@
     ) -> Option<StreamEnd> {
         let mut bytes = BytesMut::new();
         let mut ended = None;
+        let events_before = self.events;
         while let Some(event) = splitter.next_event() {
             if !std::mem::replace(&mut self.has_engine_begun, true) {
                 self.allocation.record_started();
@@ -355,6 +362,10 @@
             return ended;
         }
         let now = Instant::now();
+        self.meter.record(self.events - events_before, now);
+        if self.meter.is_due() {
+            self.report_pace();
+        }
         if let Some(last_sent) = self.last_sent.replace(now) {
             let pause = now.saturating_duration_since(last_sent);
             self.longest_pause = self.longest_pause.max(pause);
@@ -372,6 +383,9 @@
             self.allocation
                 .record_progress(self.events * self.tokens_per_event);
         }
+        if self.chunks.capacity() == 0 {
+            self.meter.reset();
+        }
         tokio::select! {
             sent = self.chunks.send(Ok(bytes.freeze())) => {
                 sent.err().map(|_| StreamEnd::CallerLeft).or(ended)
@@ -380,6 +394,14 @@
         }
     }
 
+    /// Reports how fast the engine has decoded since the last report, if that was measured.
+    fn report_pace(&mut self) {
+        if let Some(events_per_second) = self.meter.take() {
+            let tokens_per_second = events_per_second * self.tokens_per_event as f64;
+            self.allocation.record_pace(tokens_per_second);
+        }
+    }
+
     /// Records the build whose first event goes to the caller. Only that build may continue the
     /// stream, here or at another host.
     fn record_origin(&mut self) {
@@ -412,9 +434,14 @@
     }
 
     /// Closes the caller's connection, so that the response doesn't look complete.
-    async fn abort(&self, reason: &'static str) {
-        // Sending fails only if the caller has closed the connection already.
-        let _ = self.chunks.send(Err(StreamAborted(reason))).await;
+    ///
+    /// Doesn't wait until the caller reads, so that the memory at the engine is released in any case.
+    fn abort(&self, reason: &'static str) {
+        let chunks = self.chunks.clone();
+        tokio::spawn(async move {
+            // Sending fails only if the caller has closed the connection already.
+            let _ = chunks.send(Err(StreamAborted(reason))).await;
+        });
     }
 
     /// Logs that the engine failed. Unless it was leaving, this counts against its health.
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -23,10 +23,11 @@
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport},
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
-        FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FollowConfiguration,
-        FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PERMIT_METHOD, RELOCATE_METHOD,
-        REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState, StatusRequest,
-        WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD, WatchEvacuations,
+        FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
+        FollowConfiguration, FollowObservations, LIMIT_METHOD, MISDIRECTED_METHOD, ORIGIN_METHOD,
+        PACE_METHOD, PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate,
+        SharedState, StatusRequest, WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD,
+        WatchEvacuations, ZONE_METHOD,
     },
 };
 
@@ -320,13 +321,43 @@
     /// Tasks that one host should do for the group run where this is true. They thereby go on while
     /// there is no leader.
     pub fn leads_or_leaderless(&self) -> watch::Receiver<bool> {
+        self.watch_leadership(|soft| soft.role == Role::Leader || soft.leader.is_none())
+    }
+
+    /// Returns a channel that says whether this replica is the leader.
+    pub fn leads(&self) -> watch::Receiver<bool> {
+        self.watch_leadership(|soft| soft.role == Role::Leader)
+    }
+
+    /// Returns a channel with a property of the leadership.
+    fn watch_leadership(&self, property: fn(&SoftState) -> bool) -> watch::Receiver<bool> {
+        let mut leadership = self.leadership.clone();
+        let (sender, receiver) = watch::channel(property(&leadership.borrow()));
+        tokio::spawn(async move {
+            loop {
+                let value = property(&leadership.borrow_and_update());
+                sender.send_if_modified(|known| std::mem::replace(known, value) != value);
+                if leadership.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        receiver
+    }
+
+    /// Returns a channel with the leader on another host whose observations this host follows. None if
+    /// this host is the leader or knows of none, that is, where [`Self::leads_or_leaderless`] is true.
+    pub fn followed_leader(&self) -> watch::Receiver<Option<Ipv4Addr>> {
         let mut leadership = self.leadership.clone();
-        let is_active = |soft: &SoftState| soft.role == Role::Leader || soft.leader.is_none();
-        let (sender, receiver) = watch::channel(true);
+        let followed = |soft: &SoftState| match soft.role {
+            Role::Leader => None,
+            _ => soft.leader.map(member::address),
+        };
+        let (sender, receiver) = watch::channel(None);
         tokio::spawn(async move {
             loop {
-                let active = is_active(&leadership.borrow_and_update());
-                sender.send_if_modified(|known| std::mem::replace(known, active) != active);
+                let leader = followed(&leadership.borrow_and_update());
+                sender.send_if_modified(|known| std::mem::replace(known, leader) != leader);
                 if leadership.changed().await.is_err() {
                     return;
                 }
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -11,13 +11,17 @@
     crate::{
         allocator::{Allocator, Answer},
         distribution::{Fetch, Watch},
+        homes::Homes,
         limit::permit,
         metrics::Metrics,
         moves::Departure,
-        observations::{Followers, Observations, ObservationsSender, or_default},
+        observations::{
+            Followers, Observations, ObservationsSender, or_default, served::Served, update,
+        },
         origin::{Began, Query},
+        pace::Pace,
         placement::Need,
-        targets::RunId,
+        targets::{Misdirected, RunId},
     },
     compact_str::CompactString,
     jsonrpsee::{
@@ -58,7 +62,12 @@
 pub const FETCH_CONFIGURATION_METHOD: &str = "configuration.fetch";
 /// Waits for a newer configuration and returns it whole. Entry hosts of earlier versions use it.
 pub const FOLLOW_CONFIGURATION_METHOD: &str = "configuration.follow";
-/// Waits for newer observations of targets.
+/// Waits for an update of the observations of targets. Its parameter is an [`update::Request`], and the
+/// result a packed [`update::Update`], or `null` if nothing was published yet.
+pub const FOLLOW_TARGETS_METHOD: &str = "targets.follow";
+/// Asks for a host's availability zone.
+pub const ZONE_METHOD: &str = "targets.zone";
+/// Waits for newer observations of targets and returns them whole. Hosts of earlier versions use it.
 pub const FOLLOW_OBSERVATIONS_METHOD: &str = "board.follow";
 
 /// Asks for an engine for a generation.
@@ -74,6 +83,10 @@
 pub const LIMIT_METHOD: &str = "limit.report";
 /// Notifies the allocating host of [`RequestReport`]s.
 pub const REQUEST_METHOD: &str = "quarantine.report";
+/// Notifies the allocating host of [`Pace`]s. Hosts of earlier versions ignore it.
+pub const PACE_METHOD: &str = "pace.report";
+/// Notifies the allocating host of requests that were counted for a target and turned away with 421.
+pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -85,6 +98,11 @@
 /// Label of [`RELOCATE_METHOD`] in metrics.
 const RELOCATE_LABEL: &str = "move";
 
+/// Label in metrics of an update with changes.
+const DELTA_LABEL: &str = "delta";
+/// Label in metrics of an update that only says that nothing changed.
+const KEEP_ALIVE_LABEL: &str = "keep_alive";
+
 /// Longest time that [`ORIGIN_METHOD`] waits for a list that is newer than the call.
 const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(450);
 /// Time for which a voter that knows no leader, and may therefore lack the newest orders, keeps a host
@@ -170,6 +188,9 @@
     /// The build that must run it. Hosts of earlier versions don't send it.
     #[serde(deserialize_with = "or_default")]
     pub build: Option<Build>,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// Parameters of [`RELOCATE_METHOD`].
@@ -180,11 +201,16 @@
     /// Longest time that this call may wait.
     #[serde(rename = "wait")]
     pub max_wait: Duration,
+    /// The regions in which it may run. Hosts of earlier versions don't send them.
+    #[serde(deserialize_with = "or_default")]
+    pub homes: Homes,
 }
 
 /// State of a host with a replica that its methods use.
 #[derive(Debug, Clone)]
 pub struct SharedState {
+    /// This host's availability zone.
+    pub zone: Zone,
     /// Publishes what this host observes of targets.
     pub observations: ObservationsSender,
     /// The entry hosts that follow this host.
@@ -198,6 +224,8 @@
 struct Context {
     handle: Handle,
     shared: SharedState,
+    /// The observations as they are served to followers.
+    served: Arc<Served>,
     counters: SharedCounters,
 }
 
@@ -219,6 +247,7 @@
     let handler = notification_handler(notifications, Arc::clone(&counters));
     let context = Context {
         handle,
+        served: Served::start(shared.observations.subscribe()),
         shared,
         counters: Arc::clone(&counters),
     };
@@ -297,6 +326,13 @@
             RpcResult::Ok(follow_observations(&context.shared.observations, &follow).await)
         },
     )?;
+    module.register_async_method(FOLLOW_TARGETS_METHOD, |parameters, context, _| async move {
+        let Packed(request): Packed<update::Request> = context.counters.parse_call(&parameters)?;
+        RpcResult::Ok(follow_targets(&context, &request).await)
+    })?;
+    module.register_async_method(ZONE_METHOD, |_, context, _| async move {
+        RpcResult::Ok(context.shared.zone.clone())
+    })?;
     module.register_async_method(ACQUIRE_METHOD, |parameters, context, _| async move {
         let Packed(acquire): Packed<Acquire> = context.counters.parse_call(&parameters)?;
         let Acquire {
@@ -305,8 +341,13 @@
             remaining,
             max_wait,
             build,
+            homes,
         } = acquire;
-        let need = Need { build, ..need };
+        let need = Need {
+            build,
+            homes,
+            ..need
+        };
         let began = Instant::now();
         let allocator = &context.shared.allocator;
         let reply = allocator
@@ -319,9 +360,11 @@
     module.register_async_method(RELOCATE_METHOD, |parameters, context, _| async move {
         let Packed(relocate): Packed<Relocate> = context.counters.parse_call(&parameters)?;
         let Relocate {
-            departure,
+            mut departure,
             max_wait,
+            homes,
         } = relocate;
+        departure.need.homes = homes;
         let began = Instant::now();
         let reply = context.shared.allocator.relocate(departure, max_wait).await;
         let metrics = &context.shared.metrics;
@@ -420,6 +463,21 @@
     Some(Packed(observations.with_current_ages()))
 }
 
+async fn follow_targets(context: &Context, request: &update::Request) -> Option<serde_json::Value> {
+    let wait = capped_wait(request.wait_ms);
+    let (update, reason) = context.served.next(request, wait).await?;
+    let kind = match (reason, &update.changes) {
+        (Some(reason), _) => reason.label(),
+        (None, Some(_)) => DELTA_LABEL,
+        (None, None) => KEEP_ALIVE_LABEL,
+    };
+    // Encoding fails only for a value that can't be serialized, and updates can.
+    let encoded = serde_json::to_value(Packed(update)).ok()?;
+    let bytes = encoded.as_str().map_or(0, str::len);
+    context.shared.metrics.record_update(kind, bytes);
+    Some(encoded)
+}
+
 fn capped_wait(wait_ms: u64) -> Duration {
     Duration::from_millis(wait_ms).min(MAX_FOLLOW_WAIT)
 }
@@ -443,7 +501,9 @@
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
+            PACE_METHOD => context.apply_paces(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -486,6 +546,27 @@
         Ok(())
     }
 
+    /// Records how fast engines decode.
+    fn apply_paces(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(paces),): (Packed<Vec<Pace>>,) = serde_json::from_str(parameters)?;
+        let now = Instant::now();
+        let mut state = self.allocator.state();
+        paces
+            .iter()
+            .for_each(|pace| state.targets.record_pace(pace, now));
+        Ok(())
+    }
+
+    /// Gives back requests that targets didn't get.
+    fn give_back(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(misdirected),): (Packed<Vec<Misdirected>>,) = serde_json::from_str(parameters)?;
+        let mut state = self.allocator.state();
+        for target in &misdirected {
+            state.targets.give_back(target, Instant::now());
+        }
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
@@ -507,7 +588,13 @@
                     let mut state = self.allocator.state();
                     state.targets.record_remote_send(&sent, Instant::now());
                 }
-                AllocationReport::Full(target) => self.allocator.record_no_room(&target),
+                AllocationReport::Full(target) => {
+                    // The engine refused the memory, so the generation wasn't sent there.
+                    let mut state = self.allocator.state();
+                    state.targets.give_back_any(&target, Instant::now());
+                    drop(state);
+                    self.allocator.record_no_room(&target);
+                }
                 AllocationReport::Started(run) => self.allocator.record_answered(run),
                 AllocationReport::Ended(run) => self.allocator.release(run),
                 AllocationReport::Moved(run, succeeded) => {
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -1,14 +1,17 @@
 //! Metrics of one process, recorded with `opentelemetry` and encoded as Prometheus text.
 
 use {
-    crate::group::Evacuations,
+    crate::{group::Evacuations, targets::Targets},
     anyhow::Result,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram},
     },
     sardinerelayd::metrics::{Exporter, counter, gauge, latency_histogram},
-    std::time::Duration,
+    std::{
+        slice,
+        time::{Duration, Instant},
+    },
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -32,6 +35,13 @@
     evacuated_zones: Gauge<u64>,
     evacuation_revision: Gauge<u64>,
     evacuation_moves: Counter<u64>,
+    updates: Counter<u64>,
+    update_bytes: Counter<u64>,
+    list_pages: Counter<u64>,
+    load_reads: Counter<u64>,
+    load_interval: Gauge<f64>,
+    spread: Gauge<f64>,
+    speed: Gauge<f64>,
 }
 
 impl Metrics {
@@ -75,6 +85,26 @@
                 "evacuation_moves",
                 "Generations moved out of evacuated zones by outcome",
             ),
+            updates: count("updates", "Updates of observations sent by kind"),
+            update_bytes: count(
+                "update_bytes",
+                "Bytes of updates of observations sent by kind",
+            ),
+            list_pages: count("list_pages", "Pages of the platform's list by outcome"),
+            load_reads: count("load_reads", "Reads of load reports by outcome"),
+            load_interval: meter
+                .f64_gauge("sardinerelay_load_interval")
+                .with_unit("s")
+                .with_description("Interval between reads of a load report")
+                .build(),
+            spread: meter
+                .f64_gauge("sardinerelay_work_spread")
+                .with_description("Expected work of a service's busiest target to the mean")
+                .build(),
+            speed: meter
+                .f64_gauge("sardinerelay_target_speed")
+                .with_description("Learned speed of a service's slowest and fastest target")
+                .build(),
             export,
         })
     }
@@ -142,6 +172,41 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that an update of the observations was sent. `kind` is `delta`, `keep_alive` or the reason
+    /// of a full snapshot.
+    pub fn record_update(&self, kind: &'static str, bytes: usize) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.updates.add(1, &labels);
+        self.update_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Records that a page of the platform's list was asked for.
+    pub fn record_list_page(&self, outcome: &'static str) {
+        self.list_pages.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records that a load report was asked for.
+    pub fn record_load_read(&self, outcome: &'static str) {
+        self.load_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the interval at which this host reads the report of an engine.
+    pub fn record_load_interval(&self, interval: Duration) {
+        self.load_interval.record(interval.as_secs_f64(), &[]);
+    }
+
+    /// Records how evenly the targets of each service are loaded, and their learned speeds.
+    pub fn record_balances(&self, targets: &Targets, now: Instant) {
+        for (service, balance) in targets.balances(now) {
+            let service = KeyValue::new("service", service.to_string());
+            let labels = |target| [service.clone(), KeyValue::new("target", target)];
+            self.spread
+                .record(balance.spread, slice::from_ref(&service));
+            self.speed.record(balance.slowest, &labels("slowest"));
+            self.speed.record(balance.fastest, &labels("fastest"));
+        }
+    }
+
     /// Returns the present values as Prometheus text.
     ///
     /// # Errors
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -4,21 +4,27 @@
 //! Only the group's leader polls, and hosts that know of no leader. The number of pollers thereby
 //! doesn't grow with the group, and each side of a partition has at least one.
 
+pub mod paging;
 pub mod schedule;
 
 use {
-    self::schedule::Schedule,
+    self::{
+        paging::{Failure, List, Paging},
+        schedule::Schedule,
+    },
     crate::{
         allocator::Allocator,
         codec::{Codec, ParseError},
         group::Document,
+        metrics::Metrics,
         observations::{
             Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
         },
         pool::{Pool, Purpose},
         table::Table,
+        targets::instant_before,
     },
-    http::{HeaderMap, header},
+    http::{HeaderMap, StatusCode, header},
     log::{debug, info, warn},
     sardinerelay::id::{Build, Incarnation, Service, Target},
     std::{
@@ -34,19 +40,14 @@
     },
 };
 
-/// Shortest interval at which the list is read. The allowed rate may make it longer.
-const MIN_LIST_INTERVAL: Duration = Duration::from_millis(250);
-/// Largest number of hosts that are expected to read the list at the same time.
-const MAX_LIST_READERS: f64 = 8.0;
-/// Share of the allowed rate of list calls that is used.
-const LIST_RATE_SHARE: f64 = 0.6;
 /// Number of successive responses with `Connection: close` after which a target counts as closing
 /// its connections. A single one may come by chance.
 const MIN_CLOSING_RESPONSES: u32 = 2;
 /// Timeout of one request for a page of the list or a load report.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest number of pages that are read. A longer list counts as unreadable.
-const MAX_LIST_PAGES: usize = 200;
+/// Largest number of idle connections to an engine, or to the list's server. Reads of one engine rarely
+/// overlap.
+const MAX_IDLE_PER_SERVER: usize = 1;
 /// Shortest interval between two publications.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -57,14 +58,18 @@
     pool: Pool,
     /// The server of the platform's list, in the form that the connection pool takes.
     list_server: Instance,
-    list_interval: Duration,
+    /// Pages of the list that all hosts together may request per second.
+    max_list_rate: f64,
     followers: Arc<Followers>,
     /// This host's allocator, whose refused parts are published.
     allocator: Arc<Allocator>,
+    metrics: Arc<Metrics>,
     observations: ObservationsSender,
     state: Mutex<State>,
     /// Whether this host polls.
     is_active: watch::Receiver<bool>,
+    /// Whether this host is the group's leader.
+    is_leader: watch::Receiver<bool>,
     /// Notified when a list or a load report has been read.
     changed: tokio::sync::Notify,
     /// Notified when an engine has begun to close its connections.
@@ -102,18 +107,18 @@
 
 impl Observer {
     /// Creates an observer of the list that is served at `list`. All hosts together may request
-    /// `max_rate` pages a second there. `is_active` says whether this host polls.
+    /// `max_rate` pages a second there. `is_active` says whether this host polls,
+    /// `is_leader` whether it does so as the group's leader.
     pub fn new(
         codec: Codec,
         (list, max_rate): (SocketAddr, f64),
         (observations, followers): (ObservationsSender, Arc<Followers>),
-        allocator: Arc<Allocator>,
-        is_active: watch::Receiver<bool>,
+        (allocator, metrics): (Arc<Allocator>, Arc<Metrics>),
+        (is_active, is_leader): (watch::Receiver<bool>, watch::Receiver<bool>),
     ) -> Self {
-        let interval_s = MAX_LIST_READERS / (max_rate * LIST_RATE_SHARE).max(0.1);
         Self {
             codec,
-            pool: Pool::default(),
+            pool: Pool::with_max_idle(MAX_IDLE_PER_SERVER),
             list_server: Instance {
                 target: "list".into(),
                 incarnation: 0,
@@ -125,12 +130,14 @@
                 cold_ms: 0,
                 build: Build::default(),
             },
-            list_interval: MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval_s)),
+            max_list_rate: max_rate,
             followers,
             allocator,
+            metrics,
             observations,
             state: Mutex::default(),
             is_active,
+            is_leader,
             changed: tokio::sync::Notify::new(),
             closing_seen: tokio::sync::Notify::new(),
         }
@@ -151,19 +158,27 @@
         let mut is_failing = false;
         let mut skipped_count = 0;
         let mut is_active = self.is_active.clone();
+        let mut paging = Paging::new(self.max_list_rate, Instant::now());
         loop {
             if is_active.wait_for(|active| *active).await.is_err() {
                 return;
             }
-            let began = Instant::now();
-            match self.read_list().await {
-                Ok((instances, skipped)) => {
+            match self.read_page(&mut paging).await {
+                Ok(None) => {}
+                Ok(Some(List {
+                    instances,
+                    mut skipped,
+                    began,
+                })) => {
+                    let (instances, errors) = distinct(instances);
+                    skipped.extend(errors);
                     if std::mem::take(&mut is_failing) {
                         info!("the platform's list can be read again");
                     }
                     if std::mem::replace(&mut skipped_count, skipped.len()) != skipped.len() {
                         log_skipped(&skipped, instances.len());
                     }
+                    self.close_unlisted(&instances);
                     let mut state = self.state();
                     state.instances = instances;
                     state.list_read = Some(began);
@@ -176,37 +191,55 @@
                     }
                 }
             }
-            sleep(self.list_interval.saturating_sub(began.elapsed())).await;
+            sleep(paging.wait(Instant::now())).await;
         }
     }
 
-    /// Reads all pages of the list. Also returns why entries were skipped. The error is a text for the
+    /// Closes the idle connections to targets that are no longer listed.
+    fn close_unlisted(&self, instances: &[Instance]) {
+        let listed: HashSet<&Target> = instances.iter().map(|instance| &instance.target).collect();
+        let list_server = &self.list_server.target;
+        self.pool
+            .retain_targets(|target| target == list_server || listed.contains(target));
+    }
+
+    /// Reads the next page of the list. Returns the list after its last page. The error is a text for the
     /// log.
-    async fn read_list(&self) -> Result<(Vec<Instance>, Vec<ParseError>), String> {
-        let (mut instances, mut skipped) = (Vec::new(), Vec::new());
-        let mut token: Option<String> = None;
-        for _ in 0..MAX_LIST_PAGES {
-            let request = (self.codec.list_request)(self.list_server.address, token.as_deref());
-            let response = self
-                .pool
-                .call(&self.list_server, (request, Purpose::Read), READ_TIMEOUT)
-                .await;
-            let response = response.map_err(|error| error.to_string())?;
-            if !response.status().is_success() {
-                return Err(format!("status {}", response.status()));
+    async fn read_page(&self, paging: &mut Paging) -> Result<Option<List>, String> {
+        let token = paging.begin(*self.is_leader.borrow(), Instant::now());
+        let request = (self.codec.list_request)(self.list_server.address, token);
+        let response = self
+            .pool
+            .call(&self.list_server, (request, Purpose::Read), READ_TIMEOUT)
+            .await;
+        let now = Instant::now();
+        let read = match response {
+            Err(error) => Err((Failure::NoResponse, error.to_string())),
+            Ok(response) if response.status().is_success() => {
+                let page = (self.codec.parse_list)(response.body());
+                page.map_err(|error| (Failure::NoResponse, error.to_string()))
+            }
+            Ok(response) => {
+                let status = response.status();
+                let failure = match status {
+                    StatusCode::TOO_MANY_REQUESTS => Failure::Limited,
+                    _ if status.is_client_error() => Failure::Refused,
+                    _ => Failure::NoResponse,
+                };
+                Err((failure, format!("status {status}")))
             }
-            let page =
-                (self.codec.parse_list)(response.body()).map_err(|error| error.to_string())?;
-            skipped.extend(page.skipped);
-            instances.extend(page.instances);
-            token = page.next;
-            if token.is_none() {
-                let (used, errors) = distinct(instances);
-                skipped.extend(errors);
-                return Ok((used, skipped));
+        };
+        match read {
+            Ok(page) => {
+                self.metrics.record_list_page("read");
+                paging.record(page, now)
+            }
+            Err((failure, reason)) => {
+                self.metrics.record_list_page(failure.label());
+                paging.record_failure(failure, now);
+                Err(reason)
             }
         }
-        Err(format!("more than {MAX_LIST_PAGES} pages"))
     }
 
     /// Reads every engine's load report as [`Schedule`] says.
@@ -218,7 +251,7 @@
                 return;
             }
             let now = Instant::now();
-            for engine in schedule.due(self.engines(), now) {
+            for engine in self.due(&mut schedule, now) {
                 let observer = Arc::clone(self);
                 tokio::spawn(async move { observer.read_load_report(&engine).await });
             }
@@ -254,6 +287,7 @@
         {
             Ok(response) if response.status().is_success() => response,
             Ok(response) => {
+                self.metrics.record_load_read("status");
                 debug!(
                     "no load report from {}: status {}",
                     engine.target,
@@ -262,15 +296,17 @@
                 return false;
             }
             Err(error) => {
+                self.metrics.record_load_read("no_response");
                 debug!("no load report from {}: {error}", engine.target);
                 return false;
             }
         };
         match (self.codec.parse_load)(response.body()) {
             Ok(mut load) => {
+                self.metrics.record_load_read("read");
                 let head = (self.codec.parse_response_head)(response.headers());
                 self.allocator
-                    .record_limit(engine, head.statement.limit, sent);
+                    .record_statement(engine, &head.statement, sent);
                 load.leaving |= head.statement.is_leaving;
                 let key = (engine.target.clone(), engine.incarnation);
                 let mut state = self.state();
@@ -282,36 +318,40 @@
                 is_first_closing
             }
             Err(error) => {
+                self.metrics.record_load_read("invalid");
                 debug!("the load report of {} is invalid: {error}", engine.target);
                 false
             }
         }
     }
 
-    /// Publishes the observations after changes, at most once in `MIN_PUBLISH_INTERVAL`.
+    /// Publishes the observations after changes, at most once in `MIN_PUBLISH_INTERVAL`, while this host
+    /// polls. Otherwise those of the leader are published instead.
     async fn publish(&self) {
         let mut ticks = interval(MIN_PUBLISH_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut stamp = rand::random::<u32>().into();
+        let mut is_active = self.is_active.clone();
         loop {
+            if !*is_active.borrow() {
+                if is_active.wait_for(|active| *active).await.is_err() {
+                    return;
+                }
+                self.state().adopt(&self.observations.borrow());
+            }
             ticks.tick().await;
             tokio::select! {
                 () = self.changed.notified() => {}
                 () = self.allocator.changed.notified() => {}
+                _ = is_active.changed() => continue,
             }
-            stamp += 1;
-            let mut observations = self.snapshot(stamp);
             let previous = self.observations.borrow().clone();
-            observations.changed_stamp = match observations.differs_beyond_loads(&previous) {
-                true => stamp,
-                false => previous.changed_stamp,
-            };
+            let observations = self.snapshot().succeeding(&previous);
             self.observations.send_replace(Arc::new(observations));
         }
     }
 
     /// Returns what was read last, and forgets targets that are no longer listed.
-    fn snapshot(&self, stamp: u64) -> Observations {
+    fn snapshot(&self) -> Observations {
         let now = Instant::now();
         let age = |read: Instant| now.saturating_duration_since(read).as_millis() as u64;
         let mut state = self.state();
@@ -340,7 +380,7 @@
         let suspect_requests = allocator.requests.suspects();
         drop(allocator);
         Observations {
-            stamp,
+            stamp: 0,
             loads: loads.collect(),
             builds: Builds::of(&state.instances),
             instances: state.instances.clone(),
@@ -351,6 +391,7 @@
             refused_requests,
             suspect_requests,
             readers: Vec::new(),
+            signs: None,
             ages_updated: Some(now),
             asked: None,
             changed_stamp: 0,
@@ -364,6 +405,7 @@
             if let Some(document) = document {
                 match (self.codec.parse_configuration)(&document.body).map(Table::check) {
                     Ok(Ok(table)) => {
+                        self.allocator.set_services(table.services());
                         let engines = table.services().iter();
                         let engines = engines.filter(|service| service.engine.is_some());
                         self.state().engine_services =
@@ -378,14 +420,27 @@
         }
     }
 
-    /// Returns the listed targets of the services that consist of engines.
-    fn engines(&self) -> Vec<Instance> {
+    /// Returns the engines whose reports are to be read now.
+    fn due(&self, schedule: &mut Schedule, now: Instant) -> Vec<Instance> {
         let state = self.state();
-        let instances = state.instances.iter();
-        instances
-            .filter(|instance| state.engine_services.contains(&instance.service))
-            .cloned()
-            .collect()
+        let allocator = self.allocator.state();
+        let engines = state.engines();
+        self.metrics
+            .record_load_interval(schedule::interval(engines.len()));
+        let known = |engine: &Instance| {
+            let load = state
+                .loads
+                .get(&(engine.target.clone(), engine.incarnation));
+            let target = allocator.targets.get(&engine.target);
+            schedule::Known {
+                reported: load.map(|(_, read)| *read),
+                has_claims: target.is_some_and(|target| !target.claims.is_empty()),
+                is_leaving: engine.leaving
+                    || load.is_some_and(|(load, _)| load.leaving)
+                    || state.is_closing(engine),
+            }
+        };
+        schedule.due(&engines, known, now)
     }
 
     fn state(&self) -> std::sync::MutexGuard<'_, State> {
@@ -394,6 +449,34 @@
 }
 
 impl State {
+    /// Returns the listed targets of the services that consist of engines.
+    fn engines(&self) -> Vec<&Instance> {
+        let instances = self.instances.iter();
+        instances
+            .filter(|instance| self.engine_services.contains(&instance.service))
+            .collect()
+    }
+
+    /// Adopts what the leader published last, where it is newer, when this host begins to poll. Followers
+    /// then see no older list than before, and engines are known before the first list is read.
+    fn adopt(&mut self, published: &Observations) {
+        let updated = published.ages_updated.unwrap_or_else(Instant::now);
+        let read = instant_before(updated, published.list_age_ms);
+        if published.asked.is_none() || self.list_read.is_some_and(|known| known >= read) {
+            return;
+        }
+        self.instances.clone_from(&published.instances);
+        self.list_read = Some(read);
+        for report in &published.loads {
+            let key = (report.target.clone(), report.incarnation);
+            let read = instant_before(updated, report.age_ms);
+            let known = self.loads.entry(key).or_insert((report.load, read));
+            if known.1 < read {
+                *known = (report.load, read);
+            }
+        }
+    }
+
     /// Records whether a target's response closes the connection. Returns whether it is the first
     /// response that does.
     fn record_closing(&mut self, key: &(Target, Incarnation), closes: bool) -> bool {
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -5,14 +5,23 @@
 //! notice, and placed only where memory would otherwise stay free: otherwise copies take the links and
 //! the memory that generations need to move. See `docs/design/migration.md`.
 
+mod cold;
+mod score;
+
+pub use self::score::Terms;
+
 use {
     crate::{
         allocator::Scope,
         call::{Part, PartId},
+        homes::Homes,
         targets::{State, Targets},
     },
     rand::{Rng, seq::SliceRandom as _},
-    sardinerelay::id::{Build, Organisation, Service, Target, Zone},
+    sardinerelay::{
+        estimate::choice::best_of,
+        id::{Build, Organisation, Service, Target, Zone},
+    },
     serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -60,14 +69,15 @@
 const MIN_SHARED_RATIO: f64 = 0.15;
 /// Number of engines that are preferred for a prefix.
 const PREFERRED_ENGINES: usize = 2;
-/// Load added for each second until the prompt would be read.
-const LOAD_PER_WAIT_SECOND: f64 = 2.0;
 /// An engine that needs longer than this to read its present prompts gets no further ones. It reads
 /// prompts side by side, so one more delays all of them, while a request in the queue delays none.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
-/// Upper bound of the random load added to plain targets, so that hosts with the same view choose
-/// differently.
-const MAX_RANDOM_LOAD: f64 = 0.05;
+/// Number of plain targets compared. A host sees only its own calls there, so all hosts would choose the
+/// target that was fastest in the last seconds.
+const PLAIN_SAMPLE_SIZE: usize = 2;
+/// A plain target whose expected delay exceeds the lowest one by this factor is chosen only if no other
+/// is left, since it probably fails. The slowest targets that work are slower by a factor of 2.7.
+const MAX_DELAY_RATIO: f64 = 4.0;
 /// Shortest time after which a refused caller is asked to retry.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Number of waiting requests from which an engine counts as full.
@@ -108,6 +118,9 @@
     /// because hosts of earlier versions can't parse a longer one.
     #[serde(skip)]
     pub build: Option<Build>,
+    /// The regions in which it may run. Messages carry them beside the need too.
+    #[serde(skip)]
+    pub homes: Homes,
 }
 
 impl Need {
@@ -147,40 +160,52 @@
 where
     R: Rng + ?Sized,
 {
-    let candidates: Vec<&State> = targets
-        .usable(&need.service, now)
+    let prefix = prefix_hash(&need.shared_parts);
+    // A sample may have none of the required build.
+    let candidates: Vec<&State> = match need.build {
+        Some(_) => targets.usable(&need.service, now).collect(),
+        None => targets.candidates(&need.service, Some(prefix), rng, now),
+    };
+    let candidates: Vec<&State> = candidates
+        .into_iter()
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter(|state| need.accepts(&state.instance.build))
+        .filter(|state| targets.allow(&need.homes, state))
         .collect();
     let share = targets.limit_share(scope);
-    let mut feasible: Vec<(f64, &State)> = candidates
+    let typical = targets.typical_rate(&need.service);
+    let mut feasible: Vec<(Terms, &State)> = candidates
         .iter()
         .filter(|state| state.limit.has_permit(share, now))
+        .filter(|state| targets.has_pace(state, scope, now))
         .filter_map(|state| {
             let read_wait = state.backlog.estimated_wait(need.prompt_tokens, now);
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
                 return None;
             }
-            let load = load_with(state, need, now)? + penalty(state, &need.zone, now);
-            Some((
-                load + LOAD_PER_WAIT_SECOND * read_wait.as_secs_f64(),
-                *state,
-            ))
+            let terms = Terms {
+                memory: load_with(state, need, now)?,
+                reading: score::reading(read_wait),
+                finishing: score::finishing(state, need, &typical, now),
+                ..Terms::of(state, &need.zone, now)
+            };
+            Some((terms, *state))
         })
         .collect();
+    cold::arrange(&mut feasible, targets, need, now);
     feasible.shuffle(rng);
     let shared = need.shared_tokens as f64 / need.prompt_tokens.max(1) as f64;
     if shared >= MIN_SHARED_RATIO {
         prefer(
             &mut feasible,
-            &preferred_engines(&candidates, &need.shared_parts),
+            &preferred_engines(targets, &candidates, (&need.service, prefix)),
             shared,
         );
     }
     let best = feasible
         .iter()
         .take(sample_size(scope))
-        .min_by(|left, right| left.0.total_cmp(&right.0))?;
+        .min_by(|left, right| left.0.total().total_cmp(&right.0.total()))?;
     let target = best.1.instance.target.clone();
     let copy = match need.wants_copy {
         true => {
@@ -221,10 +246,18 @@
         Secondary::Copy => (MAX_COPY_FILL, COPY_OTHER_ZONE_LOAD),
         Secondary::Move => (MAX_MOVE_FILL, MOVE_OTHER_ZONE_LOAD),
     };
-    let mut feasible: Vec<(f64, &State)> = targets
-        .usable(&need.service, now)
+    let typical = targets.typical_rate(&need.service);
+    let candidates = targets.candidates(&need.service, None, rng, now);
+    let mut feasible: Vec<(Terms, &State)> = candidates
+        .into_iter()
         .filter(|state| state.instance.target != primary.instance.target)
         .filter(|state| state.instance.build == primary.instance.build)
+        .filter(|state| targets.allow(&need.homes, state))
+        .filter(|state| match secondary {
+            // A generation that continues from its copy can't wait until its engine has room.
+            Secondary::Copy => !targets.is_paced(state, now),
+            Secondary::Move => targets.has_pace(state, scope, now),
+        })
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
             let load = committed_share(state, need, now)
@@ -232,10 +265,14 @@
             if state.is_full(now) || !fits_now(state, need, now) {
                 return None;
             }
-            let score = load + penalty(state, &need.zone, now);
-            let zone_load = f64::from(state.instance.zone != need.zone) * other_zone_load;
-            let limit_load = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
-            (load <= max_fill).then_some((score + zone_load + limit_load, state))
+            let mut terms = Terms::of(state, &need.zone, now);
+            terms.memory = load;
+            terms.zone += f64::from(state.instance.zone != need.zone) * other_zone_load;
+            terms.limit = f64::from(!state.limit.has_permit(share, now)) * LIMIT_REACHED_LOAD;
+            if secondary == Secondary::Move {
+                terms.finishing = score::finishing(state, need, &typical, now);
+            }
+            (load <= max_fill).then_some((terms, state))
         })
         .collect();
     feasible.shuffle(rng);
@@ -247,7 +284,7 @@
         .into_iter()
         .take(sample)
         .chain(other_zone.into_iter().take(sample))
-        .min_by(|left, right| left.0.total_cmp(&right.0))
+        .min_by(|left, right| left.0.total().total_cmp(&right.0.total()))
         .map(|(_, state)| state.instance.target.clone())
 }
 
@@ -295,22 +332,9 @@
     tokens as f64 / memory.max(1) as f64
 }
 
-/// Returns the load added for reasons other than memory: recent failures, another zone, a recent
-/// start.
-fn penalty(state: &State, zone: &Zone, now: Instant) -> f64 {
-    let mut penalty = FAILURE_LOAD * state.health.failure_rate(now);
-    if state.instance.zone != *zone {
-        penalty += OTHER_ZONE_LOAD;
-    }
-    if state.is_cold(now) {
-        penalty += COLD_START_LOAD;
-    }
-    penalty
-}
-
 /// Moves the engines that probably have a prefix cached to the front, so that they are part of
 /// every sample, and lowers their load by what reading the prefix again would cost.
-fn prefer(feasible: &mut [(f64, &State)], preferred: &[Target], shared: f64) {
+fn prefer(feasible: &mut [(Terms, &State)], preferred: &[Target], shared: f64) {
     for (position, target) in preferred.iter().enumerate() {
         let found = feasible
             .iter()
@@ -318,20 +342,39 @@
         if let Some(index) = found
             && position < feasible.len()
         {
-            feasible[index].0 -= MAX_AFFINITY_LOAD * shared;
+            feasible[index].0.cached = -MAX_AFFINITY_LOAD * shared;
             feasible.swap(position, index);
         }
     }
 }
 
-/// Returns the engines that should have a prefix cached. Rendezvous hashing lets all hosts agree on
-/// them without communication (Thaler and Ravishankar, 1998).
-fn preferred_engines(candidates: &[&State], shared_parts: &[PartId]) -> Vec<Target> {
+/// Returns the hash of a prompt's shared parts.
+fn prefix_hash(shared_parts: &[PartId]) -> u64 {
     let mut hasher = DefaultHasher::new();
     for part in shared_parts {
         part.hash(&mut hasher);
     }
-    let prefix = hasher.finish();
+    hasher.finish()
+}
+
+/// Returns the engines that should have a prefix cached. Rendezvous hashing lets all hosts agree on
+/// them without communication (Thaler and Ravishankar, 1998). It hashes all engines, so it is used
+/// only while all are candidates.
+fn preferred_engines(
+    targets: &Targets,
+    candidates: &[&State],
+    (service, prefix): (&str, u64),
+) -> Vec<Target> {
+    if targets.is_sampled(service) {
+        let successors = targets.successors(service, prefix);
+        let is_candidate = |target: &&Target| {
+            candidates
+                .iter()
+                .any(|state| state.instance.target == **target)
+        };
+        let preferred = successors.filter(is_candidate).take(PREFERRED_ENGINES);
+        return preferred.cloned().collect();
+    }
     let mut ranked: Vec<(u64, &State)> = candidates
         .iter()
         .map(|state| {
@@ -347,7 +390,8 @@
         .collect()
 }
 
-/// Returns the usable targets of a plain service, other than those in `avoid`, least loaded first.
+/// Returns the usable targets of a plain service, other than those in `avoid`, best first: the one with
+/// the lower expected delay of two random ones, then the others by their delay.
 pub fn rank_plain<'a, R>(
     targets: &'a Targets,
     (service, zone, avoid): (&'a str, &Zone, &[Target]),
@@ -357,28 +401,18 @@
 where
     R: Rng + ?Sized,
 {
-    let mut ranked: Vec<(f64, &State)> = targets
-        .usable(service, now)
+    let typical = targets.typical_rate(service);
+    let candidates = targets.candidates(service, None, rng, now).into_iter();
+    let mut ranked: Vec<(f64, &State)> = candidates
         .filter(|state| !avoid.contains(&state.instance.target))
-        .map(|state| {
-            let slots = f64::from(state.instance.slots.max(1));
-            let load = state.claims.len() as f64 / slots * HOST_LOAD_FACTOR;
-            let random_load = rng.random::<f64>() * MAX_RANDOM_LOAD;
-            let zone_load = f64::from(state.instance.zone != *zone) * PLAIN_OTHER_ZONE_LOAD;
-            let failure_load = FAILURE_LOAD * state.health.failure_rate(now);
-            let cold_load = f64::from(state.is_cold(now)) * COLD_START_LOAD;
-            (
-                load + random_load + zone_load + failure_load + cold_load,
-                state,
-            )
-        })
+        .map(|state| (score::plain(state, zone, &typical, now), state))
         .collect();
     ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
+    let lowest = ranked.first().map_or(0.0, |(delay, _)| *delay);
+    let comparable = ranked.partition_point(|(delay, _)| *delay <= MAX_DELAY_RATIO * lowest);
+    let delay = |position: usize| ranked[position].0;
+    if let Some(best) = best_of(PLAIN_SAMPLE_SIZE, comparable, delay, rng) {
+        ranked[..=best].rotate_right(1);
+    }
     ranked.into_iter().map(|(_, state)| state).collect()
 }
-
-/// Assumed ratio of all requests on a plain target to this host's own, since a host doesn't see the
-/// requests of others.
-const HOST_LOAD_FACTOR: f64 = 3.0;
-/// Load added to a plain target in another availability zone than the host.
-const PLAIN_OTHER_ZONE_LOAD: f64 = 0.8;
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -7,10 +7,10 @@
 //! therefore used only for a request whose answer can be told from the one before; see [`Purpose`].
 
 use {
-    crate::{body, observations::Instance},
+    crate::{body, observations::Instance, request::is_answer},
     bytes::Bytes,
     compact_str::CompactString,
-    http::{HeaderMap, Request, Response, header::CONNECTION, header::HeaderName},
+    http::{HeaderMap, Request, Response, StatusCode, header::CONNECTION, header::HeaderName},
     http_body_util::Full,
     hyper::{
         body::Incoming,
@@ -42,7 +42,7 @@
 /// Time by which idle connections are closed earlier than the target states, so that it doesn't
 /// close them while a request is on its way.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
-/// Largest number of idle connections that are kept to one target.
+/// Largest number of idle connections that are kept to one target for requests of callers.
 const MAX_IDLE_PER_TARGET: usize = 32;
 /// Largest response body to a request that the relay makes itself, in bytes.
 const MAX_OWN_RESPONSE_BYTES: usize = 4 << 20;
@@ -84,6 +84,9 @@
     /// The response names the attempt before on the connection.
     #[error("the response to the request before came once more")]
     Repeated,
+    /// The response has a status that ends no request.
+    #[error("the response has status {0}")]
+    Status(StatusCode),
     /// The response's body was not read in full.
     #[error("reading the response failed: {0}")]
     Body(#[source] body::Error),
@@ -149,6 +152,8 @@
 #[derive(Debug, Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<Target, Vec<Idle>>>>,
+    /// Largest number of idle connections that are kept to one target.
+    max_idle: usize,
     /// Memory that long responses may take together.
     pub memory: body::Memory,
 }
@@ -157,6 +162,7 @@
     fn default() -> Self {
         Self {
             idle: Arc::default(),
+            max_idle: MAX_IDLE_PER_TARGET,
             memory: body::Memory::new(RESPONSE_MEMORY_BYTES),
         }
     }
@@ -186,6 +192,14 @@
 }
 
 impl Pool {
+    /// Creates a pool that keeps at most this many idle connections to one target.
+    pub fn with_max_idle(max_idle: usize) -> Self {
+        Self {
+            max_idle,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request to a target and reads the head of the response. A new connection is opened
     /// if no idle one may be used.
     ///
@@ -255,6 +269,9 @@
             if exchange.answers_previous(&response) {
                 return Err(SendError::NoResponse(Cause::Repeated));
             }
+            if !is_answer(response.status()) {
+                return Err(SendError::NoResponse(Cause::Status(response.status())));
+            }
             let (parts, body) = response.into_parts();
             let limits = body::Limits {
                 max_bytes: MAX_OWN_RESPONSE_BYTES,
@@ -285,7 +302,7 @@
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = all.entry(exchange.target).or_default();
         idle.retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
-        if idle.len() < MAX_IDLE_PER_TARGET {
+        if idle.len() < self.max_idle {
             idle.push(Idle {
                 connection,
                 idle_since: now,
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -4,16 +4,21 @@
     crate::{
         entry::EntryHost,
         group::{
-            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, REPORT_METHOD, REQUEST_METHOD,
-            RequestReport,
+            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
+            REPORT_METHOD, REQUEST_METHOD, RequestReport,
         },
         limit::permit,
         origin::Began,
+        pace::{Batch, Pace},
+        targets::Misdirected,
     },
     log::debug,
     sardinerelayd::peer::Packed,
     serde::Serialize,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
@@ -29,8 +34,12 @@
     Limit(permit::Change),
     /// What is known of a request that may make targets crash.
     Request(RequestReport),
+    /// A target didn't get a request that was counted for it.
+    Misdirected(Misdirected),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
+    /// How fast an engine decoded a generation.
+    Pace(Pace),
 }
 
 impl From<AllocationReport> for Report {
@@ -45,12 +54,24 @@
     }
 }
 
+impl From<Misdirected> for Report {
+    fn from(misdirected: Misdirected) -> Self {
+        Self::Misdirected(misdirected)
+    }
+}
+
 impl From<Began> for Report {
     fn from(began: Began) -> Self {
         Self::Began(began)
     }
 }
 
+impl From<Pace> for Report {
+    fn from(pace: Pace) -> Self {
+        Self::Pace(pace)
+    }
+}
+
 impl From<RequestReport> for Report {
     fn from(report: RequestReport) -> Self {
         Self::Request(report)
@@ -62,16 +83,20 @@
 /// host can't be reached; what targets say then shows the same, only later. A stream that no voter knows
 /// can't be taken up elsewhere while several builds serve.
 pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
+    let mut paces = Batch::default();
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut streams) = (Vec::new(), Vec::new());
+        let mut misdirected = Vec::new();
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
                 Report::Allocation(report) => allocations.push(report),
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
+                Report::Misdirected(target) => misdirected.push(target),
                 Report::Began(began) => streams.push(began),
+                Report::Pace(pace) => paces.push(pace),
             }
             // Fails when the queue is empty.
             next = outgoing.try_recv().ok();
@@ -80,6 +105,8 @@
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, REQUEST_METHOD, requests).await;
+        send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
+        send(&entry, MISDIRECTED_METHOD, misdirected).await;
     }
 }
 
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -146,6 +146,8 @@
         return http_server::text(StatusCode::METHOD_NOT_ALLOWED, "");
     }
     if path == METRICS_PATH {
+        let now = Instant::now();
+        entry.metrics.record_balances(&entry.state().targets, now);
         return metrics_response(&entry.metrics, request);
     }
     if path != entry.codec.ready_path {
@@ -189,7 +191,9 @@
     };
     let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::Group));
+    allocator.configure(common);
     let shared = group::SharedState {
+        zone: common.zone.clone(),
         observations: Arc::clone(&observations),
         followers: Arc::clone(&followers),
         allocator: Arc::clone(&allocator),
@@ -206,24 +210,32 @@
     let mut running = group::start(replica, shared).await?;
     let handle = running.handle.clone();
     let served_metrics = Arc::clone(&metrics);
+    let measured = Arc::clone(&allocator);
     let metrics_address = SocketAddr::from((common.address, common.metrics_port));
     http_server::listen(metrics_address, move |request| {
+        served_metrics.record_balances(&measured.state().targets, Instant::now());
         let response = metrics_response(&served_metrics, &request);
         async move { response }
     })
     .await
     .with_context(|| format!("listening on {metrics_address}"))?;
     let operators = (handle.clone(), settings.zones());
-    control::listen(settings.control_address, codec, operators, metrics)
+    let control_metrics = Arc::clone(&metrics);
+    control::listen(settings.control_address, codec, operators, control_metrics)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
+    tokio::spawn(follow::republish(
+        common.host.clone(),
+        handle.clone(),
+        Arc::clone(&observations),
+    ));
     let list_source = (settings.list_address, settings.max_list_calls_per_second);
     let observer = Arc::new(Observer::new(
         codec,
         list_source,
         (observations, followers),
-        allocator,
-        handle.leads_or_leaderless(),
+        (allocator, metrics),
+        (handle.leads_or_leaderless(), handle.leads()),
     ));
     tokio::spawn(observer.run(handle.newest()));
     let host = common.host.as_str();
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -4,10 +4,18 @@
 //! list still shows it as staying.
 
 mod evacuation;
+mod index;
+mod pacing;
+mod speed;
 mod state;
 mod statements;
 
-pub use self::state::{MemoryClaim, State};
+pub use self::{
+    index::MAX_CANDIDATES,
+    pacing::{Misdirected, Pacing},
+    speed::{Balance, slowdown},
+    state::{MemoryClaim, State},
+};
 
 use {
     crate::{
@@ -16,10 +24,16 @@
         builds,
         group::LocalAllocation,
         health::Health,
+        homes::{Homes, Regions},
         limit::Limit,
-        observations::{Instance, Observations},
+        observations::{Instance, Observations, Sign},
+        observer::schedule,
+    },
+    sardinerelay::{
+        estimate::{Speed, Typical},
+        id::{Incarnation, Service, Target},
+        pacing::Window,
     },
-    sardinerelay::id::{Incarnation, Service, Target},
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::{Duration, Instant},
@@ -34,10 +48,32 @@
 /// Time for which it is remembered that an incarnation is leaving or has left.
 const LEFT_RETENTION: Duration = Duration::from_secs(120);
 /// Age of a target's load report from which it counts as silent if other targets' reports are
-/// fresh.
+/// fresh. It is longer than the longest interval between reads, one repeated read and a publication.
 const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
-/// Age below which another target's load report shows that reports arrive at all.
-const FRESH_REPORT_AGE: Duration = Duration::from_millis(800);
+/// Age below which another target's load report shows that reports arrive at all. When no reports
+/// arrive any more, the newest is up to an interval between reads younger than the oldest, so this
+/// is shorter than [`SILENT_REPORT_AGE`] by at least that.
+const FRESH_REPORT_AGE: Duration = Duration::from_millis(300);
+/// Ages of load reports by which silent engines are recognised.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReportAges {
+    /// Age from which an engine counts as silent if the reports of others are fresh.
+    pub(crate) silent: Duration,
+    /// Age below which a report shows that reports arrive at all.
+    pub(crate) fresh: Duration,
+}
+
+impl ReportAges {
+    /// Returns the ages if one host reads the reports of this many engines.
+    pub(crate) fn new(engines_per_reader: usize) -> Self {
+        let stretch = schedule::stretch(engines_per_reader);
+        Self {
+            silent: SILENT_REPORT_AGE.mul_f64(stretch),
+            fresh: FRESH_REPORT_AGE.mul_f64(stretch),
+        }
+    }
+}
+
 /// Age of a load report from which the target's load counts as unknown.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -59,10 +95,20 @@
     unannounced_ends: HashMap<Service, Instant>,
     /// Largest number of entry hosts in any observations.
     entry_hosts: u32,
+    /// Number of engines whose reports one host reads. The ages from which an engine counts as silent grow with
+    /// it, as the intervals between reads do.
+    engines_per_reader: usize,
     /// The builds that were listed lately.
     pub builds: builds::History,
     /// Which zones are evacuated.
     orders: evacuation::Orders,
+    /// How fast the targets of each service are.
+    typical_rates: HashMap<Service, Typical>,
+    /// What bounds the requests to cold targets.
+    pub pacing: Pacing,
+    /// The region of each availability zone.
+    pub regions: Regions,
+    index: index::Index,
 }
 
 /// A change found by [`Targets::merge`], for the log.
@@ -85,7 +131,10 @@
     /// ignored.
     pub fn merge(&mut self, observations: &Observations, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
-        self.entry_hosts = self.entry_hosts.max(observations.entry_hosts);
+        if observations.entry_hosts > self.entry_hosts {
+            self.entry_hosts = observations.entry_hosts;
+            self.divide_bounds();
+        }
         let read = instant_before(now, observations.list_age_ms);
         if self.list_read.is_none_or(|known| read > known) && !observations.instances.is_empty() {
             let last_read = self.list_read.replace(read);
@@ -97,9 +146,11 @@
             if is_seamless {
                 self.record_unannounced_ends(&observations.instances, now, &mut changes);
             }
-            self.orders.record_list(read);
+            self.orders.record_list(confirmed);
             self.merge_list(observations, now, &mut changes);
+            self.index.set_targets(&self.states);
         }
+        self.count_engines(observations);
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
             let Some(state) = self.states.get_mut(&report.target) else {
@@ -120,16 +171,59 @@
                 changes.push(Change::Leaving(report.target.clone()));
             }
         }
+        if let Some(signs) = &observations.signs {
+            self.merge_signs(signs, now, &mut changes);
+        }
+        self.index.set_loads(&self.states);
         changes
     }
 
+    /// Merges what another host's load reports show.
+    fn merge_signs(&mut self, signs: &[Sign], now: Instant, changes: &mut Vec<Change>) {
+        for state in self.states.values_mut() {
+            state.reported_silent = None;
+        }
+        for sign in signs {
+            let Some(state) = self.states.get_mut(&sign.target) else {
+                continue;
+            };
+            if state.instance.incarnation != sign.incarnation {
+                continue;
+            }
+            let since = sign.closing_ms.map(|age| instant_before(now, age));
+            if since.is_some() && state.closing_since.is_none() {
+                changes.push(Change::Closing(sign.target.clone()));
+            }
+            state.closing_since = since;
+            state.reported_silent = sign.is_silent.then_some(now);
+        }
+    }
+
+    /// Counts the targets of the services whose targets report their load.
+    fn count_engines(&mut self, observations: &Observations) {
+        let reported = observations.loads.iter();
+        let reported = reported.filter_map(|report| self.states.get(&report.target));
+        let services: HashSet<&Service> = reported.map(|state| &state.instance.service).collect();
+        if services.is_empty() {
+            return;
+        }
+        let engines = self.states.values();
+        let engines = engines.filter(|state| services.contains(&state.instance.service));
+        let readers = observations.readers.len().max(1);
+        self.engines_per_reader = engines.count().div_ceil(readers);
+    }
+
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
+        let known = self.states.len();
         for instance in instances {
             if !self.states.contains_key(&instance.target) {
                 self.merge_instance(instance, now, &mut Vec::new());
             }
         }
+        if self.states.len() != known {
+            self.index.set_targets(&self.states);
+        }
     }
 
     /// Returns the number of entry hosts, this one included: the largest that was ever observed, 0
@@ -171,13 +265,16 @@
 
     fn is_state_silent(&self, state: &State, now: Instant) -> bool {
         let age = |read: Instant| now.saturating_duration_since(read);
-        let is_old = state
-            .load
-            .is_some_and(|(_, read)| age(read) > SILENT_REPORT_AGE);
-        is_old && {
-            let mut loads = self.states.values().filter_map(|other| other.load);
-            loads.any(|(_, read)| age(read) < FRESH_REPORT_AGE)
+        if state
+            .reported_silent
+            .is_some_and(|reported| age(reported) < MAX_REPORT_AGE)
+        {
+            return true;
         }
+        let ages = ReportAges::new(self.engines_per_reader);
+        let is_old = state.load.is_some_and(|(_, read)| age(read) > ages.silent);
+        let newest = self.index.newest_load;
+        is_old && newest.is_some_and(|read| age(read) < ages.fresh)
     }
 
     /// Iterates over the targets of a service that may get work.
@@ -186,20 +283,41 @@
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = &'a State> + 'a {
-        self.states.values().filter(move |state| {
-            state.instance.service == service
-                && !self.is_evacuated(state)
-                && state.leaving_since(now).is_none()
-                && !state.is_resting(now)
-                && !state.health.is_down(now)
-                && !self.is_state_silent(state, now)
-        })
+        let of_service = self.index.targets_of_service(service);
+        let states = of_service.filter_map(|target| self.states.get(target));
+        states.filter(move |state| self.is_usable(state, now))
+    }
+
+    /// Whether a target may get work.
+    fn is_usable(&self, state: &State, now: Instant) -> bool {
+        !self.is_evacuated(state)
+            && state.leaving_since(now).is_none()
+            && !state.is_resting(now)
+            && !state.health.is_down(now)
+            && !self.is_state_silent(state, now)
+    }
+
+    /// Whether a request with these homes may reach the target.
+    pub fn allow(&self, homes: &Homes, state: &State) -> bool {
+        self.regions.allow(homes, &state.instance.zone)
+    }
+
+    /// Whether the service has targets, of which those that may get work are all outside the homes.
+    pub fn lack_home(&self, service: &str, homes: &Homes, now: Instant) -> bool {
+        let is_listed = || {
+            self.states
+                .values()
+                .any(|state| state.instance.service == service)
+        };
+        let mut usable = self.usable(service, now);
+        !homes.is_anywhere() && is_listed() && !usable.any(|state| self.allow(homes, state))
     }
 
     /// Records that a request uses memory of a target.
     pub fn claim(&mut self, target: &str, run: RunId, claim: MemoryClaim) {
         if let Some(state) = self.states.get_mut(target) {
             state.claims.insert(run, claim);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -207,6 +325,7 @@
     pub fn record_sent(&mut self, target: &str, run: RunId, prompt: u64, now: Instant) {
         if let Some(state) = self.states.get_mut(target) {
             state.backlog.record_sent(run, prompt, now);
+            self.index.add(run, target, &self.states);
         }
     }
 
@@ -219,8 +338,10 @@
 
     /// Records that a request's engine has read its prompt.
     pub fn record_prompt_read(&mut self, run: RunId, now: Instant) {
-        for state in self.states.values_mut() {
-            state.backlog.record_prompt_read(run, now);
+        for target in self.index.targets_of(run) {
+            if let Some(state) = self.states.get_mut(target) {
+                state.backlog.record_prompt_read(run, now);
+            }
         }
     }
 
@@ -262,7 +383,10 @@
     /// Records that a request now runs on the target that its memory was moved to. Its claims on
     /// other targets are dropped.
     pub fn complete_move(&mut self, to: &str, run: RunId) {
-        for (target, state) in &mut self.states {
+        for target in self.index.targets_of(run) {
+            let Some(state) = self.states.get_mut(target) else {
+                continue;
+            };
             if target != to {
                 state.claims.remove(&run);
             } else if let Some(claim) = state.claims.get_mut(&run) {
@@ -274,12 +398,14 @@
     /// Drops all claims of a request and its prompt from the backlogs. Returns whether there were
     /// any claims.
     pub fn release_everywhere(&mut self, run: RunId) -> bool {
-        let states = self.states.values_mut();
-        let released = states.filter_map(|state| {
-            state.backlog.remove(run);
-            state.claims.remove(&run)
-        });
-        released.count() > 0
+        let mut is_released = false;
+        for target in self.index.remove(run) {
+            if let Some(state) = self.states.get_mut(&target) {
+                state.backlog.remove(run);
+                is_released |= state.claims.remove(&run).is_some();
+            }
+        }
+        is_released
     }
 
     /// Drops claims that were made longer than `max_age` ago. Returns their requests.
@@ -368,14 +494,18 @@
                 rests_until: None,
                 closing_since: None,
                 load: None,
+                reported_silent: None,
                 claims: HashMap::new(),
                 remote_sends: VecDeque::new(),
                 backlog: Backlog::default(),
                 health: Health::default(),
                 cold_until: now,
                 is_presumed_cold: false,
+                stated_cold_until: None,
+                pace: Window::default(),
                 full_until: None,
                 limit: Limit::default(),
+                speed: Speed::default(),
             };
             self.states.insert(target.clone(), state);
             changes.push(Change::Listed(target.clone()));
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -8,6 +8,7 @@
         limit::Limit,
         observations::{Instance, Load},
     },
+    sardinerelay::{estimate::Speed, pacing::Window},
     std::{
         collections::{HashMap, VecDeque},
         time::{Duration, Instant},
@@ -60,6 +61,9 @@
     pub closing_since: Option<Instant>,
     /// Its last load report, and when that was read.
     pub load: Option<(Load, Instant)>,
+    /// When another host last told that its load reports have stopped, if it did in its newest
+    /// observations.
+    pub reported_silent: Option<Instant>,
     /// This host's requests on it and the copies that it keeps for them.
     pub claims: HashMap<RunId, MemoryClaim>,
     /// Generations that other hosts sent there recently: when, and the tokens of memory that each
@@ -74,11 +78,18 @@
     /// Whether it counts as cold because the evacuation of its zone has ended and no list that was read later
     /// is known yet.
     pub is_presumed_cold: bool,
+    /// Until when it counts as cold because it has said so itself.
+    pub stated_cold_until: Option<Instant>,
+    /// The requests of the last second, if its service states how many it can handle while cold.
+    pub pace: Window,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
     pub limit: Limit,
+    /// How fast it is, as far as this host knows.
+    pub speed: Speed,
 }
+
 impl State {
     /// Tokens of memory that the target is expected to need for its present requests: its load
     /// report, plus what was sent there since, plus the growth of running requests. A request of
@@ -143,6 +154,17 @@
         self.claims.len().max(reported as usize)
     }
 
+    /// Whether a run has a claim or an unread prompt there.
+    pub fn has_run(&self, run: RunId) -> bool {
+        self.claims.contains_key(&run) || self.backlog.contains(run)
+    }
+
+    /// Share of its slots that are in use with this many further requests, from 0 to 1.
+    pub fn occupancy(&self, further: usize, now: Instant) -> f64 {
+        let requests = self.active_requests(now) + further;
+        (requests as f64 / f64::from(self.instance.slots.max(1))).min(1.0)
+    }
+
     /// Whether it refused a request for lack of memory within the last `FULL_DURATION`.
     pub fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
@@ -160,7 +182,9 @@
 
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.is_presumed_cold || now < self.cold_until
+        self.is_presumed_cold
+            || now < self.cold_until
+            || self.stated_cold_until.is_some_and(|until| now < until)
     }
 }
 
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -2,20 +2,27 @@
 
 mod decisions {
     mod builds;
+    mod candidates;
+    mod cold;
     mod distribution;
     mod evacuation;
+    mod even;
     mod fixtures;
+    mod homes;
     mod leaving;
     mod limits;
     mod list;
     mod moves;
+    mod paging;
     mod placement;
     mod quarantine;
+    mod read_times;
     mod reads;
     mod register;
     mod repair;
     mod requests;
     mod sse;
     mod table;
+    mod updates;
     mod waiting;
 }
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -6,6 +6,8 @@
 mod evacuation;
 #[path = "group/membership.rs"]
 mod membership;
+#[path = "group/observations.rs"]
+mod observations;
 #[path = "group/refusals.rs"]
 mod refusals;
 #[path = "group/rejoin.rs"]
--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 pub mod admission;
+pub mod estimate;
 pub mod fleet;
 pub mod id;
 pub mod lease;
@@ -14,6 +15,7 @@
 pub mod limiter;
 pub mod operator;
 pub mod orders;
+pub mod pacing;
 pub mod raft;
 pub mod refusal_code;
 pub mod resume;
