Add fair shares by cost: virtual times, a guaranteed share and measured demand

Shares were counted in running requests and so ignored that generations hold memory for very different times.

--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 pub mod admission;
+pub mod fairness;
 pub mod fleet;
 pub mod id;
 pub mod lease;
