--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -6,7 +6,7 @@
         channels::{Input, MemberStatus, Outcome},
         evacuation::{Evacuations, Order, Revision},
         register::Document,
-        report::{AllocationReport, RequestReport},
+        report::{AllocationReport, RequestReport, ShareReport},
     },
     crate::{
         allocator::{Allocator, Answer},
@@ -87,6 +87,8 @@
 pub const PACE_METHOD: &str = "pace.report";
 /// Notifies the allocating host of requests that were counted for a target and turned away with 421.
 pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
+/// Notifies a host that begins to allocate of running requests, as [`ShareReport`]s.
+pub const SHARES_METHOD: &str = "shares.report";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -500,6 +502,7 @@
             STEP => context.step(parameters),
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
+            SHARES_METHOD => context.apply_shares(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
             MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
@@ -537,6 +540,13 @@
         Ok(())
     }
 
+    /// Takes over running requests from the host that allocated before.
+    fn apply_shares(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(reports),): (Packed<Vec<ShareReport>>,) = serde_json::from_str(parameters)?;
+        self.allocator.adopt_shares(&reports);
+        Ok(())
+    }
+
     /// Applies reports of requests that may make targets crash.
     fn apply_request_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(reports),): (Packed<Vec<RequestReport>>,) = serde_json::from_str(parameters)?;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -13,6 +13,7 @@
     mod limits;
     mod list;
     mod moves;
+    mod overload;
     mod paging;
     mod placement;
     mod quarantine;
