--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -125,6 +125,11 @@
 }
 
 impl Queue {
+    /// Sets the weights of organisations. The weight of others is 1.
+    pub fn set_weights(&mut self, weights: HashMap<Organisation, f64>) {
+        self.clock.set_weights(weights);
+    }
+
     /// Adds a request, unless it can't be placed before its deadline. If the queue is full, the
     /// request that would be placed last is refused.
     ///
--- a/crates/sardinerelay-gateway/src/allocator/shares.rs
+++ b/crates/sardinerelay-gateway/src/allocator/shares.rs
@@ -1,8 +1,18 @@
-//! Running requests that a host takes over when it begins to allocate.
+//! Weights of organisations, and running requests that a host takes over when it begins to allocate.
 
-use {super::Allocator, crate::group::ShareReport, std::time::Instant};
+use {
+    super::Allocator,
+    crate::group::ShareReport,
+    sardinerelay::id::Organisation,
+    std::{collections::HashMap, time::Instant},
+};
 
 impl Allocator {
+    /// Sets the weights of organisations. The weight of others is 1.
+    pub fn set_weights(&self, weights: &HashMap<Organisation, f64>) {
+        self.state().queue.set_weights(weights.clone());
+    }
+
     /// Charges organisations for running requests that another host placed.
     pub fn adopt_shares(&self, reports: &[ShareReport]) {
         let now = Instant::now();
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -117,6 +117,8 @@
         reports: UnboundedSender<Report>,
     ) -> Self {
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
+        let allocator = Allocator::new(Scope::Local);
+        allocator.set_weights(&settings.common.weights);
         Self {
             reports,
             settings,
@@ -126,7 +128,7 @@
             request_memory: body::Memory::new(REQUEST_MEMORY_BYTES),
             metrics,
             drain: Drain::default(),
-            allocator: Allocator::new(Scope::Local),
+            allocator,
             remote: RemoteAllocator::default(),
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -205,7 +205,7 @@
     info!(
         request = job.call.id.as_str(), route = job.route.name.as_str(),
         prompt = need.prompt_tokens, output = need.output_tokens, priority = need.priority,
-        reason:% = reason, retry_after_ms = retry_after.as_millis() as u64,
+        organisation = need.organisation.as_str(), reason:% = reason, retry_after_ms = retry_after.as_millis() as u64,
         waited_ms = job.arrived.elapsed().as_millis() as u64;
         "generation refused"
     );
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -189,6 +189,7 @@
     };
     let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::Group));
+    allocator.set_weights(&common.weights);
     let shared = group::SharedState {
         observations: Arc::clone(&observations),
         followers: Arc::clone(&followers),
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -3,9 +3,9 @@
 use {
     crate::{budget, reload},
     compact_str::CompactString,
-    sardinerelay::id::{Region, Zone},
+    sardinerelay::id::{Organisation, Region, Zone},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, HashMap},
         fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -24,6 +24,8 @@
     pub zone: Zone,
     /// The region of each availability zone.
     pub regions: BTreeMap<Zone, Region>,
+    /// The weights of organisations in fair queueing. The weight of others is 1.
+    pub weights: HashMap<Organisation, f64>,
     /// This host's address, at which the metrics server and, with a replica, the peer server
     /// listen.
     pub address: Ipv4Addr,
--- a/crates/sardinerelay-gateway/tests/decisions/overload.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/overload.rs
@@ -375,7 +375,7 @@
     assert!(both[0].share() >= both[1].share());
 }
 
-/// One organisation sends ten times what it may expect. The others must wait no longer than a
+/// One organisation sends thirty times as much as each of the others. The others must wait no longer than a
 /// quarter of their objective beyond what they waited without it, and must be served before it.
 #[test]
 fn a_flood_of_one_organisation_delays_no_other() {
