--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -125,6 +125,7 @@
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
         let allocator = Allocator::new(Scope::Local);
         allocator.configure(&settings.common);
+        allocator.set_weights(&settings.common.weights);
         Self {
             reports,
             settings,
--- a/crates/sardinerelay-gateway/src/settings.rs
+++ b/crates/sardinerelay-gateway/src/settings.rs
@@ -4,11 +4,11 @@
     crate::{budget, reload},
     compact_str::CompactString,
     sardinerelay::{
-        id::{Region, Zone},
+        id::{Organisation, Region, Zone},
         pacing::Tolerance,
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         fmt,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -29,6 +29,8 @@
     pub regions: BTreeMap<Zone, Region>,
     /// How far beyond the rate that they state cold targets may be loaded.
     pub cold_tolerance: Tolerance,
+    /// The weights of organisations in fair queueing. The weight of others is 1.
+    pub weights: HashMap<Organisation, f64>,
     /// This host's address, at which the metrics server and, with a replica, the peer server
     /// listen.
     pub address: Ipv4Addr,
