Divide the reads of load reports among voters

One leader that reads 3,000 engines at 250 reads a second reads each of them every 12 s or less often, so most loads are unknown. With more than 100 engines the leader now publishes which voters read, each reads the engines that rendezvous hashing gives it, and sends what it read to the leader every 100 ms (loads.report). The leader takes over the engines of a reader that is silent for 1 s. With up to 100 engines the leader reads all, as before.

The decisions' tests pass (227), those of the group too (11). No run with 3,000 engines was made.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -24,10 +24,10 @@
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
-        FollowConfiguration, FollowObservations, LIMIT_METHOD, ORIGIN_METHOD, PACE_METHOD,
-        PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate, SharedState,
-        StatusRequest, WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD, WatchEvacuations,
-        ZONE_METHOD,
+        FollowConfiguration, FollowObservations, LIMIT_METHOD, LOADS_METHOD, ORIGIN_METHOD,
+        PACE_METHOD, PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, Relocate,
+        SharedState, StatusRequest, WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD,
+        WatchEvacuations, ZONE_METHOD,
     },
 };
 
@@ -50,6 +50,7 @@
     },
     sardinerelayd::{control::FatalError, peer::Server},
     std::{
+        collections::BTreeSet,
         net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         sync::Arc,
@@ -127,6 +128,7 @@
     leadership: watch::Receiver<SoftState>,
     exclusions: watch::Receiver<Vec<Exclusion>>,
     evacuations: watch::Receiver<Option<Arc<Evacuations>>>,
+    heard: watch::Receiver<BTreeSet<Ipv4Addr>>,
     clients: Arc<Clients>,
     publisher: Arc<Publisher>,
 }
@@ -168,6 +170,7 @@
         leadership: watch::Sender::new(no_leader),
         exclusions: watch::Sender::default(),
         evacuations: watch::Sender::default(),
+        heard: watch::Sender::default(),
     };
     let (inputs, queue) = channel(INPUT_QUEUE_CAPACITY);
     let publisher = Arc::new(Publisher::start().map_err(FatalError::Thread)?);
@@ -179,6 +182,7 @@
         leadership: published.leadership.subscribe(),
         exclusions: published.exclusions.subscribe(),
         evacuations: published.evacuations.subscribe(),
+        heard: published.heard.subscribe(),
         clients,
     };
     let driver = Driver::new(config, files, links, publisher, published)?;
@@ -366,6 +370,12 @@
         receiver
     }
 
+    /// Returns a channel with the addresses of the other voters from which messages arrived within a second.
+    /// None while this replica isn't the leader.
+    pub fn heard(&self) -> watch::Receiver<BTreeSet<Ipv4Addr>> {
+        self.heard.clone()
+    }
+
     /// Returns the clients of the peer servers of other hosts.
     pub fn clients(&self) -> &Arc<Clients> {
         &self.clients
--- a/crates/sardinerelay-gateway/src/group/channels.rs
+++ b/crates/sardinerelay-gateway/src/group/channels.rs
@@ -11,7 +11,7 @@
         raft::{Message, RequestError, SoftState},
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{collections::BTreeSet, net::Ipv4Addr, sync::Arc},
     tokio::sync::{oneshot::Sender, watch},
 };
 
@@ -62,6 +62,8 @@
     pub(super) exclusions: watch::Sender<Vec<Exclusion>>,
     /// The orders for zones; none until this replica has been as new as the leader's.
     pub(super) evacuations: watch::Sender<Option<Arc<Evacuations>>>,
+    /// Addresses of the other voters from which messages arrived recently, while this replica is the leader.
+    pub(super) heard: watch::Sender<BTreeSet<Ipv4Addr>>,
 }
 
 /// What a replica knows of the group, and of one host in it.
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -51,6 +51,8 @@
 };
 /// Interval at which the leader checks whether the membership needs a repair.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a message after which a voter isn't published as heard.
+const MAX_HEARD_AGE: Duration = Duration::from_secs(1);
 
 /// The task that owns the replica.
 #[derive(Debug)]
@@ -135,6 +137,7 @@
             if now >= next_repair {
                 self.last_repair = now;
                 self.repair(now);
+                self.publish_heard(now);
             }
             self.process_output()?;
         }
@@ -434,6 +437,25 @@
         }
     }
 
+    /// Publishes the other voters from which messages arrived recently; none if this replica isn't the leader.
+    fn publish_heard(&self, now: Instant) {
+        let mut heard = BTreeSet::new();
+        if self.leader_since.is_some() {
+            let voters = self.replica.status().membership.voters;
+            let is_recent = |host: &Host| {
+                let last = self.last_heard.get(host);
+                last.is_some_and(|last| now.saturating_duration_since(*last) < MAX_HEARD_AGE)
+            };
+            let others = voters.into_iter().filter(|host| *host != self.replica.id());
+            heard = others.filter(is_recent).map(member::address).collect();
+        }
+        self.published.heard.send_if_modified(|known| {
+            let is_new = *known != heard;
+            *known = heard;
+            is_new
+        });
+    }
+
     /// Takes a snapshot of the register if the log has grown enough.
     fn compact(&mut self) {
         if !self.disk.is_snapshot_due(SNAPSHOT_THRESHOLD) {
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -17,6 +17,7 @@
         observations::{
             Followers, Observations, ObservationsSender, or_default, served::Served, update,
         },
+        observer::division::LoadsReport,
         origin::{Began, Query},
         pace::Pace,
         placement::Need,
@@ -40,7 +41,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::timeout,
+    },
 };
 
 /// Stores a configuration.
@@ -84,6 +88,9 @@
 pub const REQUEST_METHOD: &str = "quarantine.report";
 /// Notifies the allocating host of [`Pace`]s. Hosts of earlier versions ignore it.
 pub const PACE_METHOD: &str = "pace.report";
+/// Notifies the leader of load reports that another voter read, in a [`LoadsReport`]. Hosts of earlier versions
+/// ignore it.
+pub const LOADS_METHOD: &str = "loads.report";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -210,6 +217,8 @@
     pub allocator: Arc<Allocator>,
     /// Counters and histograms of this process.
     pub metrics: Arc<Metrics>,
+    /// Takes the load reports that other voters read.
+    pub loads: mpsc::Sender<LoadsReport>,
 }
 
 struct Context {
@@ -234,6 +243,7 @@
         own_id,
         handle: handle.clone(),
         allocator: Arc::clone(&shared.allocator),
+        loads: shared.loads.clone(),
     };
     let handler = notification_handler(notifications, Arc::clone(&counters));
     let context = Context {
@@ -471,6 +481,7 @@
     own_id: Host,
     handle: Handle,
     allocator: Arc<Allocator>,
+    loads: mpsc::Sender<LoadsReport>,
 }
 
 /// Returns a handler that applies notifications to `context`.
@@ -487,6 +498,7 @@
             REQUEST_METHOD => context.apply_request_reports(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
             PACE_METHOD => context.apply_paces(parameters),
+            LOADS_METHOD => context.pass_loads(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -540,6 +552,15 @@
         Ok(())
     }
 
+    /// Passes load reports on to the observer. They are dropped while its queue is full, since newer ones follow.
+    fn pass_loads(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(report),): (Packed<LoadsReport>,) = serde_json::from_str(parameters)?;
+        if let Err(error) = self.loads.try_send(report) {
+            debug!("dropped load reports that another voter read: {error}");
+        }
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
--- a/crates/sardinerelay-gateway/src/limit.rs
+++ b/crates/sardinerelay-gateway/src/limit.rs
@@ -70,7 +70,7 @@
 }
 
 /// What a response states about its target's limit.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Statement {
     /// The target has no limit.
     #[default]
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     list_pages: Counter<u64>,
     load_reads: Counter<u64>,
     load_interval: Gauge<f64>,
+    load_readers: Gauge<u64>,
 }
 
 impl Metrics {
@@ -87,6 +88,11 @@
             ),
             list_pages: count("list_pages", "Pages of the platform's list by outcome"),
             load_reads: count("load_reads", "Reads of load reports by outcome"),
+            load_readers: gauge(
+                &meter,
+                "load_readers",
+                "Hosts among which the reads of load reports are divided",
+            ),
             load_interval: meter
                 .f64_gauge("sardinerelay_load_interval")
                 .with_unit("s")
@@ -177,6 +183,11 @@
         self.load_reads.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the number of hosts that read load reports, on the leader.
+    pub fn record_load_readers(&self, readers: usize) {
+        self.load_readers.record(readers as u64, &[]);
+    }
+
     /// Records the interval at which this host reads the report of an engine.
     pub fn record_load_interval(&self, interval: Duration) {
         self.load_interval.record(interval.as_secs_f64(), &[]);
--- a/crates/sardinerelay-gateway/src/observations/publisher.rs
+++ b/crates/sardinerelay-gateway/src/observations/publisher.rs
@@ -10,6 +10,7 @@
     },
     crate::{
         limit::{Rate, permit},
+        observer::readers::engines_per_reader,
         quarantine::{Refused, Subject},
         targets::{ReportAges, instant_before},
     },
@@ -354,7 +355,7 @@
         let age = |read: Instant| now.saturating_duration_since(read);
         let loads = self.items.values().filter_map(|item| item.load);
         let readers = observations.readers.len().max(1);
-        let ages = ReportAges::new(loads.clone().count().div_ceil(readers));
+        let ages = ReportAges::new(engines_per_reader(loads.clone().count(), readers));
         let do_reports_arrive = loads.into_iter().any(|(_, read)| age(read) < ages.fresh);
         let told = observations.signs.as_ref().map(|signs| -> HashSet<_> {
             let silent = signs.iter().filter(|sign| sign.is_silent);
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -2,14 +2,21 @@
 //! [`Observations`].
 //!
 //! Only the group's leader polls, and hosts that know of no leader. The number of pollers thereby
-//! doesn't grow with the group, and each side of a partition has at least one.
+//! doesn't grow with the group, and each side of a partition has at least one. Load reports of many engines
+//! are also read by other voters, which send them to the leader (see [`division`]).
 
+pub mod division;
 pub mod paging;
+pub mod readers;
+pub mod reports;
 pub mod schedule;
 
 use {
     self::{
+        division::{Division, LoadsReport, Unsent},
         paging::{Failure, List, Paging},
+        readers::Readers,
+        reports::{Key, Reports},
         schedule::Schedule,
     },
     crate::{
@@ -17,16 +24,13 @@
         codec::{Codec, ParseError},
         group::Document,
         metrics::Metrics,
-        observations::{
-            Builds, Followers, Instance, Load, LoadReport, Observations, ObservationsSender,
-        },
+        observations::{Builds, Followers, Instance, LoadReport, Observations, ObservationsSender},
         pool::{Pool, Purpose},
         table::Table,
-        targets::instant_before,
     },
     http::{HeaderMap, StatusCode, header},
     log::{debug, info, warn},
-    sardinerelay::id::{Build, Incarnation, Service, Target},
+    sardinerelay::id::{Build, Service, Target},
     std::{
         cmp::Ordering,
         collections::{HashMap, HashSet},
@@ -35,19 +39,18 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::watch,
+        sync::{mpsc::Receiver, watch},
         time::{MissedTickBehavior, interval, sleep},
     },
 };
 
-/// Number of successive responses with `Connection: close` after which a target counts as closing
-/// its connections. A single one may come by chance.
-const MIN_CLOSING_RESPONSES: u32 = 2;
 /// Timeout of one request for a page of the list or a load report.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest number of idle connections to an engine, or to the list's server. Reads of one engine rarely
 /// overlap.
 const MAX_IDLE_PER_SERVER: usize = 1;
+/// Longest time between two looks at which reports are due. The readers may change at any time.
+const MAX_READ_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest interval between two publications.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -74,6 +77,9 @@
     changed: tokio::sync::Notify,
     /// Notified when an engine has begun to close its connections.
     closing_seen: tokio::sync::Notify,
+    /// Notified when this host has read that an engine leaves.
+    leave_read: tokio::sync::Notify,
+    division: Division,
 }
 
 /// What was read last.
@@ -82,27 +88,13 @@
     instances: Vec<Instance>,
     /// When the list was read; none before the first time.
     list_read: Option<Instant>,
-    /// The newest load report of each target, and when it was read.
-    loads: HashMap<(Target, Incarnation), (Load, Instant)>,
-    closing: HashMap<(Target, Incarnation), Closing>,
+    reports: Reports,
     /// The services that consist of engines. Only their targets report their load.
     engine_services: HashSet<Service>,
-}
-
-/// Since when a target closes the connection after each of its responses.
-#[derive(Debug)]
-struct Closing {
-    since: Instant,
-    /// Number of responses since then. From [`MIN_CLOSING_RESPONSES`] on the target counts as
-    /// closing.
-    responses: u32,
-}
-
-impl Closing {
-    /// Whether it is more than a response that closes the connection by chance.
-    fn is_confirmed(&self) -> bool {
-        self.responses >= MIN_CLOSING_RESPONSES
-    }
+    /// The hosts that read load reports, while this host is the leader.
+    readers: Readers,
+    /// What was read and not yet sent to the leader, while that is another host.
+    unsent: Vec<Unsent>,
 }
 
 impl Observer {
@@ -115,6 +107,7 @@
         (observations, followers): (ObservationsSender, Arc<Followers>),
         (allocator, metrics): (Arc<Allocator>, Arc<Metrics>),
         (is_active, is_leader): (watch::Receiver<bool>, watch::Receiver<bool>),
+        division: Division,
     ) -> Self {
         Self {
             codec,
@@ -140,17 +133,26 @@
             is_leader,
             changed: tokio::sync::Notify::new(),
             closing_seen: tokio::sync::Notify::new(),
+            leave_read: tokio::sync::Notify::new(),
+            division,
         }
     }
 
     /// Polls and publishes for as long as the process runs. `newest` is the configuration, which
-    /// says which services consist of engines.
-    pub async fn run(self: Arc<Self>, newest: watch::Receiver<Option<Arc<Document>>>) {
+    /// says which services consist of engines, and `reports` are the messages of other voters.
+    pub async fn run(
+        self: Arc<Self>,
+        newest: watch::Receiver<Option<Arc<Document>>>,
+        reports: Receiver<LoadsReport>,
+    ) {
         tokio::join!(
             self.poll_list(),
             self.poll_load_reports(),
             self.publish(),
             self.track_engine_services(newest),
+            self.adopt_published(),
+            self.send_reads(),
+            self.receive_reads(reports),
         );
     }
 
@@ -242,12 +244,11 @@
         }
     }
 
-    /// Reads every engine's load report as [`Schedule`] says.
+    /// Reads the load reports of this host's share of the engines as [`Schedule`] says.
     async fn poll_load_reports(self: &Arc<Self>) {
         let mut schedule = Schedule::new(Instant::now());
-        let mut is_active = self.is_active.clone();
         loop {
-            if is_active.wait_for(|active| *active).await.is_err() {
+            if !self.wait_until_reader().await {
                 return;
             }
             let now = Instant::now();
@@ -256,7 +257,7 @@
                 tokio::spawn(async move { observer.read_load_report(&engine).await });
             }
             tokio::select! {
-                () = sleep(schedule.wait(now)) => {}
+                () = sleep(schedule.wait(now).min(MAX_READ_PAUSE)) => {}
                 () = self.closing_seen.notified() => schedule.hurry(Instant::now()),
             }
         }
@@ -271,6 +272,7 @@
         }
         self.read_load_report_once(engine).await;
         if self.state().is_closing(engine) {
+            self.leave_read.notify_one();
             self.closing_seen.notify_one();
         }
     }
@@ -308,11 +310,18 @@
                 self.allocator
                     .record_limit(engine, head.statement.limit, sent);
                 load.leaving |= head.statement.is_leaving;
-                let key = (engine.target.clone(), engine.incarnation);
+                let key = key_of(engine);
                 let mut state = self.state();
-                let is_first_closing =
-                    state.record_closing(&key, closes_connection(response.headers()));
-                state.loads.insert(key, (load, Instant::now()));
+                let closes = closes_connection(response.headers());
+                let now = Instant::now();
+                let is_first_closing = state.reports.record(key.clone(), load, closes, now);
+                state.unsent.push(Unsent {
+                    key,
+                    load,
+                    sent,
+                    read: now,
+                    limit: head.statement.limit,
+                });
                 drop(state);
                 self.changed.notify_one();
                 is_first_closing
@@ -336,7 +345,9 @@
                 if is_active.wait_for(|active| *active).await.is_err() {
                     return;
                 }
-                self.state().adopt(&self.observations.borrow());
+                let mut state = self.state();
+                state.adopt(&self.observations.borrow());
+                state.readers = Readers::default();
             }
             ticks.tick().await;
             tokio::select! {
@@ -355,23 +366,16 @@
         let now = Instant::now();
         let age = |read: Instant| now.saturating_duration_since(read).as_millis() as u64;
         let mut state = self.state();
-        let listed: HashSet<(Target, Incarnation)> = state
-            .instances
-            .iter()
-            .map(|instance| (instance.target.clone(), instance.incarnation))
-            .collect();
-        state.loads.retain(|key, _| listed.contains(key));
-        state.closing.retain(|key, _| listed.contains(key));
-        let loads = state.loads.iter().map(|(key, (load, read))| {
-            let closing = state.closing.get(key);
-            let closing = closing.filter(|closing| closing.is_confirmed());
-            LoadReport {
-                target: key.0.clone(),
-                incarnation: key.1,
-                load: *load,
-                age_ms: age(*read),
-                closing_ms: closing.map(|closing| age(closing.since)),
-            }
+        let State {
+            reports, instances, ..
+        } = &mut *state;
+        reports.retain_listed(instances);
+        let loads = state.reports.all().map(|(key, (load, read))| LoadReport {
+            target: key.0.clone(),
+            incarnation: key.1,
+            load: *load,
+            age_ms: age(*read),
+            closing_ms: state.reports.closing_since(key).map(age),
         });
         let allocator = self.allocator.state();
         let refused_parts = allocator.quarantine.refused(now);
@@ -390,7 +394,7 @@
             limits,
             refused_requests,
             suspect_requests,
-            readers: Vec::new(),
+            readers: state.readers.chosen().to_vec(),
             signs: None,
             ages_updated: Some(now),
             asked: None,
@@ -421,24 +425,34 @@
 
     /// Returns the engines whose reports are to be read now.
     fn due(&self, schedule: &mut Schedule, now: Instant) -> Vec<Instance> {
-        let state = self.state();
+        let mut state = self.state();
+        let readers = self.readers(&mut state, now);
+        let is_active = *self.is_active.borrow();
+        if !is_active && readers.is_empty() {
+            return Vec::new();
+        }
         let allocator = self.allocator.state();
-        let engines = state.engines();
+        let engines = state.share(&readers, self.division.own);
         self.metrics
             .record_load_interval(schedule::interval(engines.len()));
         let known = |engine: &Instance| {
-            let load = state
-                .loads
-                .get(&(engine.target.clone(), engine.incarnation));
+            let load = state.reports.load(&key_of(engine));
             let target = allocator.targets.get(&engine.target);
             schedule::Known {
-                reported: load.map(|(_, read)| *read),
-                has_claims: target.is_some_and(|target| !target.claims.is_empty()),
+                reported: load.map(|(_, read)| read),
+                // Only the leader knows claims; others know what the engine reported.
+                has_claims: match is_active {
+                    true => target.is_some_and(|target| !target.claims.is_empty()),
+                    false => load.is_some_and(|(load, _)| load.running > 0 || load.waiting > 0),
+                },
                 is_leaving: engine.leaving
                     || load.is_some_and(|(load, _)| load.leaving)
                     || state.is_closing(engine),
             }
         };
+        if !readers.is_empty() {
+            schedule.keep_places();
+        }
         schedule.due(&engines, known, now)
     }
 
@@ -456,49 +470,16 @@
             .collect()
     }
 
-    /// Adopts what the leader published last, where it is newer, when this host begins to poll. Followers
-    /// then see no older list than before, and engines are known before the first list is read.
-    fn adopt(&mut self, published: &Observations) {
-        let updated = published.ages_updated.unwrap_or_else(Instant::now);
-        let read = instant_before(updated, published.list_age_ms);
-        if published.asked.is_none() || self.list_read.is_some_and(|known| known >= read) {
-            return;
-        }
-        self.instances.clone_from(&published.instances);
-        self.list_read = Some(read);
-        for report in &published.loads {
-            let key = (report.target.clone(), report.incarnation);
-            let read = instant_before(updated, report.age_ms);
-            let known = self.loads.entry(key).or_insert((report.load, read));
-            if known.1 < read {
-                *known = (report.load, read);
-            }
-        }
-    }
-
-    /// Records whether a target's response closes the connection. Returns whether it is the first
-    /// response that does.
-    fn record_closing(&mut self, key: &(Target, Incarnation), closes: bool) -> bool {
-        if !closes {
-            self.closing.remove(key);
-            return false;
-        }
-        let closing = self.closing.entry(key.clone()).or_insert_with(|| Closing {
-            since: Instant::now(),
-            responses: 0,
-        });
-        closing.responses += 1;
-        closing.responses == 1
-    }
-
     /// Whether an engine counts as closing its connections.
     fn is_closing(&self, engine: &Instance) -> bool {
-        let key = (engine.target.clone(), engine.incarnation);
-        let closing = self.closing.get(&key);
-        closing.is_some_and(Closing::is_confirmed)
+        self.reports.closing_since(&key_of(engine)).is_some()
     }
 }
 
+fn key_of(engine: &Instance) -> Key {
+    (engine.target.clone(), engine.incarnation)
+}
+
 /// Returns one instance of each target: the newest incarnation, as its last entry says. None of a target if
 /// entries of that incarnation name several services, since its requests could then run at a wrong one; these
 /// targets are in the errors.
--- a/crates/sardinerelay-gateway/src/observer/schedule.rs
+++ b/crates/sardinerelay-gateway/src/observer/schedule.rs
@@ -90,6 +90,8 @@
     next_hurry: Option<Instant>,
     /// When the reads of the last second were sent.
     sent: VecDeque<Instant>,
+    /// Whether engines that are new to this host may have been read by another one before.
+    keeps_places: bool,
 }
 
 /// Returns the factor by which the intervals grow because one host reads the reports of this many engines.
@@ -114,6 +116,7 @@
             last_hurry: now,
             next_hurry: None,
             sent: VecDeque::new(),
+            keeps_places: false,
         }
     }
 
@@ -132,7 +135,12 @@
         let mut candidates = Vec::new();
         for (engine, index) in engines.iter().zip(0..) {
             let reads = self.reads.entry(engine.target.clone());
-            let reads = reads.or_insert_with(|| Reads::new(now + spacing * index));
+            let reads = reads.or_insert_with(|| {
+                let spread = now + spacing * index;
+                let reported = self.keeps_places.then(|| known(engine).reported).flatten();
+                let regular = reported.map(|at| (at + INTERVAL.mul_f64(stretch)).max(now));
+                Reads::new(regular.map_or(spread, |regular| regular.min(spread)))
+            });
             if reads.next <= now {
                 candidates.push((reads.next, *engine));
             }
@@ -168,6 +176,12 @@
         due
     }
 
+    /// From now on, reads engines that are new to this host when their last reports are one interval old, since
+    /// another host may have read them. Otherwise they are spread over the interval.
+    pub fn keep_places(&mut self) {
+        self.keeps_places = true;
+    }
+
     /// Returns the time until a report may be due.
     pub fn wait(&self, now: Instant) -> Duration {
         let next = self.reads.values().map(|reads| reads.next);
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -10,7 +10,10 @@
         follow, front, group, http_server,
         metrics::Metrics,
         observations::{Followers, Observations, ObservationsSender},
-        observer::Observer,
+        observer::{
+            Observer,
+            division::{Division, QUEUE_CAPACITY},
+        },
         reload,
         reporter::Report,
         settings,
@@ -31,7 +34,7 @@
         net::TcpListener,
         runtime::Builder,
         sync::{
-            mpsc::{UnboundedReceiver, unbounded_channel},
+            mpsc::{UnboundedReceiver, channel, unbounded_channel},
             watch,
         },
         time::sleep,
@@ -189,12 +192,14 @@
     };
     let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::Group));
+    let (loads, received_loads) = channel(QUEUE_CAPACITY);
     let shared = group::SharedState {
         zone: common.zone.clone(),
         observations: Arc::clone(&observations),
         followers: Arc::clone(&followers),
         allocator: Arc::clone(&allocator),
         metrics: Arc::clone(&metrics),
+        loads,
     };
     tokio::spawn(merge_observations(
         Arc::clone(&allocator),
@@ -224,6 +229,12 @@
         handle.clone(),
         Arc::clone(&observations),
     ));
+    let division = Division {
+        own: common.address,
+        clients: Arc::clone(handle.clients()),
+        leader: handle.followed_leader(),
+        heard: handle.heard(),
+    };
     let list_source = (settings.list_address, settings.max_list_calls_per_second);
     let observer = Arc::new(Observer::new(
         codec,
@@ -231,8 +242,9 @@
         (observations, followers),
         (allocator, metrics),
         (handle.leads_or_leaderless(), handle.leads()),
+        division,
     ));
-    tokio::spawn(observer.run(handle.newest()));
+    tokio::spawn(observer.run(handle.newest(), received_loads));
     let host = common.host.as_str();
     info!(host = host, took_ms = began.elapsed().as_millis() as u64; "voter started");
     tokio::select! {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -22,7 +22,7 @@
         health::Health,
         limit::Limit,
         observations::{Instance, Observations, Sign},
-        observer::schedule,
+        observer::{readers, schedule},
     },
     sardinerelay::{
         estimate::{Speed, Typical},
@@ -194,7 +194,7 @@
         let engines = self.states.values();
         let engines = engines.filter(|state| services.contains(&state.instance.service));
         let readers = observations.readers.len().max(1);
-        self.engines_per_reader = engines.count().div_ceil(readers);
+        self.engines_per_reader = readers::engines_per_reader(engines.count(), readers);
     }
 
     /// Adds targets that another host knows and this one doesn't.
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -14,6 +14,7 @@
     mod placement;
     mod quarantine;
     mod read_times;
+    mod readers;
     mod reads;
     mod register;
     mod repair;
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -8,6 +8,8 @@
 mod membership;
 #[path = "group/observations.rs"]
 mod observations;
+#[path = "group/reads.rs"]
+mod reads;
 #[path = "group/refusals.rs"]
 mod refusals;
 #[path = "group/rejoin.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -12,17 +12,19 @@
         allocator::{Allocator, Scope},
         follow,
         group::{
-            self, Clients, Document, Evacuations, Handle, MemberStatus, RunningReplica, Settings,
-            SharedState, StatusRequest, WATCH_EVACUATIONS_METHOD, WatchEvacuations,
-            discovery::Search, member,
+            self, Clients, Document, Evacuations, Handle, LOADS_METHOD, MemberStatus,
+            RunningReplica, Settings, SharedState, StatusRequest, WATCH_EVACUATIONS_METHOD,
+            WatchEvacuations, discovery::Search, member,
         },
         metrics::Metrics,
         observations::{Followers, Observations, ObservationsSender},
+        observer::division::{LoadsReport, QUEUE_CAPACITY},
         reload::{self, SharedSettings},
     },
+    sardinerelayd::peer::Packed,
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         fs,
         net::Ipv4Addr,
         path::PathBuf,
@@ -37,7 +39,8 @@
     tempfile::TempDir,
     tokio::{
         runtime::{Builder, Runtime},
-        sync::watch,
+        sync::{mpsc, watch},
+        time::timeout,
     },
     uuid::Uuid,
 };
@@ -60,6 +63,8 @@
     replica: RunningReplica,
     allocator: Arc<Allocator>,
     observations: ObservationsSender,
+    /// The load reports that other replicas have sent to this one.
+    received_loads: mpsc::Receiver<LoadsReport>,
 }
 
 /// A group of replicas, which ends when this is dropped.
@@ -105,12 +110,14 @@
         let allocator = Arc::new(Allocator::new(Scope::Group));
         let observations: ObservationsSender =
             Arc::new(watch::Sender::new(Arc::new(Observations::default())));
+        let (loads, received_loads) = mpsc::channel(QUEUE_CAPACITY);
         let shared = SharedState {
             zone: format_compact!("zone-{host}"),
             observations: Arc::clone(&observations),
             followers: Arc::new(Followers::default()),
             allocator: Arc::clone(&allocator),
             metrics: Arc::new(Metrics::new().expect("instruments")),
+            loads,
         };
         let replica = runtime.block_on(group::start(settings, shared));
         let replica = replica.expect("the replica starts");
@@ -124,6 +131,7 @@
             replica,
             allocator,
             observations,
+            received_loads,
         });
     }
 
@@ -291,6 +299,28 @@
         reply.expect("the host replies")
     }
 
+    /// Notifies a replica of load reports that another one read, over the connection between the two.
+    pub fn send_loads(&self, (from, host): (usize, usize), report: &LoadsReport) {
+        let client = self.handle(from).clients().get(self.address(host));
+        let report = Packed(report);
+        let sent = client.notify(LOADS_METHOD, &report, REQUEST_TIMEOUT);
+        let sent = self.running(from).runtime.block_on(sent);
+        sent.expect("the connection takes it");
+    }
+
+    /// Returns the next load reports that a replica was sent.
+    pub fn received_loads(&mut self, host: usize) -> Option<LoadsReport> {
+        let running = self.replicas[host].as_mut().expect("the replica runs");
+        let received = &mut running.received_loads;
+        let received = async { timeout(REQUEST_TIMEOUT, received.recv()).await };
+        running.runtime.block_on(received).ok()?
+    }
+
+    /// Returns the addresses of the voters that a replica, as the leader, has heard recently.
+    pub fn heard(&self, host: usize) -> BTreeSet<Ipv4Addr> {
+        self.handle(host).heard().borrow().clone()
+    }
+
     fn handle(&self, host: usize) -> &Handle {
         &self.running(host).replica.handle
     }
@@ -299,7 +329,8 @@
         self.replicas[host].as_ref().expect("the replica runs")
     }
 
-    fn address(&self, host: usize) -> Ipv4Addr {
+    /// Returns a replica's address.
+    pub fn address(&self, host: usize) -> Ipv4Addr {
         let process = process::id();
         let second = 40 + (process % 50) as u8;
         let third = (process / 50 % 16) as u8 * 16 + self.number % 16;
