--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -342,6 +342,7 @@
         let mut is_active = self.is_active.clone();
         loop {
             if !*is_active.borrow() {
+                self.metrics.record_load_readers(0);
                 if is_active.wait_for(|active| *active).await.is_err() {
                     return;
                 }
