--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod evacuations;
+mod shares;
 mod statements;
 
 use {
@@ -86,6 +87,8 @@
     voters: Mutex<Voters>,
     /// Crashes that this host has reported.
     pub(crate) crashes: crashes::Recent,
+    /// Requests that run on engines.
+    pub(crate) running: shares::Running,
     forecast: Mutex<Forecast>,
     budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
@@ -122,6 +125,7 @@
         let prefix = u64::from(rand::random::<u32>()) << RUN_COUNTER_BITS;
         let allocator = Allocator::new(Scope::Local);
         allocator.configure(&settings.common);
+        allocator.set_weights(&settings.common.weights);
         Self {
             reports,
             settings,
@@ -136,6 +140,7 @@
             evacuations: watch::Sender::default(),
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
+            running: shares::Running::default(),
             forecast: Mutex::default(),
             budgets: Mutex::default(),
             next_run: AtomicU64::new(prefix),
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -6,7 +6,7 @@
         channels::{Input, MemberStatus, Outcome},
         evacuation::{Evacuations, Order, Revision},
         register::Document,
-        report::{AllocationReport, RequestReport},
+        report::{AllocationReport, RequestReport, ShareReport},
     },
     crate::{
         allocator::{Allocator, Answer},
@@ -18,6 +18,7 @@
         observations::{
             Followers, Observations, ObservationsSender, or_default, served::Served, update,
         },
+        observer::division::LoadsReport,
         origin::{Began, Query},
         pace::Pace,
         placement::Need,
@@ -41,7 +42,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::timeout,
+    },
 };
 
 /// Stores a configuration.
@@ -87,6 +91,11 @@
 pub const PACE_METHOD: &str = "pace.report";
 /// Notifies the allocating host of requests that were counted for a target and turned away with 421.
 pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
+/// Notifies a host that begins to allocate of running requests, as [`ShareReport`]s.
+pub const SHARES_METHOD: &str = "shares.report";
+/// Notifies the leader of load reports that another voter read, in a [`LoadsReport`]. Hosts of earlier versions
+/// ignore it.
+pub const LOADS_METHOD: &str = "loads.report";
 /// Notifies voters of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
 /// Asks a voter which build began a stream.
@@ -219,6 +228,8 @@
     pub allocator: Arc<Allocator>,
     /// Counters and histograms of this process.
     pub metrics: Arc<Metrics>,
+    /// Takes the load reports that other voters read.
+    pub loads: mpsc::Sender<LoadsReport>,
 }
 
 struct Context {
@@ -243,6 +254,7 @@
         own_id,
         handle: handle.clone(),
         allocator: Arc::clone(&shared.allocator),
+        loads: shared.loads.clone(),
     };
     let handler = notification_handler(notifications, Arc::clone(&counters));
     let context = Context {
@@ -487,6 +499,7 @@
     own_id: Host,
     handle: Handle,
     allocator: Arc<Allocator>,
+    loads: mpsc::Sender<LoadsReport>,
 }
 
 /// Returns a handler that applies notifications to `context`.
@@ -500,10 +513,12 @@
             STEP => context.step(parameters),
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
+            SHARES_METHOD => context.apply_shares(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
             MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
             PACE_METHOD => context.apply_paces(parameters),
+            LOADS_METHOD => context.pass_loads(parameters),
             _ => Ok(()),
         };
         if let Err(error) = handled {
@@ -537,6 +552,13 @@
         Ok(())
     }
 
+    /// Takes over running requests from the host that allocated before.
+    fn apply_shares(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(reports),): (Packed<Vec<ShareReport>>,) = serde_json::from_str(parameters)?;
+        self.allocator.adopt_shares(&reports);
+        Ok(())
+    }
+
     /// Applies reports of requests that may make targets crash.
     fn apply_request_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(reports),): (Packed<Vec<RequestReport>>,) = serde_json::from_str(parameters)?;
@@ -567,6 +589,15 @@
         Ok(())
     }
 
+    /// Passes load reports on to the observer. They are dropped while its queue is full, since newer ones follow.
+    fn pass_loads(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(report),): (Packed<LoadsReport>,) = serde_json::from_str(parameters)?;
+        if let Err(error) = self.loads.try_send(report) {
+            debug!("dropped load reports that another voter read: {error}");
+        }
+        Ok(())
+    }
+
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -5,7 +5,7 @@
         entry::EntryHost,
         group::{
             AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
-            REPORT_METHOD, REQUEST_METHOD, RequestReport,
+            REPORT_METHOD, REQUEST_METHOD, RequestReport, SHARES_METHOD, ShareReport,
         },
         limit::permit,
         origin::Began,
@@ -36,6 +36,8 @@
     Request(RequestReport),
     /// A target didn't get a request that was counted for it.
     Misdirected(Misdirected),
+    /// A request runs, which a host that begins to allocate doesn't know.
+    Share(ShareReport),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
     /// How fast an engine decoded a generation.
@@ -72,6 +74,12 @@
     }
 }
 
+impl From<ShareReport> for Report {
+    fn from(report: ShareReport) -> Self {
+        Self::Share(report)
+    }
+}
+
 impl From<RequestReport> for Report {
     fn from(report: RequestReport) -> Self {
         Self::Request(report)
@@ -86,7 +94,7 @@
     let mut paces = Batch::default();
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
-        let (mut requests, mut streams) = (Vec::new(), Vec::new());
+        let (mut requests, mut streams, mut shares) = (Vec::new(), Vec::new(), Vec::new());
         let mut misdirected = Vec::new();
         let mut next = Some(first);
         while let Some(report) = next {
@@ -95,6 +103,7 @@
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
                 Report::Misdirected(target) => misdirected.push(target),
+                Report::Share(report) => shares.push(report),
                 Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
@@ -104,6 +113,7 @@
         announce(&entry, streams);
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
+        send(&entry, SHARES_METHOD, shares).await;
         send(&entry, REQUEST_METHOD, requests).await;
         send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
         send(&entry, MISDIRECTED_METHOD, misdirected).await;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -13,10 +13,12 @@
     mod limits;
     mod list;
     mod moves;
+    mod overload;
     mod paging;
     mod placement;
     mod quarantine;
     mod read_times;
+    mod readers;
     mod reads;
     mod register;
     mod repair;
--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod estimate;
+pub mod fairness;
 pub mod fleet;
 pub mod id;
 pub mod lease;
@@ -17,6 +18,7 @@
 pub mod orders;
 pub mod pacing;
 pub mod raft;
+pub mod rate;
 pub mod refusal_code;
 pub mod resume;
 pub mod retry;
