--- a/crates/sardinerelay-gateway/examples/decision_cost.rs
+++ b/crates/sardinerelay-gateway/examples/decision_cost.rs
@@ -4,6 +4,7 @@
     rand::{SeedableRng as _, rngs::StdRng},
     sardinerelay_gateway::{
         allocator::{Scope, claim},
+        homes::Homes,
         observations::{Instance, Load, LoadReport, Observations},
         placement::{Need, choose},
         targets::Targets,
@@ -68,6 +69,7 @@
         wants_copy: false,
         shared_parts: vec![run % 50],
         build: None,
+        homes: Homes::default(),
     }
 }
 
--- a/crates/sardinerelay-gateway/examples/fairness_cost.rs
+++ b/crates/sardinerelay-gateway/examples/fairness_cost.rs
@@ -5,6 +5,7 @@
     sardinerelay_gateway::{
         admission::{Queue, Waiter},
         allocator::{Scope, place},
+        homes::Homes,
         observations::{Instance, Load, LoadReport, Observations},
         placement::Need,
         targets::Targets,
@@ -75,6 +76,7 @@
         wants_copy: false,
         shared_parts: Vec::new(),
         build: None,
+        homes: Homes::default(),
     }
 }
 
