--- a/crates/sardinerelay-gateway/src/observer/schedule.rs
+++ b/crates/sardinerelay-gateway/src/observer/schedule.rs
@@ -26,10 +26,11 @@
 /// counts as silent.
 pub const QUIET_INTERVAL: Duration = Duration::from_millis(1000);
 /// Interval while there are few engines. Whether one of them is silent is judged by how fresh the
-/// others' reports are, and few reads cost little.
+/// others' reports are, and few reads cost little. The first of several engines that leave is found after the
+/// interval divided by their number, so with few engines a longer interval takes time from their moves.
 pub const FEW_INTERVAL: Duration = Duration::from_millis(300);
 /// Largest number of engines that count as few.
-pub const FEW_ENGINES: usize = 6;
+pub const FEW_ENGINES: usize = 24;
 /// Time without an answer after which a read is repeated.
 pub const REPEAT_DELAY: Duration = Duration::from_millis(100);
 /// Time over which the reads of all load reports are spread after an engine has begun to leave.
