--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -2,10 +2,10 @@
 //! evacuates zones.
 
 mod evacuation;
-pub mod pulse;
+pub mod suspension;
 
 use {
-    self::{evacuation::Orders, pulse::Pulse},
+    self::{evacuation::Orders, suspension::Detector},
     crate::{
         body,
         call::OperatorCall,
@@ -53,13 +53,13 @@
     metrics: Arc<Metrics>,
 ) -> io::Result<()> {
     let memory = body::Memory::new(SUBMISSION_MEMORY_BYTES);
-    let pulse = Pulse::new(Instant::now());
-    let orders = Arc::new(Orders { zones, pulse });
+    let suspension = Detector::new(Instant::now());
+    let orders = Arc::new(Orders { zones, suspension });
     let checked = Arc::clone(&orders);
     tokio::spawn(async move {
         loop {
-            checked.pulse.check(Instant::now());
-            sleep(pulse::INTERVAL).await;
+            checked.suspension.check(Instant::now());
+            sleep(suspension::INTERVAL).await;
         }
     });
     http_server::listen(address, move |request| {
--- a/crates/sardinerelay-gateway/src/control/evacuation.rs
+++ b/crates/sardinerelay-gateway/src/control/evacuation.rs
@@ -1,7 +1,7 @@
 //! Operators' orders that evacuate a zone or end its evacuation.
 
 use {
-    super::{CONFIRMATION_TIMEOUT, pulse::Pulse},
+    super::{CONFIRMATION_TIMEOUT, suspension::Detector},
     crate::{group::Handle, http_server},
     axum::body::Body,
     http::{Response, StatusCode},
@@ -18,7 +18,7 @@
 pub(super) struct Orders {
     /// The zones that the settings list.
     pub(super) zones: BTreeSet<Zone>,
-    pub(super) pulse: Pulse,
+    pub(super) suspension: Detector,
 }
 
 impl Orders {
@@ -34,7 +34,7 @@
             return http_server::text(StatusCode::NOT_FOUND, "there is no such zone\n");
         }
         let began = Instant::now();
-        if !self.pulse.check(began) {
+        if !self.suspension.check(began) {
             warn!(zone = zone.as_str(); "refused an order shortly after this process was suspended");
             let reason = "the order may be out of date, send it again\n";
             return http_server::text(StatusCode::SERVICE_UNAVAILABLE, reason);
--- a/crates/sardinerelay-gateway/src/control/pulse.rs
+++ b/crates/sardinerelay-gateway/src/control/suspension.rs
@@ -20,14 +20,14 @@
 /// When the process last checked the time, and when it last went on after a suspension, in milliseconds since
 /// this was created.
 #[derive(Debug)]
-pub struct Pulse {
+pub struct Detector {
     created: Instant,
     checked: AtomicU64,
     resumed: AtomicU64,
 }
 
-impl Pulse {
-    /// Creates the pulse of a process that wasn't suspended.
+impl Detector {
+    /// Creates the detector of a process that wasn't suspended.
     pub fn new(now: Instant) -> Self {
         Self {
             created: now,
