--- a/crates/sardinerelay-gateway/tests/decisions/reads.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/reads.rs
@@ -11,7 +11,7 @@
     std::time::{Duration, Instant},
 };
 
-const ENGINES: usize = 11;
+const ENGINES: usize = 26;
 
 fn engines() -> Vec<Instance> {
     (0..ENGINES).map(instance).collect()
