--- a/crates/sardinerelay/src/fairness/demand.rs
+++ b/crates/sardinerelay/src/fairness/demand.rs
@@ -10,8 +10,6 @@
 const WINDOW_SECONDS: f64 = 4.0;
 /// Memory that is left for urgent requests, as a multiple of what they hold on average. Long
 /// generations that end free memory too, and each part that is left costs the place of a long one.
-/// In the model of 45 engines that long drafts fill, 0.3 serves all short urgent requests for 0.4 %
-/// of the tokens; 2.0 costs 2.5 %.
 const MARGIN: f64 = 0.3;
 /// Demand below which no memory is left, in tokens. It is what remains of a single request after
 /// some time constants.
