Reword and rename what a newcomer stumbles on

Pace was both an engine's decoding speed and a count of requests to cold targets; the second is now a count of recent requests within a bound. ShareReport is RunningRequest and Room is Reserved, what they hold. Comments that were wrong about the code or told of trials are corrected, and constants and a check that stood twice stand once. Nothing on the wire changes.

--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -9,7 +9,7 @@
 mod service;
 mod slots;
 
-pub use self::search::Room;
+pub use self::search::Reserved;
 
 use {
     self::{
@@ -17,7 +17,7 @@
         service::Service,
     },
     crate::{
-        group::ShareReport,
+        group::RunningRequest,
         placement::{Choice, Need},
         targets::{RunId, instant_before},
     },
@@ -190,7 +190,7 @@
     /// the engines that will have room for it first, as many as are to be kept.
     pub fn decide<Place>(&mut self, now: Instant, mut place: Place) -> Vec<(RunId, Decision)>
     where
-        Place: FnMut(&Waiter, &Room) -> Result<Choice, Vec<Target>>,
+        Place: FnMut(&Waiter, &Reserved) -> Result<Choice, Vec<Target>>,
     {
         self.correct(now);
         let mut decisions = std::mem::take(&mut self.displaced);
@@ -267,7 +267,7 @@
 
     /// Takes over a running request that another host placed, and charges its organisation. One that
     /// is known already is not charged again.
-    pub fn adopt(&mut self, report: &ShareReport, now: Instant) {
+    pub fn adopt(&mut self, report: &RunningRequest, now: Instant) {
         if self.running.contains_key(&report.run) || self.running.len() >= MAX_RUNNING {
             return;
         }
@@ -312,7 +312,7 @@
         place: &mut Place,
     ) -> Option<Choice>
     where
-        Place: FnMut(&Waiter, &Room) -> Result<Choice, Vec<Target>>,
+        Place: FnMut(&Waiter, &Reserved) -> Result<Choice, Vec<Target>>,
     {
         let need = &waiter.need;
         if search.is_hopeless(need) {
@@ -323,11 +323,11 @@
             true => demand.and_then(|demand| demand.headroom(need.priority, now)),
             false => None,
         };
-        let room = search.room(waiter, standing, headroom, now);
-        match place(waiter, &room) {
+        let reserved = search.reserved(waiter, standing, headroom, now);
+        match place(waiter, &reserved) {
             Ok(choice) => Some(choice),
             Err(engines) => {
-                search.record_failure(waiter, (standing, &room), engines, now);
+                search.record_failure(waiter, (standing, &reserved), engines, now);
                 None
             }
         }
--- a/crates/sardinerelay-gateway/src/admission/search.rs
+++ b/crates/sardinerelay-gateway/src/admission/search.rs
@@ -15,7 +15,7 @@
 
 /// What a placement has to leave to other requests.
 #[derive(Debug, Clone, Default)]
-pub struct Room {
+pub struct Reserved {
     /// Engines that are kept for requests that go first.
     pub kept: Vec<Target>,
     /// Memory to leave free for more urgent requests.
@@ -74,13 +74,13 @@
     }
 
     /// Returns what a placement of the request has to leave to others.
-    pub(super) fn room(
+    pub(super) fn reserved(
         &self,
         waiter: &Waiter,
         standing: Standing,
         headroom: Option<Headroom>,
         now: Instant,
-    ) -> Room {
+    ) -> Reserved {
         let priority = waiter.need.priority;
         let kept = self.kept.iter();
         let kept = kept.filter(|kept| kept.is_from_all || kept.priority < priority);
@@ -89,7 +89,7 @@
             (true, true) => standing.peers,
             _ => usize::from(waiter.is_overdue(now) || standing.is_owed),
         };
-        Room {
+        Reserved {
             kept: kept.map(|kept| kept.target.clone()).collect(),
             headroom,
             keep: keep.min(MAX_KEPT.saturating_sub(self.kept.len())),
@@ -101,7 +101,7 @@
     pub(super) fn record_failure(
         &mut self,
         waiter: &Waiter,
-        (standing, room): (Standing, &Room),
+        (standing, reserved): (Standing, &Reserved),
         engines: Vec<Target>,
         now: Instant,
     ) {
@@ -110,11 +110,11 @@
             self.failures.push(Failure {
                 priority: need.priority,
                 tokens: tokens(need),
-                had_headroom: room.headroom.is_some(),
+                had_headroom: reserved.headroom.is_some(),
             });
         }
         let is_protected = waiter.is_overdue(now) || standing.is_owed;
-        let engines = engines.into_iter().take(room.keep).enumerate();
+        let engines = engines.into_iter().take(reserved.keep).enumerate();
         self.kept.extend(engines.map(|(index, target)| Kept {
             target,
             priority: need.priority,
--- a/crates/sardinerelay-gateway/src/admission/service.rs
+++ b/crates/sardinerelay-gateway/src/admission/service.rs
@@ -16,8 +16,6 @@
 /// Lower limit of that rate, two long generations per second. Engines may be full of long ones for
 /// a moment.
 const MIN_RATE: f64 = 7_600.0;
-/// Share of the rate that a less urgent priority has while it waits.
-const GUARANTEED_SHARE: f64 = 0.1;
 
 /// State of one service.
 #[derive(Debug, Default)]
@@ -81,7 +79,7 @@
         let by_order = self.time_to_free(ahead);
         let by_guarantee = self
             .time_to_free(ahead_of_priority)
-            .div_f64(GUARANTEED_SHARE);
+            .div_f64(Guarantee::SHARE);
         by_order.min(by_guarantee)
     }
 
--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -210,7 +210,9 @@
         let leaving_for = copy_state
             .leaving_since(now)
             .map(|since| now.saturating_duration_since(since));
-        let is_usable = state.targets.has_pace(copy_state, Scope::Local, now)
+        let is_usable = state
+            .targets
+            .is_within_cold_bound(copy_state, Scope::Local, now)
             && !copy_state.health.is_down(now)
             && !state.targets.is_evacuated(copy_state)
             && leaving_for.is_none_or(|age| age < MAX_LEAVING_TIME);
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -384,9 +384,9 @@
         let refused = queue.refuse(RefusalReason::CrashesEngines, |need| {
             quarantine.refusal(&need.shared_parts, now)
         });
-        let placed = queue.decide(now, |waiter, room| {
+        let placed = queue.decide(now, |waiter, reserved| {
             let need = &waiter.need;
-            let choice = place(targets, waiter, (room, self.scope), &mut rng(), now)?;
+            let choice = place(targets, waiter, (reserved, self.scope), &mut rng(), now)?;
             // Claimed at once, so that the next placement takes this one into account.
             claim(targets, waiter.run, need, &choice, now);
             targets.charge_limit(&choice.target, self.scope, now);
--- a/crates/sardinerelay-gateway/src/allocator/place.rs
+++ b/crates/sardinerelay-gateway/src/allocator/place.rs
@@ -3,7 +3,7 @@
 use {
     super::Scope,
     crate::{
-        admission::{Room, Waiter},
+        admission::{Reserved, Waiter},
         placement::{self, Choice, Need},
         targets::{State, Targets},
     },
@@ -12,8 +12,8 @@
     std::time::Instant,
 };
 
-/// Number of urgent requests for which free memory of one engine counts. More would wait for their
-/// prompts to be read, one after the other.
+/// Largest number of units of the headroom that the free memory of one engine provides. The prompts of
+/// more urgent requests would wait to be read, one after the other.
 const MAX_UNITS_PER_ENGINE: u64 = 2;
 
 /// Chooses engines for a waiting request.
@@ -24,7 +24,7 @@
 pub fn place<R>(
     targets: &Targets,
     waiter: &Waiter,
-    (room, scope): (&Room, Scope),
+    (reserved, scope): (&Reserved, Scope),
     rng: &mut R,
     now: Instant,
 ) -> Result<Choice, Vec<Target>>
@@ -32,11 +32,11 @@
     R: Rng + ?Sized,
 {
     let need = &waiter.need;
-    let free = room.headroom.map(|headroom| {
+    let free = reserved.headroom.map(|headroom| {
         let usable = targets.usable(&need.service, now);
         let free = usable.map(|state| usable_tokens(headroom, state, need, 0, now));
         let (engines, free) = free.fold((0, 0), |(engines, sum), free| (engines + 1, sum + free));
-        // One unit per engine at most, or long generations would find no room at all.
+        // At most one unit per engine is left free, or long generations would find no room at all.
         let tokens = headroom.tokens.min(engines * headroom.unit);
         (Headroom { tokens, ..headroom }, free)
     });
@@ -49,9 +49,9 @@
         })
     };
     let may_use =
-        |state: &State| !room.kept.contains(&state.instance.target) && leaves_headroom(state);
+        |state: &State| !reserved.kept.contains(&state.instance.target) && leaves_headroom(state);
     placement::choose_among(targets, need, (scope, may_use), rng, now)
-        .ok_or_else(|| engines_to_keep(targets, need, room, now))
+        .ok_or_else(|| engines_to_keep(targets, need, reserved, now))
 }
 
 /// Returns the memory of an engine that urgent requests could use if `taken` tokens of it were used.
@@ -62,14 +62,19 @@
 
 /// Returns the engines with the most free memory on which a request could run, as many as the queue
 /// keeps.
-fn engines_to_keep(targets: &Targets, need: &Need, room: &Room, now: Instant) -> Vec<Target> {
-    if room.keep == 0 {
+fn engines_to_keep(
+    targets: &Targets,
+    need: &Need,
+    reserved: &Reserved,
+    now: Instant,
+) -> Vec<Target> {
+    if reserved.keep == 0 {
         return Vec::new();
     }
     let mut engines: Vec<(u64, &Target)> = targets
         .usable(&need.service, now)
         .filter(|state| need.accepts(&state.instance.build))
-        .filter(|state| !room.kept.contains(&state.instance.target))
+        .filter(|state| !reserved.kept.contains(&state.instance.target))
         .map(|state| {
             (
                 placement::free_tokens(state, need, now),
@@ -78,6 +83,6 @@
         })
         .collect();
     engines.sort_unstable_by(|left, right| right.cmp(left));
-    let engines = engines.into_iter().take(room.keep);
+    let engines = engines.into_iter().take(reserved.keep);
     engines.map(|(_, target)| target.clone()).collect()
 }
--- a/crates/sardinerelay-gateway/src/allocator/shares.rs
+++ b/crates/sardinerelay-gateway/src/allocator/shares.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Allocator,
-    crate::group::ShareReport,
+    crate::group::RunningRequest,
     sardinerelay::id::Organisation,
     std::{collections::HashMap, time::Instant},
 };
@@ -14,7 +14,7 @@
     }
 
     /// Charges organisations for running requests that another host placed.
-    pub fn adopt_shares(&self, reports: &[ShareReport]) {
+    pub fn adopt_running(&self, reports: &[RunningRequest]) {
         let now = Instant::now();
         let mut state = self.state();
         for report in reports {
--- a/crates/sardinerelay-gateway/src/entry/shares.rs
+++ b/crates/sardinerelay-gateway/src/entry/shares.rs
@@ -5,7 +5,7 @@
 
 use {
     super::EntryHost,
-    crate::{group::ShareReport, placement::Need, targets::RunId},
+    crate::{group::RunningRequest, placement::Need, targets::RunId},
     std::{
         collections::HashMap,
         sync::{Mutex, PoisonError},
@@ -18,12 +18,12 @@
 
 /// Running requests, with the time of their placement.
 #[derive(Debug, Default)]
-pub(crate) struct Running(Mutex<HashMap<RunId, (Instant, ShareReport)>>);
+pub(crate) struct Running(Mutex<HashMap<RunId, (Instant, RunningRequest)>>);
 
 impl Running {
     /// Records that a request was placed.
     pub(crate) fn insert(&self, run: RunId, need: &Need) {
-        let report = ShareReport {
+        let report = RunningRequest {
             run,
             service: need.service.clone(),
             organisation: need.organisation.clone(),
@@ -45,9 +45,9 @@
     }
 
     /// Returns all, with the time for which each has run.
-    fn all(&self) -> Vec<ShareReport> {
+    fn all(&self) -> Vec<RunningRequest> {
         let running = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let reports = running.values().map(|(since, report)| ShareReport {
+        let reports = running.values().map(|(since, report)| RunningRequest {
             age_ms: since.elapsed().as_millis() as u64,
             ..report.clone()
         });
@@ -58,9 +58,9 @@
 impl EntryHost {
     /// Reports the running requests to a host that begins to allocate, and takes them over in this
     /// host's own allocator, which decides while no other does.
-    pub fn report_shares(&self) {
+    pub fn report_running(&self) {
         let running = self.running.all();
-        self.allocator.adopt_shares(&running);
+        self.allocator.adopt_running(&running);
         for report in running {
             self.report(report);
         }
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -90,7 +90,7 @@
             addresses = members;
             if entry.remote.set_client(Some(clients.get(found_leader))) {
                 entry.report_crashes();
-                entry.report_shares();
+                entry.report_running();
             }
         }
         // The settings may name hosts that are newer than the list of members.
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -20,13 +20,13 @@
     evacuation::{Evacuations, Revision},
     links::Clients,
     register::{Document, Exclusion},
-    report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport, ShareReport},
+    report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport, RunningRequest},
     rpc::{
         ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
         FollowConfiguration, FollowObservations, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
         ORIGIN_METHOD, PACE_METHOD, PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD,
-        Relocate, SHARES_METHOD, SharedState, StatusRequest, WATCH_CONFIGURATION_METHOD,
+        RUNNING_METHOD, Relocate, SharedState, StatusRequest, WATCH_CONFIGURATION_METHOD,
         WATCH_EVACUATIONS_METHOD, WatchEvacuations, ZONE_METHOD,
     },
 };
--- a/crates/sardinerelay-gateway/src/group/report.rs
+++ b/crates/sardinerelay-gateway/src/group/report.rs
@@ -72,7 +72,7 @@
 /// A running request, which a host that begins to allocate doesn't know. Its cost so far and its
 /// expected one follow from the tokens and the time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ShareReport {
+pub struct RunningRequest {
     /// The number of the request.
     pub run: RunId,
     pub service: Service,
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -6,7 +6,7 @@
         channels::{Input, MemberStatus, Outcome},
         evacuation::{Evacuations, Order, Revision},
         register::Document,
-        report::{AllocationReport, RequestReport, ShareReport},
+        report::{AllocationReport, RequestReport, RunningRequest},
     },
     crate::{
         allocator::{Allocator, Answer},
@@ -91,8 +91,8 @@
 pub const PACE_METHOD: &str = "pace.report";
 /// Notifies the allocating host of requests that were counted for a target and turned away with 421.
 pub const MISDIRECTED_METHOD: &str = "pacing.misdirected";
-/// Notifies a host that begins to allocate of running requests, as [`ShareReport`]s.
-pub const SHARES_METHOD: &str = "shares.report";
+/// Notifies a host that begins to allocate of running requests, as [`RunningRequest`]s.
+pub const RUNNING_METHOD: &str = "shares.report";
 /// Notifies the leader of load reports that another voter read, in a [`LoadsReport`]. Hosts of earlier versions
 /// ignore it.
 pub const LOADS_METHOD: &str = "loads.report";
@@ -513,7 +513,7 @@
             STEP => context.step(parameters),
             REPORT_METHOD => context.apply_reports(parameters),
             LIMIT_METHOD => context.apply_limits(parameters),
-            SHARES_METHOD => context.apply_shares(parameters),
+            RUNNING_METHOD => context.apply_running(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
             MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
@@ -553,9 +553,9 @@
     }
 
     /// Takes over running requests from the host that allocated before.
-    fn apply_shares(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<ShareReport>>,) = serde_json::from_str(parameters)?;
-        self.allocator.adopt_shares(&reports);
+    fn apply_running(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let (Packed(reports),): (Packed<Vec<RunningRequest>>,) = serde_json::from_str(parameters)?;
+        self.allocator.adopt_running(&reports);
         Ok(())
     }
 
--- a/crates/sardinerelay-gateway/src/limit/permit.rs
+++ b/crates/sardinerelay-gateway/src/limit/permit.rs
@@ -102,7 +102,7 @@
             if let Some(rate) = known.rate {
                 limit.adopt_if_unknown(rate, now);
             }
-            let paced = self.take_pace(&known.target, (scope, is_cold), now);
+            let paced = self.try_count_request(&known.target, (scope, is_cold), now);
             let taken = match (paced, self.limit_mut(&known.target, known.incarnation)) {
                 (Ok(()), Some(limit)) => limit.take(share, request.max_wait, now),
                 (Err(retry_after), _) => Err(Reached { retry_after }),
@@ -127,7 +127,7 @@
         if let Some(state) = self.get_mut(target) {
             state.limit.charge(share, now);
         }
-        self.charge_pace(target, now);
+        self.count_request(target, now);
     }
 
     /// Records what the response to a request states that was sent to a target at `sent`. Returns the
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -70,8 +70,7 @@
     }
 }
 
-/// Requested moves and moves under way, those with the least memory to copy first and, of equal ones,
-/// those with the most left to generate.
+/// Requested moves and moves under way, in the order of `PlannedMove::rank`.
 #[derive(Debug, Default)]
 pub struct Moves {
     planned: Vec<PlannedMove>,
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -24,7 +24,10 @@
         codec::{Codec, ParseError},
         group::Document,
         metrics::Metrics,
-        observations::{Builds, Followers, Instance, LoadReport, Observations, ObservationsSender},
+        observations::{
+            Builds, Followers, Instance, LoadReport, Observations, ObservationsSender,
+            update::UNKNOWN_AGE_MS,
+        },
         pool::{Pool, Purpose},
         table::Table,
     },
@@ -77,8 +80,9 @@
     changed: tokio::sync::Notify,
     /// Notified when an engine has begun to close its connections.
     closing_seen: tokio::sync::Notify,
-    /// Notified when this host has read that an engine leaves.
-    leave_read: tokio::sync::Notify,
+    /// Notified when this host itself has read that an engine closes its connections. The leader is told at
+    /// once.
+    closing_read: tokio::sync::Notify,
     division: Division,
 }
 
@@ -133,7 +137,7 @@
             is_leader,
             changed: tokio::sync::Notify::new(),
             closing_seen: tokio::sync::Notify::new(),
-            leave_read: tokio::sync::Notify::new(),
+            closing_read: tokio::sync::Notify::new(),
             division,
         }
     }
@@ -272,7 +276,7 @@
         }
         self.read_load_report_once(engine).await;
         if self.state().is_closing(engine) {
-            self.leave_read.notify_one();
+            self.closing_read.notify_one();
             self.closing_seen.notify_one();
         }
     }
@@ -389,7 +393,7 @@
             loads: loads.collect(),
             builds: Builds::of(&state.instances),
             instances: state.instances.clone(),
-            list_age_ms: state.list_read.map_or(u64::MAX / 2, age),
+            list_age_ms: state.list_read.map_or(UNKNOWN_AGE_MS, age),
             entry_hosts: self.followers.count(),
             refused_parts,
             limits,
--- a/crates/sardinerelay-gateway/src/observer/division.rs
+++ b/crates/sardinerelay-gateway/src/observer/division.rs
@@ -90,7 +90,7 @@
 
 impl Observer {
     /// Returns the readers among which the engines are divided. The leader chooses them; other hosts know them
-    /// from it. None if this host reads all.
+    /// from it. If there are none, each host that polls reads all engines, and others read none.
     pub(super) fn readers(&self, state: &mut State, now: Instant) -> Vec<Ipv4Addr> {
         if !*self.is_active.borrow() {
             return self.observations.borrow().readers.clone();
@@ -176,7 +176,7 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => {}
-                () = self.leave_read.notified() => {}
+                () = self.closing_read.notified() => {}
             }
             let reads = self.take_unsent();
             let leader = *self.division.leader.borrow();
--- a/crates/sardinerelay-gateway/src/observer/readers.rs
+++ b/crates/sardinerelay-gateway/src/observer/readers.rs
@@ -25,7 +25,7 @@
 /// ages then cover the longest regular interval (1,000 ms), the silence of a reader that ended (1,000 ms), and the
 /// ways of a report and of the changed readers.
 const MIN_DIVIDED_ENGINES: usize = 300;
-/// Largest number of readers. With it, 12,000 engines are read in 3 s.
+/// Largest number of voters beside the leader that read. With it, 12,000 engines are read in 3 s.
 const MAX_READERS: usize = 32;
 /// Parameters of the 64-bit FNV-1a hash. Hosts of several releases must agree, which the standard library's
 /// hasher doesn't promise.
--- a/crates/sardinerelay-gateway/src/observer/schedule.rs
+++ b/crates/sardinerelay-gateway/src/observer/schedule.rs
@@ -1,10 +1,10 @@
 //! When the load report of each engine is read.
 //!
-//! Every report is read once in each interval, and the reads are spread over it. The load that the
-//! exception answers: several engines are reclaimed at once, and each has little time for its
-//! generations to move. When one begins to leave, all are therefore read at once. Their regular
-//! reads stay spread afterwards: reads that all follow the same moment would notice the next
-//! reclaim only after up to a whole interval.
+//! Every report is read once in each interval, and the reads are spread over it, with one exception.
+//! Several engines may be reclaimed at once, and each has little time for its generations to move.
+//! When one begins to leave, all reports are therefore read at once. The regular reads stay spread
+//! afterwards: reads that all follow the same moment would notice the next reclaim only after up to a
+//! whole interval.
 //!
 //! A read that stays unanswered is repeated soon, so that one lost report makes no engine count as
 //! silent although the interval is long. See `docs/design/load-reports.md`.
@@ -18,8 +18,8 @@
     },
 };
 
-/// Interval at which the load report of an engine is read. Together with the reads after leaves, it makes
-/// half as many reads as 300 ms without further reads; see `docs/design/load-reports.md`.
+/// Interval at which the load report of an engine with claims is read, unless there are few engines. See
+/// `docs/design/load-reports.md`.
 pub const INTERVAL: Duration = Duration::from_millis(780);
 /// Interval for an engine without claims, or one that is known to leave and so gets no new work. It
 /// is the longest time without a read after which a repeated one still arrives before the engine
@@ -191,9 +191,9 @@
         wait.clamp(MIN_PAUSE, INTERVAL)
     }
 
-    /// Makes all reports due within [`HURRIED_TIME`], unless they are due earlier. If that was done less
-    /// than [`MIN_HURRY_INTERVAL`], stretched as intervals are, ago, does so again after that time: the engines of a group don't begin
-    /// to leave at the same moment.
+    /// Makes all reports due within [`HURRIED_TIME`], unless they are due earlier. If the last time is less
+    /// than [`MIN_HURRY_INTERVAL`] ago, multiplied by [`stretch`], does so after that time instead: the engines
+    /// of a group don't begin to leave at the same moment.
     pub fn hurry(&mut self, now: Instant) {
         let pause = MIN_HURRY_INTERVAL.mul_f64(stretch(self.reads.len()));
         let earliest = self.last_hurry + pause;
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -76,7 +76,7 @@
 /// target that was fastest in the last seconds.
 const PLAIN_SAMPLE_SIZE: usize = 2;
 /// A plain target whose expected delay exceeds the lowest one by this factor is chosen only if no other
-/// is left, since it probably fails. The slowest targets that work are slower by a factor of 2.7.
+/// is left, since it probably fails.
 const MAX_DELAY_RATIO: f64 = 4.0;
 /// Shortest time after which a refused caller is asked to retry.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -193,7 +193,7 @@
     let mut feasible: Vec<(Terms, &State)> = candidates
         .iter()
         .filter(|state| state.limit.has_permit(share, now))
-        .filter(|state| targets.has_pace(state, scope, now))
+        .filter(|state| targets.is_within_cold_bound(state, scope, now))
         .filter_map(|state| {
             let read_wait = state.backlog.estimated_wait(need.prompt_tokens, now);
             if state.backlog.estimated_wait(0, now) > MAX_READ_WAIT {
@@ -272,7 +272,7 @@
         .filter(|state| match secondary {
             // A generation that continues from its copy can't wait until its engine has room.
             Secondary::Copy => !targets.is_paced(state, now),
-            Secondary::Move => targets.has_pace(state, scope, now),
+            Secondary::Move => targets.is_within_cold_bound(state, scope, now),
         })
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -7,7 +7,7 @@
 //! therefore used only for a request whose answer can be told from the one before; see [`Purpose`].
 
 use {
-    crate::{body, observations::Instance, request::is_answer},
+    crate::{body, observations::Instance},
     bytes::Bytes,
     compact_str::CompactString,
     http::{HeaderMap, Request, Response, StatusCode, header::CONNECTION, header::HeaderName},
@@ -19,6 +19,7 @@
     hyper_util::rt::TokioIo,
     log::debug,
     sardinerelay::id::Target,
+    sardinerelayd::engine::is_answer,
     socket2::SockRef,
     std::{
         collections::HashMap,
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -5,7 +5,7 @@
         entry::EntryHost,
         group::{
             AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
-            REPORT_METHOD, REQUEST_METHOD, RequestReport, SHARES_METHOD, ShareReport,
+            REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport, RunningRequest,
         },
         limit::permit,
         origin::Began,
@@ -37,7 +37,7 @@
     /// A target didn't get a request that was counted for it.
     Misdirected(Misdirected),
     /// A request runs, which a host that begins to allocate doesn't know.
-    Share(ShareReport),
+    Running(RunningRequest),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
     /// How fast an engine decoded a generation.
@@ -74,9 +74,9 @@
     }
 }
 
-impl From<ShareReport> for Report {
-    fn from(report: ShareReport) -> Self {
-        Self::Share(report)
+impl From<RunningRequest> for Report {
+    fn from(report: RunningRequest) -> Self {
+        Self::Running(report)
     }
 }
 
@@ -103,7 +103,7 @@
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
                 Report::Misdirected(target) => misdirected.push(target),
-                Report::Share(report) => shares.push(report),
+                Report::Running(report) => shares.push(report),
                 Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
@@ -113,7 +113,7 @@
         announce(&entry, streams);
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
-        send(&entry, SHARES_METHOD, shares).await;
+        send(&entry, RUNNING_METHOD, shares).await;
         send(&entry, REQUEST_METHOD, requests).await;
         send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
         send(&entry, MISDIRECTED_METHOD, misdirected).await;
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -18,6 +18,7 @@
     hyper::body::Incoming,
     rand::{Rng as _, rng},
     sardinerelay::id::{Organisation, Service, Target},
+    sardinerelayd::engine::is_answer,
     std::{
         ops::Range,
         sync::Arc,
@@ -209,12 +210,6 @@
     }
 }
 
-/// Whether a target may end a request with this status. The parser accepts any status of three digits from
-/// 100, and passes on 101 as if it were the last one.
-pub fn is_answer(status: StatusCode) -> bool {
-    (200..=599).contains(&status.as_u16())
-}
-
 /// Returns the path and query for the request line, also if the caller sent an absolute URI.
 fn origin_form(head: &request::Parts) -> http::Uri {
     let path = head.uri.path_and_query().cloned();
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -502,7 +502,7 @@
                 cold_until: now,
                 is_presumed_cold: false,
                 stated_cold_until: None,
-                pace: Window::default(),
+                recent_requests: Window::default(),
                 full_until: None,
                 limit: Limit::default(),
                 speed: Speed::default(),
--- a/crates/sardinerelay-gateway/src/targets/index.rs
+++ b/crates/sardinerelay-gateway/src/targets/index.rs
@@ -11,8 +11,8 @@
     },
 };
 
-/// Largest number of targets that one decision compares. A random sample of this size misses the best
-/// 5 % of the targets in 4 of 100 decisions, and those that were reported as least loaded are added.
+/// Largest number of targets that one decision compares. Of more, a random sample fills what the preferred
+/// and the least loaded targets leave. It misses the best 5 % of the targets in 7 of 100 decisions.
 pub const MAX_CANDIDATES: usize = 64;
 /// Number of targets of a service that are known as the least loaded by their reports.
 const LEAST_LOADED: usize = 8;
--- a/crates/sardinerelay-gateway/src/targets/pacing.rs
+++ b/crates/sardinerelay-gateway/src/targets/pacing.rs
@@ -78,16 +78,16 @@
     /// Returns the largest number of requests in a second that a host with this scope may send to the target;
     /// none if it is unlimited. The allocating host paces engines at all times, since one may have become cold
     /// without the list having said so.
-    fn pace(&self, state: &State, scope: Scope, now: Instant) -> Option<u32> {
+    fn cold_bound(&self, state: &State, scope: Scope, now: Instant) -> Option<u32> {
         let paced = self.pacing.services.get(&state.instance.service)?;
         let is_precaution = paced.is_engine && scope == Scope::Group;
         if !state.is_cold(now) && !is_precaution {
             return None;
         }
-        Some(self.cold_pace(state, paced, scope))
+        Some(self.bound_share(state, paced, scope))
     }
 
-    fn cold_pace(&self, state: &State, paced: &PacedService, scope: Scope) -> u32 {
+    fn bound_share(&self, state: &State, paced: &PacedService, scope: Scope) -> u32 {
         let Instance {
             target,
             incarnation,
@@ -103,9 +103,9 @@
     }
 
     /// Whether a host with this scope may send a request to the target now, as far as it is cold.
-    pub fn has_pace(&self, state: &State, scope: Scope, now: Instant) -> bool {
-        self.pace(state, scope, now)
-            .is_none_or(|bound| state.pace.has_room(bound, now))
+    pub fn is_within_cold_bound(&self, state: &State, scope: Scope, now: Instant) -> bool {
+        self.cold_bound(state, scope, now)
+            .is_none_or(|bound| state.recent_requests.has_room(bound, now))
     }
 
     /// Whether the target is cold, and its service states how many requests it can handle.
@@ -113,12 +113,12 @@
         state.is_cold(now) && self.pacing.services.contains_key(&state.instance.service)
     }
 
-    /// Takes a request to a target that is cold, or that the asking host knows to be cold.
+    /// Counts a request to a target that is cold, or that the asking host knows to be cold.
     ///
     /// # Errors
     ///
     /// Returns the time after which there may be room.
-    pub(crate) fn take_pace(
+    pub(crate) fn try_count_request(
         &mut self,
         target: &str,
         (scope, is_known_cold): (Scope, bool),
@@ -131,20 +131,20 @@
         let Some(paced) = paced.filter(|_| is_known_cold || state.is_cold(now)) else {
             return Ok(());
         };
-        let bound = self.cold_pace(state, paced, scope);
-        if !state.pace.has_room(bound, now) {
-            return Err(state.pace.wait(bound, now));
+        let bound = self.bound_share(state, paced, scope);
+        if !state.recent_requests.has_room(bound, now) {
+            return Err(state.recent_requests.wait(bound, now));
         }
-        self.charge_pace(target, now);
+        self.count_request(target, now);
         Ok(())
     }
 
     /// Counts a request that is sent to a target of a paced service.
-    pub(crate) fn charge_pace(&mut self, target: &str, now: Instant) {
+    pub(crate) fn count_request(&mut self, target: &str, now: Instant) {
         if let Some(state) = self.states.get_mut(target)
             && self.pacing.services.contains_key(&state.instance.service)
         {
-            state.pace.charge(now);
+            state.recent_requests.charge(now);
         }
     }
 
@@ -152,14 +152,14 @@
     pub fn give_back(&mut self, (target, incarnation): &Misdirected, now: Instant) {
         let state = self.states.get_mut(target);
         if let Some(state) = state.filter(|state| state.instance.incarnation == *incarnation) {
-            state.pace.give_back(now);
+            state.recent_requests.give_back(now);
         }
     }
 
     /// Gives a request back that an engine didn't get, in whichever incarnation it is.
     pub(crate) fn give_back_any(&mut self, target: &str, now: Instant) {
         if let Some(state) = self.states.get_mut(target) {
-            state.pace.give_back(now);
+            state.recent_requests.give_back(now);
         }
     }
 
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -81,7 +81,7 @@
     /// Until when it counts as cold because it has said so itself.
     pub stated_cold_until: Option<Instant>,
     /// The requests of the last second, if its service states how many it can handle while cold.
-    pub pace: Window,
+    pub recent_requests: Window,
     /// Until when it gets no generations because it refused one for lack of memory.
     pub full_until: Option<Instant>,
     /// The rate of requests that it takes from all hosts together.
--- a/crates/sardinerelay-gateway/tests/decisions/waiting.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/waiting.rs
@@ -3,11 +3,11 @@
 use {
     super::fixtures::need,
     sardinerelay_gateway::{
-        admission::{Decision, Queue, RefusalReason, Room, Waiter},
+        admission::{Decision, Queue, RefusalReason, Reserved, Waiter},
         backlog::Backlog,
         budget::{Budget, Limit},
         forecast::Forecast,
-        group::ShareReport,
+        group::RunningRequest,
         health::Health,
         placement::{Choice, Need},
     },
@@ -97,10 +97,10 @@
     };
     // The only engine, which has room for small requests until 700 ms.
     let place = |now: Instant, start: Instant| {
-        move |waiter: &Waiter, room: &Room| {
-            let is_kept = room.kept.contains(&choice().target);
+        move |waiter: &Waiter, reserved: &Reserved| {
+            let is_kept = reserved.kept.contains(&choice().target);
             let fits = waiter.need.prompt_tokens <= 100 || now >= start + ms(700);
-            let engines = vec![choice().target; room.keep.min(1)];
+            let engines = vec![choice().target; reserved.keep.min(1)];
             (fits && !is_kept).then(choice).ok_or(engines)
         }
     };
@@ -135,11 +135,11 @@
         queue.offer(waiter(run, need, now), now).expect("queued");
     }
     let mut kept = Vec::new();
-    queue.decide(now, |waiter, room| {
+    queue.decide(now, |waiter, reserved| {
         if waiter.run == 1 {
-            return Err(vec!["e7".into(); room.keep]);
+            return Err(vec!["e7".into(); reserved.keep]);
         }
-        kept.clone_from(&room.kept);
+        kept.clone_from(&reserved.kept);
         Err(Vec::new())
     });
     assert_eq!(kept, ["e7"]);
@@ -260,7 +260,7 @@
 #[test]
 fn shares_are_kept_over_a_failover_and_not_doubled() {
     let now = Instant::now();
-    let report = |run: u64| ShareReport {
+    let report = |run: u64| RunningRequest {
         run,
         service: need().service,
         organisation: "large".into(),
--- a/crates/sardinerelay/src/estimate.rs
+++ b/crates/sardinerelay/src/estimate.rs
@@ -1,7 +1,7 @@
 //! Learns how fast a target is, relative to the other targets of its service.
 //!
-//! Samples are rates in any unit: tokens read or decoded per second, or requests per second that a
-//! target needs for one at a time. Of each target only the last few samples count. Their
+//! Samples are rates in any unit: tokens read or decoded per second, or the requests per second that a
+//! target completes if it gets one at a time. Of each target only the last few samples count. Their
 //! interquartile mean ignores a single slow request, and all of them weigh less with age, so that a
 //! target that gets little load because it was slow is tried again.
 
--- a/crates/sardinerelay/src/fairness/clock.rs
+++ b/crates/sardinerelay/src/fairness/clock.rs
@@ -9,12 +9,6 @@
     },
 };
 
-/// Largest number of organisations and priorities that are remembered.
-const MAX_FLOWS: usize = 4_096;
-/// Lead, in token-seconds per weight, that an organisation keeps over the others for having been
-/// idle. Three long generations take about that much.
-const MAX_CREDIT: f64 = 100_000.0;
-
 /// Virtual times of organisations, for each priority.
 #[derive(Debug, Default)]
 pub struct Clock {
@@ -35,9 +29,10 @@
 
 impl Clock {
     /// Largest number of organisations and priorities that are remembered.
-    pub const MAX_FLOWS: usize = MAX_FLOWS;
-    /// Lead, in token-seconds per weight, that an idle organisation keeps.
-    pub const MAX_CREDIT: f64 = MAX_CREDIT;
+    pub const MAX_FLOWS: usize = 4_096;
+    /// Lead, in token-seconds per weight, that an organisation keeps over the others for having been
+    /// idle. Three long generations take about that much.
+    pub const MAX_CREDIT: f64 = 100_000.0;
 
     /// Sets the weights of organisations. The weight of others is 1.
     pub fn set_weights(&mut self, weights: HashMap<Organisation, f64>) {
@@ -55,7 +50,7 @@
         let present = self.present.get(&priority).copied().unwrap_or_default();
         let flow = self.flow(priority, organisation, now);
         if flow.waiting == 0 {
-            flow.next_start = flow.next_start.max(present - MAX_CREDIT);
+            flow.next_start = flow.next_start.max(present - Self::MAX_CREDIT);
         }
         flow.waiting += 1;
         flow.used = now;
@@ -74,7 +69,7 @@
         let present = self.present.get(&priority).copied().unwrap_or_default();
         let flow = self.flows.get(&(priority, organisation.clone()));
         flow.map_or(present, |flow| match flow.waiting {
-            0 => flow.next_start.max(present - MAX_CREDIT),
+            0 => flow.next_start.max(present - Self::MAX_CREDIT),
             _ => flow.next_start,
         })
     }
@@ -123,7 +118,7 @@
     /// Returns a flow, which starts at the present virtual time if it is new.
     fn flow(&mut self, priority: u8, organisation: &Organisation, now: Instant) -> &mut Flow {
         let key = (priority, organisation.clone());
-        if self.flows.len() >= MAX_FLOWS && !self.flows.contains_key(&key) {
+        if self.flows.len() >= Self::MAX_FLOWS && !self.flows.contains_key(&key) {
             self.evict();
         }
         let present = self.present.get(&priority).copied().unwrap_or_default();
--- a/crates/sardinerelay/src/fairness/guarantee.rs
+++ b/crates/sardinerelay/src/fairness/guarantee.rs
@@ -2,8 +2,6 @@
 
 use {super::Cost, std::collections::BTreeMap};
 
-/// Share of the cost of more urgent placements that less urgent priorities may place too.
-const SHARE: f64 = 0.1;
 /// Largest cost that a priority may be owed, in token-seconds. It covers the largest generations
 /// that engines can run, and a priority that found no room for long gets no burst from it.
 const MAX_OWED: f64 = 200_000.0;
@@ -15,6 +13,9 @@
 }
 
 impl Guarantee {
+    /// Share of the cost of more urgent placements that less urgent priorities may place too.
+    pub const SHARE: f64 = 0.1;
+
     /// Records a placement. `waiting` are the priorities of waiting requests; the less urgent ones
     /// share a part of the cost equally. A priority that doesn't wait is owed nothing.
     pub fn record(&mut self, priority: u8, cost: Cost, waiting: &[u8]) {
@@ -26,7 +27,7 @@
         let count = less_urgent.clone().count().max(1) as f64;
         for waiting in less_urgent {
             let owed = self.owed.entry(*waiting).or_default();
-            *owed = (*owed + cost.0 * SHARE / count).min(MAX_OWED);
+            *owed = (*owed + cost.0 * Self::SHARE / count).min(MAX_OWED);
         }
     }
 
--- a/crates/sardinerelay/src/pacing.rs
+++ b/crates/sardinerelay/src/pacing.rs
@@ -74,7 +74,7 @@
     }
 
     /// Whether a host that decides on its own may send to this incarnation of a target, one request in any
-    /// second. All hosts decide alike without reaching one another.
+    /// second. Each host finds this out for itself without reaching the others.
     ///
     /// The number of chosen hosts is random. The probability is low enough for that number to stay within
     /// the bound, except for about one target in 1,000,000.
--- a/crates/sardinerelayd/src/engine.rs
+++ b/crates/sardinerelayd/src/engine.rs
@@ -357,7 +357,7 @@
 
 /// Whether a target may end a request with this status. The parser accepts any status of three digits from
 /// 100, and passes on 101 as if it were the last one.
-pub(crate) fn is_answer(status: StatusCode) -> bool {
+pub fn is_answer(status: StatusCode) -> bool {
     (200..=599).contains(&status.as_u16())
 }
 
