--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -8,8 +8,10 @@
 pub mod driver;
 pub mod evacuation;
 pub mod exclusions;
+mod handle;
 pub mod links;
 pub mod member;
+mod notifications;
 pub mod register;
 pub mod repair;
 pub mod report;
@@ -38,13 +40,11 @@
         reload,
     },
     channels::{Input, Published},
-    discovery::Search,
     driver::Driver,
-    evacuation::Order,
     links::Links,
     log::{info, warn},
     sardinerelay::{
-        id::{Host, Version, Zone},
+        id::Host,
         raft::{Config, DurableState, Role, SoftState},
         wal::{self, Identity, Recovered, Store},
     },
@@ -60,10 +60,10 @@
     tokio::{
         sync::{
             mpsc::{Sender, channel},
-            oneshot, watch,
+            watch,
         },
         task::JoinHandle,
-        time::{Instant, sleep, timeout},
+        time::sleep,
     },
     uuid::Uuid,
 };
@@ -76,10 +76,6 @@
 const MAX_PROPOSAL_BYTES: usize = MAX_TEXT_BYTES + (1 << 20);
 /// Largest number of inputs that wait for the driver.
 const INPUT_QUEUE_CAPACITY: usize = 1024;
-/// Delay before a retry if no leader has accepted a request.
-const LEADER_RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Timeout of one request to a leader on another host.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Interval at which a host that isn't a voter yet asks to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a replica asks whether it is still a member.
@@ -308,286 +304,3 @@
         ),
     }
 }
-
-impl Handle {
-    /// Returns a channel with the newest configuration that this replica knows to be committed.
-    pub fn newest(&self) -> watch::Receiver<Option<Arc<Document>>> {
-        self.newest.clone()
-    }
-
-    /// Returns a channel with this replica's own status in the group.
-    pub fn status(&self) -> watch::Receiver<MemberStatus> {
-        self.status.clone()
-    }
-
-    /// Returns a channel that says whether this replica is the leader or knows of none.
-    ///
-    /// Tasks that one host should do for the group run where this is true. They thereby go on while
-    /// there is no leader.
-    pub fn leads_or_leaderless(&self) -> watch::Receiver<bool> {
-        self.watch_leadership(|soft| soft.role == Role::Leader || soft.leader.is_none())
-    }
-
-    /// Returns a channel that says whether this replica is the leader.
-    pub fn leads(&self) -> watch::Receiver<bool> {
-        self.watch_leadership(|soft| soft.role == Role::Leader)
-    }
-
-    /// Returns a channel with a property of the leadership.
-    fn watch_leadership(&self, property: fn(&SoftState) -> bool) -> watch::Receiver<bool> {
-        let mut leadership = self.leadership.clone();
-        let (sender, receiver) = watch::channel(property(&leadership.borrow()));
-        tokio::spawn(async move {
-            loop {
-                let value = property(&leadership.borrow_and_update());
-                sender.send_if_modified(|known| std::mem::replace(known, value) != value);
-                if leadership.changed().await.is_err() {
-                    return;
-                }
-            }
-        });
-        receiver
-    }
-
-    /// Returns a channel with the leader on another host whose observations this host follows. None if
-    /// this host is the leader or knows of none, that is, where [`Self::leads_or_leaderless`] is true.
-    pub fn followed_leader(&self) -> watch::Receiver<Option<Ipv4Addr>> {
-        let mut leadership = self.leadership.clone();
-        let followed = |soft: &SoftState| match soft.role {
-            Role::Leader => None,
-            _ => soft.leader.map(member::address),
-        };
-        let (sender, receiver) = watch::channel(None);
-        tokio::spawn(async move {
-            loop {
-                let leader = followed(&leadership.borrow_and_update());
-                sender.send_if_modified(|known| std::mem::replace(known, leader) != leader);
-                if leadership.changed().await.is_err() {
-                    return;
-                }
-            }
-        });
-        receiver
-    }
-
-    /// Returns a channel with the addresses of the other voters from which messages arrived within a second.
-    /// None while this replica isn't the leader.
-    pub fn heard(&self) -> watch::Receiver<BTreeSet<Ipv4Addr>> {
-        self.heard.clone()
-    }
-
-    /// Returns the clients of the peer servers of other hosts.
-    pub fn clients(&self) -> &Arc<Clients> {
-        &self.clients
-    }
-
-    /// Stores a configuration, unless the group already has the same or a higher version. Returns
-    /// the version that the group has afterwards.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::NoQuorum`] if this is not confirmed within `time_limit`. Submitting again
-    /// is safe.
-    pub async fn submit(&self, document: Document, time_limit: Duration) -> Result<Version, Error> {
-        let request = rpc::Submit {
-            document: sardinerelayd::peer::Packed(document),
-        };
-        let attempt = |leader: Option<Host>| {
-            let request = &request;
-            async move {
-                match leader {
-                    None => {
-                        let document = request.document.0.clone();
-                        self.call_local(|reply| Input::Submit(document, reply))
-                            .await
-                    }
-                    Some(leader) => self.forward(leader, rpc::SUBMIT_METHOD, request).await,
-                }
-            }
-        };
-        self.call_leader(attempt, time_limit).await
-    }
-
-    /// Reads the newest configuration. The read is linearizable: it returns a configuration at
-    /// least as new as any that was acknowledged before this call.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if there is no configuration, or if no quorum confirms the read within
-    /// `time_limit`.
-    pub async fn read(&self, time_limit: Duration) -> Result<Arc<Document>, Error> {
-        let deadline = Instant::now() + time_limit;
-        let attempt = |leader: Option<Host>| async move {
-            match leader {
-                None => self.call_local(Input::Confirm).await,
-                Some(leader) => self.forward(leader, rpc::CONFIRM_METHOD, &()).await,
-            }
-        };
-        let version = self.call_leader(attempt, time_limit).await?;
-        if version == 0 {
-            return Err(Error::Empty);
-        }
-        let mut newest = self.newest.clone();
-        let is_recent = |newest: &Option<Arc<Document>>| {
-            newest
-                .as_ref()
-                .is_some_and(|document| document.version >= version)
-        };
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let applied = timeout(remaining, newest.wait_for(is_recent)).await;
-        match applied {
-            Ok(Ok(document)) => document.clone().ok_or(Error::Empty),
-            _ => Err(Error::NoQuorum(time_limit)),
-        }
-    }
-
-    /// Evacuates a zone or ends its evacuation. Returns the revision at which the zone got into that state.
-    ///
-    /// A quorum first confirms which order for the zone is the last. This one takes effect only if no other
-    /// has done so in between, however long it is delayed.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if this is not confirmed within `time_limit`, or if another order took effect
-    /// first. Ordering again is safe.
-    pub async fn order_zone(
-        &self,
-        zone: Zone,
-        is_evacuated: bool,
-        time_limit: Duration,
-    ) -> Result<Revision, Error> {
-        let began = Instant::now();
-        let query = &rpc::ZoneQuery { zone: zone.clone() };
-        let attempt = |leader: Option<Host>| async move {
-            match leader {
-                None => self.confirmed_revision(&query.zone).await,
-                Some(leader) => self.forward(leader, rpc::ZONE_STATE_METHOD, query).await,
-            }
-        };
-        let base = self.call_leader(attempt, time_limit).await?;
-        let order = &Order {
-            zone,
-            is_evacuated,
-            base,
-        };
-        let attempt = |leader: Option<Host>| async move {
-            match leader {
-                None => {
-                    self.call_local(|reply| Input::Order(order.clone(), reply))
-                        .await
-                }
-                Some(leader) => self.forward(leader, rpc::ORDER_METHOD, order).await,
-            }
-        };
-        let remaining = time_limit.saturating_sub(began.elapsed());
-        match self.call_leader(attempt, remaining).await? {
-            0 => Err(Error::OutOfDate),
-            revision => Ok(revision),
-        }
-    }
-
-    /// Returns the revision of a zone after a quorum has confirmed that this replica is the leader.
-    async fn confirmed_revision(&self, zone: &str) -> Outcome {
-        match self.call_local(Input::Confirm).await {
-            Outcome::Done(_) => match self.evacuations.borrow().as_deref() {
-                Some(evacuations) => Outcome::Done(evacuations.revision_of(zone)),
-                None => Outcome::Unknown,
-            },
-            outcome => outcome,
-        }
-    }
-
-    /// Asks the replica to transfer leadership to another voter, before a planned stop.
-    pub async fn transfer(&self) {
-        // Sending fails only if the driver has ended. Then there is no leadership to transfer.
-        let _ = self.inputs.send(Input::Transfer).await;
-    }
-
-    /// Makes a request to the leader, and retries it until it is done or `time_limit` has passed.
-    ///
-    /// `attempt` makes the request to the leader with the given ID, or to the replica on this host
-    /// if that is `None`.
-    async fn call_leader<Attempt, Response>(
-        &self,
-        attempt: Attempt,
-        time_limit: Duration,
-    ) -> Result<Version, Error>
-    where
-        Attempt: Fn(Option<Host>) -> Response,
-        Response: Future<Output = Outcome>,
-    {
-        let deadline = Instant::now() + time_limit;
-        let mut leader = None;
-        loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            match timeout(remaining, attempt(leader)).await {
-                Ok(Outcome::Done(version)) => return Ok(version),
-                Ok(Outcome::NotLeader(known)) if leader.is_none() => leader = known,
-                Ok(Outcome::NotLeader(_) | Outcome::Unknown) => leader = None,
-                Err(_) => return Err(Error::NoQuorum(time_limit)),
-            }
-            if leader.is_none() {
-                if remaining <= LEADER_RETRY_DELAY {
-                    return Err(Error::NoQuorum(time_limit));
-                }
-                sleep(LEADER_RETRY_DELAY).await;
-            }
-        }
-    }
-
-    /// Makes a request to the replica on this host.
-    async fn call_local<Make>(&self, make: Make) -> Outcome
-    where
-        Make: FnOnce(oneshot::Sender<Outcome>) -> Input,
-    {
-        let (reply, outcome) = oneshot::channel();
-        if self.inputs.send(make(reply)).await.is_err() {
-            return Outcome::Unknown;
-        }
-        outcome.await.unwrap_or(Outcome::Unknown)
-    }
-
-    /// Makes a request to a leader on another host.
-    async fn forward<P>(&self, leader: Host, method: &'static str, request: &P) -> Outcome
-    where
-        P: serde::Serialize,
-    {
-        let client = self.clients.get(member::address(leader));
-        match client.call(method, request, FORWARD_TIMEOUT).await {
-            Ok(outcome) => outcome,
-            Err(error) => {
-                warn!(leader = leader, method = method; "the call to the leader failed: {error}");
-                Outcome::Unknown
-            }
-        }
-    }
-
-    /// Asks for the status of `own_id`, starting with the known members and the seeds. Returns the
-    /// leader's response, none if no leader is found.
-    async fn query_status(
-        &self,
-        settings: &Settings,
-        own_id: Host,
-        is_joining: bool,
-    ) -> Option<MemberStatus> {
-        let members = self.status.borrow().members.clone();
-        let members = members.into_iter().map(member::address);
-        let search = Search {
-            clients: &self.clients,
-            known: settings
-                .reloadable
-                .seeds()
-                .into_iter()
-                .chain(members)
-                .collect(),
-            excluded: Some(settings.address),
-            max_parallel: usize::MAX,
-        };
-        let request = StatusRequest {
-            host: own_id,
-            is_joining,
-            is_founding: settings.is_founding,
-        };
-        search.find(&request, |status| status.is_leader).await
-    }
-}
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -5,8 +5,8 @@
         Handle,
         channels::{Input, MemberStatus, Outcome},
         evacuation::{Evacuations, Order, Revision},
+        notifications::{NotificationContext, notification_handler},
         register::Document,
-        report::{AllocationReport, RequestReport, RunningRequest},
     },
     crate::{
         allocator::{Allocator, Answer},
@@ -19,10 +19,9 @@
             Followers, Observations, ObservationsSender, or_default, served::Served, update,
         },
         observer::division::LoadsReport,
-        origin::{Began, Query},
-        pace::Pace,
+        origin::Query,
         placement::Need,
-        targets::{Misdirected, RunId},
+        targets::RunId,
     },
     compact_str::CompactString,
     jsonrpsee::{
@@ -30,11 +29,11 @@
         core::RegisterMethodError,
         types::{ErrorCode, ErrorObjectOwned},
     },
-    log::{debug, warn},
+    log::warn,
     sardinerelay::id::{Build, Host, Version, Zone},
     sardinerelayd::{
         control::FatalError,
-        peer::{NotificationHandler, Packed, STEP, Server, SharedCounters, Step},
+        peer::{Packed, Server, SharedCounters},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -493,148 +492,3 @@
 fn capped_wait(wait_ms: u64) -> Duration {
     Duration::from_millis(wait_ms).min(MAX_FOLLOW_WAIT)
 }
-
-/// What the notifications of other hosts act on.
-struct NotificationContext {
-    own_id: Host,
-    handle: Handle,
-    allocator: Arc<Allocator>,
-    loads: mpsc::Sender<LoadsReport>,
-}
-
-/// Returns a handler that applies notifications to `context`.
-fn notification_handler(
-    context: NotificationContext,
-    counters: SharedCounters,
-) -> NotificationHandler {
-    NotificationHandler::new(move |method, parameters| {
-        counters.count_received();
-        let handled = match method {
-            STEP => context.step(parameters),
-            REPORT_METHOD => context.apply_reports(parameters),
-            LIMIT_METHOD => context.apply_limits(parameters),
-            RUNNING_METHOD => context.apply_running(parameters),
-            REQUEST_METHOD => context.apply_request_reports(parameters),
-            MISDIRECTED_METHOD => context.give_back(parameters),
-            BEGAN_METHOD => context.apply_began(parameters),
-            PACE_METHOD => context.apply_paces(parameters),
-            LOADS_METHOD => context.pass_loads(parameters),
-            _ => Ok(()),
-        };
-        if let Err(error) = handled {
-            warn!(method = method, reason:% = error; "received an invalid notification");
-        }
-    })
-}
-
-impl NotificationContext {
-    /// Hands messages to the replica. They are dropped while its queue is full: the consensus
-    /// tolerates the loss.
-    fn step(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (step,): (Step,) = serde_json::from_str(parameters)?;
-        let Step { from, to, messages } = step;
-        if to != self.own_id {
-            debug!("dropped messages from replica {from} to replica {to}, which ran here before");
-            return Ok(());
-        }
-        if let Err(error) = self.handle.inputs.try_send(Input::Step(from, messages.0)) {
-            debug!("dropped messages from replica {from}: {error}");
-        }
-        Ok(())
-    }
-
-    /// Applies changes of rate limits.
-    fn apply_limits(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(changes),): (Packed<Vec<permit::Change>>,) = serde_json::from_str(parameters)?;
-        for change in &changes {
-            self.allocator.apply_limit(change);
-        }
-        Ok(())
-    }
-
-    /// Takes over running requests from the host that allocated before.
-    fn apply_running(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<RunningRequest>>,) = serde_json::from_str(parameters)?;
-        self.allocator.adopt_running(&reports);
-        Ok(())
-    }
-
-    /// Applies reports of requests that may make targets crash.
-    fn apply_request_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<RequestReport>>,) = serde_json::from_str(parameters)?;
-        for report in &reports {
-            self.allocator.record_request(report);
-        }
-        Ok(())
-    }
-
-    /// Records how fast engines decode.
-    fn apply_paces(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(paces),): (Packed<Vec<Pace>>,) = serde_json::from_str(parameters)?;
-        let now = Instant::now();
-        let mut state = self.allocator.state();
-        paces
-            .iter()
-            .for_each(|pace| state.targets.record_pace(pace, now));
-        Ok(())
-    }
-
-    /// Gives back requests that targets didn't get.
-    fn give_back(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(misdirected),): (Packed<Vec<Misdirected>>,) = serde_json::from_str(parameters)?;
-        let mut state = self.allocator.state();
-        for target in &misdirected {
-            state.targets.give_back(target, Instant::now());
-        }
-        Ok(())
-    }
-
-    /// Passes load reports on to the observer. They are dropped while its queue is full, since newer ones follow.
-    fn pass_loads(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(report),): (Packed<LoadsReport>,) = serde_json::from_str(parameters)?;
-        if let Err(error) = self.loads.try_send(report) {
-            debug!("dropped load reports that another voter read: {error}");
-        }
-        Ok(())
-    }
-
-    /// Remembers which builds began streams.
-    fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
-        let now = Instant::now();
-        let mut state = self.allocator.state();
-        began
-            .iter()
-            .for_each(|began| state.origins.record(began, now));
-        Ok(())
-    }
-
-    /// Applies reports to the allocator.
-    fn apply_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<AllocationReport>>,) =
-            serde_json::from_str(parameters)?;
-        for report in reports {
-            match report {
-                AllocationReport::Sent(sent) => {
-                    let mut state = self.allocator.state();
-                    state.targets.record_remote_send(&sent, Instant::now());
-                }
-                AllocationReport::Full(target) => {
-                    // The engine refused the memory, so the generation wasn't sent there.
-                    let mut state = self.allocator.state();
-                    state.targets.give_back_any(&target, Instant::now());
-                    drop(state);
-                    self.allocator.record_no_room(&target);
-                }
-                AllocationReport::Started(run) => self.allocator.record_answered(run),
-                AllocationReport::Ended(run) => self.allocator.release(run),
-                AllocationReport::Moved(run, succeeded) => {
-                    self.allocator.finish_move(run, succeeded)
-                }
-                AllocationReport::Crashed(crash) => self.allocator.record_crash(&crash),
-                AllocationReport::Refused(parts) => self.allocator.adopt_refused_parts(&parts),
-            }
-        }
-        Ok(())
-    }
-}
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -6,10 +6,12 @@
 mod evacuation;
 mod index;
 mod pacing;
+mod silence;
 mod speed;
 mod state;
 mod statements;
 
+pub(crate) use self::silence::ReportAges;
 pub use self::{
     index::MAX_CANDIDATES,
     pacing::{Misdirected, Pacing},
@@ -26,8 +28,7 @@
         health::Health,
         homes::{Homes, Regions},
         limit::Limit,
-        observations::{Instance, Observations, Sign},
-        observer::{readers, schedule},
+        observations::{Instance, Observations},
     },
     sardinerelay::{
         estimate::{Speed, Typical},
@@ -47,33 +48,6 @@
 const FULL_DURATION: Duration = Duration::from_millis(250);
 /// Time for which it is remembered that an incarnation is leaving or has left.
 const LEFT_RETENTION: Duration = Duration::from_secs(120);
-/// Age of a target's load report from which it counts as silent if other targets' reports are
-/// fresh. It is longer than the longest interval between reads, one repeated read and a publication.
-const SILENT_REPORT_AGE: Duration = Duration::from_millis(1300);
-/// Age below which another target's load report shows that reports arrive at all. When no reports
-/// arrive any more, the newest is up to an interval between reads younger than the oldest, so this
-/// is shorter than [`SILENT_REPORT_AGE`] by at least that.
-const FRESH_REPORT_AGE: Duration = Duration::from_millis(300);
-/// Ages of load reports by which silent engines are recognised.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ReportAges {
-    /// Age from which an engine counts as silent if the reports of others are fresh.
-    pub(crate) silent: Duration,
-    /// Age below which a report shows that reports arrive at all.
-    pub(crate) fresh: Duration,
-}
-
-impl ReportAges {
-    /// Returns the ages if one host reads the reports of this many engines.
-    pub(crate) fn new(engines_per_reader: usize) -> Self {
-        let stretch = schedule::stretch(engines_per_reader);
-        Self {
-            silent: SILENT_REPORT_AGE.mul_f64(stretch),
-            fresh: FRESH_REPORT_AGE.mul_f64(stretch),
-        }
-    }
-}
-
 /// Age of a load report from which the target's load counts as unknown.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -178,41 +152,6 @@
         changes
     }
 
-    /// Merges what another host's load reports show.
-    fn merge_signs(&mut self, signs: &[Sign], now: Instant, changes: &mut Vec<Change>) {
-        for state in self.states.values_mut() {
-            state.reported_silent = None;
-        }
-        for sign in signs {
-            let Some(state) = self.states.get_mut(&sign.target) else {
-                continue;
-            };
-            if state.instance.incarnation != sign.incarnation {
-                continue;
-            }
-            let since = sign.closing_ms.map(|age| instant_before(now, age));
-            if since.is_some() && state.closing_since.is_none() {
-                changes.push(Change::Closing(sign.target.clone()));
-            }
-            state.closing_since = since;
-            state.reported_silent = sign.is_silent.then_some(now);
-        }
-    }
-
-    /// Counts the targets of the services whose targets report their load.
-    fn count_engines(&mut self, observations: &Observations) {
-        let reported = observations.loads.iter();
-        let reported = reported.filter_map(|report| self.states.get(&report.target));
-        let services: HashSet<&Service> = reported.map(|state| &state.instance.service).collect();
-        if services.is_empty() {
-            return;
-        }
-        let engines = self.states.values();
-        let engines = engines.filter(|state| services.contains(&state.instance.service));
-        let readers = observations.readers.len().max(1);
-        self.engines_per_reader = readers::engines_per_reader(engines.count(), readers);
-    }
-
     /// Adds targets that another host knows and this one doesn't.
     pub fn add_missing(&mut self, instances: &[Instance], now: Instant) {
         let known = self.states.len();
@@ -253,30 +192,6 @@
         self.states.values()
     }
 
-    /// Whether a target has stopped reporting its load while others still report. Without any fresh
-    /// report, no target counts as silent, since then it is the reports that don't arrive. An
-    /// unknown target counts as silent.
-    pub fn is_silent(&self, target: &str, now: Instant) -> bool {
-        let Some(state) = self.states.get(target) else {
-            return true;
-        };
-        self.is_state_silent(state, now)
-    }
-
-    fn is_state_silent(&self, state: &State, now: Instant) -> bool {
-        let age = |read: Instant| now.saturating_duration_since(read);
-        if state
-            .reported_silent
-            .is_some_and(|reported| age(reported) < MAX_REPORT_AGE)
-        {
-            return true;
-        }
-        let ages = ReportAges::new(self.engines_per_reader);
-        let is_old = state.load.is_some_and(|(_, read)| age(read) > ages.silent);
-        let newest = self.index.newest_load;
-        is_old && newest.is_some_and(|read| age(read) < ages.fresh)
-    }
-
     /// Iterates over the targets of a service that may get work.
     pub fn usable<'a>(
         &'a self,
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -25,6 +25,7 @@
     mod requests;
     mod sse;
     mod table;
+    mod update_bytes;
     mod updates;
     mod waiting;
 }
