Count all engines of a service before judging which are silent

The publisher of observations counted only the engines that had reported, and targets counted all of their services. After a restart, or while many reads fail, the publisher therefore took the interval between reads for shorter than it is, and published engines as silent before their second read was due; entry hosts then give up requests there. Both now call readers::count_engines.

The observer itself counts by the configuration and was right.

--- a/crates/sardinerelay-gateway/src/observations/publisher.rs
+++ b/crates/sardinerelay-gateway/src/observations/publisher.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         limit::{Rate, permit},
-        observer::readers::engines_per_reader,
+        observer::readers::{count_engines, engines_per_reader},
         quarantine::{Refused, Subject},
         targets::{ReportAges, instant_before},
     },
@@ -288,10 +288,12 @@
     /// received, or else by the load reports, as [`crate::targets::Targets::is_silent`] does.
     fn publish_silence(&mut self, observations: &Observations, now: Instant) {
         let age = |read: Instant| now.saturating_duration_since(read);
-        let loads = self.items.values().filter_map(|item| item.load);
+        let items = self.items.values();
+        let targets = items.map(|item| (&item.instance.service, item.load.is_some()));
         let readers = observations.readers.len().max(1);
-        let ages = ReportAges::new(engines_per_reader(loads.clone().count(), readers));
-        let do_reports_arrive = loads.into_iter().any(|(_, read)| age(read) < ages.fresh);
+        let ages = ReportAges::new(engines_per_reader(count_engines(targets), readers));
+        let mut loads = self.items.values().filter_map(|item| item.load);
+        let do_reports_arrive = loads.any(|(_, read)| age(read) < ages.fresh);
         let told = observations.signs.as_ref().map(|signs| -> HashSet<_> {
             let silent = signs.iter().filter(|sign| sign.is_silent);
             silent
--- a/crates/sardinerelay-gateway/src/observer/readers.rs
+++ b/crates/sardinerelay-gateway/src/observer/readers.rs
@@ -5,8 +5,9 @@
 
 use {
     crate::observations::Instance,
+    sardinerelay::id::Service,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         net::Ipv4Addr,
         time::{Duration, Instant},
     },
@@ -51,6 +52,18 @@
     engines
 }
 
+/// Returns the number of engines: all targets of the services of which any has reported its load. Most may not
+/// have been read yet. Each item is a target's service and whether the target has reported.
+pub fn count_engines<'a, Targets>(targets: Targets) -> usize
+where
+    Targets: Iterator<Item = (&'a Service, bool)> + Clone,
+{
+    let reporting = targets.clone().filter(|(_, has_reported)| *has_reported);
+    let services: HashSet<&Service> = reporting.map(|(service, _)| service).collect();
+    let engines = targets.filter(|(service, _)| services.contains(service));
+    engines.count()
+}
+
 /// Returns an upper bound of the number of engines whose reports one of these hosts reads, from which the ages
 /// of reports are computed. Shares differ by about the square root of their size.
 pub fn engines_per_reader(engines: usize, readers: usize) -> usize {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -124,7 +124,6 @@
             self.merge_list(observations, now, &mut changes);
             self.index.set_targets(&self.states);
         }
-        self.count_engines(observations);
         for report in &observations.loads {
             let read = instant_before(now, report.age_ms);
             let Some(state) = self.states.get_mut(&report.target) else {
@@ -145,6 +144,7 @@
                 changes.push(Change::Leaving(report.target.clone()));
             }
         }
+        self.count_engines(observations);
         if let Some(signs) = &observations.signs {
             self.merge_signs(signs, now, &mut changes);
         }
--- a/crates/sardinerelay-gateway/src/targets/silence.rs
+++ b/crates/sardinerelay-gateway/src/targets/silence.rs
@@ -6,11 +6,7 @@
         observations::{Observations, Sign},
         observer::{readers, schedule},
     },
-    sardinerelay::id::Service,
-    std::{
-        collections::HashSet,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
 };
 
 /// Age of a target's load report from which it counts as silent if other targets' reports are
@@ -63,18 +59,13 @@
         }
     }
 
-    /// Counts the targets of the services whose targets report their load.
+    /// Counts the engines whose reports one of the readers reads.
     pub(super) fn count_engines(&mut self, observations: &Observations) {
-        let reported = observations.loads.iter();
-        let reported = reported.filter_map(|report| self.states.get(&report.target));
-        let services: HashSet<&Service> = reported.map(|state| &state.instance.service).collect();
-        if services.is_empty() {
-            return;
-        }
-        let engines = self.states.values();
-        let engines = engines.filter(|state| services.contains(&state.instance.service));
+        let targets = self.states.values();
+        let targets = targets.map(|state| (&state.instance.service, state.load.is_some()));
+        let engines = readers::count_engines(targets);
         let readers = observations.readers.len().max(1);
-        self.engines_per_reader = readers::engines_per_reader(engines.count(), readers);
+        self.engines_per_reader = readers::engines_per_reader(engines, readers);
     }
 
     /// Whether a target has stopped reporting its load while others still report. Without any fresh
--- a/crates/sardinerelay-gateway/tests/decisions/readers.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/readers.rs
@@ -1,14 +1,19 @@
 //! Which voters read load reports, and how the leader merges what they read.
 
 use {
-    super::fixtures::{instance, load},
+    super::fixtures::{instance, load, observations},
     rstest::rstest,
     sardinerelay_gateway::{
-        observations::Instance,
+        observations::{
+            Instance,
+            publisher::Publisher,
+            update::{Loads, Request},
+        },
         observer::{
             readers::{MAX_SILENCE, MAX_UNDIVIDED_ENGINES, RETRY_DELAY, Readers, share},
             reports::Reports,
         },
+        targets::Targets,
     },
     std::{
         collections::BTreeSet,
@@ -146,3 +151,32 @@
     }]);
     assert_eq!(reports.load(&key), None);
 }
+
+/// Guards against engines that count as silent after a restart because the interval is computed from the few
+/// engines whose reports have been read so far: their second read is due when all others had their first.
+#[test]
+fn engines_whose_second_read_is_not_due_yet_are_not_silent() {
+    const READS_PER_STEP: usize = 10;
+    const STEPS: usize = 40;
+    let start = Instant::now() + Duration::from_secs(60);
+    let (mut publisher, mut targets) = (Publisher::new(1), Targets::default());
+    for step in 1..=STEPS {
+        let now = start + STEP * step as u32;
+        let mut read = observations(step as u64, &[0; ENGINES]);
+        read.loads.truncate(READS_PER_STEP * step);
+        for (number, report) in read.loads.iter_mut().enumerate() {
+            let steps_ago = step - 1 - number / READS_PER_STEP;
+            report.age_ms = steps_ago as u64 * STEP.as_millis() as u64;
+        }
+        publisher.publish(&read, now);
+        targets.merge(&read, now);
+        let request = Request {
+            loads: Loads::None,
+            ..Request::default()
+        };
+        let update = publisher.update_for(&request, now).expect("published");
+        let changes = update.changes.expect("a full snapshot");
+        assert!(changes.silent.iter().all(|(_, is_silent)| !is_silent));
+        assert!(!targets.is_silent(&instance(0).target, now));
+    }
+}
