Let a long list count as fresh until the next one can have arrived

A list of 61 pages takes 0.97 s to read, so its age lies between 1 and 2 s before it is passed on. An entry host took it for stale after 1.5 s and then followed all three publishers, the leader among them, half of the time. The bound now grows with the number of targets.

Without the growth the case between_reads_of_61_pages fails. Looked for the same cause in the other bounds on the age of a list: MAX_LIST_GAP (3 s) holds up to some 180 pages, LIST_DISTRUST_DURATION doesn't depend on the length.

--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -10,7 +10,10 @@
 mod subscription;
 mod transfer;
 
-pub use self::{observations::choose as choose_publishers, republisher::republish};
+pub use self::{
+    observations::{choose as choose_publishers, is_fresh},
+    republisher::republish,
+};
 
 use {
     crate::{
--- a/crates/sardinerelay-gateway/src/follow/observations.rs
+++ b/crates/sardinerelay-gateway/src/follow/observations.rs
@@ -34,9 +34,12 @@
 /// Time without fresh observations from any host after which those of all followed hosts are
 /// requested.
 const OBSERVATIONS_TIMEOUT: Duration = Duration::from_millis(700);
-/// Age from which a list doesn't count as fresh. It is read every 250 ms or more, takes some 100 ms to
-/// read with many pages, and is passed on by a voter that waits for up to 300 ms.
+/// Age from which a short list doesn't count as fresh. It is read every 250 ms or more, and is passed on by a
+/// voter that waits for up to 300 ms.
 const MAX_FRESH_LIST_AGE: Duration = Duration::from_millis(1500);
+/// Time by which that age grows with each listed target. A page of 50 takes 16 ms within the platform's rate
+/// limit, and a list is replaced only when the next one has been read to its end.
+const FRESH_AGE_PER_TARGET: Duration = Duration::from_micros(640);
 
 /// The hosts whose observations an entry host follows.
 #[derive(Debug)]
@@ -147,6 +150,12 @@
     chosen
 }
 
+/// Whether a list of this many targets that is this old is as new as a publisher can have it.
+pub fn is_fresh(age: Duration, targets: usize) -> bool {
+    let allowance = FRESH_AGE_PER_TARGET.saturating_mul(u32::try_from(targets).unwrap_or(u32::MAX));
+    age < MAX_FRESH_LIST_AGE + allowance
+}
+
 /// Returns the load reports that the host needs: all for a short time after a supposed crash, which they
 /// may refute, and those of its zone while it allocates itself.
 fn wanted_loads(entry: &EntryHost) -> Loads {
@@ -200,7 +209,8 @@
             Ok(Some(observations)) => {
                 entry.allocator.merge(&observations);
                 entry.adopt_limits(&observations.limits);
-                if Duration::from_millis(observations.list_age_ms) < MAX_FRESH_LIST_AGE {
+                let age = Duration::from_millis(observations.list_age_ms);
+                if is_fresh(age, observations.instances.len()) {
                     last_fresh.send_replace(Some(Instant::now()));
                 }
             }
--- a/crates/sardinerelay-gateway/tests/decisions/updates.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/updates.rs
@@ -7,7 +7,7 @@
     rstest::rstest,
     sardinerelay::id::{Incarnation, Target, Zone},
     sardinerelay_gateway::{
-        follow::choose_publishers,
+        follow::{choose_publishers, is_fresh},
         limit::{Rate, permit},
         observations::{
             Instance, LoadReport, Observations,
@@ -438,6 +438,22 @@
     assert_eq!(shown.asked, Some(later(260)));
 }
 
+/// Guards against a host that takes a long list for stale between two reads, and so follows all publishers at
+/// once, and against one that follows a publisher whose list stands still.
+#[rstest]
+#[case::new(300, 48, true)]
+#[case::read_twice_as_slowly(1_400, 48, true)]
+#[case::stands_still(1_600, 48, false)]
+#[case::between_reads_of_61_pages(2_700, 3_001, true)]
+#[case::long_list_stands_still(4_500, 3_001, false)]
+fn a_list_is_fresh_until_the_next_can_have_arrived(
+    #[case] age_ms: u64,
+    #[case] targets: usize,
+    #[case] expected: bool,
+) {
+    assert_eq!(is_fresh(Duration::from_millis(age_ms), targets), expected);
+}
+
 /// Guards against updates that cross zones for each entry host, against entry hosts that all follow the same
 /// voter, and against hosts that follow voters of an earlier version, which publish nothing unless they lead.
 #[rstest]
