Ask one method whether a target stays, and walk only its service

Whether a target neither leaves nor lies in an evacuated zone was spelled out in five places, and three look-ups on the way of each request walked all targets to find those of one service. Targets::is_staying and Targets::of_service serve them all. Behaviour is the same; the tests of the gateway pass.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -226,9 +226,7 @@
         let state = self.entry.state();
         let stays = |target: &Target| {
             let known = state.targets.get(target);
-            known.is_some_and(|known| {
-                known.leaving_since(now).is_none() && !state.targets.is_evacuated(known)
-            })
+            known.is_some_and(|known| state.targets.is_staying(known, now))
         };
         let copy = self.choice.copy.as_ref();
         (stays(&self.choice.target), copy.is_some_and(stays))
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -342,9 +342,7 @@
         // Several engines may be reclaimed at once, and not all are noticed at the same moment.
         state.drop_destinations(|targets, to| {
             let known = targets.get(to);
-            known.is_none_or(|known| {
-                known.leaving_since(now).is_some() || targets.is_evacuated(known)
-            })
+            known.is_none_or(|known| !targets.is_staying(known, now))
         });
         let State {
             targets,
--- a/crates/sardinerelay-gateway/src/generation/taken_up.rs
+++ b/crates/sardinerelay-gateway/src/generation/taken_up.rs
@@ -125,14 +125,10 @@
 fn has_target(job: &Job, build: &Build) -> bool {
     let now = Instant::now();
     let state = job.entry.state();
-    let mut of_service = state
-        .targets
-        .all()
-        .filter(|state| state.instance.service == job.service);
-    let takes_work =
-        |known: &State| known.leaving_since(now).is_none() && !state.targets.is_evacuated(known);
-    of_service.any(|known| known.instance.build == *build && takes_work(known))
-        || state.targets.list_age(now).is_none()
+    let targets = &state.targets;
+    let of_build = |known: &&State| known.instance.build == *build;
+    let mut of_build = targets.of_service(&job.service).filter(of_build);
+    of_build.any(|known| targets.is_staying(known, now)) || targets.list_age(now).is_none()
 }
 
 fn refuse(job: &Job, reason: &'static str, retry_after: Duration) -> Refusal {
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -192,21 +192,25 @@
         self.states.values()
     }
 
+    /// Iterates over the targets of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a State> + 'a {
+        let targets = self.index.targets_of_service(service);
+        targets.filter_map(|target| self.states.get(target))
+    }
+
     /// Iterates over the targets of a service that may get work.
     pub fn usable<'a>(
         &'a self,
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = &'a State> + 'a {
-        let of_service = self.index.targets_of_service(service);
-        let states = of_service.filter_map(|target| self.states.get(target));
-        states.filter(move |state| self.is_usable(state, now))
+        self.of_service(service)
+            .filter(move |state| self.is_usable(state, now))
     }
 
     /// Whether a target may get work.
     fn is_usable(&self, state: &State, now: Instant) -> bool {
-        !self.is_evacuated(state)
-            && state.leaving_since(now).is_none()
+        self.is_staying(state, now)
             && !state.is_resting(now)
             && !state.health.is_down(now)
             && !self.is_state_silent(state, now)
@@ -219,11 +223,7 @@
 
     /// Whether the service has targets, of which those that may get work are all outside the homes.
     pub fn lack_home(&self, service: &str, homes: &Homes, now: Instant) -> bool {
-        let is_listed = || {
-            self.states
-                .values()
-                .any(|state| state.instance.service == service)
-        };
+        let is_listed = || self.of_service(service).next().is_some();
         let mut usable = self.usable(service, now);
         !homes.is_anywhere() && is_listed() && !usable.any(|state| self.allow(homes, state))
     }
--- a/crates/sardinerelay-gateway/src/targets/evacuation.rs
+++ b/crates/sardinerelay-gateway/src/targets/evacuation.rs
@@ -77,15 +77,19 @@
         self.orders.evacuations.is_evacuated(&state.instance.zone)
     }
 
+    /// Whether a target neither leaves nor lies in an evacuated zone.
+    pub fn is_staying(&self, state: &State, now: Instant) -> bool {
+        !self.is_evacuated(state) && state.leaving_since(now).is_none()
+    }
+
     /// Whether all targets of a service that don't leave lie in evacuated zones, so that no request to it has a
     /// chance. Returns false if none is known.
     pub fn is_service_evacuated(&self, service: &str, now: Instant) -> bool {
         if self.orders.evacuations.evacuated().next().is_none() {
             return false;
         }
-        let targets = self.all().filter(|state| {
-            state.instance.service == service && state.leaving_since(now).is_none()
-        });
+        let targets = self.of_service(service);
+        let targets = targets.filter(|state| state.leaving_since(now).is_none());
         let mut targets = targets.peekable();
         targets.peek().is_some() && targets.all(|state| self.is_evacuated(state))
     }
--- a/crates/sardinerelay-gateway/src/targets/statements.rs
+++ b/crates/sardinerelay-gateway/src/targets/statements.rs
@@ -35,12 +35,9 @@
         if self.usable(service, now).next().is_some() {
             return None;
         }
-        let ends = self.states.values().filter(|state| {
-            state.instance.service == service
-                && state.leaving_since(now).is_none()
-                && !self.is_evacuated(state)
-        });
-        let ends = ends.filter_map(|state| state.rests_until);
+        let staying = self.of_service(service);
+        let staying = staying.filter(|state| self.is_staying(state, now));
+        let ends = staying.filter_map(|state| state.rests_until);
         let rests = ends.map(|end| end.saturating_duration_since(now));
         rests.filter(|rest| !rest.is_zero()).min()
     }
