Keep the assumed number of hosts in one place

Retry budgets, rate limits and bounds on cold targets each had a constant of 100 hosts until the number is known, and a match on it. Targets::sharing_hosts replaces all three.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -50,8 +50,6 @@
 /// Memory that long bodies of callers' requests may take together, in bytes. The smallest hosts have
 /// 88 MB.
 const REQUEST_MEMORY_BYTES: usize = 24 << 20;
-/// Number of entry hosts that retry budgets assume until an observation states it.
-const DEFAULT_ENTRY_HOSTS: u32 = 100;
 /// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
 /// that time a little longer, so without a limit it would never end.
 const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
@@ -336,10 +334,7 @@
 
     /// Takes one retry from the service's budget. Returns false if the budget is used up.
     pub fn try_take_retry(&self, service: &Service) -> bool {
-        let entry_hosts = match self.state().targets.entry_hosts() {
-            0 => DEFAULT_ENTRY_HOSTS,
-            entry_hosts => entry_hosts,
-        };
+        let entry_hosts = self.state().targets.sharing_hosts();
         self.with_budget(service, |budget| {
             budget.try_take_retry(entry_hosts, Instant::now())
         })
--- a/crates/sardinerelay-gateway/src/limit/permit.rs
+++ b/crates/sardinerelay-gateway/src/limit/permit.rs
@@ -17,9 +17,6 @@
     std::time::{Duration, Instant},
 };
 
-/// Number of hosts among which a limit is divided until an observation states their number.
-const DEFAULT_HOSTS: u32 = 100;
-
 /// One incarnation of a target, and the limit that the host at hand knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
@@ -83,10 +80,9 @@
 impl Targets {
     /// Returns the part of each limit that a host with this scope may use.
     pub fn limit_share(&self, scope: Scope) -> f64 {
-        match (scope, self.entry_hosts()) {
-            (Scope::Group, _) => 1.0,
-            (Scope::Local, 0) => 1.0 / f64::from(DEFAULT_HOSTS),
-            (Scope::Local, hosts) => 1.0 / f64::from(hosts),
+        match scope {
+            Scope::Group => 1.0,
+            Scope::Local => 1.0 / f64::from(self.sharing_hosts()),
         }
     }
 
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -57,6 +57,10 @@
 /// a target may have announced its end too.
 const MAX_LIST_GAP: Duration = Duration::from_secs(3);
 
+/// Number of hosts among which rate limits, retry budgets and bounds are divided until an observation states
+/// the number of entry hosts.
+const DEFAULT_SHARING_HOSTS: u32 = 100;
+
 /// All targets that this host knows.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -171,6 +175,14 @@
         self.entry_hosts
     }
 
+    /// Returns the number of hosts among which rate limits, retry budgets and bounds are divided.
+    pub fn sharing_hosts(&self) -> u32 {
+        match self.entry_hosts {
+            0 => DEFAULT_SHARING_HOSTS,
+            hosts => hosts,
+        }
+    }
+
     /// Age of the newest list, or `None` if none was merged yet.
     pub fn list_age(&self, now: Instant) -> Option<Duration> {
         self.list_read
--- a/crates/sardinerelay-gateway/src/targets/pacing.rs
+++ b/crates/sardinerelay-gateway/src/targets/pacing.rs
@@ -14,8 +14,6 @@
     },
 };
 
-/// Number of hosts among which a bound is divided until an observation states their number.
-const DEFAULT_HOSTS: u32 = 100;
 /// Longest time for which a target's own statement lets it count as cold, for services that state none.
 const MAX_STATED_COLD: Duration = Duration::from_secs(120);
 
@@ -45,7 +43,7 @@
 impl Targets {
     /// Sets which services state a rate for cold targets, from the configuration in force.
     pub fn set_paced_services(&mut self, services: &[table::Service]) {
-        let hosts = self.pacing_hosts();
+        let hosts = self.sharing_hosts();
         let tolerance = self.pacing.tolerance;
         let paced = services.iter().filter_map(|service| {
             let bound = tolerance.bound(service.cold_rate?);
@@ -62,19 +60,12 @@
 
     /// Divides the bounds again after the number of hosts has changed.
     pub(super) fn divide_bounds(&mut self) {
-        let hosts = self.pacing_hosts();
+        let hosts = self.sharing_hosts();
         for paced in self.pacing.services.values_mut() {
             paced.shares = Shares::new(paced.bound, hosts);
         }
     }
 
-    fn pacing_hosts(&self) -> u32 {
-        match self.entry_hosts {
-            0 => DEFAULT_HOSTS,
-            hosts => hosts,
-        }
-    }
-
     /// Returns the largest number of requests in a second that a host with this scope may send to the target;
     /// none if it is unlimited. The allocating host paces engines at all times, since one may have become cold
     /// without the list having said so.
