--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -5,7 +5,7 @@
         body,
         entry::EntryHost,
         generation, plain,
-        refusal::Refusal,
+        refusal::{Refusal, jittered},
         request::Job,
         table::{Denial, Kind, Limits},
     },
@@ -14,7 +14,6 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     log::{debug, info, warn},
-    rand::Rng as _,
     sardinerelayd::stop::RequestGuard,
     socket2::SockRef,
     std::{convert::Infallible, sync::Arc, time::Duration, time::Instant},
@@ -243,7 +242,7 @@
         body::Error::TimedOut => Refusal::BodyTimedOut,
         body::Error::NoMemory => Refusal::NotRun {
             reason: "this host has no memory for the body",
-            retry_after: NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+            retry_after: jittered(NO_MEMORY_RETRY_AFTER),
         },
         body::Error::BrokenOff(error) => Refusal::Malformed(error.to_string()),
     })
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -23,7 +23,7 @@
         admission,
         allocation::Allocation,
         placement::{self, Need},
-        refusal::Refusal,
+        refusal::{Refusal, jittered},
         request::{Job, remove_hop_by_hop_headers},
         table::Kind,
     },
@@ -125,7 +125,7 @@
         {
             return Err(Refusal::NotRun {
                 reason: "all engines are in evacuated zones",
-                retry_after: EVACUATED_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+                retry_after: jittered(EVACUATED_RETRY_AFTER),
             });
         }
         if let Some(retry_after) = job.entry.rest_of_all(&job.service) {
@@ -154,11 +154,9 @@
 }
 
 fn no_engine_refusal() -> Refusal {
-    // Spreads the retries of callers that were refused at the same time.
-    let jitter = rand::rng().random_range(0.5..1.5);
     Refusal::NotRun {
         reason: "no engine takes the generation",
-        retry_after: NO_ENGINE_RETRY_AFTER.mul_f64(jitter),
+        retry_after: jittered(NO_ENGINE_RETRY_AFTER),
     }
 }
 
@@ -172,8 +170,8 @@
     matches!(job.route.kind, Kind::Generation { is_resumable: true })
 }
 
-/// Returns what the allocator has to know of the generation, which only `build` may run if it continues a stream: the memory that it is expected to use,
-/// and the properties by which an engine is chosen.
+/// Returns what the allocator has to know of the generation: the memory that it is expected to use, and the
+/// properties by which an engine is chosen. Only `build` may run it if it continues a stream.
 fn need(job: &Job, build: Option<Build>) -> Need {
     let generation = job.call.generation.as_ref();
     let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -12,7 +12,7 @@
     crate::{
         body,
         pool::{Cause, Exchange, Outgoing, Purpose, SendError},
-        refusal::Refusal,
+        refusal::{Refusal, jittered},
         request::{ForwardOptions, Job, ResponseClass, remove_hop_by_hop_headers},
         table::Kind,
         targets::MemoryClaim,
@@ -22,7 +22,6 @@
     http::{Response, response},
     hyper::body::Incoming,
     log::info,
-    rand::Rng as _,
     sardinerelay::id::Target,
     std::time::{Duration, Instant},
     tokio::time::{Instant as TokioInstant, timeout_at},
@@ -146,10 +145,9 @@
                 retry_after,
             });
         }
-        let jitter = rand::rng().random_range(0.5..1.5);
         return Err(Refusal::NotRun {
             reason: "no target takes the call",
-            retry_after: NO_TARGET_RETRY_AFTER.mul_f64(jitter),
+            retry_after: jittered(NO_TARGET_RETRY_AFTER),
         });
     }
     match Instant::now() + MIN_REMAINING_TIME >= deadline {
--- a/crates/sardinerelay-gateway/src/refusal.rs
+++ b/crates/sardinerelay-gateway/src/refusal.rs
@@ -5,9 +5,13 @@
     axum::body::Body,
     compact_str::CompactString,
     http::{HeaderValue, Response, StatusCode, header},
-    std::time::Duration,
+    rand::Rng as _,
+    std::{ops::Range, time::Duration},
 };
 
+/// Factors by which the time after which callers should retry is varied at random.
+const RETRY_AFTER_JITTER: Range<f64> = 0.5..1.5;
+
 /// Why the relay responds to a request itself. Its text is the response's body.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -42,6 +46,12 @@
     Timeout,
 }
 
+/// Varies the time after which callers should retry, so that those that were refused at the same time don't
+/// return together.
+pub fn jittered(retry_after: Duration) -> Duration {
+    retry_after.mul_f64(rand::rng().random_range(RETRY_AFTER_JITTER))
+}
+
 impl Refusal {
     /// Returns the response's status.
     pub fn status(&self) -> StatusCode {
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -8,7 +8,7 @@
         fingerprint,
         homes::Homes,
         quarantine::Subject,
-        refusal::Refusal,
+        refusal::{Refusal, jittered},
         table::{Engine, Route},
     },
     bytes::Bytes,
@@ -16,11 +16,9 @@
     http::{HeaderMap, Request, Response, StatusCode, header, request},
     http_body_util::Full,
     hyper::body::Incoming,
-    rand::{Rng as _, rng},
     sardinerelay::id::{Organisation, Service, Target},
     sardinerelayd::engine::is_answer,
     std::{
-        ops::Range,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -31,8 +29,6 @@
 
 /// Mean time after which a caller should retry when no target in the allowed regions is reachable.
 const NO_HOME_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Factors by which that time is varied at random, so that callers don't return together.
-const RETRY_AFTER_JITTER: Range<f64> = 0.5..1.5;
 
 /// An authenticated request with its route.
 #[derive(Debug)]
@@ -127,7 +123,7 @@
             false => Ok(()),
             true => Err(Refusal::NotRun {
                 reason: "no target in the allowed regions can be reached",
-                retry_after: NO_HOME_RETRY_AFTER.mul_f64(rng().random_range(RETRY_AFTER_JITTER)),
+                retry_after: jittered(NO_HOME_RETRY_AFTER),
             }),
         }
     }
