--- a/crates/sardinerelay-gateway/src/group/handle.rs
+++ b/crates/sardinerelay-gateway/src/group/handle.rs
@@ -53,7 +53,13 @@
     }
 
     /// Returns a channel with a property of the leadership.
-    fn watch_leadership(&self, property: fn(&SoftState) -> bool) -> watch::Receiver<bool> {
+    fn watch_leadership<Property>(
+        &self,
+        property: fn(&SoftState) -> Property,
+    ) -> watch::Receiver<Property>
+    where
+        Property: Copy + PartialEq + Send + Sync + 'static,
+    {
         let mut leadership = self.leadership.clone();
         let (sender, receiver) = watch::channel(property(&leadership.borrow()));
         tokio::spawn(async move {
@@ -71,22 +77,10 @@
     /// Returns a channel with the leader on another host whose observations this host follows. None if
     /// this host is the leader or knows of none, that is, where [`Self::leads_or_leaderless`] is true.
     pub fn followed_leader(&self) -> watch::Receiver<Option<Ipv4Addr>> {
-        let mut leadership = self.leadership.clone();
-        let followed = |soft: &SoftState| match soft.role {
+        self.watch_leadership(|soft| match soft.role {
             Role::Leader => None,
             _ => soft.leader.map(member::address),
-        };
-        let (sender, receiver) = watch::channel(None);
-        tokio::spawn(async move {
-            loop {
-                let leader = followed(&leadership.borrow_and_update());
-                sender.send_if_modified(|known| std::mem::replace(known, leader) != leader);
-                if leadership.changed().await.is_err() {
-                    return;
-                }
-            }
-        });
-        receiver
+        })
     }
 
     /// Returns a channel with the addresses of the other voters from which messages arrived within a second.
--- a/crates/sardinerelay-gateway/src/group/notifications.rs
+++ b/crates/sardinerelay-gateway/src/group/notifications.rs
@@ -17,6 +17,7 @@
     log::{debug, warn},
     sardinerelay::id::Host,
     sardinerelayd::peer::{NotificationHandler, Packed, STEP, SharedCounters, Step},
+    serde::de::DeserializeOwned,
     std::{sync::Arc, time::Instant},
     tokio::sync::mpsc,
 };
@@ -54,6 +55,15 @@
     })
 }
 
+/// Parses the packed parameter of a notification.
+fn parse<Parameter>(parameters: &str) -> Result<Parameter, serde_json::Error>
+where
+    Parameter: DeserializeOwned,
+{
+    let (Packed(parameter),): (Packed<Parameter>,) = serde_json::from_str(parameters)?;
+    Ok(parameter)
+}
+
 impl NotificationContext {
     /// Hands messages to the replica. They are dropped while its queue is full: the consensus
     /// tolerates the loss.
@@ -72,7 +82,7 @@
 
     /// Applies changes of rate limits.
     fn apply_limits(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(changes),): (Packed<Vec<permit::Change>>,) = serde_json::from_str(parameters)?;
+        let changes: Vec<permit::Change> = parse(parameters)?;
         for change in &changes {
             self.allocator.apply_limit(change);
         }
@@ -81,14 +91,14 @@
 
     /// Takes over running requests from the host that allocated before.
     fn apply_running(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<RunningRequest>>,) = serde_json::from_str(parameters)?;
+        let reports: Vec<RunningRequest> = parse(parameters)?;
         self.allocator.adopt_running(&reports);
         Ok(())
     }
 
     /// Applies reports of requests that may make targets crash.
     fn apply_request_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<RequestReport>>,) = serde_json::from_str(parameters)?;
+        let reports: Vec<RequestReport> = parse(parameters)?;
         for report in &reports {
             self.allocator.record_request(report);
         }
@@ -97,7 +107,7 @@
 
     /// Records how fast engines decode.
     fn apply_paces(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(paces),): (Packed<Vec<Pace>>,) = serde_json::from_str(parameters)?;
+        let paces: Vec<Pace> = parse(parameters)?;
         let now = Instant::now();
         let mut state = self.allocator.state();
         paces
@@ -108,7 +118,7 @@
 
     /// Gives back requests that targets didn't get.
     fn give_back(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(misdirected),): (Packed<Vec<Misdirected>>,) = serde_json::from_str(parameters)?;
+        let misdirected: Vec<Misdirected> = parse(parameters)?;
         let mut state = self.allocator.state();
         for target in &misdirected {
             state.targets.give_back(target, Instant::now());
@@ -118,7 +128,7 @@
 
     /// Passes load reports on to the observer. They are dropped while its queue is full, since newer ones follow.
     fn pass_loads(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(report),): (Packed<LoadsReport>,) = serde_json::from_str(parameters)?;
+        let report: LoadsReport = parse(parameters)?;
         if let Err(error) = self.loads.try_send(report) {
             debug!("dropped load reports that another voter read: {error}");
         }
@@ -127,7 +137,7 @@
 
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(began),): (Packed<Vec<Began>>,) = serde_json::from_str(parameters)?;
+        let began: Vec<Began> = parse(parameters)?;
         let now = Instant::now();
         let mut state = self.allocator.state();
         began
@@ -138,8 +148,7 @@
 
     /// Applies reports to the allocator.
     fn apply_reports(&self, parameters: &str) -> Result<(), serde_json::Error> {
-        let (Packed(reports),): (Packed<Vec<AllocationReport>>,) =
-            serde_json::from_str(parameters)?;
+        let reports: Vec<AllocationReport> = parse(parameters)?;
         for report in reports {
             match report {
                 AllocationReport::Sent(sent) => {
