Share the assumed output rate of a generation

Fair shares and claims on memory had a constant each for the same figure. Also names the list of running requests in the reporter, and breaks two long comment lines.

--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Requests a destination if the engine is leaving or its zone is evacuated. Does nothing if an engine that stays has a
-    /// copy, if the service doesn't support moves, or while an earlier attempt is pending.
+    /// Requests a destination if the engine is leaving or its zone is evacuated. Does nothing if an engine that
+    /// stays has a copy, if the service doesn't support moves, or while an earlier attempt is pending.
     pub(super) fn request_if_due(&mut self, job: &Job, allocation: &Allocation) {
         let (stays, copy_stays) = allocation.engines_stay();
         let is_early = Instant::now() < self.not_before;
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -94,7 +94,7 @@
     let mut paces = Batch::default();
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
-        let (mut requests, mut streams, mut shares) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut requests, mut streams, mut running) = (Vec::new(), Vec::new(), Vec::new());
         let mut misdirected = Vec::new();
         let mut next = Some(first);
         while let Some(report) = next {
@@ -103,7 +103,7 @@
                 Report::Limit(change) => limits.push(change),
                 Report::Request(report) => requests.push(report),
                 Report::Misdirected(target) => misdirected.push(target),
-                Report::Running(report) => shares.push(report),
+                Report::Running(report) => running.push(report),
                 Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
@@ -113,7 +113,7 @@
         announce(&entry, streams);
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
-        send(&entry, RUNNING_METHOD, shares).await;
+        send(&entry, RUNNING_METHOD, running).await;
         send(&entry, REQUEST_METHOD, requests).await;
         send(&entry, PACE_METHOD, paces.take_due(Instant::now())).await;
         send(&entry, MISDIRECTED_METHOD, misdirected).await;
--- a/crates/sardinerelay-gateway/src/targets/state.rs
+++ b/crates/sardinerelay-gateway/src/targets/state.rs
@@ -8,7 +8,7 @@
         limit::Limit,
         observations::{Instance, Load},
     },
-    sardinerelay::{estimate::Speed, pacing::Window},
+    sardinerelay::{estimate::Speed, fairness::OUTPUT_TOKENS_PER_SECOND, pacing::Window},
     std::{
         collections::{HashMap, VecDeque},
         time::{Duration, Instant},
@@ -20,8 +20,6 @@
 /// Time for which a target that closes its connections counts as leaving although neither the list
 /// nor its load report confirms it. Both lag behind by less than this.
 const CLOSING_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Tokens of output that a running generation is assumed to produce per second.
-const OUTPUT_TOKENS_PER_SECOND: f64 = 80.0;
 /// Smallest number of tokens by which a running generation is assumed to grow.
 const MIN_REMAINING_TOKENS: u64 = 150;
 /// Memory that a waiting request will need, as a multiple of the growth of a running one: it needs
--- a/crates/sardinerelay/src/fairness.rs
+++ b/crates/sardinerelay/src/fairness.rs
@@ -21,7 +21,7 @@
 /// Prompt tokens that an engine reads per second.
 const READ_TOKENS_PER_SECOND: f64 = 14_000.0;
 /// Tokens of output that a running generation produces per second.
-const OUTPUT_TOKENS_PER_SECOND: f64 = 80.0;
+pub const OUTPUT_TOKENS_PER_SECOND: f64 = 80.0;
 
 /// Memory held over time, in token-seconds.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default)]
