Count the waiting requests once in a decision of the queue

Each waiting request was compared with all others to find how many of its priority wait, up to 256 times 256 comparisons and a copy of each request in every decision. The counts are now taken once and kept up to date, and only requests that leave the queue are copied. Decisions are the same; the 266 tests of decisions pass.

--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -14,7 +14,7 @@
 
 use {
     self::{
-        search::{Search, Standing},
+        search::{Search, Standing, Waiting},
         service::Service,
     },
     crate::{
@@ -199,23 +199,29 @@
             service.update_rate(now);
         }
         let mut searches: HashMap<id::Service, Search> = HashMap::new();
+        let mut waiting = Waiting::new(self.waiters.iter().map(|queued| &queued.waiter.need));
         let mut done = BTreeSet::new();
         for (index, is_owed) in self.order_with_owed(now) {
-            let waiter = self.waiters[index].waiter.clone();
+            let waiter = &self.waiters[index].waiter;
             let search = searches.entry(waiter.need.service.clone()).or_default();
-            let standing = self.standing(&waiter, (is_owed, &done));
-            match self.try_place(&waiter, (search, standing), now, &mut place) {
+            let standing = waiting.standing(&waiter.need, is_owed);
+            let placed = self.try_place(waiter, (search, standing), now, &mut place);
+            if placed.is_none() && now < waiter.deadline {
+                continue;
+            }
+            let waiter = waiter.clone();
+            waiting.remove(&waiter.need);
+            let decision = match placed {
                 Some(choice) => {
                     self.record_start(&waiter, now);
-                    decisions.push((waiter.run, Decision::Placed(choice)));
+                    Decision::Placed(choice)
                 }
-                None if now >= waiter.deadline => {
+                None => {
                     let retry_after = self.dismiss(&waiter, Duration::ZERO, now);
-                    let refused = Decision::Refused(RefusalReason::Expired, retry_after);
-                    decisions.push((waiter.run, refused));
+                    Decision::Refused(RefusalReason::Expired, retry_after)
                 }
-                None => continue,
-            }
+            };
+            decisions.push((waiter.run, decision));
             done.insert(index);
         }
         let mut index = 0;
@@ -316,7 +322,7 @@
         Place: FnMut(&Waiter, &Reserved) -> Result<Choice, Vec<Target>>,
     {
         let need = &waiter.need;
-        if search.is_hopeless(need) {
+        if search.has_failed_alike(need) {
             return None;
         }
         let demand = self.services.get(&need.service).map(|found| &found.demand);
@@ -334,23 +340,6 @@
         }
     }
 
-    /// Returns how a request is treated among those of its service that are not `done`.
-    fn standing(&self, waiter: &Waiter, (is_owed, done): (bool, &BTreeSet<usize>)) -> Standing {
-        let mut standing = Standing {
-            is_owed,
-            ..Standing::default()
-        };
-        let waiters = self.waiters.iter().enumerate();
-        for (_, other) in waiters.filter(|(index, _)| !done.contains(index)) {
-            let other = &other.waiter.need;
-            if other.service == waiter.need.service {
-                standing.peers += usize::from(other.priority == waiter.need.priority);
-                standing.has_less_urgent |= other.priority > waiter.need.priority;
-            }
-        }
-        standing
-    }
-
     /// Records that a request of the queue was placed.
     fn record_start(&mut self, waiter: &Waiter, now: Instant) {
         let need = &waiter.need;
--- a/crates/sardinerelay-gateway/src/admission/search.rs
+++ b/crates/sardinerelay-gateway/src/admission/search.rs
@@ -3,8 +3,15 @@
 use {
     super::{Waiter, is_long, tokens},
     crate::placement::Need,
-    sardinerelay::{fairness::Headroom, id::Target},
-    std::time::Instant,
+    sardinerelay::{
+        fairness::Headroom,
+        id::{Service, Target},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        ops::Bound,
+        time::Instant,
+    },
 };
 
 /// Largest number of requests of a service that find no room in one decision, which bounds its
@@ -60,9 +67,53 @@
     pub(super) has_less_urgent: bool,
 }
 
+/// Numbers of requests that wait, by service and priority.
+#[derive(Debug, Default)]
+pub(super) struct Waiting(HashMap<Service, BTreeMap<u8, usize>>);
+
+impl Waiting {
+    /// Counts these requests.
+    pub(super) fn new<'a, Needs>(needs: Needs) -> Self
+    where
+        Needs: Iterator<Item = &'a Need>,
+    {
+        let mut waiting = Self::default();
+        for need in needs {
+            let by_priority = waiting.0.entry(need.service.clone()).or_default();
+            *by_priority.entry(need.priority).or_default() += 1;
+        }
+        waiting
+    }
+
+    /// Removes a request that was placed or refused.
+    pub(super) fn remove(&mut self, need: &Need) {
+        if let Some(by_priority) = self.0.get_mut(&need.service)
+            && let Some(count) = by_priority.get_mut(&need.priority)
+        {
+            *count -= 1;
+            if *count == 0 {
+                by_priority.remove(&need.priority);
+            }
+        }
+    }
+
+    /// Returns how a request is treated among those of its service.
+    pub(super) fn standing(&self, need: &Need, is_owed: bool) -> Standing {
+        let Some(by_priority) = self.0.get(&need.service) else {
+            return Standing::default();
+        };
+        let mut less_urgent = by_priority.range((Bound::Excluded(need.priority), Bound::Unbounded));
+        Standing {
+            is_owed,
+            peers: by_priority.get(&need.priority).copied().unwrap_or(0),
+            has_less_urgent: less_urgent.next().is_some(),
+        }
+    }
+}
+
 impl Search {
     /// Whether trying to place the request is useless, because one that needs no more has failed.
-    pub(super) fn is_hopeless(&self, need: &Need) -> bool {
+    pub(super) fn has_failed_alike(&self, need: &Need) -> bool {
         // One that only some targets may run shows nothing about the others.
         let covers = |failure: &Failure| {
             failure.priority <= need.priority
