Rename what a newcomer stumbled on

Sign is Liveness, publish_refused is publish_whole_lists, the handler of evacuation orders is no longer called Orders beside the orders themselves, and set_cold_terms says what it sets. Names on the wire are unchanged.

--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -5,7 +5,7 @@
 pub mod suspension;
 
 use {
-    self::{evacuation::Orders, suspension::Detector},
+    self::{evacuation::OrderHandler, suspension::Detector},
     crate::{
         body,
         call::OperatorCall,
@@ -54,7 +54,7 @@
 ) -> io::Result<()> {
     let memory = body::Memory::new(SUBMISSION_MEMORY_BYTES);
     let suspension = Detector::new(Instant::now());
-    let orders = Arc::new(Orders { zones, suspension });
+    let orders = Arc::new(OrderHandler { zones, suspension });
     let checked = Arc::clone(&orders);
     tokio::spawn(async move {
         loop {
@@ -72,7 +72,7 @@
 
 async fn serve(
     codec: Codec,
-    (handle, memory, orders): (Handle, body::Memory, &Orders),
+    (handle, memory, orders): (Handle, body::Memory, &OrderHandler),
     metrics: &Metrics,
     request: Request<Incoming>,
 ) -> Response<Body> {
--- a/crates/sardinerelay-gateway/src/control/evacuation.rs
+++ b/crates/sardinerelay-gateway/src/control/evacuation.rs
@@ -13,15 +13,15 @@
     },
 };
 
-/// What orders depend on besides the group.
+/// Carries out orders, with what they depend on besides the group.
 #[derive(Debug)]
-pub(super) struct Orders {
+pub(super) struct OrderHandler {
     /// The zones that the settings list.
     pub(super) zones: BTreeSet<Zone>,
     pub(super) suspension: Detector,
 }
 
-impl Orders {
+impl OrderHandler {
     /// Carries out an order and responds to the operator.
     pub(super) async fn carry_out(
         &self,
--- a/crates/sardinerelay-gateway/src/observations.rs
+++ b/crates/sardinerelay-gateway/src/observations.rs
@@ -109,7 +109,7 @@
 
 /// What load reports show of a target, for followers that ask for no load reports.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Sign {
+pub struct Liveness {
     pub target: Target,
     pub incarnation: Incarnation,
     /// Milliseconds since it began to close its connections; none if it doesn't.
@@ -158,7 +158,7 @@
     /// What load reports show of the targets of which they show anything. None unless the observations
     /// were received as updates; then the load reports themselves say it.
     #[serde(skip)]
-    pub signs: Option<Vec<Sign>>,
+    pub liveness: Option<Vec<Liveness>>,
     /// When the ages were last brought up to date; `None` after they were received.
     #[serde(skip)]
     pub ages_updated: Option<Instant>,
@@ -253,8 +253,8 @@
                 *closing += elapsed_ms;
             }
         }
-        for sign in current.signs.iter_mut().flatten() {
-            if let Some(closing) = &mut sign.closing_ms {
+        for shown in current.liveness.iter_mut().flatten() {
+            if let Some(closing) = &mut shown.closing_ms {
                 *closing += elapsed_ms;
             }
         }
--- a/crates/sardinerelay-gateway/src/observations/publisher.rs
+++ b/crates/sardinerelay-gateway/src/observations/publisher.rs
@@ -173,7 +173,7 @@
         }
         self.publish_silence(observations, now);
         self.publish_limits(&observations.limits, updated);
-        self.publish_refused(observations, updated);
+        self.publish_whole_lists(observations, updated);
         if std::mem::replace(&mut self.entry_hosts, observations.entry_hosts)
             != observations.entry_hosts
         {
@@ -294,11 +294,11 @@
         let ages = ReportAges::new(engines_per_reader(count_engines(targets), readers));
         let mut loads = self.items.values().filter_map(|item| item.load);
         let do_reports_arrive = loads.any(|(_, read)| age(read) < ages.fresh);
-        let told = observations.signs.as_ref().map(|signs| -> HashSet<_> {
-            let silent = signs.iter().filter(|sign| sign.is_silent);
-            silent
-                .map(|sign| (sign.target.as_str(), sign.incarnation))
-                .collect()
+        let told = observations.liveness.as_ref();
+        let told: Option<HashSet<_>> = told.map(|liveness| {
+            let silent = liveness.iter().filter(|shown| shown.is_silent);
+            let keys = silent.map(|shown| (shown.target.as_str(), shown.incarnation));
+            keys.collect()
         });
         for item in self.items.values_mut() {
             let is_silent = match &told {
@@ -350,7 +350,7 @@
         });
     }
 
-    fn publish_refused(&mut self, observations: &Observations, updated: Instant) {
+    fn publish_whole_lists(&mut self, observations: &Observations, updated: Instant) {
         let stamp = self.stamp;
         let until = |refused: &[Refused]| -> Vec<(Subject, Instant)> {
             let until = refused
--- a/crates/sardinerelay-gateway/src/observations/view.rs
+++ b/crates/sardinerelay-gateway/src/observations/view.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Instance, Load, LoadReport, Observations, Sign,
+        Instance, Liveness, Load, LoadReport, Observations,
         list::Digest,
         update::{Changes, Entry, Loads, Number, Position, Update},
     },
@@ -71,7 +71,7 @@
     closing: Option<Instant>,
     is_silent: bool,
     /// Whether it was ever closing or silent. Then followers are told if it no longer is.
-    has_sign: bool,
+    has_liveness: bool,
 }
 
 /// The incarnations that were shown as leaving, in the order in which they began to.
@@ -208,13 +208,13 @@
         for (number, closing_ms) in changes.closing {
             if let Some(item) = self.items.get_mut(&number) {
                 item.closing = closing_ms.map(|age| instant_before(now, age));
-                item.has_sign = true;
+                item.has_liveness = true;
             }
         }
         for (number, is_silent) in changes.silent {
             if let Some(item) = self.items.get_mut(&number) {
                 item.is_silent = is_silent;
-                item.has_sign = true;
+                item.has_liveness = true;
             }
         }
         // A limit that ended may have been stated again.
@@ -280,7 +280,7 @@
                     load: None,
                     closing: None,
                     is_silent: false,
-                    has_sign: false,
+                    has_liveness: false,
                 };
                 self.items.insert(entry.number, item);
             }
@@ -309,8 +309,8 @@
                 closing_ms: item.closing.map(age),
             })
         });
-        let signs = self.items.values().filter(|item| item.has_sign);
-        let signs = signs.map(|item| Sign {
+        let liveness = self.items.values().filter(|item| item.has_liveness);
+        let liveness = liveness.map(|item| Liveness {
             target: item.instance.target.clone(),
             incarnation: item.instance.incarnation,
             closing_ms: item.closing.map(age),
@@ -342,7 +342,7 @@
                 Loads::None => Vec::new(),
                 Loads::Zone | Loads::All => loads.collect(),
             },
-            signs: Some(signs.collect()),
+            liveness: Some(liveness.collect()),
             entry_hosts: self.entry_hosts,
             refused_parts: refused(&self.refused_parts),
             refused_requests: refused(&self.refused_requests),
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -313,7 +313,7 @@
             refused_requests,
             suspect_requests,
             readers: state.readers.chosen().to_vec(),
-            signs: None,
+            liveness: None,
             ages_updated: Some(now),
             asked: None,
             changed_stamp: 0,
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -208,7 +208,7 @@
             Some((terms, *state))
         })
         .collect();
-    cold::arrange(&mut feasible, targets, need, now);
+    cold::set_cold_terms(&mut feasible, targets, need, now);
     feasible.shuffle(rng);
     let shared = need.shared_tokens as f64 / need.prompt_tokens.max(1) as f64;
     if shared >= MIN_SHARED_RATIO {
--- a/crates/sardinerelay-gateway/src/placement/cold.rs
+++ b/crates/sardinerelay-gateway/src/placement/cold.rs
@@ -16,7 +16,7 @@
 
 /// Prefers cold engines for short prompts and warm ones for long prompts. Without a rate for cold targets the
 /// scores stay as they are.
-pub(super) fn arrange(
+pub(super) fn set_cold_terms(
     feasible: &mut [(Terms, &State)],
     targets: &Targets,
     need: &Need,
--- a/crates/sardinerelay-gateway/src/targets.rs
+++ b/crates/sardinerelay-gateway/src/targets.rs
@@ -149,8 +149,8 @@
             }
         }
         self.count_engines(observations);
-        if let Some(signs) = &observations.signs {
-            self.merge_signs(signs, now, &mut changes);
+        if let Some(liveness) = &observations.liveness {
+            self.merge_liveness(liveness, now, &mut changes);
         }
         self.index.set_loads(&self.states);
         changes
--- a/crates/sardinerelay-gateway/src/targets/silence.rs
+++ b/crates/sardinerelay-gateway/src/targets/silence.rs
@@ -3,7 +3,7 @@
 use {
     super::{Change, MAX_REPORT_AGE, State, Targets, instant_before},
     crate::{
-        observations::{Observations, Sign},
+        observations::{Liveness, Observations},
         observer::{readers, schedule},
     },
     std::time::{Duration, Instant},
@@ -39,23 +39,28 @@
 
 impl Targets {
     /// Merges what another host's load reports show.
-    pub(super) fn merge_signs(&mut self, signs: &[Sign], now: Instant, changes: &mut Vec<Change>) {
+    pub(super) fn merge_liveness(
+        &mut self,
+        liveness: &[Liveness],
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
         for state in self.states.values_mut() {
             state.reported_silent = None;
         }
-        for sign in signs {
-            let Some(state) = self.states.get_mut(&sign.target) else {
+        for shown in liveness {
+            let Some(state) = self.states.get_mut(&shown.target) else {
                 continue;
             };
-            if state.instance.incarnation != sign.incarnation {
+            if state.instance.incarnation != shown.incarnation {
                 continue;
             }
-            let since = sign.closing_ms.map(|age| instant_before(now, age));
+            let since = shown.closing_ms.map(|age| instant_before(now, age));
             if since.is_some() && state.closing_since.is_none() {
-                changes.push(Change::Closing(sign.target.clone()));
+                changes.push(Change::Closing(shown.target.clone()));
             }
             state.closing_since = since;
-            state.reported_silent = sign.is_silent.then_some(now);
+            state.reported_silent = shown.is_silent.then_some(now);
         }
     }
 
