--- a/crates/sardinerelay-gateway/src/admission.rs
+++ b/crates/sardinerelay-gateway/src/admission.rs
@@ -372,7 +372,7 @@
         let need = &waiter.need;
         self.clock.leave(need.priority, &need.organisation);
         let service = self.service(&need.service);
-        let per_request = service.time_to_free(tokens(need));
+        let per_request = service.time_to_free(need.total_tokens());
         let flow = (need.priority, &need.organisation);
         let expected = expected.max(per_request);
         service.slots.assign(flow, (expected, per_request), now)
@@ -410,11 +410,6 @@
     }
 }
 
-/// Tokens of memory that a request is expected to use at its end.
-fn tokens(need: &Need) -> u64 {
-    need.prompt_tokens + need.output_tokens
-}
-
 fn cost(need: &Need) -> Cost {
     Cost::expected(need.prompt_tokens, need.output_tokens)
 }
--- a/crates/sardinerelay-gateway/src/admission/order.rs
+++ b/crates/sardinerelay-gateway/src/admission/order.rs
@@ -1,7 +1,7 @@
 //! The order in which the requests of the queue are placed, and the waits that follow from it.
 
 use {
-    super::{Queue, Waiter, cost, service::Service, tokens},
+    super::{Queue, Waiter, cost, service::Service},
     crate::targets::RunId,
     sardinerelay::id::{self, Organisation},
     std::{
@@ -70,8 +70,8 @@
                 break;
             }
             if need.service == own.service {
-                ahead += tokens(need);
-                ahead_of_priority += tokens(need) * u64::from(need.priority == own.priority);
+                ahead += need.total_tokens();
+                ahead_of_priority += need.total_tokens() * u64::from(need.priority == own.priority);
             }
         }
         let service = self.services.get(&own.service);
--- a/crates/sardinerelay-gateway/src/admission/search.rs
+++ b/crates/sardinerelay-gateway/src/admission/search.rs
@@ -1,7 +1,7 @@
 //! Progress of one decision through the waiting requests of a service.
 
 use {
-    super::{Waiter, is_long, tokens},
+    super::{Waiter, is_long},
     crate::placement::Need,
     sardinerelay::{
         fairness::Headroom,
@@ -117,7 +117,7 @@
         // One that only some targets may run shows nothing about the others.
         let covers = |failure: &Failure| {
             failure.priority <= need.priority
-                && failure.tokens <= tokens(need)
+                && failure.tokens <= need.total_tokens()
                 && (!failure.had_headroom || is_long(need))
         };
         need.build.is_none()
@@ -160,7 +160,7 @@
         if need.build.is_none() {
             self.failures.push(Failure {
                 priority: need.priority,
-                tokens: tokens(need),
+                tokens: need.total_tokens(),
                 had_headroom: reserved.headroom.is_some(),
             });
         }
--- a/crates/sardinerelay-gateway/src/admission/service.rs
+++ b/crates/sardinerelay-gateway/src/admission/service.rs
@@ -1,7 +1,7 @@
 //! What the queue knows of one service.
 
 use {
-    super::{slots::Slots, tokens},
+    super::slots::Slots,
     crate::placement::Need,
     sardinerelay::{
         fairness::{Demand, Guarantee},
@@ -52,7 +52,7 @@
     /// Records a placement. Memory that was free before requests waited doesn't count.
     pub(super) fn record_placement(&mut self, need: &Need) {
         if self.waiting_since.is_some() {
-            self.placed.add(tokens(need) as f64);
+            self.placed.add(need.total_tokens() as f64);
         }
     }
 
--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -239,7 +239,7 @@
         let from = state.targets.get(&self.choice.target)?;
         let claim = from.claims.get(&self.run);
         let tokens = claim.map_or(self.need.prompt_tokens, |claim| claim.tokens);
-        let expected = self.need.prompt_tokens + self.need.output_tokens;
+        let expected = self.need.total_tokens();
         let is_leaving = from.leaving_since(Instant::now()).is_some();
         if !is_leaving && expected.saturating_sub(tokens) < MIN_EVACUATION_TOKENS {
             return None;
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -443,7 +443,7 @@
 pub fn claim(targets: &mut Targets, run: RunId, need: &Need, choice: &Choice, now: Instant) {
     let claim = MemoryClaim {
         tokens: need.prompt_tokens,
-        expected: need.prompt_tokens + need.output_tokens,
+        expected: need.total_tokens(),
         since: now,
         updated: now,
         is_running: true,
@@ -462,7 +462,7 @@
 pub fn claim_for_move(targets: &mut Targets, departure: &Departure, to: &Target, now: Instant) {
     let claim = MemoryClaim {
         tokens: departure.tokens,
-        expected: departure.need.prompt_tokens + departure.need.output_tokens,
+        expected: departure.need.total_tokens(),
         since: now,
         updated: now,
         is_running: false,
--- a/crates/sardinerelay-gateway/src/allocator/place.rs
+++ b/crates/sardinerelay-gateway/src/allocator/place.rs
@@ -42,7 +42,7 @@
     });
     let leaves_headroom = |state: &State| {
         free.is_none_or(|(headroom, free)| {
-            let tokens = need.prompt_tokens + need.output_tokens;
+            let tokens = need.total_tokens();
             let taken = usable_tokens(headroom, state, need, 0, now)
                 - usable_tokens(headroom, state, need, tokens, now);
             free - taken >= headroom.tokens
--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -397,8 +397,7 @@
             self.report(AllocationReport::Sent(LocalAllocation {
                 target: target.clone(),
                 prompt_tokens: u32::try_from(prompt).unwrap_or(u32::MAX),
-                memory_tokens: u32::try_from(need.prompt_tokens + need.output_tokens)
-                    .unwrap_or(u32::MAX),
+                memory_tokens: u32::try_from(need.total_tokens()).unwrap_or(u32::MAX),
             }));
         }
     }
--- a/crates/sardinerelay-gateway/src/moves.rs
+++ b/crates/sardinerelay-gateway/src/moves.rs
@@ -62,7 +62,7 @@
     fn rank(&self) -> (bool, u64, Reverse<u64>) {
         let need = &self.departure.need;
         let tokens = self.departure.tokens;
-        let remaining = (need.prompt_tokens + need.output_tokens).saturating_sub(tokens);
+        let remaining = need.total_tokens().saturating_sub(tokens);
         match self.is_reclaimed {
             true => (false, tokens, Reverse(remaining)),
             false => (true, u64::MAX - tokens, Reverse(remaining)),
--- a/crates/sardinerelay-gateway/src/placement.rs
+++ b/crates/sardinerelay-gateway/src/placement.rs
@@ -124,6 +124,11 @@
 }
 
 impl Need {
+    /// Tokens of memory that it is expected to use at its end.
+    pub fn total_tokens(&self) -> u64 {
+        self.prompt_tokens + self.output_tokens
+    }
+
     /// Whether a target of this build may run it.
     pub fn accepts(&self, build: &Build) -> bool {
         self.build.as_ref().is_none_or(|required| required == build)
@@ -276,8 +281,8 @@
         })
         .filter(|state| !avoid.contains(&state.instance.target))
         .filter_map(|state| {
-            let load = committed_share(state, need, now)
-                + memory_share(state, need, need.prompt_tokens + need.output_tokens);
+            let load =
+                committed_share(state, need, now) + memory_share(state, need, need.total_tokens());
             if state.is_full(now) || !fits_now(state, need, now) {
                 return None;
             }
@@ -323,8 +328,7 @@
         return None;
     }
     let max_fill = MAX_FILL[usize::from(need.priority > 0)];
-    let load = committed_share(state, need, now)
-        + memory_share(state, need, need.prompt_tokens + need.output_tokens);
+    let load = committed_share(state, need, now) + memory_share(state, need, need.total_tokens());
     let idle = state.active_requests(now) == 0;
     (load <= max_fill || idle).then_some(load)
 }
