--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -14,7 +14,7 @@
     process::{self, Child, Command, Stdio},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -213,6 +213,75 @@
     });
 }
 
+/// A server whose process can crash: it then closes all connections and refuses new ones.
+#[derive(Clone, Default)]
+pub struct Process {
+    is_down: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Process {
+    /// Serves like [`serve`] until it crashes, and again after it was restarted.
+    pub fn serve<Serve>(&self, address: SocketAddr, serve: Serve)
+    where
+        Serve: Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+    {
+        let (process, serve) = (self.clone(), Arc::new(serve));
+        thread::spawn(move || {
+            loop {
+                let Ok(listener) = TcpListener::bind(address) else {
+                    thread::sleep(Duration::from_millis(20));
+                    continue;
+                };
+                let _ = listener.set_nonblocking(true);
+                while !process.is_down.load(Ordering::SeqCst) {
+                    match listener.accept() {
+                        Ok((stream, _)) => process.start_connection(stream, Arc::clone(&serve)),
+                        Err(_) => thread::sleep(Duration::from_millis(1)),
+                    }
+                }
+                drop(listener);
+                for stream in lock(&process.connections).drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                while process.is_down.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+            }
+        });
+    }
+
+    fn start_connection<Serve>(&self, stream: TcpStream, serve: Arc<Serve>)
+    where
+        Serve: Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+    {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        if let Ok(clone) = stream.try_clone() {
+            lock(&self.connections).push(clone);
+        }
+        thread::spawn(move || {
+            let mut stream = stream;
+            let mut buffer = Vec::new();
+            while let Some(request) = read_request(&mut stream, &mut buffer) {
+                if !serve(&request, &mut stream) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Ends the process. Returns false if it is down already.
+    pub fn crash(&self) -> bool {
+        !self.is_down.swap(true, Ordering::SeqCst)
+    }
+
+    pub fn restart(&self) {
+        self.is_down.store(false, Ordering::SeqCst);
+    }
+}
+
 /// Writes an answer with a length.
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
     let text = format!(
@@ -266,6 +335,13 @@
         }
     }
 
+    /// Shows a server as started anew.
+    pub fn restart(&self, id: &str) {
+        for listed in lock(&self.0).iter_mut() {
+            listed.born += u64::from(listed.id == id) * 60_000;
+        }
+    }
+
     fn json(&self) -> String {
         let entries = lock(&self.0);
         let entries = entries.iter().map(|listed| {
@@ -460,6 +536,27 @@
         }
     }
 
+    /// Returns the voter that leads, by what it last logged.
+    pub fn leader(&self) -> Option<u8> {
+        let voters = self.processes.iter().filter(|process| process.1 == "voter");
+        let leads = |voter: &u8| {
+            let log = self.log(*voter);
+            let changes = log.lines().filter(|line| line.contains("leadership changed"));
+            changes
+                .last()
+                .is_some_and(|line| line.contains(r#""leads":"true""#))
+        };
+        voters.map(|process| process.0).find(leads)
+    }
+
+    /// Returns how often an entry host has found that another voter allocates.
+    pub fn allocator_changes(&self, entry: u8) -> usize {
+        let log = self.log(entry);
+        log.lines()
+            .filter(|line| line.contains("the allocating host changed"))
+            .count()
+    }
+
     /// Returns the log of a host.
     pub fn log(&self, host: u8) -> String {
         let path = self.folder.join(format!("host-{host}.log"));
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -47,6 +47,17 @@
 /// The copies that all servers keep: those that hold one, by "source/handle", with the events made.
 pub type Copies = Arc<Mutex<HashMap<String, (SocketAddr, u64)>>>;
 
+/// A part of prompts that crashes the server that begins to write an answer on it.
+#[derive(Clone)]
+pub struct Crashing {
+    pub part: &'static str,
+    /// Time until the server is back.
+    pub down: Duration,
+    pub list: common::List,
+    /// Number of crashes of all servers.
+    pub crashes: Arc<AtomicU64>,
+}
+
 /// What a stand-in of a model server needs.
 #[derive(Clone)]
 pub struct Model {
@@ -55,6 +66,10 @@
     pub behaviour: Arc<Mutex<Behaviour>>,
     pub copies: Copies,
     pub record: common::Record,
+    /// The process of the server, which a part of a prompt may crash.
+    pub process: common::Process,
+    /// Called with the number of crashes of all servers when this one crashes.
+    pub crashing: Option<Crashing>,
     runs: Runs,
     handles: Arc<AtomicU64>,
 }
@@ -66,8 +81,21 @@
         behaviour: Behaviour,
         copies: &Copies,
         record: &common::Record,
+    ) -> Self {
+        Self::start_crashing(id, address, behaviour, copies, record, None)
+    }
+
+    pub fn start_crashing(
+        id: &str,
+        address: SocketAddr,
+        behaviour: Behaviour,
+        copies: &Copies,
+        record: &common::Record,
+        crashing: Option<Crashing>,
     ) -> Self {
         let model = Self {
+            process: common::Process::default(),
+            crashing,
             id: id.to_owned(),
             address,
             behaviour: Arc::new(Mutex::new(behaviour)),
@@ -77,7 +105,9 @@
             handles: Arc::default(),
         };
         let served = model.clone();
-        common::serve(address, move |request, stream| served.serve(request, stream));
+        model
+            .process
+            .serve(address, move |request, stream| served.serve(request, stream));
         model
     }
 
@@ -130,6 +160,12 @@
                 .line(format!("{}: no copy {from} for {attempt}, not run", self.id));
             return common::answer(stream, "503 Service Unavailable", &headers, "");
         }
+        if let Some(crashing) = &self.crashing
+            && request.header("prompt-prefix").contains(crashing.part)
+        {
+            self.crash(&attempt, crashing.clone());
+            return false;
+        }
         self.record.line(format!(
             "{}: runs {attempt} after event {last_event}{}",
             self.id,
@@ -144,6 +180,22 @@
         false
     }
 
+    /// Crashes when the prompt has been read, and comes back.
+    fn crash(&self, attempt: &str, crashing: Crashing) {
+        thread::sleep(lock(&self.behaviour).first);
+        if !self.process.crash() {
+            return;
+        }
+        let number = crashing.crashes.fetch_add(1, Ordering::SeqCst) + 1;
+        self.record
+            .line(format!("{}: crashes on {attempt}, crash {number}", self.id));
+        lock(&self.runs).clear();
+        thread::sleep(crashing.down);
+        crashing.list.restart(&self.id);
+        self.process.restart();
+        self.record.line(format!("{}: is back", self.id));
+    }
+
     fn stream(&self, attempt: &str, after: u64, stream: &mut TcpStream) {
         let behaviour = *lock(&self.behaviour);
         let framing = match behaviour.is_chunked {
