--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -1,15 +1,17 @@
-//! A planned stop of an entry host while clients still read their answers, slowly.
+//! A planned stop of an entry host while clients still read their streams and answers, slowly.
 //!
-//! Exit codes: 1 if an answer that the stopping host had passed on ended before its end, 0 if all were
-//! whole, 2 if the case could not run.
+//! Exit codes: 1 if a stream or an answer that the stopping host had passed on ended before its end, 0 if all
+//! were whole, 2 if the case could not run.
 
 mod common;
+mod model;
 
 use {
     common::{
         BROKEN, FIRST_ENTRY, FIRST_SERVER, FRONT_PORT, GRACE, HELD, HOST, KEY, List, Listed,
         NOT_RUN, Network, Record, SERVER_PORT, System,
     },
+    model::{Behaviour, Copies, Model},
     std::{
         io::{Read, Write},
         process,
@@ -22,23 +24,76 @@
     },
 };
 
-/// Bytes of an answer.
+/// A stream by the sheet, which has up to 445 events of up to 2,400 bytes, each of four tokens at 7 ms a step.
+const EVENTS: u64 = 120;
+const EVENT_BYTES: usize = 2300;
+const STEP: Duration = Duration::from_millis(28);
+/// Bytes of an answer to a call.
 const ANSWER_BYTES: usize = 4 << 20;
-/// Bytes that a client reads at a time, and the pause between two reads: 600 KB a second, half of what a
-/// link of 10 Mbit/s carries.
-const READ_BYTES: usize = 12_000;
-const READ_PAUSE: Duration = Duration::from_millis(20);
-/// Largest segment on Ethernet, and a client's receive buffer.
+/// Largest segment on Ethernet.
 const SEGMENT_BYTES: i32 = 1460;
-const RECEIVE_BUFFER_BYTES: i32 = 64 << 10;
-/// Bytes that the first client has read when its host is told to stop. The rest takes it 6.7 s, which is
-/// less than the grace period.
-const STOP_AFTER_BYTES: usize = 200_000;
-/// Hosts and the number of their clients. The first host is stopped.
-const CLIENTS: [(u8, usize); 2] = [(FIRST_ENTRY, 2), (FIRST_ENTRY + 1, 2)];
+/// How a client of a stream reads: 33 KB a second.
+const STREAM_PACE: Pace = Pace {
+    read_bytes: 1650,
+    pause: Duration::from_millis(50),
+    buffer_bytes: 16 << 10,
+};
+/// How a client of a call reads: 600 KB a second, half of what a link of 10 Mbit/s carries.
+const CALL_PACE: Pace = Pace {
+    read_bytes: 12_000,
+    pause: Duration::from_millis(20),
+    buffer_bytes: 64 << 10,
+};
+/// The host that is not stopped.
+const OTHER_HOST: u8 = FIRST_ENTRY + 2;
+/// The stages, one after the other. All clients have the rest of their answers within 7 s after the host is told
+/// to stop, which is less than the grace period.
+const STAGES: [Stage; 2] = [
+    Stage {
+        kind: Kind::Stream,
+        host: FIRST_ENTRY,
+        clients: 30,
+        others: 6,
+        stop_after_bytes: 55_000,
+    },
+    Stage {
+        kind: Kind::Call,
+        host: FIRST_ENTRY + 1,
+        clients: 2,
+        others: 2,
+        stop_after_bytes: 200_000,
+    },
+];
 /// A route for calls that may be repeated.
 const ROUTE: &str = r#",{"name":"r-look","host":"relay.example","pathPrefix":"/look/","type":"safe","timeoutMs":20000,"targetLatencyMs":1500,"priority":0,"service":"shop","maxAttempts":2,"public":false}"#;
 
+/// How a client reads.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    read_bytes: usize,
+    pause: Duration,
+    buffer_bytes: i32,
+}
+
+/// What a client asks for.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Stream,
+    Call,
+}
+
+/// A host that is stopped while its clients read.
+#[derive(Debug, Clone, Copy)]
+struct Stage {
+    kind: Kind,
+    host: u8,
+    clients: usize,
+    /// Clients of the host that is not stopped.
+    others: usize,
+    /// Bytes that the first client has read when the host is told to stop.
+    stop_after_bytes: usize,
+}
+
 struct Outcome {
     entry: u8,
     bytes: usize,
@@ -51,69 +106,115 @@
     let network = Network::find();
     let list = List::default();
     list.start(network);
-    for number in 0..3 {
+    for number in 0..9 {
+        start_model(number, network, &list, &record);
+    }
+    for number in 9..12 {
         start_server(number, network, &list, &record);
     }
     let configuration = common::configuration(1, ROUTE);
-    let mut system = System::start(network, (3, 2), &configuration, &record);
+    let mut system = System::start(network, (3, 3), &configuration, &record);
+    let mut lost = 0;
+    for stage in STAGES {
+        lost += run(stage, network, &mut system, &record);
+    }
+    drop(system);
+    process::exit(if lost == 0 { HELD } else { BROKEN });
+}
+
+/// Stops a host while its clients read. Returns how many of its answers were cut.
+fn run(stage: Stage, network: Network, system: &mut System, record: &Record) -> usize {
+    let Stage { kind, host, .. } = stage;
     let progress = Arc::new(AtomicUsize::new(0));
-    let mut clients = Vec::new();
-    for (entry, count) in CLIENTS {
-        for number in 0..count {
+    let own = (0..stage.clients).map(|number| (host, number == 0));
+    let others = (0..stage.others).map(|_| (OTHER_HOST, false));
+    let clients: Vec<_> = own
+        .chain(others)
+        .map(|(entry, is_first)| {
             let (record, progress) = (record.clone(), Arc::clone(&progress));
-            let is_first = entry == FIRST_ENTRY && number == 0;
-            clients.push(thread::spawn(move || {
+            thread::spawn(move || {
                 let progress = is_first.then_some(progress);
-                read_slowly(network, entry, progress.as_deref(), &record)
-            }));
-        }
-    }
+                read_slowly(network, (entry, kind), progress.as_deref(), &record)
+            })
+        })
+        .collect();
     let began = Instant::now();
     let mut stopped = None;
     let mut has_ended = false;
     while !clients.iter().all(|client| client.is_finished()) {
         thread::sleep(Duration::from_millis(10));
-        if began.elapsed() > Duration::from_secs(60) {
+        if began.elapsed() > Duration::from_secs(40) {
             record.line("the clients don't end");
-            drop(system);
+            system.stop_all();
             process::exit(NOT_RUN);
         }
         let has_read = progress.load(Ordering::Relaxed);
-        if common::has_trouble() && stopped.is_none() && has_read >= STOP_AFTER_BYTES {
-            system.signal(FIRST_ENTRY, "TERM");
+        if common::has_trouble() && stopped.is_none() && has_read >= stage.stop_after_bytes {
+            system.signal(host, "TERM");
             stopped = Some(Instant::now());
         }
-        if let Some(status) = system.ended(FIRST_ENTRY)
+        if let Some(status) = system.ended(host)
             && !has_ended
         {
-            record.line(format!("host {FIRST_ENTRY} ended: {status}"));
+            record.line(format!("host {host} ended: {status}"));
             has_ended = true;
         }
         if stopped.is_some_and(|at| at.elapsed() > GRACE) && !has_ended {
-            record.line(format!("platform: SIGKILL to host {FIRST_ENTRY}"));
-            system.kill(FIRST_ENTRY);
+            record.line(format!("platform: SIGKILL to host {host}"));
+            system.kill(host);
             has_ended = true;
         }
     }
+    let count = clients.len();
     let outcomes = clients.into_iter().filter_map(|client| client.join().ok());
     let outcomes: Vec<Outcome> = outcomes.flatten().collect();
-    drop(system);
-    if outcomes.len() != CLIENTS.iter().map(|(_, count)| count).sum::<usize>() {
+    if outcomes.len() != count {
         record.line("a client got no answer");
+        system.stop_all();
         process::exit(NOT_RUN);
     }
     let lost: Vec<&Outcome> = outcomes.iter().filter(|outcome| !outcome.is_complete).collect();
     for outcome in &lost {
         let after = stopped.map_or(0.0, |at| outcome.ended.duration_since(at).as_secs_f64());
         record.line(format!(
-            "LOST: an answer through host {} ended after {} of {ANSWER_BYTES} bytes, {after:.1} s after SIGTERM",
+            "LOST: a {kind:?} through host {} ended after {} bytes, {after:.1} s after SIGTERM",
             outcome.entry, outcome.bytes
         ));
     }
-    let line = format!("{} of {} answers were cut", lost.len(), outcomes.len());
+    let at_host = lost.iter().filter(|outcome| outcome.entry == host).count();
+    let line = format!(
+        "{kind:?}: {at_host} of {} answers through the stopped host were cut, {} of {} through another",
+        stage.clients,
+        lost.len() - at_host,
+        stage.others
+    );
     record.line(&line);
     println!("{line}");
-    process::exit(if lost.is_empty() { HELD } else { BROKEN });
+    at_host
+}
+
+/// Starts a model server.
+fn start_model(number: u8, network: Network, list: &List, record: &Record) {
+    let behaviour = Behaviour {
+        events: EVENTS,
+        event_bytes: EVENT_BYTES,
+        first: Duration::from_millis(300),
+        step: STEP,
+        is_chunked: true,
+        stop_delay: Duration::ZERO,
+    };
+    let id = format!("i-{number}");
+    let address = network.at(FIRST_SERVER + number, SERVER_PORT);
+    Model::start(&id, address, behaviour, &Copies::default(), record);
+    list.add(Listed {
+        id,
+        service: "models",
+        address,
+        zone: common::zone_of(FIRST_SERVER + number),
+        slots: 64,
+        is_draining: false,
+        born: 1_700_000_000_000,
+    });
 }
 
 /// Starts a server that answers each call at once with a long body.
@@ -144,50 +245,66 @@
     });
 }
 
-/// Makes a call and reads its answer at an even pace, to its end.
+/// Makes a request and reads its answer at an even pace, to its end.
 fn read_slowly(
     network: Network,
-    entry: u8,
+    (entry, kind): (u8, Kind),
     progress: Option<&AtomicUsize>,
     record: &Record,
 ) -> Option<Outcome> {
     let address = network.at(entry, FRONT_PORT);
-    let mut stream = common::connect_as_client(address, SEGMENT_BYTES, RECEIVE_BUFFER_BYTES).ok()?;
     let attempt = common::next_attempt();
-    let request = format!(
-        "GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 20000\r\nAuthorization: Token {KEY}\r\n\r\n"
-    );
+    let (pace, request) = match kind {
+        Kind::Stream => (
+            STREAM_PACE,
+            format!(
+                "POST /plan/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nModel: m\r\nToken-Count: 1460,480\r\nPrompt-Prefix: 5c1e07a2:800,{attempt}:660\r\nDeadline-Ms: 39000\r\nAuthorization: Token {KEY}\r\nContent-Length: 2\r\n\r\n{{}}"
+            ),
+        ),
+        Kind::Call => (
+            CALL_PACE,
+            format!(
+                "GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 20000\r\nAuthorization: Token {KEY}\r\n\r\n"
+            ),
+        ),
+    };
+    let mut stream = common::connect_as_client(address, SEGMENT_BYTES, pace.buffer_bytes).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
-    record.line(format!("client: {attempt} sent to host {entry}"));
+    record.line(format!("client: {kind:?} {attempt} sent to host {entry}"));
     let mut bytes = Vec::new();
-    let mut part = [0; READ_BYTES];
-    let began = Instant::now();
-    let mut reads = 0;
+    let mut part = vec![0; pace.read_bytes];
+    let (mut began, mut reads) = (None, 0);
+    let mut ended = String::from("the connection ended");
     loop {
         match stream.read(&mut part) {
             Ok(count) if count > 0 => bytes.extend_from_slice(&part[..count]),
             Ok(_) => break,
             Err(error) => {
-                record.line(format!("client: {attempt}: {error}"));
+                ended = error.to_string();
                 break;
             }
         }
         if let Some(progress) = progress {
             progress.store(bytes.len(), Ordering::Relaxed);
         }
-        if bytes.len() >= ANSWER_BYTES && common::is_whole(&bytes) {
+        let may_be_whole = match kind {
+            Kind::Stream => bytes.ends_with(b"0\r\n\r\n"),
+            Kind::Call => bytes.len() >= ANSWER_BYTES,
+        };
+        if may_be_whole && common::is_whole(&bytes) {
             break;
         }
         reads += 1;
-        thread::sleep((READ_PAUSE * reads).saturating_sub(began.elapsed()));
+        let began = *began.get_or_insert_with(Instant::now);
+        thread::sleep((pace.pause * reads).saturating_sub(began.elapsed()));
     }
     let received = common::parse_answer(&bytes);
     let is_complete = received.status == 200 && received.is_complete;
     record.line(format!(
-        "client: {attempt} through host {entry} got {} with {} bytes, {}",
+        "client: {kind:?} {attempt} through host {entry} got {} with {} bytes, {}",
         received.status,
         received.body.len(),
-        if is_complete { "whole" } else { "not whole" }
+        if is_complete { "whole" } else { ended.as_str() }
     ));
     (received.status == 200).then_some(Outcome {
         entry,
