Break off a stream whose engine may have stopped it for a move

Cause: the relay forgot an order to stop a generation once it no longer waited for the answer. The engine carried it out later and closed the unframed stream, whose end was taken for the generation's own.

Ruled out: the timeout of 1.5 s alone. An answer that is lost, a failure, a 503 without a handle leave the same doubt at once (cases of the test).

Why this works: orders whose outcome is unknown are kept for each stream and engine, without a limit in time, and an unframed end counts as the generation's own only if there is none. 404 and 409 settle an order, so a whole stream stays whole where it was broken off before. After 409 the next attempt waits 0.4 s, because each takes a turn from other generations.

--- a/crates/sardinerelay-gateway/src/generation/moving.rs
+++ b/crates/sardinerelay-gateway/src/generation/moving.rs
@@ -3,9 +3,13 @@
 use {
     super::{
         is_resumable,
-        transfer::{self, Moved},
+        transfer::{self, Moved, Transfer, TransferError},
+    },
+    crate::{
+        allocation::Allocation,
+        request::Job,
+        stop_order::{Ledger, Outcome},
     },
-    crate::{allocation::Allocation, request::Job},
     futures::future::BoxFuture,
     log::info,
     sardinerelay::id::Target,
@@ -17,6 +21,9 @@
 
 /// Pause before the next attempt after a move has failed or no destination was found.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The same pause if the engine is still busy with an earlier transfer of the generation. Each attempt takes a turn
+/// from the other generations on the engine.
+const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time for which no further move to an engine is tried after one has failed. Other generations may
 /// end there in the meantime.
 const FAILED_ENGINE_COOLDOWN: Duration = Duration::from_millis(400);
@@ -29,10 +36,13 @@
     since: Instant,
 }
 
-/// A running transfer of the generation's memory to the engine `to`.
+/// A running transfer.
 struct TransferTask {
-    result: BoxFuture<'static, Result<Moved, transfer::TransferError>>,
-    to: Target,
+    transfer: Arc<Transfer>,
+    /// The copy that is being made.
+    copy: BoxFuture<'static, Result<Moved, TransferError>>,
+    /// Whether this copy stops the generation.
+    is_last: bool,
 }
 
 /// Moves one stream's generation off one engine: requests a destination, transfers the memory, and
@@ -77,8 +87,14 @@
 
     /// Runs until the pending request or transfer ends. Never returns if there is none.
     ///
-    /// Dropping the future loses nothing, so it may be polled in `select!`.
-    pub(super) async fn step(&mut self, job: &Job, allocation: &mut Allocation) {
+    /// Dropping the future loses nothing, so it may be polled in `select!`. Stop orders whose outcome isn't
+    /// known stay in `stops`.
+    pub(super) async fn step(
+        &mut self,
+        job: &Job,
+        allocation: &mut Allocation,
+        stops: &mut Ledger,
+    ) {
         if let Some(request) = &mut self.request {
             let destination = request.destination.as_mut().await;
             let waited = request.since.elapsed();
@@ -89,22 +105,50 @@
             }
             return;
         }
-        let Some(transfer) = &mut self.transfer else {
+        let Some(task) = &mut self.transfer else {
             return std::future::pending().await;
         };
-        let result = transfer.result.as_mut().await;
-        let to = transfer.to.clone();
-        self.transfer = None;
-        record_evacuation(job, &allocation.choice.target, &result);
-        match result {
+        let copied = task.copy.as_mut().await;
+        if copied.is_ok() && !task.is_last {
+            // Recorded first, because this future may be dropped once the order is sent.
+            stops.record_sent(&allocation.choice.target);
+            task.copy = Box::pin(Arc::clone(&task.transfer).copy(true));
+            task.is_last = true;
+            return;
+        }
+        self.end_transfer(job, (allocation, stops), copied);
+    }
+
+    /// Records the end of the transfer: its success, or that its destination isn't needed.
+    fn end_transfer(
+        &mut self,
+        job: &Job,
+        (allocation, stops): (&mut Allocation, &mut Ledger),
+        moved: Result<Moved, TransferError>,
+    ) {
+        let Some(task) = self.transfer.take() else {
+            return;
+        };
+        let mut stop = Outcome::Settled;
+        if task.is_last {
+            stop = transfer::stop_outcome(&moved);
+            stops.record_outcome(&allocation.choice.target, stop);
+        }
+        task.transfer.log(&moved, stop);
+        record_evacuation(job, &allocation.choice.target, &moved);
+        let to = task.transfer.to.target.clone();
+        match moved {
             Ok(moved) => self.done = Some((moved, to)),
-            // `transfer::run` has logged the reason.
             Err(error) => {
+                let retry_delay = match error {
+                    TransferError::Busy => BUSY_RETRY_DELAY,
+                    _ => MOVE_RETRY_DELAY,
+                };
                 match error {
-                    transfer::TransferError::NoRoom => allocation.refuse_destination(),
+                    TransferError::NoRoom => allocation.refuse_destination(),
                     _ => allocation.release_destination(),
                 }
-                self.not_before = Instant::now() + MOVE_RETRY_DELAY;
+                self.not_before = Instant::now() + retry_delay;
                 self.failed.push((to, Instant::now()));
             }
         }
@@ -147,20 +191,27 @@
         let engines = from.zip(job.entry.instance(&to));
         // A host of an earlier version doesn't know the builds.
         let engines = engines.filter(|(from, to)| from.build == to.build);
-        let Some(engines) = engines else {
+        let Some((from, to)) = engines else {
             allocation.release_destination();
             return;
         };
-        let result = transfer::run(Arc::clone(&job.entry), job.call.id.clone(), engines);
-        self.transfer = Some(TransferTask {
-            result: Box::pin(result),
+        let transfer = Arc::new(Transfer {
+            entry: Arc::clone(&job.entry),
+            run: job.call.id.clone(),
+            from,
             to,
+            since: Instant::now(),
+        });
+        self.transfer = Some(TransferTask {
+            copy: Box::pin(Arc::clone(&transfer).copy(false)),
+            transfer,
+            is_last: false,
         });
     }
 }
 
 /// Records the end of an attempt to move a generation out of an evacuated zone.
-fn record_evacuation(job: &Job, from: &Target, result: &Result<Moved, transfer::TransferError>) {
+fn record_evacuation(job: &Job, from: &Target, result: &Result<Moved, TransferError>) {
     if !job.entry.state().targets.is_target_evacuated(from) {
         return;
     }
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -12,8 +12,8 @@
     },
     bytes::Bytes,
     compact_str::CompactString,
-    http::{header, response},
-    hyper::body::Incoming,
+    http::{HeaderMap, header, response},
+    hyper::body::{Body as _, Incoming},
     log::info,
     sardinerelay::id::{Build, Target},
     std::time::{Duration, Instant},
@@ -131,14 +131,11 @@
     let (parts, body) = response.into_parts();
     match class {
         ResponseClass::Success => {
-            let framing_headers = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
             let stream = EngineStream {
                 exchange,
+                is_framed: body.size_hint().exact().is_some() || is_chunked(&parts.headers),
                 body,
                 build: instance.build,
-                is_framed: framing_headers
-                    .iter()
-                    .any(|name| parts.headers.contains_key(name)),
             };
             OpenOutcome::Stream(parts, stream)
         }
@@ -158,6 +155,17 @@
     }
 }
 
+/// Whether the body ends with a last chunk. Other transfer codings end with the connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let codings = codings.and_then(|value| value.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Reads the body of a failure response.
 async fn read_failure(job: &Job, body: Incoming) -> Result<Bytes, body::Error> {
     let limits = body::Limits {
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -16,6 +16,7 @@
         refusal::Refusal,
         request::Job,
         sse::{Event, Splitter},
+        stop_order::{self, End},
     },
     axum::body::Body,
     bytes::{Bytes, BytesMut},
@@ -100,6 +101,8 @@
     /// the route's attempts.
     pub(super) runs: u32,
     tokens_per_event: u64,
+    /// Orders to stop the generation that engines may still carry out.
+    stops: stop_order::Ledger,
     /// Measures the present engine.
     meter: Meter,
 }
@@ -154,6 +157,7 @@
             longest_pause: Duration::ZERO,
             continuations: 0,
             runs: 1,
+            stops: stop_order::Ledger::default(),
             meter: Meter::default(),
         }
     }
@@ -233,17 +237,20 @@
         let mut check = interval(CHECK_INTERVAL);
         let caller = self.chunks.clone();
         let mut mover = Mover::new();
-        let mut is_open = true;
+        let mut closed: Option<End> = None;
         self.has_engine_begun = false;
         self.engine_build = build;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = caller.closed() => return StreamEnd::CallerLeft,
-                frame = body.frame(), if is_open => frame,
-                () = mover.step(&self.job, &mut self.allocation) => {
-                    if !is_open {
-                        return stream_end(&mut mover, "the engine's connection broke");
+                frame = body.frame(), if closed.is_none() => frame,
+                () = mover.step(&self.job, &mut self.allocation, &mut self.stops) => {
+                    if let Some(end) = closed {
+                        if mover.is_transferring() {
+                            continue;
+                        }
+                        return self.end_of(end, &mut mover);
                     }
                     if mover.is_done() {
                         // Events from before the engine stopped the generation may still arrive.
@@ -268,35 +275,70 @@
                 }
             };
             last_received = Instant::now();
-            let is_moving = mover.is_done() || mover.is_transferring();
-            match frame {
+            let is_clean = match frame {
                 Some(Ok(frame)) => {
                     if let Some(ended) = self.receive(frame, &mut splitter, deadline).await {
                         return ended;
                     }
+                    continue;
                 }
-                // Without framing, the end of the connection is the end of the stream. A generation has
-                // at least one event.
-                None if splitter.is_empty()
-                    && (is_framed || (self.has_engine_begun && !is_moving)) =>
-                {
-                    self.job.entry.pool.put_back(exchange);
-                    return StreamEnd::Complete;
-                }
-                // An engine closes the stream of a generation that it has stopped for a move.
-                _ if mover.is_transferring() => is_open = false,
-                Some(Err(_)) => {
-                    self.record_crash_at_begin();
-                    return stream_end(&mut mover, "the engine's connection broke");
-                }
-                None => {
-                    self.record_crash_at_begin();
-                    return stream_end(&mut mover, "the engine ended in the middle of an event");
-                }
+                Some(Err(_)) => false,
+                None => true,
+            };
+            let end = End {
+                is_clean,
+                is_framed,
+                is_between_events: splitter.is_empty(),
+                has_begun: self.has_engine_begun,
+                may_be_stopped: self.may_be_stopped(&mover),
+            };
+            if end.is_complete() {
+                self.job.entry.pool.put_back(exchange);
+                return StreamEnd::Complete;
+            }
+            if !mover.is_transferring() {
+                return self.end_of(end, &mut mover);
             }
+            // An engine closes the stream of a generation that it has stopped for a move. The outcome of the
+            // transfer tells whether it did.
+            closed = Some(end);
         }
     }
 
+    /// Whether the present engine may have stopped the generation for a move.
+    fn may_be_stopped(&self, mover: &Mover) -> bool {
+        mover.is_done() || self.stops.may_stop(&self.allocation.choice.target)
+    }
+
+    /// Returns how the present engine's stream ended, whose body has ended and of which no transfer is running.
+    fn end_of(&self, end: End, mover: &mut Mover) -> StreamEnd {
+        let may_be_stopped = self.may_be_stopped(mover);
+        if let Some((moved, to)) = mover.take_result() {
+            return StreamEnd::Moved(moved, to);
+        }
+        let end = End {
+            may_be_stopped,
+            ..end
+        };
+        if end.is_complete() {
+            return StreamEnd::Complete;
+        }
+        self.record_crash_at_begin();
+        StreamEnd::Broken(match end {
+            End {
+                is_clean: false, ..
+            } => "the engine's connection broke",
+            End {
+                is_between_events: false,
+                ..
+            } => "the engine ended in the middle of an event",
+            End {
+                has_begun: false, ..
+            } => "the engine ended before the first event",
+            _ => "the engine may have stopped it for a move",
+        })
+    }
+
     /// Records that the engine crashed, if it had not begun to answer.
     fn record_crash_at_begin(&self) {
         if !self.has_engine_begun {
@@ -469,11 +511,3 @@
         );
     }
 }
-
-/// Returns how a stream without a proper end ended: moved if the move has succeeded, else broken.
-fn stream_end(mover: &mut Mover, reason: &'static str) -> StreamEnd {
-    match mover.take_result() {
-        Some((done, to)) => StreamEnd::Moved(done, to),
-        None => StreamEnd::Broken(reason),
-    }
-}
--- a/crates/sardinerelay-gateway/src/lib.rs
+++ b/crates/sardinerelay-gateway/src/lib.rs
@@ -50,5 +50,6 @@
 pub mod settings;
 pub mod sse;
 pub mod statement;
+pub mod stop_order;
 pub mod table;
 pub mod targets;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -24,6 +24,7 @@
     mod repair;
     mod requests;
     mod sse;
+    mod stop_orders;
     mod table;
     mod update_bytes;
     mod updates;
