Wait in a planned stop until callers have read their answers

Cause: a request counted as open until the HTTP library dropped its body, which it does when the last piece is in its write buffer. The stop ended the process 0.1 s later. Bytes that a caller had sent too many reset the connection as well, and discarded what it had not read.

Ruled out: the drain's deadline (not reached), the engines (they had sent all), the other hosts (none cut).

Before a close, what the caller sends is read and discarded.

Looked at too: the operators' API, sardinerelayd's server (waited 5 s, whatever its deadline), closes outside a stop: the same code now.

--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -22,6 +22,7 @@
     hyper::body::Incoming,
     log::{info, warn},
     sardinerelay::id::Zone,
+    sardinerelayd::stop::Drain,
     std::{
         collections::BTreeSet,
         io,
@@ -41,7 +42,8 @@
 /// Memory that submitted configurations may take together, in bytes: eight of the largest ones.
 const SUBMISSION_MEMORY_BYTES: usize = 8 * MAX_TEXT_BYTES;
 
-/// Serves operators at `address` in the background. They may give orders for `zones`.
+/// Serves operators at `address` in the background, until `drain` closes the connections. They may give orders
+/// for `zones`.
 ///
 /// # Errors
 ///
@@ -50,7 +52,7 @@
     address: SocketAddr,
     codec: Codec,
     (handle, zones): (Handle, BTreeSet<Zone>),
-    metrics: Arc<Metrics>,
+    (metrics, drain): (Arc<Metrics>, Drain),
 ) -> io::Result<()> {
     let memory = body::Memory::new(SUBMISSION_MEMORY_BYTES);
     let suspension = Detector::new(Instant::now());
@@ -62,12 +64,12 @@
             sleep(suspension::INTERVAL).await;
         }
     });
-    http_server::listen(address, move |request| {
+    let respond = move |request| {
         let (handle, metrics) = (handle.clone(), Arc::clone(&metrics));
         let (memory, orders) = (memory.clone(), Arc::clone(&orders));
         async move { serve(codec, (handle, memory, &orders), &metrics, request).await }
-    })
-    .await
+    };
+    http_server::listen_until_closed(address, respond, drain).await
 }
 
 async fn serve(
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -11,15 +11,17 @@
     },
     axum::body::Body,
     http::{HeaderValue, Request, Response, header},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper::{body::Incoming, server::conn::http1},
+    hyper_util::rt::TokioTimer,
     log::{debug, info, warn},
-    sardinerelayd::stop::RequestGuard,
+    sardinerelayd::{connection, stop::RequestGuard},
     socket2::SockRef,
-    std::{convert::Infallible, sync::Arc, time::Duration, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
         time::sleep,
     },
 };
@@ -45,22 +47,19 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Accepts callers' connections until `closing` holds true. Open connections then finish the
+/// Accepts callers' connections until they have to close. Open connections then finish the
 /// request in progress and close.
-pub async fn run(entry: Arc<EntryHost>, listener: TcpListener, closing: watch::Receiver<bool>) {
-    let mut stop = closing.clone();
+pub async fn run(entry: Arc<EntryHost>, listener: TcpListener) {
+    let closing = entry.drain.closing();
+    tokio::pin!(closing);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_until_closing(&mut stop) => return,
+            () = &mut closing => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(
-                    Arc::clone(&entry),
-                    stream,
-                    closing.clone(),
-                ));
+                tokio::spawn(serve_connection(Arc::clone(&entry), stream));
             }
             Err(error) => {
                 warn!("accepting a caller's connection failed: {error}");
@@ -71,11 +70,7 @@
 }
 
 /// Serves one caller's connection until either side closes it.
-async fn serve_connection(
-    entry: Arc<EntryHost>,
-    stream: TcpStream,
-    mut closing: watch::Receiver<bool>,
-) {
+async fn serve_connection(entry: Arc<EntryHost>, stream: TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!("setting TCP_NODELAY on a caller's connection failed: {error}");
         return;
@@ -85,36 +80,19 @@
         debug!("limiting a caller's unread time failed: {error}");
     }
     let limits = limits(&entry);
-    let service = service_fn(|request| {
-        let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(serve(entry, request).await) }
-    });
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         // hyper counts the idle time between two requests as time to read a head.
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = wait_until_closing(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
+        .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES));
+    let drain = entry.drain.clone();
+    let respond = connection::respond_with(move |request| serve(Arc::clone(&entry), request));
+    if let Err(error) = connection::serve(stream, &builder, respond, drain).await {
         debug!("a caller's connection ended: {error}");
     }
 }
 
-/// Waits until `closing` holds true. Never returns if its sender is gone.
-async fn wait_until_closing(closing: &mut watch::Receiver<bool>) {
-    if closing.wait_for(|closing| *closing).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Returns the limits of the configuration in force.
 fn limits(entry: &EntryHost) -> Limits {
     let table = entry.table.load();
--- a/crates/sardinerelay-gateway/src/http_server.rs
+++ b/crates/sardinerelay-gateway/src/http_server.rs
@@ -3,10 +3,11 @@
 use {
     axum::body::Body,
     http::{Request, Response, StatusCode},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper::{body::Incoming, server::conn::http1},
+    hyper_util::rt::TokioTimer,
     log::{debug, warn},
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    sardinerelayd::{connection, stop::Drain},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, time::sleep},
 };
 
@@ -22,23 +23,46 @@
 ///
 /// Returns the error if the address can't be bound.
 pub async fn listen<Serve, Responding>(address: SocketAddr, serve: Serve) -> io::Result<()>
+where
+    Serve: Fn(Request<Incoming>) -> Responding + Send + Sync + 'static,
+    Responding: Future<Output = Response<Body>> + Send + 'static,
+{
+    listen_until_closed(address, serve, Drain::default()).await
+}
+
+/// The same, with connections that [`Drain::close`] closes.
+///
+/// # Errors
+///
+/// Returns the error if the address can't be bound.
+pub async fn listen_until_closed<Serve, Responding>(
+    address: SocketAddr,
+    serve: Serve,
+    drain: Drain,
+) -> io::Result<()>
 where
     Serve: Fn(Request<Incoming>) -> Responding + Send + Sync + 'static,
     Responding: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept(listener, Arc::new(serve)));
+    tokio::spawn(accept(listener, Arc::new(serve), drain));
     Ok(())
 }
 
-/// Accepts connections, each served by a task of its own. Never returns.
-async fn accept<Serve, Responding>(listener: TcpListener, serve: Arc<Serve>)
+/// Accepts connections, each served by a task of its own, until they have to close.
+async fn accept<Serve, Responding>(listener: TcpListener, serve: Arc<Serve>, drain: Drain)
 where
     Serve: Fn(Request<Incoming>) -> Responding + Send + Sync + 'static,
     Responding: Future<Output = Response<Body>> + Send + 'static,
 {
+    let closing = drain.closing();
+    tokio::pin!(closing);
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closing => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!("accepting a connection failed: {error}");
@@ -46,17 +70,14 @@
                 continue;
             }
         };
-        let serve = Arc::clone(&serve);
+        let (serve, drain) = (Arc::clone(&serve), drain.clone());
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = serve(request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let connection = http1::Builder::new()
+            let mut builder = http1::Builder::new();
+            builder
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
+                .header_read_timeout(HEADER_TIMEOUT);
+            let respond = connection::respond_with(move |request| serve(request));
+            if let Err(error) = connection::serve(stream, &builder, respond, drain).await {
                 debug!("a connection ended: {error}");
             }
         });
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -30,6 +30,7 @@
         thread,
         time::{Duration, Instant},
     },
+    thiserror::Error,
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -82,8 +83,7 @@
             .await
             .with_context(|| format!("listening on {metrics_address}"))?;
     }
-    let (close, closing) = watch::channel(false);
-    tokio::spawn(front::run(Arc::clone(&entry), listener, closing));
+    tokio::spawn(front::run(Arc::clone(&entry), listener));
     tokio::spawn(Arc::clone(&entry).run_cleanup());
     let maintenance_entry = Arc::clone(&entry);
     tokio::spawn(async move { maintenance_entry.allocator.run_maintenance().await });
@@ -93,40 +93,47 @@
         .await
         .context("listening for signals")?;
     info!(host = host.as_str(), open = entry.drain.open_requests() as u64; "stop requested");
-    match stop_within(&entry, &close, grace_period).await {
+    match stop_within(&entry, grace_period).await {
         Ok(()) => {
             info!(host = host.as_str(); "stopped");
             Ok(ExitCode::Success)
         }
-        Err(unfinished) => {
-            warn!(host = host.as_str(); "{unfinished}");
+        Err(incomplete) => {
+            warn!(host = host.as_str(); "{incomplete}");
             Ok(ExitCode::Forced)
         }
     }
 }
 
+/// Why a planned stop cut answers.
+#[derive(Debug, Error)]
+pub enum Incomplete {
+    /// Requests had not ended by themselves.
+    #[error(transparent)]
+    Unfinished(#[from] stop::Unfinished),
+    /// Callers had not read their answers.
+    #[error(transparent)]
+    Unwritten(#[from] stop::Unwritten),
+}
+
 /// Stops serving callers within the grace period: as long as the load balancer may still send requests, takes
-/// those that can end in time, then waits for the open ones. What is still open shortly before the end gets an
-/// answer.
+/// those that can end in time, then waits for the open ones, and until their callers have read the answers. What
+/// is still open shortly before the end gets an answer.
 ///
 /// # Errors
 ///
-/// Returns the number of requests that had not ended by themselves.
-pub async fn stop_within(
-    entry: &EntryHost,
-    close: &watch::Sender<bool>,
-    grace_period: Duration,
-) -> Result<(), stop::Unfinished> {
+/// Returns what had not ended.
+pub async fn stop_within(entry: &EntryHost, grace_period: Duration) -> Result<(), Incomplete> {
+    let end = Instant::now() + grace_period;
     let delay = DRAIN_DELAY.min(grace_period / 3);
     let reserve = EXIT_RESERVE.min(grace_period / 4);
     let drained = entry
         .drain
         .run(delay, grace_period.saturating_sub(delay + reserve))
         .await;
-    // Closes each keep-alive connection once its open request, if any, has its response.
-    close.send_replace(true);
-    sleep(reserve / 5).await;
-    drained
+    let closed = entry.drain.close(end - reserve / 2).await;
+    drained?;
+    Ok(closed?)
 }
 
 /// Follows the group on a separate thread, so that traffic can't delay a configuration.
@@ -226,8 +233,9 @@
     .await
     .with_context(|| format!("listening on {metrics_address}"))?;
     let operators = (handle.clone(), settings.zones());
-    let control_metrics = Arc::clone(&metrics);
-    control::listen(settings.control_address, codec, operators, control_metrics)
+    let drain = stop::Drain::default();
+    let shared = (Arc::clone(&metrics), drain.clone());
+    control::listen(settings.control_address, codec, operators, shared)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
     tokio::spawn(follow::republish(
@@ -257,8 +265,12 @@
         signalled = stop::termination_signal() => {
             signalled.context("listening for signals")?;
             info!(host = host; "stop requested");
+            let end = Instant::now() + settings.grace_period / 2;
             handle.transfer().await;
             sleep(LEADERSHIP_TRANSFER_TIME.min(settings.grace_period / 2)).await;
+            if let Err(unwritten) = drain.close(end).await {
+                warn!(host = host; "{unwritten}");
+            }
             info!(host = host; "stopped");
             Ok(ExitCode::Success)
         }
--- /dev/null
+++ b/crates/sardinerelayd/src/connection.rs
@@ -0,0 +1,218 @@
+//! Connections of callers: serves one, and closes it so that its last answer arrives.
+//!
+//! A body counts as sent for the HTTP library once its last piece is in the write buffer. A stopping process
+//! therefore waits for connections, not for bodies; see [`crate::stop::Drain::close`].
+
+use {
+    crate::stop::Drain,
+    axum::body::Body,
+    futures::future::BoxFuture,
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{
+        convert::Infallible,
+        future::poll_fn,
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf},
+        net::TcpStream,
+        time::timeout_at,
+    },
+};
+
+/// Time after the last write in which the peer may still be about to read it.
+const RECENT_WRITE: Duration = Duration::from_secs(5);
+
+/// Longest wait for the peer to close a connection. Some keep one open that they no longer use.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The same for a peer that reads more slowly than this process writes.
+const SLOW_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bytes of the peer that are discarded at a time while a connection closes.
+const DISCARD_BYTES: usize = 1024;
+
+/// A response that is being made.
+pub type BoxedResponse = BoxFuture<'static, Result<Response<Body>, Infallible>>;
+
+/// Serves the requests of one connection until either side closes it or the process stops, and closes it so
+/// that the last answer arrives. It counts as open in `drain` until then.
+///
+/// # Errors
+///
+/// Returns the error that ended the connection, after which its last answer is incomplete.
+pub async fn serve<Serve>(
+    stream: TcpStream,
+    builder: &http1::Builder,
+    serve: Serve,
+    drain: Drain,
+) -> hyper::Result<()>
+where
+    Serve: Fn(Request<Incoming>) -> BoxedResponse + Unpin,
+{
+    let guard = drain.connect();
+    let io = TokioIo::new(Monitored::new(stream));
+    let mut connection = builder.serve_connection(io, service_fn(serve));
+    let closing = drain.closing();
+    tokio::pin!(closing);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                ended?;
+                break;
+            }
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
+    }
+    let guard = guard.into_written();
+    close(connection.into_parts().io.into_inner(), &drain).await;
+    drop(guard);
+    Ok(())
+}
+
+/// Turns a function that responds to requests into one for [`serve`].
+pub fn respond_with<Respond, Responding>(
+    respond: Respond,
+) -> impl Fn(Request<Incoming>) -> BoxedResponse + Unpin
+where
+    Respond: Fn(Request<Incoming>) -> Responding + Unpin,
+    Responding: Future<Output = Response<Body>> + Send + 'static,
+{
+    move |request| {
+        let responding = respond(request);
+        Box::pin(async move { Ok(responding.await) })
+    }
+}
+
+/// Serves the requests of one connection with a service of the HTTP library; see [`serve`].
+///
+/// # Errors
+///
+/// Returns the error that ended the connection.
+pub async fn serve_with<Service>(
+    stream: TcpStream,
+    builder: &http1::Builder,
+    service: Service,
+    drain: Drain,
+) -> hyper::Result<()>
+where
+    Service: hyper::service::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Unpin,
+    Service::Future: Send + 'static,
+{
+    serve(
+        stream,
+        builder,
+        move |request| Box::pin(service.call(request)),
+        drain,
+    )
+    .await
+}
+
+/// Closes a connection whose answers were all written.
+///
+/// The peer may not have read them yet, and bytes from it that arrive at a closed socket would reset the
+/// connection, which discards what it hasn't read. So this waits until the peer has closed its side too.
+async fn close(mut stream: Monitored, drain: &Drain) {
+    let is_recent = |time: Option<Instant>| time.is_some_and(|time| time.elapsed() < RECENT_WRITE);
+    if stream.shutdown().await.is_err() || !is_recent(stream.last_write) {
+        return;
+    }
+    let wait = match is_recent(stream.last_blocked) {
+        true => SLOW_CLOSE_TIMEOUT,
+        false => CLOSE_TIMEOUT,
+    };
+    let end = Instant::now() + wait;
+    let end = drain
+        .close_deadline()
+        .map_or(end, |deadline| deadline.min(end));
+    let discard = async {
+        let mut bytes = [0; DISCARD_BYTES];
+        while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+    };
+    // If the time is over, the kernel still sends what is left.
+    let _ = timeout_at(end.into(), discard).await;
+}
+
+/// A connection that knows how it was last written to.
+#[derive(Debug)]
+struct Monitored {
+    stream: TcpStream,
+    last_write: Option<Instant>,
+    /// When the kernel last took no more bytes, because the peer reads slowly.
+    last_blocked: Option<Instant>,
+}
+
+impl Monitored {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            last_write: None,
+            last_blocked: None,
+        }
+    }
+
+    /// Records that a write ended like this.
+    fn record<Written>(&mut self, written: Poll<Written>) -> Poll<Written> {
+        let last = match written {
+            Poll::Ready(_) => &mut self.last_write,
+            Poll::Pending => &mut self.last_blocked,
+        };
+        *last = Some(Instant::now());
+        written
+    }
+
+    fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
+        Pin::new(&mut self.get_mut().stream)
+    }
+}
+
+impl AsyncRead for Monitored {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.stream().poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Monitored {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.as_mut().stream().poll_write(context, bytes);
+        self.record(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.as_mut().stream().poll_write_vectored(context, slices);
+        self.record(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(context)
+    }
+}
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod cli;
 pub mod config;
+pub mod connection;
 pub mod control;
 pub mod dev;
 pub mod engine;
--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -137,8 +137,15 @@
     let stop = async {
         code = components.drain_on_stop(config).await;
     };
-    serve::run(listener, components.api(config)?.router(), config, stop).await;
-    Ok(code)
+    let served = (config, &components.drain);
+    let closed = serve::run(listener, components.api(config)?.router(), served, stop).await;
+    match (closed, code) {
+        (Err(unwritten), ExitCode::Success) => {
+            warn!("{unwritten}");
+            Ok(ExitCode::Forced)
+        }
+        (_, code) => Ok(code),
+    }
 }
 
 /// The components that several others share.
--- a/crates/sardinerelayd/src/serve.rs
+++ b/crates/sardinerelayd/src/serve.rs
@@ -1,20 +1,20 @@
 //! HTTP server for callers.
 
 use {
-    crate::config::Config,
+    crate::{
+        config::Config,
+        connection,
+        stop::{Drain, Unwritten},
+    },
     axum::Router,
     hyper::{body::Incoming, server::conn::http1},
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        server::graceful::GracefulShutdown,
-        service::TowerToHyperService,
-    },
+    hyper_util::{rt::TokioTimer, service::TowerToHyperService},
     log::{debug, warn},
-    std::{future::Future, time::Duration},
-    tokio::{
-        net::TcpListener,
-        time::{sleep, timeout},
+    std::{
+        future::Future,
+        time::{Duration, Instant},
     },
+    tokio::{net::TcpListener, time::sleep},
     tower::ServiceExt,
 };
 
@@ -25,15 +25,24 @@
 /// Pause after a failed accept, which happens when file descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for idle connections to close after the last response.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Shortest time for connections to close after the last response.
+const MIN_CLOSE_TIME: Duration = Duration::from_secs(5);
 
-/// Serves the router until `stop` completes, then closes the connections.
-pub async fn run<F>(listener: TcpListener, router: Router, config: &Config, stop: F)
+/// Serves the router until `stop` completes, then closes the connections. Callers have until the deadline of the
+/// stop to read their answers.
+///
+/// # Errors
+///
+/// Returns the number of connections whose answers were cut, because their callers did not read them.
+pub async fn run<F>(
+    listener: TcpListener,
+    router: Router,
+    (config, drain): (&Config, &Drain),
+    stop: F,
+) -> Result<(), Unwritten>
 where
     F: Future<Output = ()>,
 {
-    let graceful = GracefulShutdown::new();
     tokio::pin!(stop);
     loop {
         let stream = tokio::select! {
@@ -52,20 +61,21 @@
         let router = router
             .clone()
             .map_request(|request: hyper::Request<Incoming>| request.map(axum::body::Body::new));
-        let connection = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        builder
             .timer(TokioTimer::new())
             .header_read_timeout(config.header_timeout)
-            .max_buf_size(config.max_headers * MAX_HEAD_READ_FACTOR)
-            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
-        let connection = graceful.watch(connection);
+            .max_buf_size(config.max_headers * MAX_HEAD_READ_FACTOR);
+        let (service, drain) = (TowerToHyperService::new(router), drain.clone());
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let served = connection::serve_with(stream, &builder, service, drain).await;
+            if let Err(error) = served {
                 debug!("a connection of a caller failed: {error}");
             }
         });
     }
     drop(listener);
-    if timeout(CLOSE_TIMEOUT, graceful.shutdown()).await.is_err() {
-        debug!("some connections did not close within {CLOSE_TIMEOUT:?}");
-    }
+    let remaining = drain.remaining().unwrap_or_default();
+    let deadline = Instant::now() + remaining.max(MIN_CLOSE_TIME);
+    drain.close(deadline).await
 }
--- a/crates/sardinerelayd/src/stop.rs
+++ b/crates/sardinerelayd/src/stop.rs
@@ -1,5 +1,5 @@
 //! Graceful shutdown of this process: first it reports itself as not ready, then it takes no new
-//! requests, then it waits for the open ones.
+//! requests, then it waits for the open ones, and at last for the connections that their answers are sent on.
 
 use {
     axum::body::Body,
@@ -19,7 +19,7 @@
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
-        time::{sleep, sleep_until, timeout},
+        time::{sleep, sleep_until, timeout, timeout_at},
     },
 };
 
@@ -43,8 +43,38 @@
     deadline: watch::Sender<Option<Instant>>,
     /// Number of open requests; a planned stop waits until it is 0.
     open: watch::Sender<usize>,
+    connections: watch::Sender<Connections>,
+    /// When connections have to be closed; none until they begin to close.
+    close_deadline: watch::Sender<Option<Instant>>,
 }
 
+/// The connections that a planned stop waits for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Connections {
+    /// Those that may have an answer in their write buffer.
+    unwritten: usize,
+    /// Those whose answers are written, and which the peer has not closed yet.
+    written: usize,
+}
+
+impl Connections {
+    fn are_closed(&self) -> bool {
+        self.unwritten + self.written == 0
+    }
+}
+
+/// Counts as a connection that may have an answer to write until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    connections: watch::Sender<Connections>,
+    is_written: bool,
+}
+
+/// The number of connections whose answers could not be written before the end of the stop.
+#[derive(Debug, thiserror::Error)]
+#[error("{0} connections had answers left at the end of the stop that their callers did not read")]
+pub struct Unwritten(pub usize);
+
 /// Counts as one open request until it is dropped.
 #[derive(Debug)]
 pub struct RequestGuard {
@@ -62,6 +92,8 @@
             phase: Arc::new(AtomicU8::new(SERVING)),
             deadline: watch::Sender::new(None),
             open: watch::Sender::new(0),
+            connections: watch::Sender::default(),
+            close_deadline: watch::Sender::new(None),
         }
     }
 }
@@ -101,6 +133,49 @@
         }
     }
 
+    /// Counts a new connection, which [`Drain::close`] waits for.
+    pub fn connect(&self) -> ConnectionGuard {
+        self.connections.send_modify(|count| count.unwritten += 1);
+        ConnectionGuard {
+            connections: self.connections.clone(),
+            is_written: false,
+        }
+    }
+
+    /// Waits until connections have to close once their open request, if any, has its answer.
+    pub fn closing(&self) -> impl Future<Output = ()> + use<> {
+        let mut changes = self.close_deadline.subscribe();
+        async move {
+            if changes.wait_for(Option::is_some).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// When connections have to be closed; none if they need not close yet.
+    pub fn close_deadline(&self) -> Option<Instant> {
+        *self.close_deadline.borrow()
+    }
+
+    /// Lets all connections close, and waits until their answers are written and their peers have closed them,
+    /// up to `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of connections whose answers were not written until then.
+    pub async fn close(&self, deadline: Instant) -> Result<(), Unwritten> {
+        self.close_deadline.send_replace(Some(deadline));
+        let mut connections = self.connections.subscribe();
+        let closed = connections.wait_for(Connections::are_closed);
+        let is_closed = timeout_at(deadline.into(), closed).await.is_ok();
+        let Connections { unwritten, written } = *self.connections.borrow();
+        info!(unwritten = unwritten as u64, open = written as u64; "planned stop: connections closed");
+        match is_closed || unwritten == 0 {
+            true => Ok(()),
+            false => Err(Unwritten(unwritten)),
+        }
+    }
+
     /// The number of open requests.
     pub fn open_requests(&self) -> usize {
         *self.open.borrow()
@@ -141,6 +216,27 @@
     }
 }
 
+impl ConnectionGuard {
+    /// Counts the connection as one whose answers are all written.
+    pub fn into_written(mut self) -> Self {
+        self.is_written = true;
+        self.connections.send_modify(|count| {
+            count.unwritten -= 1;
+            count.written += 1;
+        });
+        self
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.connections.send_modify(|count| match self.is_written {
+            true => count.written -= 1,
+            false => count.unwritten -= 1,
+        });
+    }
+}
+
 impl RequestGuard {
     /// Ties the guard to a response body, so that the request counts as open until the body is sent
     /// or dropped.
