Read numbers from outside as bounded ones

Cause: a number from outside met arithmetic that panics. The reported line is Pool::put_back (Instant + Duration); a caller's Token-Count or Prompt-Prefix near 2^64 overflowed sums on the entry host (a panic in debug builds; in release builds they wrapped, so the generation counted as small).

Why this works: sardinerelay::bound is the one place where such a number becomes a time or a count that later computations can't overflow with.

Ruled out: a dead connection in the pool (orders without the header were answered on the same connections).

Looked at too: sardinerelayd's command line (1 ms to 1 day) and sheet have bounds already; messages between hosts carry milliseconds, which fit.

--- a/crates/sardineload/src/plan.rs
+++ b/crates/sardineload/src/plan.rs
@@ -110,7 +110,7 @@
         let payload = kind.random_payload(number, name, &self.config.model, &mut self.random);
         Some(Arrival {
             number,
-            at: Duration::from_secs_f64(self.at),
+            at: Duration::try_from_secs_f64(self.at).unwrap_or(Duration::MAX),
             organisation,
             kind,
             read_mode: self.read_mode(&payload),
--- a/crates/sardinerelay-gateway/src/admission/service.rs
+++ b/crates/sardinerelay-gateway/src/admission/service.rs
@@ -4,6 +4,7 @@
     super::slots::Slots,
     crate::placement::Need,
     sardinerelay::{
+        bound,
         fairness::{Demand, Guarantee},
         rate::Average,
     },
@@ -88,6 +89,6 @@
         let placed = self.placed.value().unwrap_or(INITIAL_RATE);
         let released = self.released.value().unwrap_or_default();
         let rate = placed.max(released).max(MIN_RATE);
-        Duration::from_secs_f64(tokens as f64 / rate)
+        bound::estimate(tokens as f64 / rate)
     }
 }
--- a/crates/sardinerelay-gateway/src/backlog.rs
+++ b/crates/sardinerelay-gateway/src/backlog.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::targets::RunId,
+    sardinerelay::bound,
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -112,7 +113,7 @@
     /// Estimates the time until a prompt of `prompt` tokens that is sent now is read.
     pub fn estimated_wait(&self, prompt: u64, now: Instant) -> Duration {
         let tokens = self.unread_tokens(now) + prompt as f64;
-        Duration::from_secs_f64(tokens / self.rate)
+        bound::estimate(tokens / self.rate)
     }
 
     /// Tokens of all prompts that are probably still unread.
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -462,7 +462,7 @@
     /// an earlier one or have no number count as contiguous.
     fn is_contiguous(&self, event: &Event) -> bool {
         match (self.last_delivered, event.id) {
-            (Some(last), Some(id)) => id <= last + 1,
+            (Some(last), Some(id)) => id <= last.saturating_add(1),
             _ => true,
         }
     }
--- a/crates/sardinerelay-gateway/src/limit.rs
+++ b/crates/sardinerelay-gateway/src/limit.rs
@@ -7,6 +7,7 @@
 pub mod permit;
 
 use {
+    sardinerelay::bound,
     serde::{Deserialize, Serialize},
     std::{
         fmt,
@@ -207,13 +208,13 @@
             return Ok(Duration::ZERO);
         };
         self.refill(rate, now);
-        let wait = Duration::from_secs_f64((1.0 - self.tokens).max(0.0) / rate);
+        let wait = bound::estimate((1.0 - self.tokens).max(0.0) / rate);
         if wait <= max_wait {
             self.tokens -= 1.0;
             return Ok(wait);
         }
         let earliest = self.last_return.map_or(now, |last| last.max(now + wait));
-        let next = earliest + Duration::from_secs_f64(1.0 / rate);
+        let next = earliest + bound::estimate(1.0 / rate);
         let next = next.min(now + MAX_RETRY_AFTER);
         self.last_return = Some(next);
         Err(Reached {
--- a/crates/sardinerelay-gateway/src/observer/paging.rs
+++ b/crates/sardinerelay-gateway/src/observer/paging.rs
@@ -8,6 +8,7 @@
         codec::{ListPage, ParseError},
         observations::Instance,
     },
+    sardinerelay::bound,
     std::time::{Duration, Instant},
 };
 
@@ -101,7 +102,7 @@
             MAX_LEADERLESS_READERS
         };
         let rate = (self.max_rate * RATE_SHARE / readers).max(0.1);
-        self.next_call = now + Duration::from_secs_f64(1.0 / rate);
+        self.next_call = now + bound::estimate(1.0 / rate);
         if now.saturating_duration_since(self.last_page) > MAX_INTERRUPTION {
             self.pages.clear();
         }
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -18,7 +18,7 @@
     },
     hyper_util::rt::TokioIo,
     log::debug,
-    sardinerelay::id::Target,
+    sardinerelay::{bound, id::Target},
     sardinerelayd::engine::is_answer,
     socket2::SockRef,
     std::{
@@ -418,7 +418,7 @@
         let timeout = parameters
             .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
             .next()?;
-        timeout.trim().parse().ok().map(Duration::from_secs)
+        timeout.trim().parse().ok().map(bound::seconds)
     });
     stated
         .unwrap_or(DEFAULT_IDLE_TIMEOUT)
--- a/crates/sardinerelay-gateway/src/statement.rs
+++ b/crates/sardinerelay-gateway/src/statement.rs
@@ -1,6 +1,6 @@
 //! What a target says of itself in its answers. See `docs/design/target-limits.md`.
 
-use {crate::limit, std::time::Duration};
+use {crate::limit, sardinerelay::bound, std::time::Duration};
 
 /// Longest time of rest that a target can ask for. A target that comes back after it counts as working.
 pub const MAX_REST: Duration = Duration::from_secs(3600);
@@ -33,10 +33,9 @@
 impl Rest {
     /// Returns a rest of this many seconds, of at most [`MAX_REST`].
     pub fn seconds(seconds: f64) -> Self {
-        let is_time = seconds >= 0.0;
-        match is_time.then(|| seconds.min(MAX_REST.as_secs_f64())) {
-            Some(0.0) => Self::None,
-            Some(seconds) => Self::For(Duration::from_secs_f64(seconds)),
+        match bound::fractional_seconds(seconds) {
+            Some(Duration::ZERO) => Self::None,
+            Some(rest) => Self::For(rest.min(MAX_REST)),
             None => Self::Invalid,
         }
     }
--- a/crates/sardinerelay-standin/src/pipe.rs
+++ b/crates/sardinerelay-standin/src/pipe.rs
@@ -325,7 +325,9 @@
             .lock()
             .expect("no thread panics while it holds the lock");
         let start = free.map_or(now, |free| free.max(now));
-        let end = start + Duration::from_secs_f64(bytes as f64 / per_second.max(1) as f64);
+        let end = start
+            + Duration::try_from_secs_f64(bytes as f64 / per_second.max(1) as f64)
+                .unwrap_or_default();
         *free = Some(end);
         end
     }
--- a/crates/sardinerelay/src/fairness.rs
+++ b/crates/sardinerelay/src/fairness.rs
@@ -16,7 +16,7 @@
     guarantee::Guarantee,
 };
 
-use std::time::Duration;
+use {crate::bound, std::time::Duration};
 
 /// Prompt tokens that an engine reads per second.
 const READ_TOKENS_PER_SECOND: f64 = 14_000.0;
@@ -45,5 +45,5 @@
 /// Returns the time for which a generation is expected to run.
 pub fn expected_duration(prompt: u64, output: u64) -> Duration {
     let seconds = prompt as f64 / READ_TOKENS_PER_SECOND + output as f64 / OUTPUT_TOKENS_PER_SECOND;
-    Duration::from_secs_f64(seconds)
+    bound::estimate(seconds)
 }
--- a/crates/sardinerelay/src/lib.rs
+++ b/crates/sardinerelay/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 pub mod admission;
+pub mod bound;
 pub mod estimate;
 pub mod fairness;
 pub mod fleet;
