Contain panics to the request or the round in which they happen

What callers saw: no answer and a closed connection, for a request whose task panicked; a stream that ended as complete (200 and a last chunk after two events) when the task that forwards it panicked.

Cause: requests ran in the task of their connection; the body of a stream ended as complete whenever its sender was dropped; loops were spawned and never looked at again.

Panics have a log line and a metric (sardinerelay_panics_total).

--- a/crates/sardinerelay-gateway/src/distribution/publisher.rs
+++ b/crates/sardinerelay-gateway/src/distribution/publisher.rs
@@ -5,11 +5,12 @@
     crate::group::Document,
     log::warn,
     sardinerelay::id::Version,
+    sardinerelayd::panics,
     std::{
         io,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            mpsc::{Sender, channel},
+            mpsc::{Receiver, Sender, channel},
         },
         thread,
         time::Duration,
@@ -50,18 +51,7 @@
         let shared = (Arc::clone(&history), offered.clone());
         thread::Builder::new()
             .name("patches".to_owned())
-            .spawn(move || {
-                let (history, offered) = shared;
-                for task in queue {
-                    match task {
-                        Task::Record(document) => record(&history, &document),
-                        Task::Offer => {
-                            let newest = lock(&history).newest();
-                            offered.send_replace(newest);
-                        }
-                    }
-                }
-            })?;
+            .spawn(move || panics::run_essential("make patches", || run(&queue, &shared)))?;
         Ok(Self {
             history,
             offered,
@@ -120,3 +110,19 @@
 fn lock(history: &Mutex<History>) -> MutexGuard<'_, History> {
     history.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Carries out tasks until all senders are gone.
+fn run(
+    queue: &Receiver<Task>,
+    (history, offered): &(Arc<Mutex<History>>, watch::Sender<Option<Stamp>>),
+) {
+    for task in queue {
+        match task {
+            Task::Record(document) => record(history, &document),
+            Task::Offer => {
+                let newest = lock(history).newest();
+                offered.send_replace(newest);
+            }
+        }
+    }
+}
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -25,7 +25,7 @@
     jsonrpsee::types::ErrorCode,
     log::info,
     observations::Publishers,
-    sardinerelayd::peer::Error,
+    sardinerelayd::{panics, peer::Error},
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -53,16 +53,21 @@
     let clients = Arc::new(Clients::new(entry.settings.common.peer_port));
     let reloadable = Arc::clone(&entry.settings.common.reloadable);
     let mut addresses: BTreeSet<Ipv4Addr> = reloadable.seeds().into_iter().collect();
-    tokio::spawn(reporter::run(Arc::clone(&entry), outgoing));
+    panics::spawn_essential("report", reporter::run(Arc::clone(&entry), outgoing));
     let updates = Arc::new(Updates::new(Arc::clone(&entry)));
-    tokio::spawn(transfer::fetch(Arc::clone(&updates)));
+    panics::spawn_essential(
+        "fetch the configuration",
+        transfer::fetch(Arc::clone(&updates)),
+    );
     let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
     let mut publishers = Publishers::new(Arc::clone(&entry));
     let mut leader = None;
     loop {
         let followed = choose_hosts(&entry.settings.common.host, &addresses, leader);
         tasks.retain(|address, tasks| {
-            let is_followed = followed.contains(address);
+            // A task that has ended has panicked, and another one takes its place.
+            let is_running = !tasks.iter().any(JoinHandle::is_finished);
+            let is_followed = followed.contains(address) && is_running;
             if !is_followed {
                 tasks.iter().for_each(JoinHandle::abort);
             }
--- a/crates/sardinerelay-gateway/src/follow/observations.rs
+++ b/crates/sardinerelay-gateway/src/follow/observations.rs
@@ -78,6 +78,8 @@
             }
             is_chosen
         });
+        // A task that has ended has panicked, and another one takes its place.
+        self.tasks.retain(|_, (_, task)| !task.is_finished());
         for (rank, address) in chosen.into_iter().enumerate() {
             if let Some((known, _)) = self.tasks.get(&address) {
                 if known.swap(rank, Ordering::Relaxed) != rank && rank == 0 {
--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -14,7 +14,7 @@
     hyper::{body::Incoming, server::conn::http1},
     hyper_util::rt::TokioTimer,
     log::{debug, info, warn},
-    sardinerelayd::{connection, stop::RequestGuard},
+    sardinerelayd::{connection, panics, stop::RequestGuard},
     socket2::SockRef,
     std::{
         sync::Arc,
@@ -142,7 +142,9 @@
     let id = call.id.clone();
     let job = authenticate(&entry, &head, call, arrived);
     let result = match job {
-        Ok(job) => serve_until_stop(job, body).await,
+        Ok(job) => panics::contain(serve_until_stop(job, body))
+            .await
+            .unwrap_or(Err(Refusal::OutcomeUnknown("this host failed"))),
         Err(refusal) => Err(refusal),
     };
     match result {
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -6,6 +6,7 @@
 //! copy of its memory on another engine and continues there as the same run when its engine ends.
 //! See `docs/design/platform.md`.
 
+mod chunks;
 mod moving;
 mod open;
 mod pump;
@@ -34,8 +35,6 @@
     rand::Rng as _,
     sardinerelay::id::Build,
     std::time::{Duration, Instant},
-    tokio::sync::mpsc::channel,
-    tokio_stream::wrappers::ReceiverStream,
 };
 
 /// Share of its route's latency objective that a request may wait for an engine.
@@ -87,11 +86,9 @@
         open::record(&job, &allocation.choice.target, &opened);
         match opened {
             OpenOutcome::Stream(head, source) => {
-                let (chunks, stream) = channel(MAX_QUEUED_CHUNKS);
-                let response =
-                    client_response(head, Body::from_stream(ReceiverStream::new(stream)));
+                let (chunks, body) = chunks::channel(MAX_QUEUED_CHUNKS);
                 tokio::spawn(pump::run(job, allocation, source, chunks));
-                return Ok(response);
+                return Ok(client_response(head, body));
             }
             OpenOutcome::Failure(head, body) => return Ok(client_response(head, Body::from(body))),
             OpenOutcome::NotRun(_) => {}
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        client_response, is_resumable,
+        chunks, client_response, is_resumable,
         moving::Mover,
         open::{self, EngineStream},
         transfer::Moved,
@@ -26,12 +26,7 @@
     log::info,
     sardinerelay::id::{Build, Target},
     std::time::{Duration, Instant},
-    thiserror::Error,
-    tokio::{
-        sync::mpsc::{Sender, channel},
-        time::{Instant as TokioInstant, interval, sleep_until},
-    },
-    tokio_stream::wrappers::ReceiverStream,
+    tokio::time::{Instant as TokioInstant, interval, sleep_until},
 };
 
 /// Interval between checks whether a stream's engine is silent or leaving.
@@ -51,14 +46,6 @@
 /// Tokens in one event if the configuration doesn't describe the service's engines.
 const DEFAULT_TOKENS_PER_EVENT: u64 = 1;
 
-/// Error that closes the caller's connection in the middle of a stream that can't be continued.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("the stream was aborted: {0}")]
-pub(super) struct StreamAborted(&'static str);
-
-/// Sends chunks of the response body to the caller's connection.
-type ChunkSender = Sender<Result<Bytes, StreamAborted>>;
-
 /// How forwarding from one engine ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum StreamEnd {
@@ -79,7 +66,7 @@
 pub(super) struct ClientStream {
     pub(super) job: Job,
     pub(super) allocation: Allocation,
-    chunks: ChunkSender,
+    chunks: chunks::Sender,
     /// The last event that was sent to the caller.
     pub(super) last_delivered: Option<EventId>,
     /// Number of events that were sent to the caller.
@@ -112,7 +99,7 @@
     job: Job,
     allocation: Allocation,
     source: EngineStream,
-    chunks: ChunkSender,
+    chunks: chunks::Sender,
 ) {
     ClientStream::new(job, allocation, chunks)
         .run(Some(source))
@@ -125,20 +112,17 @@
     job: Job,
     allocation: Allocation,
 ) -> Result<Response<Body>, Refusal> {
-    let (chunks, stream) = channel(super::MAX_QUEUED_CHUNKS);
+    let (chunks, body) = chunks::channel(super::MAX_QUEUED_CHUNKS);
     let mut client = ClientStream::new(job, allocation, chunks);
     let Some((head, source)) = client.reopen().await else {
         return Err(Refusal::OutcomeUnknown("the engine broke off"));
     };
     tokio::spawn(async move { client.run(Some(source)).await });
-    Ok(client_response(
-        head,
-        Body::from_stream(ReceiverStream::new(stream)),
-    ))
+    Ok(client_response(head, body))
 }
 
 impl ClientStream {
-    fn new(job: Job, allocation: Allocation, chunks: ChunkSender) -> Self {
+    fn new(job: Job, allocation: Allocation, chunks: chunks::Sender) -> Self {
         let engine = job.engine();
         Self {
             tokens_per_event: engine.map_or(DEFAULT_TOKENS_PER_EVENT, |engine| {
@@ -172,12 +156,12 @@
             let ended = self.forward_from(current).await;
             self.report_pace();
             match ended {
-                StreamEnd::Complete => break "complete",
-                StreamEnd::CallerLeft => break "left",
-                StreamEnd::TimedOut => {
-                    self.abort("the deadline has passed");
-                    break "late";
+                StreamEnd::Complete => {
+                    self.chunks.complete();
+                    break "complete";
                 }
+                StreamEnd::CallerLeft => break "left",
+                StreamEnd::TimedOut => break "late",
                 StreamEnd::Broken(reason) => {
                     self.record_failure(reason);
                     let caller = self.chunks.clone();
@@ -185,9 +169,6 @@
                         () = caller.closed() => break "left",
                         reopened = self.reopen() => reopened.map(|(_, source)| source),
                     };
-                    if source.is_none() {
-                        self.abort(reason);
-                    }
                 }
                 StreamEnd::Moved(moved, to) => {
                     let caller = self.chunks.clone();
@@ -195,9 +176,6 @@
                         () = caller.closed() => break "left",
                         reopened = self.reopen_moved(moved, to) => reopened.map(|(_, source)| source),
                     };
-                    if source.is_none() {
-                        self.abort("the engine that it was moved to did not continue it");
-                    }
                 }
             }
         };
@@ -429,7 +407,7 @@
             self.meter.reset();
         }
         tokio::select! {
-            sent = self.chunks.send(Ok(bytes.freeze())) => {
+            sent = self.chunks.send(bytes.freeze()) => {
                 sent.err().map(|_| StreamEnd::CallerLeft).or(ended)
             }
             () = sleep_until(deadline) => Some(StreamEnd::TimedOut),
@@ -475,17 +453,6 @@
         }
     }
 
-    /// Closes the caller's connection, so that the response doesn't look complete.
-    ///
-    /// Doesn't wait until the caller reads, so that the memory at the engine is released in any case.
-    fn abort(&self, reason: &'static str) {
-        let chunks = self.chunks.clone();
-        tokio::spawn(async move {
-            // Sending fails only if the caller has closed the connection already.
-            let _ = chunks.send(Err(StreamAborted(reason))).await;
-        });
-    }
-
     /// Logs that the engine failed. Unless it was leaving, this counts against its health.
     fn record_failure(&self, reason: &'static str) {
         let now = Instant::now();
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -48,7 +48,7 @@
         raft::{Config, DurableState, Role, SoftState},
         wal::{self, Identity, Recovered, Store},
     },
-    sardinerelayd::{control::FatalError, peer::Server},
+    sardinerelayd::{control::FatalError, panics, peer::Server},
     std::{
         collections::BTreeSet,
         net::{Ipv4Addr, SocketAddr},
@@ -186,9 +186,14 @@
     let (allocator, metrics) = (Arc::clone(&shared.allocator), Arc::clone(&shared.metrics));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
-    tokio::spawn(maintain_membership(settings, own_id, path, handle.clone()));
-    tokio::spawn(exclusions::run(handle.clone(), Arc::clone(&allocator)));
-    tokio::spawn(evacuation::run(handle.clone(), allocator, metrics));
+    panics::spawn_essential(
+        "maintain the membership",
+        maintain_membership(settings, own_id, path, handle.clone()),
+    );
+    let excluding = exclusions::run(handle.clone(), Arc::clone(&allocator));
+    panics::spawn_essential("follow exclusions", excluding);
+    let evacuating = evacuation::run(handle.clone(), allocator, metrics);
+    panics::spawn_essential("follow evacuations", evacuating);
     Ok(RunningReplica {
         handle,
         driver,
--- a/crates/sardinerelay-gateway/src/http_server.rs
+++ b/crates/sardinerelay-gateway/src/http_server.rs
@@ -6,7 +6,7 @@
     hyper::{body::Incoming, server::conn::http1},
     hyper_util::rt::TokioTimer,
     log::{debug, warn},
-    sardinerelayd::{connection, stop::Drain},
+    sardinerelayd::{connection, panics, stop::Drain},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, time::sleep},
 };
@@ -45,7 +45,7 @@
     Responding: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept(listener, Arc::new(serve), drain));
+    panics::spawn_essential("accept", accept(listener, Arc::new(serve), drain));
     Ok(())
 }
 
--- a/crates/sardinerelay-gateway/src/logging.rs
+++ b/crates/sardinerelay-gateway/src/logging.rs
@@ -6,7 +6,7 @@
 use {
     fern::{Dispatch, Output},
     log::{LevelFilter, SetLoggerError},
-    sardinerelayd::logging::json_line,
+    sardinerelayd::{logging::json_line, panics},
     std::{
         io::{self, Write as _},
         sync::{
@@ -35,7 +35,7 @@
     Set(#[from] SetLoggerError),
 }
 
-/// Starts logging records of `level` and above. Of the HTTP and RPC libraries only warnings and
+/// Starts logging records of `level` and above, and panics. Of the HTTP and RPC libraries only warnings and
 /// errors are logged.
 ///
 /// # Errors
@@ -63,6 +63,7 @@
         .level_for("hyper", libraries)
         .chain(output)
         .apply()?;
+    panics::install_hook();
     Ok(())
 }
 
--- a/crates/sardinerelay-gateway/src/observer.rs
+++ b/crates/sardinerelay-gateway/src/observer.rs
@@ -36,6 +36,7 @@
     http::{HeaderMap, header},
     log::{debug, warn},
     sardinerelay::id::{Build, Service},
+    sardinerelayd::panics::keep_running,
     std::{
         collections::HashSet,
         net::SocketAddr,
@@ -150,14 +151,18 @@
         newest: watch::Receiver<Option<Arc<Document>>>,
         reports: Receiver<LoadsReport>,
     ) {
+        let reports = tokio::sync::Mutex::new(reports);
+        // They read what others say. One that panics must not end for good, nor the others with it.
         tokio::join!(
-            self.poll_list(),
-            self.poll_load_reports(),
-            self.publish(),
-            self.track_engine_services(newest),
-            self.adopt_published(),
-            self.send_reads(),
-            self.receive_reads(reports),
+            keep_running("poll the list", || self.poll_list()),
+            keep_running("poll load reports", || self.poll_load_reports()),
+            keep_running("publish", || self.publish()),
+            keep_running("track engine services", || {
+                self.track_engine_services(newest.clone())
+            }),
+            keep_running("adopt published", || self.adopt_published()),
+            keep_running("send reads", || self.send_reads()),
+            keep_running("receive reads", || self.receive_reads(&reports)),
         );
     }
 
--- a/crates/sardinerelay-gateway/src/observer/division.rs
+++ b/crates/sardinerelay-gateway/src/observer/division.rs
@@ -25,7 +25,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{mpsc::Receiver, watch},
+        sync::{Mutex, mpsc::Receiver, watch},
         time::{MissedTickBehavior, interval},
     },
 };
@@ -235,7 +235,8 @@
     }
 
     /// Merges what other voters send while this host is the leader.
-    pub(super) async fn receive_reads(&self, mut reports: Receiver<LoadsReport>) {
+    pub(super) async fn receive_reads(&self, reports: &Mutex<Receiver<LoadsReport>>) {
+        let mut reports = reports.lock().await;
         while let Some(report) = reports.recv().await {
             if *self.is_leader.borrow() {
                 self.merge_reads(report, Instant::now());
--- a/crates/sardinerelay-gateway/src/reload.rs
+++ b/crates/sardinerelay-gateway/src/reload.rs
@@ -5,6 +5,7 @@
 
 use {
     log::{info, warn},
+    sardinerelayd::panics,
     std::{
         io,
         net::Ipv4Addr,
@@ -58,7 +59,7 @@
 /// Returns the error if the signal can't be handled.
 pub fn start(current: Arc<SharedSettings>, load: Loader) -> io::Result<()> {
     let hangups = signal(SignalKind::hangup())?;
-    tokio::spawn(run(current, load, hangups));
+    panics::spawn_essential("reload the settings", run(current, load, hangups));
     Ok(())
 }
 
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -23,7 +23,7 @@
     http::{Method, Request, Response, StatusCode},
     hyper::body::Incoming,
     log::{error, info, warn},
-    sardinerelayd::stop,
+    sardinerelayd::{panics, stop},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -83,15 +83,21 @@
             .await
             .with_context(|| format!("listening on {metrics_address}"))?;
     }
-    tokio::spawn(front::run(Arc::clone(&entry), listener));
-    tokio::spawn(Arc::clone(&entry).run_cleanup());
+    panics::spawn_essential("accept", front::run(Arc::clone(&entry), listener));
+    panics::spawn_essential("clean up", Arc::clone(&entry).run_cleanup());
     let maintenance_entry = Arc::clone(&entry);
-    tokio::spawn(async move { maintenance_entry.allocator.run_maintenance().await });
+    panics::spawn_essential("maintain the allocator", async move {
+        maintenance_entry.allocator.run_maintenance().await;
+    });
     start_following(&entry, outgoing)?;
     info!(host = host.as_str(), took_ms = began.elapsed().as_millis() as u64; "entry host started");
-    stop::termination_signal()
-        .await
-        .context("listening for signals")?;
+    tokio::select! {
+        signalled = stop::termination_signal() => signalled.context("listening for signals")?,
+        task = panics::essential_failed() => {
+            error!(host = host.as_str(), task = task; "an essential task panicked");
+            return Ok(ExitCode::General);
+        }
+    }
     info!(host = host.as_str(), open = entry.drain.open_requests() as u64; "stop requested");
     match stop_within(&entry, grace_period).await {
         Ok(()) => {
@@ -143,7 +149,11 @@
     let entry = Arc::clone(entry);
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || runtime.block_on(follow::run(entry, outgoing)))
+        .spawn(move || {
+            panics::run_essential("follow the group", || {
+                runtime.block_on(follow::run(entry, outgoing));
+            });
+        })
         .context("starting the control thread")?;
     Ok(())
 }
@@ -212,12 +222,12 @@
         metrics: Arc::clone(&metrics),
         loads,
     };
-    tokio::spawn(merge_observations(
-        Arc::clone(&allocator),
-        observations.subscribe(),
-    ));
+    let merging = merge_observations(Arc::clone(&allocator), observations.subscribe());
+    panics::spawn_essential("merge observations", merging);
     let maintained = Arc::clone(&allocator);
-    tokio::spawn(async move { maintained.run_maintenance().await });
+    panics::spawn_essential("maintain the allocator", async move {
+        maintained.run_maintenance().await;
+    });
     reload::start(Arc::clone(&common.reloadable), Arc::clone(&common.loader))
         .context("listening for signals")?;
     let mut running = group::start(replica, shared).await?;
@@ -238,11 +248,12 @@
     control::listen(settings.control_address, codec, operators, shared)
         .await
         .with_context(|| format!("listening on {}", settings.control_address))?;
-    tokio::spawn(follow::republish(
+    let republishing = follow::republish(
         common.host.clone(),
         handle.clone(),
         Arc::clone(&observations),
-    ));
+    );
+    panics::spawn_essential("republish observations", republishing);
     let division = Division {
         own: common.address,
         clients: Arc::clone(handle.clients()),
@@ -258,7 +269,10 @@
         (handle.leads_or_leaderless(), handle.leads()),
         division,
     ));
-    tokio::spawn(observer.run(handle.newest(), received_loads));
+    panics::spawn_essential(
+        "observe targets",
+        observer.run(handle.newest(), received_loads),
+    );
     let host = common.host.as_str();
     info!(host = host, took_ms = began.elapsed().as_millis() as u64; "voter started");
     tokio::select! {
@@ -274,6 +288,10 @@
             info!(host = host; "stopped");
             Ok(ExitCode::Success)
         }
+        task = panics::essential_failed() => {
+            error!(host = host, task = task; "an essential task panicked");
+            Ok(ExitCode::General)
+        }
         ended = &mut running.driver => {
             let reason = match ended {
                 Ok(Ok(())) => "its input queue was closed".to_owned(),
--- a/crates/sardinerelayd/src/connection.rs
+++ b/crates/sardinerelayd/src/connection.rs
@@ -4,10 +4,12 @@
 //! therefore waits for connections, not for bodies; see [`crate::stop::Drain::close`].
 
 use {
-    crate::stop::Drain,
+    crate::{panics, stop::Drain},
     axum::body::Body,
-    futures::future::BoxFuture,
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    futures::{FutureExt as _, future::BoxFuture},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     std::{
         convert::Infallible,
@@ -56,7 +58,11 @@
 {
     let guard = drain.connect();
     let io = TokioIo::new(Monitored::new(stream));
-    let mut connection = builder.serve_connection(io, service_fn(serve));
+    let contained = service_fn(move |request| {
+        let responding = panics::contain(serve(request));
+        async move { responding.await.unwrap_or_else(|_| Ok(panicked())) }.boxed()
+    });
+    let mut connection = builder.serve_connection(io, contained);
     let closing = drain.closing();
     tokio::pin!(closing);
     let mut is_closing = false;
@@ -78,6 +84,13 @@
     Ok(())
 }
 
+/// The response to a request whose task panicked, so that the others on its connection go on. It may have run.
+fn panicked() -> Response<Body> {
+    let mut response = Response::new(Body::from("this host failed; the request may have run\n"));
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
 /// Turns a function that responds to requests into one for [`serve`].
 pub fn respond_with<Respond, Responding>(
     respond: Respond,
--- a/crates/sardinerelayd/src/lib.rs
+++ b/crates/sardinerelayd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod orders;
+pub mod panics;
 pub mod peer;
 pub mod platform;
 pub mod prefix;
--- a/crates/sardinerelayd/src/logging.rs
+++ b/crates/sardinerelayd/src/logging.rs
@@ -4,7 +4,10 @@
 //! the line.
 
 use {
-    crate::config::{Config, LogFormat},
+    crate::{
+        config::{Config, LogFormat},
+        panics,
+    },
     fern::{Dispatch, FormatCallback, InitError},
     log::{
         Record,
@@ -14,7 +17,7 @@
     std::{fmt::Arguments, fmt::Write as _, io, time::SystemTime},
 };
 
-/// Sets up the global logger. Of the RPC library, only warnings and errors are logged.
+/// Sets up the global logger, which panics are logged to as well. Of the RPC library, only warnings and errors are logged.
 ///
 /// # Errors
 ///
@@ -31,6 +34,7 @@
         .level_for("soketto", config.log_level.min(log::LevelFilter::Warn))
         .chain(io::stderr())
         .apply()?;
+    panics::install_hook();
     Ok(())
 }
 
--- a/crates/sardinerelayd/src/metrics/export.rs
+++ b/crates/sardinerelayd/src/metrics/export.rs
@@ -1,6 +1,7 @@
 //! Export of metrics as Prometheus text, shared by all programs.
 
 use {
+    crate::panics,
     anyhow::Result,
     opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
     opentelemetry_sdk::metrics::SdkMeterProvider,
@@ -28,6 +29,11 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(reader).build();
         let meter = provider.meter("sardinerelay");
+        meter
+            .u64_observable_counter("sardinerelay_panics")
+            .with_description("Panics of this process")
+            .with_callback(|observer| observer.observe(panics::count(), &[]))
+            .build();
         let exporter = Self {
             registry,
             _provider: provider,
