End a replica whose writing thread has died, and test full disks

What callers would see: changes that are never answered, while the leader sends heartbeats and all processes run. Seen in a test, not at callers.

Cause: the replica's loop waited for the writing thread with a pattern that switches the wait off once the thread is gone without a word (a panic). A full disk alone doesn't lead there: each failed write ends the process.

Evidence for the report on full disks: wal::Volume lets a store meet a disk without room. Every write of a store's life fails in turn, in parts, once and twice (tests/wal/full_disk.rs); the disks of a group's voters are full one after another, without a pause, twice, and during a repair (tests/group/full_disks.rs).

The log of the platform's program is flushed before the process ends, so the reason is in it; it goes on after a failed write.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -37,7 +37,7 @@
     crate::{
         distribution::{MAX_TEXT_BYTES, Publisher},
         exit_code::ExitCode,
-        reload,
+        logging, reload,
     },
     channels::{Input, Published},
     driver::Driver,
@@ -97,6 +97,8 @@
     pub is_founding: bool,
     /// Directory for the replica's files, which must survive a restart.
     pub data_dir: PathBuf,
+    /// The disk that this directory is on.
+    pub volume: wal::Volume,
 }
 
 /// Why a request to the group failed.
@@ -203,10 +205,11 @@
 
 /// Opens the replica's files. Returns its ID with its store and durable state.
 fn open(settings: &Settings, path: &Path) -> Result<(Host, (Store, DurableState)), FatalError> {
-    let opened = match Store::open(path) {
+    let open_on_volume = || Store::open_on(&settings.volume, path, wal::Limits::default());
+    let opened = match open_on_volume() {
         Err(wal::Error::NotInitialised { .. }) => {
             create(settings, path)?;
-            Store::open(path)
+            open_on_volume()
         }
         opened => opened,
     };
@@ -248,7 +251,8 @@
     };
     info!(replica = replica, founder = is_founder; "creating a replica");
     let cluster = Uuid::nil();
-    Ok(Store::create(
+    Ok(Store::create_on(
+        &settings.volume,
         path,
         Identity { cluster, replica },
         &durable,
@@ -285,10 +289,11 @@
             is_joining = false;
         } else if !is_joining && !status.is_member {
             warn!(replica = own_id; "this replica was removed from the group and rejoins under a new id");
-            if let Err(error) = Store::discard(&path) {
+            if let Err(error) = Store::discard_on(&settings.volume, &path) {
                 warn!("could not delete {}: {error}", path.display());
                 continue;
             }
+            logging::flush();
             std::process::exit(ExitCode::Removed as i32);
         }
     }
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -125,7 +125,11 @@
             let wake_up = TokioInstant::from_std(self.replica.deadline().min(next_repair));
             tokio::select! {
                 biased;
-                Some(completion) = self.disk.next_completion() => self.disk.handle_completion(completion, &mut self.replica)?,
+                completion = self.disk.next_completion() => match completion {
+                    Some(completion) => self.disk.handle_completion(completion, &mut self.replica)?,
+                    // Nothing would be written any more, and a leader would still send heartbeats.
+                    None => return Err(FatalError::Panic),
+                },
                 input = inputs.recv() => match input {
                     Some(input) => self.handle_inputs(input, &mut inputs),
                     None => return Ok(()),
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -23,6 +23,7 @@
     http::{Method, Request, Response, StatusCode},
     hyper::body::Incoming,
     log::{error, info, warn},
+    sardinerelay::wal::Volume,
     sardinerelayd::{panics, stop},
     std::{
         net::SocketAddr,
@@ -208,6 +209,7 @@
         reloadable: Arc::clone(&common.reloadable),
         is_founding: settings.is_founding,
         data_dir: settings.data_dir.clone(),
+        volume: Volume::default(),
     };
     let metrics = Arc::new(Metrics::new()?);
     let allocator = Arc::new(Allocator::new(Scope::Group));
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -4,6 +4,8 @@
 mod cluster;
 #[path = "group/evacuation.rs"]
 mod evacuation;
+#[path = "group/full_disks.rs"]
+mod full_disks;
 #[path = "group/membership.rs"]
 mod membership;
 #[path = "group/observations.rs"]
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -6,7 +6,7 @@
     sardinerelay::{
         id::Host,
         raft::DurableState,
-        wal::{Identity, Store},
+        wal::{Identity, Store, Volume},
     },
     sardinerelay_gateway::{
         allocator::{Allocator, Scope},
@@ -21,7 +21,7 @@
         observer::division::{LoadsReport, QUEUE_CAPACITY},
         reload::{self, SharedSettings},
     },
-    sardinerelayd::peer::Packed,
+    sardinerelayd::{control::FatalError, peer::Packed},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -31,7 +31,7 @@
         process,
         sync::{
             Arc,
-            atomic::{AtomicU8, Ordering},
+            atomic::{AtomicBool, AtomicU8, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -67,11 +67,33 @@
     received_loads: mpsc::Receiver<LoadsReport>,
 }
 
+/// A disk that may be full, or whose use panics.
+#[derive(Debug, Clone, Default)]
+struct Disk {
+    is_full: Arc<AtomicBool>,
+    panics: Arc<AtomicBool>,
+}
+
+impl Disk {
+    fn volume(&self) -> Volume {
+        let disk = self.clone();
+        Volume::limited_by(move |bytes| {
+            assert!(!disk.panics.load(Ordering::SeqCst), "as the test wants it");
+            match disk.is_full.load(Ordering::SeqCst) {
+                // A part of what doesn't fit is written.
+                true => bytes / 2,
+                false => bytes,
+            }
+        })
+    }
+}
+
 /// A group of replicas, which ends when this is dropped.
 pub struct Cluster {
     directory: TempDir,
     number: u8,
     replicas: Vec<Option<Running>>,
+    disks: Vec<Disk>,
 }
 
 impl Cluster {
@@ -82,6 +104,7 @@
             directory: TempDir::new().expect("a directory"),
             number: GROUP_COUNT.fetch_add(1, Ordering::Relaxed),
             replicas: (0..size).map(|_| None).collect(),
+            disks: (0..size).map(|_| Disk::default()).collect(),
         };
         (0..size).for_each(|host| cluster.start(host, true));
         let all: Vec<usize> = (0..size).collect();
@@ -92,7 +115,43 @@
     }
 
     /// Starts a replica.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't start.
     pub fn start(&mut self, host: usize, is_founding: bool) {
+        self.try_start(host, is_founding)
+            .expect("the replica starts");
+    }
+
+    /// Fills a replica's disk, or makes room there again.
+    pub fn fill_disk(&self, host: usize, is_full: bool) {
+        self.disks[host].is_full.store(is_full, Ordering::SeqCst);
+    }
+
+    /// Makes each write of a replica panic from now on.
+    pub fn break_disk(&self, host: usize) {
+        self.disks[host].panics.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether a replica can't go on, so that its process would have ended.
+    pub fn has_ended(&self, host: usize) -> bool {
+        self.running(host).replica.driver.is_finished()
+    }
+
+    /// Starts the replicas again that have ended or could not start, as a supervisor does.
+    pub fn restart_ended(&mut self) {
+        for host in 0..self.replicas.len() {
+            let has_ended = |running: &Running| running.replica.driver.is_finished();
+            if self.replicas[host].as_ref().is_none_or(has_ended) {
+                self.kill(host);
+                // It may fail again, and is started again then.
+                let _ = self.try_start(host, false);
+            }
+        }
+    }
+
+    fn try_start(&mut self, host: usize, is_founding: bool) -> Result<(), FatalError> {
         let seeds = (0..SEEDS).map(|seed| self.address(seed)).collect();
         let settings = Settings {
             address: self.address(host),
@@ -100,6 +159,7 @@
             reloadable: Arc::new(SharedSettings::new(reload::Settings { seeds })),
             is_founding,
             data_dir: self.data_dir(host),
+            volume: self.disks[host].volume(),
         };
         fs::create_dir_all(&settings.data_dir).expect("a directory");
         let runtime = Builder::new_multi_thread()
@@ -119,8 +179,7 @@
             metrics: Arc::new(Metrics::new().expect("instruments")),
             loads,
         };
-        let replica = runtime.block_on(group::start(settings, shared));
-        let replica = replica.expect("the replica starts");
+        let replica = runtime.block_on(group::start(settings, shared))?;
         runtime.spawn(follow::republish(
             format_compact!("replica-{host}"),
             replica.handle.clone(),
@@ -133,6 +192,7 @@
             observations,
             received_loads,
         });
+        Ok(())
     }
 
     /// Ends a replica without notice. Its files stay.
@@ -166,6 +226,9 @@
     /// Submits a configuration of this version and size through a replica. Returns whether it is
     /// accepted.
     pub fn submit(&self, host: usize, version: u64, bytes: usize) -> bool {
+        let Some(_) = &self.replicas[host] else {
+            return false;
+        };
         let document = Document {
             version,
             body: vec![b'x'; bytes].into(),
--- a/crates/sardinerelay/src/wal.rs
+++ b/crates/sardinerelay/src/wal.rs
@@ -31,9 +31,11 @@
 mod snapshot;
 mod store;
 mod unfinished;
+mod volume;
 
 pub use self::{
     error::{Corruption, Error},
     identity::Identity,
     store::{Limits, Recovered, Store, TornTail},
+    volume::Volume,
 };
--- a/crates/sardinerelay/src/wal/file.rs
+++ b/crates/sardinerelay/src/wal/file.rs
@@ -1,10 +1,10 @@
 //! File operations whose errors name the file, and the names of the files in a directory.
 
 use {
-    super::Error,
+    super::{Error, Volume},
     std::{
         fs::{self, File, TryLockError},
-        io::{self, Write},
+        io,
         path::{Path, PathBuf},
     },
 };
@@ -35,8 +35,11 @@
 
 /// Locks the directory for this process. The operating system releases the lock when the
 /// returned file is closed, also after a crash.
-pub(super) fn lock_directory(directory: &Path) -> Result<File, Error> {
+pub(super) fn lock_directory(volume: &Volume, directory: &Path) -> Result<File, Error> {
     let path = directory.join(LOCK_FILE);
+    if !path.exists() {
+        with_path("creating", &path, volume.check_name())?;
+    }
     let opened = File::options()
         .create(true)
         .truncate(false)
@@ -60,11 +63,12 @@
 
 /// Writes a file with the concatenated parts under a temporary name, syncs and renames it. After
 /// a crash the file either has its whole content or is what it was before.
-pub(super) fn write_atomically(path: &Path, parts: &[&[u8]]) -> Result<(), Error> {
+pub(super) fn write_atomically(volume: &Volume, path: &Path, parts: &[&[u8]]) -> Result<(), Error> {
     let temporary = path.with_extension(TEMPORARY_EXTENSION);
-    let mut file = with_path("creating", &temporary, File::create(&temporary))?;
+    let created = volume.check_name().and_then(|()| File::create(&temporary));
+    let mut file = with_path("creating", &temporary, created)?;
     for part in parts {
-        with_path("writing", &temporary, file.write_all(part))?;
+        with_path("writing", &temporary, volume.write(&mut file, part))?;
     }
     with_path("syncing", &temporary, file.sync_all())?;
     with_path("renaming", &temporary, fs::rename(&temporary, path))?;
--- a/crates/sardinerelay/src/wal/identity.rs
+++ b/crates/sardinerelay/src/wal/identity.rs
@@ -1,7 +1,7 @@
 //! Identity of a replica, stored in its directory.
 
 use {
-    super::{Corruption, Error, file},
+    super::{Corruption, Error, Volume, file},
     crate::id::Host,
     serde::{Deserialize, Serialize},
     std::{fs, io, path::Path},
@@ -31,14 +31,14 @@
 
 impl Identity {
     /// Writes the identity file: a JSON object, and its CRC32 on a second line.
-    pub(super) fn write(&self, directory: &Path) -> Result<(), Error> {
+    pub(super) fn write(&self, volume: &Volume, directory: &Path) -> Result<(), Error> {
         let path = directory.join(file::IDENTITY_FILE);
         let text = format!(
             r#"{{"format":{FORMAT_VERSION},"cluster":"{}","replica":{}}}"#,
             self.cluster, self.replica
         );
         let checksum = format!("\n{:08x}\n", crc32fast::hash(text.as_bytes()));
-        file::write_atomically(&path, &[text.as_bytes(), checksum.as_bytes()])
+        file::write_atomically(volume, &path, &[text.as_bytes(), checksum.as_bytes()])
     }
 
     /// Reads the identity file. `None` if there is none.
--- a/crates/sardinerelay/src/wal/snapshot.rs
+++ b/crates/sardinerelay/src/wal/snapshot.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Corruption, Error, file,
+        Corruption, Error, Volume, file,
         frame::{HEADER_BYTES, Header},
     },
     crate::raft::{Snapshot, SnapshotMeta},
@@ -16,7 +16,12 @@
 };
 
 /// Saves a snapshot of at most `max_bytes`, metadata included, and then removes older ones.
-pub(super) fn save(directory: &Path, snapshot: &Snapshot, max_bytes: u64) -> Result<(), Error> {
+pub(super) fn save(
+    volume: &Volume,
+    directory: &Path,
+    snapshot: &Snapshot,
+    max_bytes: u64,
+) -> Result<(), Error> {
     let last = snapshot.meta.last;
     let path = file::snapshot_path(directory, last.index, last.term);
     let meta = postcard::to_stdvec(&snapshot.meta)?;
@@ -28,7 +33,7 @@
         });
     }
     let header = Header::new(last.index, &[&meta, &snapshot.data]).encode();
-    file::write_atomically(&path, &[&header, &meta, &snapshot.data])?;
+    file::write_atomically(volume, &path, &[&header, &meta, &snapshot.data])?;
     let older = file::snapshot_paths(directory)?;
     older
         .iter()
--- a/crates/sardinerelay/src/wal/store.rs
+++ b/crates/sardinerelay/src/wal/store.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Corruption, Error, Identity, file,
+        Corruption, Error, Identity, Volume, file,
         frame::{HEADER_BYTES, Header, MAX_PAYLOAD_BYTES, Record},
         recover::{Replay, Segment, corrupt},
         snapshot, unfinished,
@@ -14,7 +14,6 @@
     std::{
         collections::VecDeque,
         fs::{self, File},
-        io::Write,
         path::{Path, PathBuf},
     },
 };
@@ -76,6 +75,7 @@
 /// The directory of one replica, opened exclusively.
 #[derive(Debug)]
 pub struct Store {
+    volume: Volume,
     directory: PathBuf,
     limits: Limits,
     identity: Identity,
@@ -97,9 +97,28 @@
     /// Initialises a directory, which is created if it is missing. The identity is written last,
     /// so that a directory with an identity is complete. What an interrupted creation has left is
     /// removed first. Fails if the directory has an identity, or data that was written later.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::AlreadyInitialised`], or [`Error::Io`] if a file can't be written.
     pub fn create(path: &Path, identity: Identity, durable: &DurableState) -> Result<(), Error> {
-        file::with_path("creating", path, fs::create_dir_all(path))?;
-        let lock = file::lock_directory(path)?;
+        Self::create_on(&Volume::default(), path, identity, durable)
+    }
+
+    /// Initialises a directory on this volume; see [`Store::create`].
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub fn create_on(
+        volume: &Volume,
+        path: &Path,
+        identity: Identity,
+        durable: &DurableState,
+    ) -> Result<(), Error> {
+        let created = volume.check_name().and_then(|()| fs::create_dir_all(path));
+        file::with_path("creating", path, created)?;
+        let lock = file::lock_directory(volume, path)?;
         if Identity::read(path)?.is_some() || !unfinished::is_unfinished(path)? {
             return Err(Error::AlreadyInitialised {
                 path: path.to_owned(),
@@ -107,10 +126,11 @@
         }
         unfinished::remove(path)?;
         let limits = Limits::default();
-        snapshot::save(path, &durable.snapshot, limits.snapshot_bytes)?;
+        snapshot::save(volume, path, &durable.snapshot, limits.snapshot_bytes)?;
         let segment = Segment::default();
         let mut store = Self {
-            file: create_segment(path, segment.number)?,
+            file: create_segment(volume, path, segment.number)?,
+            volume: volume.clone(),
             directory: path.to_owned(),
             limits,
             identity,
@@ -132,7 +152,7 @@
         path.parent()
             .filter(|parent| !parent.as_os_str().is_empty())
             .map_or(Ok(()), file::sync_directory)?;
-        identity.write(path)
+        identity.write(volume, path)
     }
 
     /// Deletes a directory whose replica has left its group, so that another one can be created
@@ -142,7 +162,16 @@
     ///
     /// Returns [`Error::Io`] if a file can't be deleted.
     pub fn discard(path: &Path) -> Result<(), Error> {
-        file::write_atomically(&path.join(file::DISCARDED_FILE), &[])?;
+        Self::discard_on(&Volume::default(), path)
+    }
+
+    /// Deletes a directory on this volume; see [`Store::discard`].
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub fn discard_on(volume: &Volume, path: &Path) -> Result<(), Error> {
+        file::write_atomically(volume, &path.join(file::DISCARDED_FILE), &[])?;
         file::delete_marked(path)
     }
 
@@ -151,6 +180,15 @@
         Self::open_with(path, Limits::default())
     }
 
+    /// Opens a directory on the default volume; see [`Store::open_on`].
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub fn open_with(path: &Path, limits: Limits) -> Result<(Self, Recovered), Error> {
+        Self::open_on(&Volume::default(), path, limits)
+    }
+
     /// Opens a directory and recovers its state. An incomplete last frame, temporary files and
     /// superseded snapshots are removed. Nothing else is changed, also if the directory is
     /// refused.
@@ -160,14 +198,18 @@
     /// Returns [`Error::NotInitialised`] for a directory without a replica: a missing one, one whose
     /// creation was interrupted, or a discarded one. Returns [`Error::Corrupt`] if data is missing
     /// or damaged that the replica may have answered for.
-    pub fn open_with(path: &Path, limits: Limits) -> Result<(Self, Recovered), Error> {
+    pub fn open_on(
+        volume: &Volume,
+        path: &Path,
+        limits: Limits,
+    ) -> Result<(Self, Recovered), Error> {
         let missing = || Error::NotInitialised {
             path: path.to_owned(),
         };
         if !path.is_dir() {
             return Err(missing());
         }
-        let lock = file::lock_directory(path)?;
+        let lock = file::lock_directory(volume, path)?;
         if path.join(file::DISCARDED_FILE).exists() {
             file::delete_marked(path)?;
             log::warn!("{}: finished an interrupted deletion", path.display());
@@ -188,6 +230,7 @@
         let segment = file::segment_path(path, number);
         let opened = File::options().append(true).open(&segment);
         let mut store = Self {
+            volume: volume.clone(),
             directory: path.to_owned(),
             limits,
             identity,
@@ -249,7 +292,7 @@
             return Ok(());
         }
         let max_bytes = self.limits.snapshot_bytes.min(MAX_PAYLOAD_BYTES as u64);
-        let result = snapshot::save(&self.directory, snapshot, max_bytes);
+        let result = snapshot::save(&self.volume, &self.directory, snapshot, max_bytes);
         if matches!(result, Err(Error::TooLarge { .. })) {
             return result;
         }
@@ -341,7 +384,8 @@
         let (header, payload) = frame.split_at_mut(HEADER_BYTES);
         header.copy_from_slice(&Header::new(self.next_sequence, &[payload]).encode());
         let path = file::segment_path(&self.directory, self.segment_number());
-        file::with_path("writing", &path, self.file.write_all(frame))?;
+        let written = self.volume.write(&mut self.file, frame);
+        file::with_path("writing", &path, written)?;
         file::with_path("syncing", &path, self.file.sync_data())?;
         self.next_sequence += 1;
         if let Some(segment) = self.segments.back_mut() {
@@ -357,7 +401,7 @@
             return Ok(());
         }
         let number = self.segment_number() + 1;
-        self.file = create_segment(&self.directory, number)?;
+        self.file = create_segment(&self.volume, &self.directory, number)?;
         self.segments.push_back(Segment {
             number,
             ..Segment::default()
@@ -411,9 +455,10 @@
     }
 }
 
-fn create_segment(directory: &Path, number: u64) -> Result<File, Error> {
+fn create_segment(volume: &Volume, directory: &Path, number: u64) -> Result<File, Error> {
     let path = file::segment_path(directory, number);
-    let created = File::options().append(true).create_new(true).open(&path);
+    let options = || File::options().append(true).create_new(true).open(&path);
+    let created = volume.check_name().and_then(|()| options());
     let created = file::with_path("creating", &path, created)?;
     file::sync_directory(directory)?;
     Ok(created)
--- a/crates/sardinerelay/tests/wal.rs
+++ b/crates/sardinerelay/tests/wal.rs
@@ -1,4 +1,8 @@
-//! Recovery of the write-ahead log after truncation, damage, failed writes and crashes.
+//! Recovery of the write-ahead log after truncation, damage, failed writes, full disks and crashes.
+
+mod wal {
+    mod full_disk;
+}
 
 use {
     bytes::Bytes,
@@ -81,7 +85,7 @@
             }
             before_last = newest_segment(directory.path());
             let mut state = states[states.len() - 1].clone();
-            run_step(&mut store, &mut state, term, step);
+            run_step(&mut store, &mut state, term, step).unwrap();
             states.push(state);
         }
         Self {
@@ -110,7 +114,12 @@
 }
 
 /// Runs one step on the store and on the expected state.
-fn run_step(store: &mut Store, state: &mut DurableState, term: u64, step: &Step) {
+fn run_step(
+    store: &mut Store,
+    state: &mut DurableState,
+    term: u64,
+    step: &Step,
+) -> Result<(), Error> {
     let base = state.snapshot.meta.last.index;
     let last = last_index(state);
     let mut persist = Persist::default();
@@ -142,11 +151,13 @@
                 .iter()
                 .map(|entry| entry.position)
                 .find(|position| position.index == index);
-            let Some(position) = position else { return };
+            let Some(position) = position else {
+                return Ok(());
+            };
             state.snapshot.meta.last = position;
             state.entries.retain(|entry| entry.position.index > index);
-            store.save_snapshot(&state.snapshot).unwrap();
-            return store.compact(index).unwrap();
+            store.save_snapshot(&state.snapshot)?;
+            return store.compact(index);
         }
         Step::Install { ahead } => {
             state.snapshot.meta.last = Position {
@@ -157,9 +168,9 @@
             state.entries.clear();
             persist.snapshot = Some(state.snapshot.clone());
         }
-        Step::Reopen => return,
+        Step::Reopen => return Ok(()),
     }
-    store.persist(&persist).unwrap();
+    store.persist(&persist)
 }
 
 fn files(path: &Path, prefix: &str) -> Vec<PathBuf> {
@@ -197,7 +208,8 @@
             entries: 2,
             bytes: 5,
         },
-    );
+    )
+    .unwrap();
     drop(store);
     assert_eq!(open(path).unwrap().1.state, state);
     recovered.state
@@ -295,7 +307,7 @@
     let mut sizes = Vec::new();
     for vote in 1..4 {
         sizes.push(newest_segment(fixture.path()).1 as usize);
-        run_step(&mut store, &mut state, 2, &Step::Vote(vote));
+        run_step(&mut store, &mut state, 2, &Step::Vote(vote)).unwrap();
     }
     drop(store);
     let (path, _) = newest_segment(fixture.path());
