Keep serving when a line of the daemon's log can't be written

What operators saw: disks that were full one after another, then changes refused or unanswered while all processes ran (reported of other systems).

Cause: sardinerelayd logged with a library that panics if standard error can't be written. With its log on a full disk each task that logged died, the one that puts sheets in force among them, while the process ran on.

Why this works: a line that can't be written is dropped and counted, and a later line says how many were lost.

Before: e2e path::hosts_whose_log_can_not_be_written_serve (standard error at /dev/full) failed: the hosts ended at their first line After: passes.

--- a/crates/sardinerelayd/src/logging.rs
+++ b/crates/sardinerelayd/src/logging.rs
@@ -8,15 +8,23 @@
         config::{Config, LogFormat},
         panics,
     },
-    fern::{Dispatch, FormatCallback, InitError},
+    fern::{Dispatch, FormatCallback, InitError, Output},
     log::{
         Record,
         kv::{Error, Key, Value, VisitSource},
     },
     serde_json::{Map, json},
-    std::{fmt::Arguments, fmt::Write as _, io, time::SystemTime},
+    std::{
+        fmt::{Arguments, Write as _},
+        io::{self, Write as _},
+        sync::atomic::{AtomicU64, Ordering},
+        time::SystemTime,
+    },
 };
 
+/// Lines of the log that could not be written since the last one that could.
+static LOST_LINES: AtomicU64 = AtomicU64::new(0);
+
 /// Sets up the global logger, which panics are logged to as well. Of the RPC library, only warnings and errors are logged.
 ///
 /// # Errors
@@ -32,12 +40,28 @@
         .level(config.log_level)
         .level_for("jsonrpsee", config.log_level.min(log::LevelFilter::Warn))
         .level_for("soketto", config.log_level.min(log::LevelFilter::Warn))
-        .chain(io::stderr())
+        .chain(Output::call(write_line))
         .apply()?;
     panics::install_hook();
     Ok(())
 }
 
+/// Writes a line to standard error. If that fails, for example because its disk is full, the line is lost, and a
+/// later line says how many were.
+fn write_line(record: &Record<'_>) {
+    let lost = LOST_LINES.swap(0, Ordering::Relaxed);
+    let mut line = format!("{}\n", record.args());
+    if lost > 0 {
+        let _ = writeln!(
+            line,
+            "{lost} lines of the log before this one could not be written"
+        );
+    }
+    if io::stderr().lock().write_all(line.as_bytes()).is_err() {
+        LOST_LINES.fetch_add(lost + 1, Ordering::Relaxed);
+    }
+}
+
 /// Formats a record as readable text.
 fn human_line(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
     let time = humantime::format_rfc3339_millis(SystemTime::now());
--- a/crates/sardinerelayd/tests/e2e/harness.rs
+++ b/crates/sardinerelayd/tests/e2e/harness.rs
@@ -281,6 +281,16 @@
         self.hosts[position].process = Some(Process::start(command));
     }
 
+    /// Starts all hosts with a log whose disk is full.
+    pub fn start_with_full_log(&mut self) {
+        for position in 0..self.hosts.len() {
+            let full = fs::File::options().write(true).open("/dev/full");
+            let mut command = self.command(position);
+            command.stderr(full.expect("the device of a full disk"));
+            self.hosts[position].process = Some(Process::start(command));
+        }
+    }
+
     /// The address at which a host serves callers.
     pub fn listen_address(&self, position: usize) -> SocketAddr {
         self.process(position).address
--- a/crates/sardinerelayd/tests/e2e/path.rs
+++ b/crates/sardinerelayd/tests/e2e/path.rs
@@ -45,6 +45,23 @@
     }
 }
 
+/// Guards against requests that are lost because the line about them can't be written: the log's disk is full.
+#[tokio::test]
+async fn hosts_whose_log_can_not_be_written_serve() {
+    let engine = start_engine("engine-0", &[]);
+    let mut cluster = Cluster::new(3, 3, &["--bootstrap"]);
+    cluster.start_with_full_log();
+    cluster
+        .put_in_force(&test_sheet(1, &[engine.address], &[]))
+        .await;
+    for position in 0..3 {
+        let address = cluster.listen_address(position);
+        let stream = client::open_stream(address, &api_key("brakeline"), "plan", 5, &[]).await;
+        let mut stream = stream.expect("a stream");
+        assert_complete(&stream.read_to_end().await, "plan", 0, 5);
+    }
+}
+
 /// Guards against an answer without streaming that lacks its text, usage or finish reason.
 #[tokio::test]
 async fn a_chat_answer_without_streaming_has_text_usage_and_finish_reason() {
