Refuse only the part that explains the crashes

Cause: a host that begins to allocate didn't know which parts were answered, and refused every unknown part with four crashes.

Why this works: of several unknown parts with as many crashes only the last one in the prompt is refused; the others keep their crashes until they are answered, so a deadly first part is refused by the fifth. Entry hosts tell a host that begins to allocate which parts were answered last.

--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -3,6 +3,7 @@
 use {
     super::{Allocator, State},
     crate::{
+        call::PartId,
         group::{RequestCrash, RequestReport},
         quarantine::{Crash, Refused},
     },
@@ -16,7 +17,7 @@
     pub fn record_crash(&self, crash: &Crash) {
         let now = Instant::now();
         let mut state = self.state();
-        for part in state.quarantine.record_crash(crash, now) {
+        if let Some(part) = state.quarantine.record_crash(crash, now) {
             warn!(
                 part:% = format_args!("{part:x}"), content:% = format_args!("{:016x}", crash.request),
                 target_id = crash.target.as_str();
@@ -28,6 +29,11 @@
         self.changed.notify_one();
     }
 
+    /// Remembers the parts that were answered while another host allocated.
+    pub fn adopt_answered_parts(&self, parts: &[PartId]) {
+        self.state().quarantine.adopt_answered(parts);
+    }
+
     /// Records what is known of a request that may make targets crash.
     pub fn record_request(&self, report: &RequestReport) {
         match report {
@@ -70,7 +76,7 @@
             incarnation: crash.incarnation,
             subjects: vec![crash.request],
         };
-        if self.requests.record_crash(&blamed, now).is_empty() {
+        if self.requests.record_crash(&blamed, now).is_none() {
             return;
         }
         warn!(
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -9,6 +9,7 @@
         group::{RequestCrash, RequestReport},
         observations::Instance,
         quarantine::Subject,
+        reporter::Report,
         request::Job,
         targets::RunId,
     },
@@ -26,6 +27,9 @@
 const END_TIME: Duration = Duration::from_millis(30);
 /// Time for which crashes are reported again to a host that begins to allocate.
 const REPORT_LIFETIME: Duration = Duration::from_secs(120);
+/// Largest number of answered parts that are reported to a host that begins to allocate. All hosts report at
+/// the same time then.
+const MAX_ANSWERED_PARTS: usize = 512;
 /// Largest number of crashes that are reported again. The oldest makes room for another.
 const MAX_REPORTS: usize = 64;
 
@@ -138,6 +142,19 @@
         self.report(report);
     }
 
+    /// Reports the parts of prompts that were answered last to a host that begins to allocate. It would otherwise
+    /// blame a part that all share for the crashes of another one.
+    pub fn report_answered_parts(&self) {
+        let parts = self
+            .allocator
+            .state()
+            .quarantine
+            .lately_answered(MAX_ANSWERED_PARTS);
+        if !parts.is_empty() {
+            self.report(Report::AnsweredParts(parts));
+        }
+    }
+
     /// Reports the crashes of the last minutes to a host that begins to allocate.
     pub fn report_crashes(&self) {
         for crash in self.crashes.all() {
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -97,6 +97,7 @@
             leader = Some(found_leader);
             addresses = members;
             if entry.remote.set_client(Some(clients.get(found_leader))) {
+                entry.report_answered_parts();
                 entry.report_crashes();
                 entry.report_running();
             }
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -24,7 +24,7 @@
     register::{Document, Exclusion},
     report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport, RunningRequest},
     rpc::{
-        ACQUIRE_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
+        ACQUIRE_METHOD, ANSWERED_METHOD, Acquire, BEGAN_METHOD, FETCH_CONFIGURATION_METHOD,
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
         FollowConfiguration, FollowObservations, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
         ORIGIN_METHOD, PACE_METHOD, PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD,
--- a/crates/sardinerelay-gateway/src/group/notifications.rs
+++ b/crates/sardinerelay-gateway/src/group/notifications.rs
@@ -6,13 +6,13 @@
         channels::Input,
         report::{AllocationReport, RequestReport, RunningRequest},
         rpc::{
-            BEGAN_METHOD, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
-            REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD,
+            ANSWERED_METHOD, BEGAN_METHOD, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
+            PACE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD,
         },
     },
     crate::{
-        allocator::Allocator, limit::permit, observer::division::LoadsReport, origin::Began,
-        pace::Pace, targets::Misdirected,
+        allocator::Allocator, call::PartId, limit::permit, observer::division::LoadsReport,
+        origin::Began, pace::Pace, targets::Misdirected,
     },
     log::{debug, warn},
     sardinerelay::id::Host,
@@ -43,6 +43,7 @@
             LIMIT_METHOD => context.apply_limits(parameters),
             RUNNING_METHOD => context.apply_running(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            ANSWERED_METHOD => context.adopt_answered_parts(parameters),
             MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
             PACE_METHOD => context.apply_paces(parameters),
@@ -105,6 +106,13 @@
         Ok(())
     }
 
+    /// Remembers the parts that were answered while another host allocated.
+    fn adopt_answered_parts(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let parts: Vec<PartId> = parse(parameters)?;
+        self.allocator.adopt_answered_parts(&parts);
+        Ok(())
+    }
+
     /// Records how fast engines decode.
     fn apply_paces(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let paces: Vec<Pace> = parse(parameters)?;
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -77,6 +77,8 @@
 pub const ACQUIRE_METHOD: &str = "place.acquire";
 /// Asks for an engine to which a running generation can move.
 pub const RELOCATE_METHOD: &str = "place.relocate";
+/// Notifies a host that begins to allocate of the parts of prompts that were answered last.
+pub const ANSWERED_METHOD: &str = "quarantine.answered";
 /// Notifies the allocating host of [`AllocationReport`]s.
 pub const REPORT_METHOD: &str = "place.report";
 /// Asks for a permit to send a call to a target that states a rate limit.
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -3,14 +3,15 @@
 //! A subject is blamed for a crash if a request with it was at the target and had no answer yet. It
 //! is refused after several such crashes without a single answer begun in between, so a subject that
 //! others share is cleared by the first of them that is answered. Of several parts that could be the
-//! cause, those that were answered before are not blamed. See `docs/design/admission.md`.
+//! cause, those that were answered before are not blamed, and of those that are left only the last one in the
+//! prompt: requests share the first parts of their prompts most. See `docs/design/admission.md`.
 
 use {
     crate::targets::RunId,
     sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -106,8 +107,10 @@
     /// Until when each subject is refused.
     refused: BTreeMap<Subject, Instant>,
     unanswered: HashMap<RunId, Vec<Subject>>,
-    /// The subjects that were answered at least once.
-    answered: HashSet<Subject>,
+    /// The subjects that were answered at least once, with the number of the last answer.
+    answered: HashMap<Subject, u64>,
+    /// Number of answers so far.
+    answers: u64,
     /// The same subjects in the order in which they were first answered.
     answered_order: VecDeque<Subject>,
 }
@@ -161,12 +164,15 @@
         self.remember_answered(subject);
     }
 
-    /// Clears all suspects of the crashes of these targets, which something else explains.
+    /// Clears all suspects of the crashes of these targets, which something else explains. Those with as many
+    /// crashes may be the cause as well, and keep them until they are answered.
     fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
         for suspect in self.suspects.values_mut() {
-            suspect
-                .targets
-                .retain(|target, _| !crashed.contains(target));
+            if suspect.targets.len() < crashed.len() {
+                suspect
+                    .targets
+                    .retain(|target, _| !crashed.contains(target));
+            }
         }
         self.suspects
             .retain(|_, suspect| !suspect.targets.is_empty());
@@ -209,7 +215,8 @@
     }
 
     fn remember_answered(&mut self, subject: Subject) {
-        if !self.answered.insert(subject) {
+        self.answers += 1;
+        if self.answered.insert(subject, self.answers).is_some() {
             return;
         }
         self.answered_order.push_back(subject);
@@ -220,20 +227,35 @@
         }
     }
 
+    /// Returns the subjects that were answered last, at most this many, for a host that begins to allocate.
+    pub fn lately_answered(&self, max: usize) -> Vec<Subject> {
+        let mut answered: Vec<(&Subject, &u64)> = self.answered.iter().collect();
+        answered.sort_unstable_by_key(|(_, number)| std::cmp::Reverse(**number));
+        answered.truncate(max);
+        answered.into_iter().map(|(subject, _)| *subject).collect()
+    }
+
+    /// Remembers subjects that were answered at another host some time ago. Crashes since then still count.
+    pub fn adopt_answered(&mut self, subjects: &[Subject]) {
+        for subject in subjects {
+            self.remember_answered(*subject);
+        }
+    }
+
     /// Records that a request has ended.
     pub fn record_end(&mut self, run: RunId) {
         self.unanswered.remove(&run);
     }
 
-    /// Records a crash. Returns the subjects that are refused from now on.
-    pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Vec<Subject> {
+    /// Records a crash. Returns the subject that is refused from now on, if it has become one.
+    pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Option<Subject> {
         self.expire(now);
         let is_explained = crash
             .subjects
             .iter()
             .any(|subject| self.refused.contains_key(subject));
         if is_explained {
-            return Vec::new();
+            return None;
         }
         for subject in &crash.subjects {
             let suspect = self.suspects.entry(*subject).or_insert_with(|| Suspect {
@@ -251,28 +273,30 @@
         let (answered, unknown): (Vec<Subject>, Vec<Subject>) = crash
             .subjects
             .iter()
-            .partition(|subject| self.answered.contains(subject));
-        let mut refused = self.with_crashes(&unknown, self.rules.min_crashes);
-        if refused.is_empty() {
-            refused = self.with_crashes(&answered, self.rules.min_crashes_of_answered);
-        }
-        for subject in &refused {
-            self.refuse(*subject, now + REFUSAL_DURATION);
+            .partition(|subject| self.answered.contains_key(subject));
+        let refused = self
+            .most_suspect(&unknown, self.rules.min_crashes)
+            .or_else(|| self.most_suspect(&answered, self.rules.min_crashes_of_answered));
+        if let Some(subject) = refused {
+            self.refuse(subject, now + REFUSAL_DURATION);
         }
         self.limit_suspects();
         refused
     }
 
-    /// Returns those of `subjects` whose requests were at this many crashes.
-    fn with_crashes(&self, subjects: &[Subject], min_crashes: usize) -> Vec<Subject> {
-        let has_enough = |subject: &&Subject| {
-            self.suspects.get(*subject).is_some_and(|suspect| {
-                suspect.targets.len() >= min_crashes
-                    && suspect.span() >= self.rules.min_span
-                    && suspect.requests.len() >= self.rules.min_requests
-            })
+    /// Returns the one of `subjects` whose requests were at most crashes, if these are enough. Of several, it is
+    /// the last one.
+    fn most_suspect(&self, subjects: &[Subject], min_crashes: usize) -> Option<Subject> {
+        let crashes = |subject: &Subject| {
+            let suspect = self.suspects.get(subject)?;
+            let has_enough = suspect.targets.len() >= min_crashes
+                && suspect.span() >= self.rules.min_span
+                && suspect.requests.len() >= self.rules.min_requests;
+            has_enough.then_some((suspect.targets.len(), *subject))
         };
-        subjects.iter().filter(has_enough).copied().collect()
+        let enough = subjects.iter().filter_map(crashes);
+        let most = enough.max_by_key(|(crashes, _)| *crashes);
+        most.map(|(_, subject)| subject)
     }
 
     /// Refuses a subject. Its crashes need no other explanation, so other suspects are cleared of them.
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
+        call::PartId,
         entry::EntryHost,
         group::{
-            AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
-            REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport, RunningRequest,
+            ANSWERED_METHOD, AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD,
+            PACE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport,
+            RunningRequest,
         },
         limit::permit,
         origin::Began,
@@ -40,6 +42,8 @@
     Running(RunningRequest),
     /// A stream has begun that its caller may take up at another host.
     Began(Began),
+    /// The parts of prompts that were answered last, which a host that begins to allocate doesn't know.
+    AnsweredParts(Vec<PartId>),
     /// How fast an engine decoded a generation.
     Pace(Pace),
 }
@@ -95,7 +99,7 @@
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut streams, mut running) = (Vec::new(), Vec::new(), Vec::new());
-        let mut misdirected = Vec::new();
+        let (mut misdirected, mut answered) = (Vec::new(), Vec::new());
         let mut next = Some(first);
         while let Some(report) = next {
             match report {
@@ -104,6 +108,7 @@
                 Report::Request(report) => requests.push(report),
                 Report::Misdirected(target) => misdirected.push(target),
                 Report::Running(report) => running.push(report),
+                Report::AnsweredParts(parts) => answered.extend(parts),
                 Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
@@ -111,6 +116,8 @@
             next = outgoing.try_recv().ok();
         }
         announce(&entry, streams);
+        // Before the crashes that they help to judge.
+        send(&entry, ANSWERED_METHOD, answered).await;
         send(&entry, REPORT_METHOD, allocations).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, RUNNING_METHOD, running).await;
