Cut off only callers that read nothing

Cause: TCP_USER_TIMEOUT of 10 s. The kernel counts the time in which the window is smaller than the next segment as without progress.

A send buffer of 32 KB makes that visible for slow callers, and bounds the kernel's memory for them.

--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -15,7 +15,6 @@
     hyper_util::rt::TokioTimer,
     log::{debug, info, warn},
     sardinerelayd::{connection, panics, stop::RequestGuard},
-    socket2::SockRef,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -71,14 +70,6 @@
 
 /// Serves one caller's connection until either side closes it.
 async fn serve_connection(entry: Arc<EntryHost>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!("setting TCP_NODELAY on a caller's connection failed: {error}");
-        return;
-    }
-    let socket = SockRef::from(&stream);
-    if let Err(error) = socket.set_tcp_user_timeout(Some(UNREAD_TIMEOUT)) {
-        debug!("limiting a caller's unread time failed: {error}");
-    }
     let limits = limits(&entry);
     let mut builder = http1::Builder::new();
     builder
@@ -86,7 +77,7 @@
         // hyper counts the idle time between two requests as time to read a head.
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES));
-    let drain = entry.drain.clone();
+    let drain = (entry.drain.clone(), UNREAD_TIMEOUT);
     let respond = connection::respond_with(move |request| serve(Arc::clone(&entry), request));
     if let Err(error) = connection::serve(stream, &builder, respond, drain).await {
         debug!("a caller's connection ended: {error}");
--- a/crates/sardinerelay-gateway/src/http_server.rs
+++ b/crates/sardinerelay-gateway/src/http_server.rs
@@ -13,6 +13,8 @@
 
 /// Time for the head of a request to arrive. Idle connections are closed after the same time.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which a connection is closed whose peer reads nothing although there is something to read.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause after a failed accept, which happens when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -77,7 +79,8 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT);
             let respond = connection::respond_with(move |request| serve(request));
-            if let Err(error) = connection::serve(stream, &builder, respond, drain).await {
+            let limits = (drain, UNREAD_TIMEOUT);
+            if let Err(error) = connection::serve(stream, &builder, respond, limits).await {
                 debug!("a connection ended: {error}");
             }
         });
--- a/crates/sardinerelayd/src/connection.rs
+++ b/crates/sardinerelayd/src/connection.rs
@@ -11,18 +11,20 @@
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    log::debug,
+    socket2::SockRef,
     std::{
         convert::Infallible,
         future::poll_fn,
         io,
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf},
         net::TcpStream,
-        time::timeout_at,
+        time::{Sleep, sleep, timeout_at},
     },
 };
 
@@ -38,11 +40,20 @@
 /// Bytes of the peer that are discarded at a time while a connection closes.
 const DISCARD_BYTES: usize = 1024;
 
+/// Size of the send buffer that is asked of the kernel. The larger ones that it chooses by itself hide for many seconds
+/// whether a peer reads, and take memory that isn't counted here.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
+/// Time without an acknowledgement after which the kernel closes a connection whose peer is gone. It counts the time
+/// too in which a peer reads so slowly that no whole segment fits its window, so it is longer than any answer takes.
+const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// A response that is being made.
 pub type BoxedResponse = BoxFuture<'static, Result<Response<Body>, Infallible>>;
 
 /// Serves the requests of one connection until either side closes it or the process stops, and closes it so
-/// that the last answer arrives. It counts as open in `drain` until then.
+/// that the last answer arrives. It counts as open in `drain` until then. A peer that reads nothing for `unread_timeout`
+/// although there is something to read is cut off.
 ///
 /// # Errors
 ///
@@ -51,13 +62,14 @@
     stream: TcpStream,
     builder: &http1::Builder,
     serve: Serve,
-    drain: Drain,
+    (drain, unread_timeout): (Drain, Duration),
 ) -> hyper::Result<()>
 where
     Serve: Fn(Request<Incoming>) -> BoxedResponse + Unpin,
 {
     let guard = drain.connect();
-    let io = TokioIo::new(Monitored::new(stream));
+    prepare(&stream);
+    let io = TokioIo::new(Monitored::new(stream, unread_timeout));
     let contained = service_fn(move |request| {
         let responding = panics::contain(serve(request));
         async move { responding.await.unwrap_or_else(|_| Ok(panicked())) }.boxed()
@@ -114,7 +126,7 @@
     stream: TcpStream,
     builder: &http1::Builder,
     service: Service,
-    drain: Drain,
+    limits: (Drain, Duration),
 ) -> hyper::Result<()>
 where
     Service: hyper::service::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
@@ -125,11 +137,23 @@
         stream,
         builder,
         move |request| Box::pin(service.call(request)),
-        drain,
+        limits,
     )
     .await
 }
 
+/// Sets the options of a connection. What can't be set is logged; the connection works without.
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_send_buffer_size(SEND_BUFFER_BYTES))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(DEAD_PEER_TIMEOUT)));
+    if let Err(error) = set {
+        debug!("setting an option of a caller's connection failed: {error}");
+    }
+}
+
 /// Closes a connection whose answers were all written.
 ///
 /// The peer may not have read them yet, and bytes from it that arrive at a closed socket would reset the
@@ -162,25 +186,38 @@
     last_write: Option<Instant>,
     /// When the kernel last took no more bytes, because the peer reads slowly.
     last_blocked: Option<Instant>,
+    /// Ends the time that the peer has to read something; none while the kernel takes what is written.
+    unread: Option<Pin<Box<Sleep>>>,
+    unread_timeout: Duration,
 }
 
 impl Monitored {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, unread_timeout: Duration) -> Self {
         Self {
             stream,
             last_write: None,
             last_blocked: None,
+            unread: None,
+            unread_timeout,
         }
     }
 
-    /// Records that a write ended like this.
-    fn record<Written>(&mut self, written: Poll<Written>) -> Poll<Written> {
-        let last = match written {
-            Poll::Ready(_) => &mut self.last_write,
-            Poll::Pending => &mut self.last_blocked,
-        };
-        *last = Some(Instant::now());
-        written
+    /// Records that a write ended like this. Returns an error if the peer has read nothing for too long.
+    fn record(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.last_write = Some(Instant::now());
+            self.unread = None;
+            return written;
+        }
+        self.last_blocked = Some(Instant::now());
+        let timeout = self.unread_timeout;
+        let unread = self.unread.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        ready!(unread.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -205,7 +242,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = self.as_mut().stream().poll_write(context, bytes);
-        self.record(written)
+        self.record(written, context)
     }
 
     fn poll_write_vectored(
@@ -214,7 +251,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = self.as_mut().stream().poll_write_vectored(context, slices);
-        self.record(written)
+        self.record(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sardinerelayd/src/serve.rs
+++ b/crates/sardinerelayd/src/serve.rs
@@ -56,8 +56,6 @@
             },
             () = &mut stop => break,
         };
-        // Responses contain small tokens, which Nagle's algorithm would delay.
-        let _ = stream.set_nodelay(true);
         let router = router
             .clone()
             .map_request(|request: hyper::Request<Incoming>| request.map(axum::body::Body::new));
@@ -66,9 +64,10 @@
             .timer(TokioTimer::new())
             .header_read_timeout(config.header_timeout)
             .max_buf_size(config.max_headers * MAX_HEAD_READ_FACTOR);
-        let (service, drain) = (TowerToHyperService::new(router), drain.clone());
+        let service = TowerToHyperService::new(router);
+        let limits = (drain.clone(), config.slow_reader);
         tokio::spawn(async move {
-            let served = connection::serve_with(stream, &builder, service, drain).await;
+            let served = connection::serve_with(stream, &builder, service, limits).await;
             if let Err(error) = served {
                 debug!("a connection of a caller failed: {error}");
             }
