Tell a committed proposal by its term, not by its index alone

Seen by the second reviewer, by reading: if a replica learns in one batch of a new leader and of another entry committed at the index of its own proposal, the lost proposal counts as accepted. No caller saw it.

Cause: replies to proposals were kept by log index.

Test: decisions::proposals (the code before had no part that could be tested without a group of three that loses two proposals; the test fails if the terms aren't compared).

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -12,6 +12,7 @@
 pub mod links;
 pub mod member;
 mod notifications;
+pub mod proposals;
 pub mod register;
 pub mod repair;
 pub mod report;
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -9,6 +9,7 @@
         channels::{Input, MemberStatus, Outcome, Published},
         links::Links,
         member,
+        proposals::Proposals,
         register::{Command, Document, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
@@ -68,8 +69,7 @@
     publisher: Arc<Publisher>,
     links: Links,
     disk: Disk,
-    /// Proposals of this replica that are not committed yet, by log index.
-    pending_proposals: BTreeMap<Index, Sender<Outcome>>,
+    proposals: Proposals,
     reads: Reads<Outcome>,
     join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
     /// When messages from each member last arrived.
@@ -108,7 +108,7 @@
             publisher,
             links,
             disk,
-            pending_proposals: BTreeMap::new(),
+            proposals: Proposals::default(),
             reads: Reads::default(),
             join_requests: BTreeMap::new(),
             last_heard: BTreeMap::new(),
@@ -189,7 +189,7 @@
                 }
             }
             Input::Order(order, reply) => match self.propose(Command::Order(order)) {
-                Ok(Position { index, .. }) => self.await_commit(index, reply),
+                Ok(position) => self.proposals.insert(position, reply),
                 Err(error) => {
                     let _ = reply.send(error.into());
                 }
@@ -209,20 +209,13 @@
             return;
         }
         match self.propose(Command::Submit(document)) {
-            Ok(Position { index, .. }) => self.await_commit(index, reply),
+            Ok(position) => self.proposals.insert(position, reply),
             Err(error) => {
                 let _ = reply.send(error.into());
             }
         }
     }
 
-    /// Lets the reply to a proposal wait until it is committed.
-    fn await_commit(&mut self, index: Index, reply: Sender<Outcome>) {
-        if let Some(replaced) = self.pending_proposals.insert(index, reply) {
-            let _ = replaced.send(Outcome::Unknown);
-        }
-    }
-
     fn propose(&mut self, command: Command) -> Result<Position, RequestError> {
         // This never fails, because integers and bytes can always be encoded.
         let data = command.encode().map_err(|_| RequestError::NotApplicable)?;
@@ -300,9 +293,7 @@
         if !is_leader {
             self.leader_since = None;
             // The next leader may commit these entries or overwrite them.
-            for (_, reply) in std::mem::take(&mut self.pending_proposals) {
-                let _ = reply.send(Outcome::Unknown);
-            }
+            self.proposals.end_all();
         }
         self.published.leadership.send_replace(soft_state);
         let status = self.replica.status();
@@ -321,10 +312,7 @@
         self.applied = snapshot.meta.last.index;
         self.disk.reset_to_snapshot(snapshot);
         info!(version = self.register.version(), index = self.applied; "restored a snapshot");
-        let later = self.pending_proposals.split_off(&(self.applied + 1));
-        for (_, reply) in std::mem::replace(&mut self.pending_proposals, later) {
-            let _ = reply.send(Outcome::Unknown);
-        }
+        self.proposals.end_through(self.applied);
         self.publish();
         Ok(())
     }
@@ -337,6 +325,7 @@
         };
         self.disk.count_applied(bytes);
         self.applied = index;
+        let reply = self.proposals.take_committed(entry.position);
         match entry.payload {
             Payload::Data(data) => {
                 let command = Command::decode(&data).map_err(state::Error::from)?;
@@ -347,7 +336,7 @@
                 let version = self.register.apply(command);
                 info!(index = index, version = version; "applied a command");
                 self.publish();
-                if let Some(reply) = self.pending_proposals.remove(&index) {
+                if let Some(reply) = reply {
                     let evacuations = &self.register.evacuations;
                     let done = order.map_or(version, |order| evacuations.revision_in_force(&order));
                     let _ = reply.send(Outcome::Done(done));
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -16,6 +16,7 @@
     mod overload;
     mod paging;
     mod placement;
+    mod proposals;
     mod quarantine;
     mod read_times;
     mod readers;
