Refuse streams to callers of HTTP/1.0

What callers would see: a stream that breaks off and looks complete, since HTTP/1.0 has no chunks and the body ends with the connection whatever the reason.

Why this works: 505 before anything runs. Calls have a length and go on.

sardinerelayd's streams end with [DONE], which tells a broken one.

--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -10,7 +10,7 @@
         table::{Denial, Kind, Limits},
     },
     axum::body::Body,
-    http::{HeaderValue, Request, Response, header},
+    http::{HeaderValue, Request, Response, Version, header},
     hyper::{body::Incoming, server::conn::http1},
     hyper_util::rt::TokioTimer,
     log::{debug, info, warn},
@@ -270,6 +270,8 @@
         return Err(stopping("this host stops before the request could end"));
     }
     match job.route.kind {
+        // Without chunks the body would end with the connection, whatever the reason.
+        Kind::Generation { .. } if job.head.version < Version::HTTP_11 => Err(Refusal::HttpVersion),
         Kind::Generation { .. } => generation::serve(job).await,
         Kind::Idempotent | Kind::AtMostOnce => {
             let result = plain::serve(&job).await;
--- a/crates/sardinerelay-gateway/src/refusal.rs
+++ b/crates/sardinerelay-gateway/src/refusal.rs
@@ -24,6 +24,10 @@
     /// The API key is missing or unknown.
     #[error("the key is missing or unknown")]
     UnknownKey,
+    /// The request asks for a stream with a version of HTTP in which a stream that breaks off looks like one that
+    /// ends.
+    #[error("streams need HTTP/1.1; it has not run")]
+    HttpVersion,
     /// The request's body exceeds the configured limit.
     #[error("the body is longer than allowed")]
     BodyTooLong,
@@ -59,6 +63,7 @@
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::HttpVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -73,6 +78,7 @@
             Self::Malformed(_) => "unreadable",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::HttpVersion => "http_version",
             Self::BodyTooLong => "too_long",
             Self::BodyTimedOut => "body_late",
             Self::NotRun { .. } => "not_run",
