Report crashes under parts again to a host that begins to allocate

Cause: suspects are kept in the memory of the allocating host. Entry hosts reported crashes of requests again to a new one, not those under parts.

Why this works: entry hosts do both now, for crashes where the engine's process has ended, and for parts that were not answered since.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -69,7 +69,8 @@
     /// leaving isn't taken to have crashed.
     pub fn record_crash(&self, job: &Job) {
         let target = &self.choice.target;
-        let request = self.entry.record_lost(job, target, self.run);
+        let lost = (self.run, &self.need.shared_parts[..]);
+        let request = self.entry.record_lost(job, target, lost);
         let now = Instant::now();
         let state = self.entry.state();
         let target = state.targets.get(&self.choice.target);
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -6,9 +6,10 @@
 use {
     super::{EntryHost, MIN_REPORTED_REFUSAL},
     crate::{
-        group::{RequestCrash, RequestReport},
+        call::PartId,
+        group::{AllocationReport, RequestCrash, RequestReport},
         observations::Instance,
-        quarantine::Subject,
+        quarantine::{Crash, Subject},
         reporter::Report,
         request::Job,
         targets::RunId,
@@ -33,12 +34,20 @@
 /// Largest number of crashes that are reported again. The oldest makes room for another.
 const MAX_REPORTS: usize = 64;
 
+/// A crash that was confirmed: the target's process had ended.
+#[derive(Debug, Clone)]
+struct Confirmed {
+    crash: RequestCrash,
+    /// The parts of the request's prompt that other requests may share.
+    parts: Vec<PartId>,
+}
+
 /// Crashes that this host has reported, for a host that begins to allocate.
 #[derive(Debug, Default)]
-pub(crate) struct Recent(Mutex<VecDeque<(Instant, RequestCrash)>>);
+pub(crate) struct Recent(Mutex<VecDeque<(Instant, Confirmed)>>);
 
 impl Recent {
-    fn push(&self, at: Instant, crash: RequestCrash) {
+    fn push(&self, at: Instant, crash: Confirmed) {
         let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if crashes.len() >= MAX_REPORTS {
             crashes.pop_front();
@@ -47,7 +56,7 @@
     }
 
     /// Returns the crashes within `REPORT_LIFETIME`.
-    fn all(&self) -> Vec<RequestCrash> {
+    fn all(&self) -> Vec<Confirmed> {
         let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         crashes.retain(|(at, _)| at.elapsed() < REPORT_LIFETIME);
         let crashes = crashes.iter().map(|(_, crash)| crash.clone());
@@ -98,7 +107,12 @@
     /// Records that a target's connection broke before it answered a request. If the target has
     /// ended, the request may be the cause. One that was about to stop isn't taken to have crashed.
     /// Returns the request's fingerprint.
-    pub fn record_lost(self: &Arc<Self>, job: &Job, target: &Target, run: RunId) -> Subject {
+    pub fn record_lost(
+        self: &Arc<Self>,
+        job: &Job,
+        target: &Target,
+        (run, parts): (RunId, &[PartId]),
+    ) -> Subject {
         let request = job.fingerprint();
         let organisation = job.organisation.as_ref();
         info!(
@@ -114,14 +128,21 @@
         let instance = staying.map(|known| known.instance.clone());
         drop(state);
         if let Some(instance) = instance {
-            let entry = Arc::clone(self);
-            tokio::spawn(async move { entry.check_crash(request, run, instance, now).await });
+            let (entry, parts) = (Arc::clone(self), parts.to_vec());
+            let blamed = (request, parts);
+            tokio::spawn(async move { entry.check_crash(blamed, run, instance, now).await });
         }
         request
     }
 
     /// Reports a crash if the target's process has ended.
-    async fn check_crash(&self, request: Subject, run: RunId, target: Instance, at: Instant) {
+    async fn check_crash(
+        &self,
+        (request, parts): (Subject, Vec<PartId>),
+        run: RunId,
+        target: Instance,
+        at: Instant,
+    ) {
         sleep(END_TIME).await;
         if !self.pool.refuses_connections(&target).await {
             return;
@@ -136,7 +157,11 @@
             content:% = format_args!("{request:016x}"), run = run, target_id = crash.target.as_str();
             "a target crashed while it had a request"
         );
-        self.crashes.push(at, crash.clone());
+        let confirmed = Confirmed {
+            crash: crash.clone(),
+            parts,
+        };
+        self.crashes.push(at, confirmed);
         let report = RequestReport::Crashed(crash);
         self.allocator.record_request(&report);
         self.report(report);
@@ -157,7 +182,18 @@
 
     /// Reports the crashes of the last minutes to a host that begins to allocate.
     pub fn report_crashes(&self) {
-        for crash in self.crashes.all() {
+        for Confirmed { crash, parts } in self.crashes.all() {
+            let mut blamed = parts;
+            // Parts that were answered since are not to blame.
+            blamed.retain(|part| self.allocator.state().quarantine.is_suspect(*part));
+            if !blamed.is_empty() {
+                self.report(AllocationReport::Crashed(Crash {
+                    request: crash.request,
+                    target: crash.target.clone(),
+                    incarnation: crash.incarnation,
+                    subjects: blamed,
+                }));
+            }
             self.report(RequestReport::Crashed(crash));
         }
     }
