Log why a replica failed with the causes

What operators saw: a voter that ended six times with code 4 and, since the log is flushed, "can't use the replica's files" without the reason.

--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -297,7 +297,8 @@
         ended = &mut running.driver => {
             let reason = match ended {
                 Ok(Ok(())) => "its input queue was closed".to_owned(),
-                Ok(Err(failure)) => failure.to_string(),
+                // With its causes, such as a full disk.
+                Ok(Err(failure)) => format!("{:#}", anyhow::Error::from(failure)),
                 Err(panic) => panic.to_string(),
             };
             error!(host = host, reason = reason.as_str(); "the replica failed");
