--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -7,6 +7,7 @@
 //! See `docs/design/platform.md`.
 
 mod chunks;
+mod delivery;
 mod moving;
 mod open;
 mod pump;
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -11,18 +11,15 @@
     crate::{
         allocation::Allocation,
         call::EventId,
-        origin::Began,
         pace::Meter,
         refusal::Refusal,
         request::Job,
-        sse::{Event, Splitter},
+        sse::Splitter,
         stop_order::{self, End},
     },
     axum::body::Body,
-    bytes::{Bytes, BytesMut},
     http::Response,
     http_body_util::BodyExt as _,
-    hyper::body::Frame,
     log::info,
     sardinerelay::id::{Build, Target},
     std::time::{Duration, Instant},
@@ -36,19 +33,15 @@
 /// Time without data after which a dead engine's stream is given up even if no other engine can
 /// continue it. Callers wait about as long.
 const MAX_STREAM_SILENCE: Duration = Duration::from_secs(7);
-/// Number of events between updates of the memory that a stream's generation holds.
-const EVENTS_PER_PROGRESS_UPDATE: u64 = 8;
 /// Time for which events are still read after a completed transfer. The old engine may have
 /// produced them before it stopped the generation.
 const MOVED_STREAM_DRAIN_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which it is remembered which build began a stream, beyond the caller's deadline.
-const ORIGIN_MARGIN: Duration = Duration::from_secs(5);
 /// Tokens in one event if the configuration doesn't describe the service's engines.
 const DEFAULT_TOKENS_PER_EVENT: u64 = 1;
 
 /// How forwarding from one engine ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum StreamEnd {
+pub(super) enum StreamEnd {
     /// The engine ended the stream after a whole event.
     Complete,
     /// The caller has closed its connection.
@@ -66,32 +59,32 @@
 pub(super) struct ClientStream {
     pub(super) job: Job,
     pub(super) allocation: Allocation,
-    chunks: chunks::Sender,
+    pub(super) chunks: chunks::Sender,
     /// The last event that was sent to the caller.
     pub(super) last_delivered: Option<EventId>,
     /// Number of events that were sent to the caller.
-    events: u64,
+    pub(super) events: u64,
     /// Whether events were sent to the caller.
-    has_started: bool,
+    pub(super) has_started: bool,
     /// Version of the present engine's software.
-    engine_build: Build,
+    pub(super) engine_build: Build,
     /// Whether the present engine has sent an event.
     pub(super) has_engine_begun: bool,
     /// Number of engines that failed before they sent an event.
     pub(super) engines_without_begin: u32,
     /// When events were last sent to the caller.
-    last_sent: Option<Instant>,
-    longest_pause: Duration,
+    pub(super) last_sent: Option<Instant>,
+    pub(super) longest_pause: Duration,
     /// Number of attempts to continue the stream, including moves.
     pub(super) continuations: u32,
     /// Number of runs of the generation that may have started. No new run starts once it reaches
     /// the route's attempts.
     pub(super) runs: u32,
-    tokens_per_event: u64,
+    pub(super) tokens_per_event: u64,
     /// Orders to stop the generation that engines may still carry out.
-    stops: stop_order::Ledger,
+    pub(super) stops: stop_order::Ledger,
     /// Measures the present engine.
-    meter: Meter,
+    pub(super) meter: Meter,
 }
 
 /// Forwards a stream until it ends.
@@ -324,22 +317,6 @@
         }
     }
 
-    /// Receives a part of the body and forwards the events that it completes. Returns how the
-    /// stream ended, if it did.
-    async fn receive(
-        &mut self,
-        frame: Frame<Bytes>,
-        splitter: &mut Splitter,
-        deadline: TokioInstant,
-    ) -> Option<StreamEnd> {
-        // Trailers carry no events.
-        let bytes = frame.into_data().ok()?;
-        if splitter.push(&bytes).is_err() {
-            return Some(StreamEnd::Broken("an event is too long"));
-        }
-        self.forward(splitter, deadline).await
-    }
-
     /// Whether to stop waiting for an engine that has sent no data for this long. Without another
     /// engine that can continue, this one may still recover before the caller gives up.
     fn should_abandon(&self, silence: Duration) -> bool {
@@ -352,107 +329,6 @@
         copy_is_alive || is_resumable(&self.job) || silence > MAX_STREAM_SILENCE
     }
 
-    /// Sends the complete events that have arrived to the caller, without those that it has
-    /// already. Returns how the stream ended, if it did.
-    async fn forward(
-        &mut self,
-        splitter: &mut Splitter,
-        deadline: TokioInstant,
-    ) -> Option<StreamEnd> {
-        let mut bytes = BytesMut::new();
-        let mut ended = None;
-        let events_before = self.events;
-        while let Some(event) = splitter.next_event() {
-            if !std::mem::replace(&mut self.has_engine_begun, true) {
-                self.allocation.record_started();
-                self.job.entry.record_answered(&self.job);
-            }
-            if !self.is_contiguous(&event) {
-                // The events before it count as delivered and are still sent.
-                ended = Some(StreamEnd::Broken("an event is missing"));
-                break;
-            }
-            if self.is_new(&event) {
-                bytes.extend_from_slice(&event.bytes);
-                self.last_delivered = event.id.or(self.last_delivered);
-                self.events += 1;
-            }
-        }
-        if bytes.is_empty() {
-            return ended;
-        }
-        let now = Instant::now();
-        self.meter.record(self.events - events_before, now);
-        if self.meter.is_due() {
-            self.report_pace();
-        }
-        if let Some(last_sent) = self.last_sent.replace(now) {
-            let pause = now.saturating_duration_since(last_sent);
-            self.longest_pause = self.longest_pause.max(pause);
-        }
-        if !self.has_started {
-            self.has_started = true;
-            self.record_origin();
-            let took = self.job.arrived.elapsed();
-            self.job
-                .entry
-                .metrics
-                .record_first_event(&self.job.route.name, took);
-        }
-        if self.events.is_multiple_of(EVENTS_PER_PROGRESS_UPDATE) {
-            self.allocation
-                .record_progress(self.events * self.tokens_per_event);
-        }
-        if self.chunks.capacity() == 0 {
-            self.meter.reset();
-        }
-        tokio::select! {
-            sent = self.chunks.send(bytes.freeze()) => {
-                sent.err().map(|_| StreamEnd::CallerLeft).or(ended)
-            }
-            () = sleep_until(deadline) => Some(StreamEnd::TimedOut),
-        }
-    }
-
-    /// Reports how fast the engine has decoded since the last report, if that was measured.
-    fn report_pace(&mut self) {
-        if let Some(events_per_second) = self.meter.take() {
-            let tokens_per_second = events_per_second * self.tokens_per_event as f64;
-            self.allocation.record_pace(tokens_per_second);
-        }
-    }
-
-    /// Records the build whose first event goes to the caller. Only that build may continue the
-    /// stream, here or at another host.
-    fn record_origin(&mut self) {
-        let build = self.engine_build.clone();
-        self.allocation.require_build(build.clone());
-        if is_resumable(&self.job) && self.job.call.last_event.is_none() {
-            self.job.entry.record_origin(Began {
-                stream: self.job.call.id.clone(),
-                build,
-                lifetime: self.job.remaining_or_timeout() + ORIGIN_MARGIN,
-            });
-        }
-    }
-
-    /// Whether no event is missing between the last delivered one and this one. Events that repeat
-    /// an earlier one or have no number count as contiguous.
-    fn is_contiguous(&self, event: &Event) -> bool {
-        match (self.last_delivered, event.id) {
-            (Some(last), Some(id)) => id <= last.saturating_add(1),
-            _ => true,
-        }
-    }
-
-    /// Whether the caller doesn't have the event yet.
-    fn is_new(&self, event: &Event) -> bool {
-        match (self.last_delivered, event.id) {
-            (Some(last), Some(id)) => id > last,
-            _ => true,
-        }
-    }
-
     /// Logs that the engine failed. Unless it was leaving, this counts against its health.
     fn record_failure(&self, reason: &'static str) {
         let now = Instant::now();
