Wait in a planned stop only for connections that had a request

Found on reading the diff: a new connection with half a head counted as one with an answer left, held the stop up to the end of the grace period and made its exit code 6, though nothing was left to send.

--- a/crates/sardinerelayd/src/connection.rs
+++ b/crates/sardinerelayd/src/connection.rs
@@ -4,7 +4,10 @@
 //! therefore waits for connections, not for bodies; see [`crate::stop::Drain::close`].
 
 use {
-    crate::{panics, stop::Drain},
+    crate::{
+        panics,
+        stop::{ConnectionGuard, Drain},
+    },
     axum::body::Body,
     futures::{FutureExt as _, future::BoxFuture},
     hyper::{
@@ -18,6 +21,7 @@
         future::poll_fn,
         io,
         pin::Pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
         time::{Duration, Instant},
     },
@@ -67,10 +71,12 @@
 where
     Serve: Fn(Request<Incoming>) -> BoxedResponse + Unpin,
 {
-    let guard = drain.connect();
+    let guard = Arc::new(Mutex::new(drain.connect()));
+    let counted = Arc::clone(&guard);
     prepare(&stream);
     let io = TokioIo::new(Monitored::new(stream, unread_timeout));
     let contained = service_fn(move |request| {
+        lock(&counted).expect_answer();
         let responding = panics::contain(serve(request));
         async move { responding.await.unwrap_or_else(|_| Ok(panicked())) }.boxed()
     });
@@ -90,12 +96,15 @@
             }
         }
     }
-    let guard = guard.into_written();
+    lock(&guard).record_written();
     close(connection.into_parts().io.into_inner(), &drain).await;
-    drop(guard);
     Ok(())
 }
 
+fn lock(guard: &Mutex<ConnectionGuard>) -> MutexGuard<'_, ConnectionGuard> {
+    guard.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The response to a request whose task panicked, so that the others on its connection go on. It may have run.
 fn panicked() -> Response<Body> {
     let mut response = Response::new(Body::from("this host failed; the request may have run\n"));
--- a/crates/sardinerelayd/src/stop.rs
+++ b/crates/sardinerelayd/src/stop.rs
@@ -57,17 +57,23 @@
     written: usize,
 }
 
-impl Connections {
-    fn are_closed(&self) -> bool {
-        self.unwritten + self.written == 0
-    }
-}
-
-/// Counts as a connection that may have an answer to write until it is dropped.
+/// An open connection. A planned stop waits for it while there may be an answer to write, and until its peer has
+/// read it.
 #[derive(Debug)]
 pub struct ConnectionGuard {
     connections: watch::Sender<Connections>,
-    is_written: bool,
+    progress: Progress,
+}
+
+/// How far the answers of a connection are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// There was no request yet.
+    Unused,
+    /// There may be an answer in its write buffer.
+    Unwritten,
+    /// All answers are written.
+    Written,
 }
 
 /// The number of connections whose answers could not be written before the end of the stop.
@@ -133,12 +139,11 @@
         }
     }
 
-    /// Counts a new connection, which [`Drain::close`] waits for.
+    /// Returns a guard for a new connection.
     pub fn connect(&self) -> ConnectionGuard {
-        self.connections.send_modify(|count| count.unwritten += 1);
         ConnectionGuard {
             connections: self.connections.clone(),
-            is_written: false,
+            progress: Progress::Unused,
         }
     }
 
@@ -217,23 +222,54 @@
 }
 
 impl ConnectionGuard {
-    /// Counts the connection as one whose answers are all written.
-    pub fn into_written(mut self) -> Self {
-        self.is_written = true;
-        self.connections.send_modify(|count| {
-            count.unwritten -= 1;
-            count.written += 1;
-        });
-        self
+    /// Records that a request has come, whose answer has to be written.
+    pub fn expect_answer(&mut self) {
+        self.set(Progress::Unwritten);
+    }
+
+    /// Records that all answers are written.
+    pub fn record_written(&mut self) {
+        if self.progress == Progress::Unwritten {
+            self.set(Progress::Written);
+        }
+    }
+
+    fn set(&mut self, progress: Progress) {
+        let before = std::mem::replace(&mut self.progress, progress);
+        if before != progress {
+            self.connections.send_modify(|count| {
+                count.subtract(before);
+                count.add(progress);
+            });
+        }
+    }
+}
+
+impl Connections {
+    fn add(&mut self, progress: Progress) {
+        match progress {
+            Progress::Unused => {}
+            Progress::Unwritten => self.unwritten += 1,
+            Progress::Written => self.written += 1,
+        }
+    }
+
+    fn subtract(&mut self, progress: Progress) {
+        match progress {
+            Progress::Unused => {}
+            Progress::Unwritten => self.unwritten -= 1,
+            Progress::Written => self.written -= 1,
+        }
+    }
+
+    fn are_closed(&self) -> bool {
+        self.unwritten + self.written == 0
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.connections.send_modify(|count| match self.is_written {
-            true => count.written -= 1,
-            false => count.unwritten -= 1,
-        });
+        self.set(Progress::Unused);
     }
 }
 
