Supervise the daemon's background tasks

They are essential now: the process logs which one died and ends with code 1, and its supervisor starts it anew. Polls of engines start again one by one.

--- a/crates/sardinerelayd/src/run.rs
+++ b/crates/sardinerelayd/src/run.rs
@@ -14,7 +14,7 @@
         intent::LedgerClient,
         limits::Limits,
         metrics::Metrics,
-        operator, orders,
+        operator, orders, panics,
         peer::{NotificationHandler, Secret, Secrets, Server, SharedCounters},
         platform, publish,
         report::Collector,
@@ -208,16 +208,18 @@
             self.changes.clone(),
             self.scheduler.clone(),
         );
-        tokio::spawn(publisher);
+        panics::spawn_essential("publish the control state", publisher);
         let changes = self.changes.subscribe();
-        tokio::spawn(targets::run(
+        let polling = targets::run(
             self.view.clone(),
             changes,
             self.scheduler.clone(),
             self.client.clone(),
-        ));
-        tokio::spawn(self.scheduler.clone().run());
-        tokio::spawn(self.limits.clone().run(self.changes.subscribe()));
+        );
+        panics::spawn_essential("poll engines", polling);
+        panics::spawn_essential("schedule", self.scheduler.clone().run());
+        let limiting = self.limits.clone().run(self.changes.subscribe());
+        panics::spawn_essential("claim limit shares", limiting);
         let orders = orders::Controller {
             collector: self.collector(),
             client: self.client.clone(),
@@ -225,13 +227,10 @@
             store: config.store,
             send_delay: config.order_pause,
         };
-        tokio::spawn(orders.run());
+        panics::spawn_essential("send orders", orders.run());
         if let Some(url) = &config.hosts_url {
-            tokio::spawn(platform::run(
-                url.clone(),
-                self.scheduler.clone(),
-                self.client.clone(),
-            ));
+            let listing = platform::run(url.clone(), self.scheduler.clone(), self.client.clone());
+            panics::spawn_essential("poll the list", listing);
         }
     }
 
@@ -320,7 +319,8 @@
         })
     }
 
-    /// Waits for a signal, a planned stop or the end of the control thread, then drains.
+    /// Waits for a signal, a planned stop or the end of the control thread, then drains. If an essential task
+    /// panics, returns at once.
     async fn drain_on_stop(&self, config: &Config) -> ExitCode {
         tokio::select! {
             signalled = stop::termination_signal() => {
@@ -331,6 +331,10 @@
             () = publish::await_planned_stop(self.control.published(), self.owner) => {
                 info!("stopping: an operator planned a stop of this host");
             }
+            task = panics::essential_failed() => {
+                error!(task = task; "an essential task panicked");
+                return ExitCode::General;
+            }
             ended = self.control.ended() => {
                 return match &*ended {
                     Ok(()) => ExitCode::General,
--- a/crates/sardinerelayd/src/targets.rs
+++ b/crates/sardinerelayd/src/targets.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         engine::Client,
+        panics,
         schedule::Scheduler,
         snapshot::{SharedView, View},
     },
@@ -109,7 +110,11 @@
     for engine in engines {
         pollers.entry(engine.clone()).or_insert_with(|| {
             let (target, address) = engine;
-            tokio::spawn(poll(target, address, scheduler.clone(), client.clone()))
+            let (scheduler, client) = (scheduler.clone(), client.clone());
+            // One that panics must not end for good.
+            tokio::spawn(panics::keep_running("poll an engine", move || {
+                poll(target.clone(), address, scheduler.clone(), client.clone())
+            }))
         });
     }
 }
