Let overlapping changes of a stand-in's route settle

The schedule cuts and restores one route from two lanes at the same moment; the proxy's control waited 5 s for a state that the other change had undone. A fault of the stand-in, not of the system under test.

--- a/crates/sardinerelay-standin/src/proxy.rs
+++ b/crates/sardinerelay-standin/src/proxy.rs
@@ -378,11 +378,23 @@
         });
     }
 
-    /// Waits until the listener is open or closed as the mode requires. Returns false on a timeout.
+    /// Waits until the listener is open or closed as the mode requires, which other requests may change in the
+    /// meantime. Returns false on a timeout.
     async fn wait_for_listener(&self) -> bool {
-        let is_open = self.fault.borrow().mode != Mode::Cut;
-        let mut listening = self.listening.subscribe();
-        let updated = listening.wait_for(|listening| *listening == is_open);
+        let (mut fault, mut listening) = (self.fault.subscribe(), self.listening.subscribe());
+        let updated = async {
+            loop {
+                let is_open = fault.borrow_and_update().mode != Mode::Cut;
+                if *listening.borrow_and_update() == is_open {
+                    return;
+                }
+                // Neither sender can be gone, since this route holds them.
+                tokio::select! {
+                    _ = fault.changed() => {}
+                    _ = listening.changed() => {}
+                }
+            }
+        };
         timeout(LISTENER_UPDATE_TIMEOUT, updated).await.is_ok()
     }
 
--- a/crates/sardinerelay-standin/tests/standin/proxy.rs
+++ b/crates/sardinerelay-standin/tests/standin/proxy.rs
@@ -72,6 +72,22 @@
     timeout(QUIET_PERIOD, stream.read(&mut [0])).await.is_err()
 }
 
+/// Guards against a change of a route that fails after 5 s because another change has undone it in the meantime.
+#[tokio::test]
+async fn changes_that_overlap_are_carried_out() {
+    let (control, [a, ..]) = start().await;
+    for _ in 0..50 {
+        tokio::join!(
+            fault(control, "a", r#"{"mode":"cut"}"#),
+            heal(control),
+            fault(control, "zone", r#"{"mode":"cut"}"#),
+            heal(control),
+        );
+    }
+    heal(control).await;
+    assert!(echoes(&mut connect(a).await, TEST_TIMEOUT).await);
+}
+
 /// Guards against a cut that spares open connections, affects routes outside the group, or leaves
 /// the address unusable after it is cleared.
 #[tokio::test]
