Keep waiting proposals in one piece of code for both replicas

Both use control::proposals now, beside control::reads, which they share already. The outcomes stay as they were: a replaced proposal is lost to the daemon's callers, and unknown to the gateway's.

decisions::proposals keeps its assertions; only its import changed.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -12,7 +12,6 @@
 pub mod links;
 pub mod member;
 mod notifications;
-pub mod proposals;
 pub mod register;
 pub mod repair;
 pub mod report;
--- a/crates/sardinerelay-gateway/src/group/channels.rs
+++ b/crates/sardinerelay-gateway/src/group/channels.rs
@@ -10,6 +10,7 @@
         id::{Host, Version},
         raft::{Message, RequestError, SoftState},
     },
+    sardinerelayd::control::proposals::Ended,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, net::Ipv4Addr, sync::Arc},
     tokio::sync::{oneshot::Sender, watch},
@@ -85,6 +86,13 @@
     pub members: Vec<Host>,
 }
 
+impl From<Ended> for Outcome {
+    /// An operator sends the same request again in both cases.
+    fn from(_: Ended) -> Self {
+        Self::Unknown
+    }
+}
+
 impl From<RequestError> for Outcome {
     fn from(error: RequestError) -> Self {
         match error {
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -9,7 +9,6 @@
         channels::{Input, MemberStatus, Outcome, Published},
         links::Links,
         member,
-        proposals::Proposals,
         register::{Command, Document, Register},
         repair::{self, GroupState, JoinRequest, Step},
     },
@@ -27,6 +26,7 @@
     sardinerelayd::control::{
         FatalError,
         disk::{Disk, SnapshotThreshold},
+        proposals::Proposals,
         reads::Reads,
     },
     std::{
@@ -69,7 +69,7 @@
     publisher: Arc<Publisher>,
     links: Links,
     disk: Disk,
-    proposals: Proposals,
+    proposals: Proposals<Outcome>,
     reads: Reads<Outcome>,
     join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
     /// When messages from each member last arrived.
--- a/crates/sardinerelay-gateway/tests/decisions/proposals.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/proposals.rs
@@ -2,7 +2,8 @@
 
 use {
     sardinerelay::raft::Position,
-    sardinerelay_gateway::group::{Outcome, proposals::Proposals},
+    sardinerelay_gateway::group::Outcome,
+    sardinerelayd::control::proposals::Proposals,
     tokio::sync::oneshot::{Receiver, channel},
 };
 
@@ -10,7 +11,7 @@
     Position { term, index }
 }
 
-fn propose(proposals: &mut Proposals, position: Position) -> Receiver<Outcome> {
+fn propose(proposals: &mut Proposals<Outcome>, position: Position) -> Receiver<Outcome> {
     let (reply, outcome) = channel();
     proposals.insert(position, reply);
     outcome
--- a/crates/sardinerelayd/src/control.rs
+++ b/crates/sardinerelayd/src/control.rs
@@ -12,6 +12,7 @@
 mod local_view;
 mod members;
 mod message;
+pub mod proposals;
 mod propose;
 pub mod reads;
 mod report;
--- a/crates/sardinerelayd/src/control/consensus.rs
+++ b/crates/sardinerelayd/src/control/consensus.rs
@@ -11,17 +11,16 @@
         local_view::LocalView,
         members,
         message::{Input, Outcome},
+        proposals::Proposals,
         reads::Reads,
     },
     crate::peer::Outbox,
     bytes::Bytes,
     log::{debug, info},
     sardinerelay::{
-        id::{Host, Index, Term, Version},
+        id::{Host, Index, Version},
         ledger::Quota,
-        raft::{
-            self, DurableState, Payload, Position, Read, Ready, Replica, RequestError, Snapshot,
-        },
+        raft::{self, DurableState, Payload, Read, Ready, Replica, RequestError, Snapshot},
         state::{self, Machine, Reply},
         wal::Store,
     },
@@ -40,12 +39,6 @@
 /// proposals.
 const MAX_INPUT_BATCH: usize = 256;
 
-/// A proposal that was appended to the log and awaits its commit.
-struct Pending {
-    term: Term,
-    reply: Sender<Outcome<Reply>>,
-}
-
 /// The replica with its state machine, its disk and the queues of messages to other hosts. One task
 /// owns it.
 pub(super) struct Consensus {
@@ -58,7 +51,7 @@
     local_view: Arc<LocalView>,
     outboxes: BTreeMap<Host, Arc<Outbox>>,
     disk: Disk,
-    pending: BTreeMap<Index, Pending>,
+    proposals: Proposals<Outcome<Reply>>,
     reads: Reads<Outcome<Version>>,
     snapshot_threshold: SnapshotThreshold,
 }
@@ -87,7 +80,7 @@
             local_view,
             outboxes,
             disk,
-            pending: BTreeMap::new(),
+            proposals: Proposals::default(),
             reads: Reads::default(),
             snapshot_threshold,
         })
@@ -177,12 +170,7 @@
             return;
         };
         match self.replica.propose(Bytes::from(data)) {
-            Ok(Position { term, index }) => {
-                let replaced = self.pending.insert(index, Pending { term, reply });
-                if let Some(lost) = replaced {
-                    let _ = lost.reply.send(Outcome::Lost);
-                }
-            }
+            Ok(position) => self.proposals.insert(position, reply),
             Err(error) => {
                 let _ = reply.send(error.into());
             }
@@ -231,7 +219,7 @@
                 None => info!("no known leader in term {}", soft.term),
             }
             self.local_view.set_cut_off(soft.leader.is_none());
-            self.pending.retain(|_, pending| !pending.reply.is_closed());
+            self.proposals.forget_abandoned();
         }
         Ok(())
     }
@@ -241,15 +229,13 @@
         self.machine = Machine::restore(&snapshot.data)?;
         self.disk.reset_to_snapshot(snapshot);
         self.applied = snapshot.meta.last.index;
-        let later = self.pending.split_off(&(self.applied + 1));
-        for (_, pending) in std::mem::replace(&mut self.pending, later) {
-            let _ = pending.reply.send(Outcome::Unknown);
-        }
+        self.proposals.end_through(self.applied);
         Ok(())
     }
 
     fn apply(&mut self, entry: raft::Entry) -> Result<(), FatalError> {
-        let Position { term, index } = entry.position;
+        let index = entry.position.index;
+        let waiting = self.proposals.take_committed(entry.position);
         let mut reply = None;
         let mut bytes = 0;
         if let Payload::Data(data) = entry.payload {
@@ -259,12 +245,8 @@
         }
         self.disk.count_applied(bytes);
         self.applied = index;
-        if let Some(pending) = self.pending.remove(&index) {
-            let outcome = match reply {
-                Some(reply) if pending.term == term => Outcome::Done(reply),
-                _ => Outcome::Lost,
-            };
-            let _ = pending.reply.send(outcome);
+        if let Some((waiting, reply)) = waiting.zip(reply) {
+            let _ = waiting.send(Outcome::Done(reply));
         }
         Ok(())
     }
--- a/crates/sardinerelayd/src/control/message.rs
+++ b/crates/sardinerelayd/src/control/message.rs
@@ -2,7 +2,7 @@
 //! between hosts.
 
 use {
-    super::{Leadership, members::ReplaceAnswer},
+    super::{Leadership, members::ReplaceAnswer, proposals::Ended},
     crate::peer::Packed,
     sardinerelay::{
         id::{Host, Version},
@@ -45,6 +45,15 @@
     Unknown,
 }
 
+impl<T> From<Ended> for Outcome<T> {
+    fn from(ended: Ended) -> Self {
+        match ended {
+            Ended::Replaced => Self::Lost,
+            Ended::Unknown => Self::Unknown,
+        }
+    }
+}
+
 impl<T> From<RequestError> for Outcome<T> {
     fn from(error: RequestError) -> Self {
         match error {
