Box the response of a request once

Each request went through two boxed futures, one from respond_with and one around its panics, and two functions turned services into that shape. serve takes what responds and boxes it once; the body of a stream needs no copy of its state for each chunk.

--- a/crates/sardinerelay-gateway/src/front.rs
+++ b/crates/sardinerelay-gateway/src/front.rs
@@ -77,9 +77,9 @@
         // hyper counts the idle time between two requests as time to read a head.
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES));
-    let drain = (entry.drain.clone(), UNREAD_TIMEOUT);
-    let respond = connection::respond_with(move |request| serve(Arc::clone(&entry), request));
-    if let Err(error) = connection::serve(stream, &builder, respond, drain).await {
+    let bounds = (entry.drain.clone(), UNREAD_TIMEOUT);
+    let respond = move |request| serve(Arc::clone(&entry), request);
+    if let Err(error) = connection::serve(stream, &builder, respond, bounds).await {
         debug!("a caller's connection ended: {error}");
     }
 }
--- a/crates/sardinerelay-gateway/src/generation/chunks.rs
+++ b/crates/sardinerelay-gateway/src/generation/chunks.rs
@@ -70,15 +70,12 @@
     queue: mpsc::Receiver<Bytes>,
     is_complete: Arc<AtomicBool>,
 ) -> impl Stream<Item = Result<Bytes, EndedEarly>> {
-    stream::unfold(Some(queue), move |queue| {
-        let is_complete = Arc::clone(&is_complete);
-        async move {
-            let mut queue = queue?;
-            match queue.recv().await {
-                Some(chunk) => Some((Ok(chunk), Some(queue))),
-                None if is_complete.load(Ordering::Acquire) => None,
-                None => Some((Err(EndedEarly), None)),
-            }
-        }
+    stream::unfold((queue, is_complete), async |(mut queue, is_complete)| {
+        let chunk = match queue.recv().await {
+            Some(chunk) => Ok(chunk),
+            None if is_complete.load(Ordering::Acquire) => return None,
+            None => Err(EndedEarly),
+        };
+        Some((chunk, (queue, is_complete)))
     })
 }
--- a/crates/sardinerelay-gateway/src/http_server.rs
+++ b/crates/sardinerelay-gateway/src/http_server.rs
@@ -78,7 +78,7 @@
             builder
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT);
-            let respond = connection::respond_with(move |request| serve(request));
+            let respond = move |request| serve(request);
             let limits = (drain, UNREAD_TIMEOUT);
             if let Err(error) = connection::serve(stream, &builder, respond, limits).await {
                 debug!("a connection ended: {error}");
--- a/crates/sardinerelayd/src/connection.rs
+++ b/crates/sardinerelayd/src/connection.rs
@@ -9,7 +9,7 @@
         stop::{ConnectionGuard, Drain},
     },
     axum::body::Body,
-    futures::{FutureExt as _, future::BoxFuture},
+    futures::FutureExt as _,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
@@ -52,9 +52,6 @@
 /// too in which a peer reads so slowly that no whole segment fits its window, so it is longer than any answer takes.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// A response that is being made.
-pub type BoxedResponse = BoxFuture<'static, Result<Response<Body>, Infallible>>;
-
 /// Serves the requests of one connection until either side closes it or the process stops, and closes it so
 /// that the last answer arrives. It counts as open in `drain` until then. A peer that reads nothing for `unread_timeout`
 /// although there is something to read is cut off.
@@ -62,14 +59,15 @@
 /// # Errors
 ///
 /// Returns the error that ended the connection, after which its last answer is incomplete.
-pub async fn serve<Serve>(
+pub async fn serve<Serve, Responding>(
     stream: TcpStream,
     builder: &http1::Builder,
     serve: Serve,
     (drain, unread_timeout): (Drain, Duration),
 ) -> hyper::Result<()>
 where
-    Serve: Fn(Request<Incoming>) -> BoxedResponse + Unpin,
+    Serve: Fn(Request<Incoming>) -> Responding + Unpin,
+    Responding: Future<Output = Response<Body>> + Send + 'static,
 {
     let guard = Arc::new(Mutex::new(drain.connect()));
     let counted = Arc::clone(&guard);
@@ -78,7 +76,7 @@
     let contained = service_fn(move |request| {
         lock(&counted).expect_answer();
         let responding = panics::contain(serve(request));
-        async move { responding.await.unwrap_or_else(|_| Ok(panicked())) }.boxed()
+        async move { Ok::<_, Infallible>(responding.await.unwrap_or_else(|_| panicked())) }.boxed()
     });
     let mut connection = builder.serve_connection(io, contained);
     let closing = drain.closing();
@@ -112,20 +110,6 @@
     response
 }
 
-/// Turns a function that responds to requests into one for [`serve`].
-pub fn respond_with<Respond, Responding>(
-    respond: Respond,
-) -> impl Fn(Request<Incoming>) -> BoxedResponse + Unpin
-where
-    Respond: Fn(Request<Incoming>) -> Responding + Unpin,
-    Responding: Future<Output = Response<Body>> + Send + 'static,
-{
-    move |request| {
-        let responding = respond(request);
-        Box::pin(async move { Ok(responding.await) })
-    }
-}
-
 /// Serves the requests of one connection with a service of the HTTP library; see [`serve`].
 ///
 /// # Errors
@@ -142,13 +126,8 @@
         + Unpin,
     Service::Future: Send + 'static,
 {
-    serve(
-        stream,
-        builder,
-        move |request| Box::pin(service.call(request)),
-        limits,
-    )
-    .await
+    let respond = move |request| service.call(request).map(|Ok(response)| response);
+    serve(stream, builder, respond, limits).await
 }
 
 /// Sets the options of a connection. What can't be set is logged; the connection works without.
