--- a/crates/sardinerelay-gateway/tests/decisions/even.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/even.rs
@@ -73,7 +73,10 @@
         let state = targets.get(&choice.target).expect("listed");
         let rate = IDLE_RATE * speeds[number] / slowdown(state.occupancy(0, now));
         let took = need.output_tokens as f64 / rate;
-        running.push((now + sardinerelay::bound::estimate(took), step));
+        running.push((
+            now + Duration::try_from_secs_f64(took).expect("a time"),
+            step,
+        ));
         placed[number] += 1;
         times.push(took);
     }
--- a/crates/sardinerelay-gateway/tests/decisions/limits.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/limits.rs
@@ -77,7 +77,7 @@
     for _ in 0..4_000 {
         let longest = if random.random_bool(0.01) { 3.0 } else { 0.02 };
         let pause = random.random_range(0.0..longest);
-        now += sardinerelay::bound::estimate(pause);
+        now += Duration::try_from_secs_f64(pause).expect("a time");
         let max_wait = Duration::from_millis(random.random_range(0..75));
         if let Ok(wait) = limit.take(1.0, max_wait, now) {
             assert!(wait <= max_wait);
