Test neighbours of a crashing part in one function with two cases

of_unknown_parts_only_the_last_one_is_refused was the test above it but for the answer before the crashes. It is the case "unknown" now, with the same assertions.

--- a/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/quarantine.rs
@@ -70,25 +70,17 @@
 }
 
 /// Guards against the refusal of sound requests when a part's requests come so fast that none with its
-/// neighbours is answered between the crashes.
-#[test]
-fn neighbours_of_a_crashing_part_are_not_refused_with_it() {
+/// neighbours is answered between the crashes, also at a host that has just begun to allocate and doesn't know that
+/// they were answered before.
+#[rstest]
+#[case::answered_before(true)]
+#[case::unknown(false)]
+fn neighbours_of_a_crashing_part_are_not_refused_with_it(#[case] is_answered: bool) {
     let (mut quarantine, now) = (Quarantine::default(), Instant::now());
-    quarantine.record_sent(0, &[SHARED_PART]);
-    quarantine.record_answered(0);
-    for number in 1..=12 {
-        let parts = [SHARED_PART, CRASHING_PART];
-        quarantine.record_crash(&crash(number, number, &parts), now);
+    if is_answered {
+        quarantine.record_sent(0, &[SHARED_PART]);
+        quarantine.record_answered(0);
     }
-    assert!(is_refused(&quarantine, CRASHING_PART, now));
-    assert!(!is_refused(&quarantine, SHARED_PART, now));
-}
-
-/// Guards against the refusal of a part that many share together with the one that crashes engines, at a host that
-/// has just begun to allocate and doesn't know that the first one was answered.
-#[test]
-fn of_unknown_parts_only_the_last_one_is_refused() {
-    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
     for number in 1..=12 {
         let parts = [SHARED_PART, CRASHING_PART];
         quarantine.record_crash(&crash(number, number, &parts), now);
