Start all loops of hosts again that panic, in one manner

Followers of news looked for ended tasks at the next round, a special case beside panics::keep_running, which serves them now. The same cause was left in the tasks that send to other hosts (both programs, in Outbox::run), that accept hosts' calls, that serve observations and that detect suspensions.

The parts of crashes that are reported again are checked under one lock.

No test of their own; panics::keep_running has one.

--- a/crates/sardinerelay-gateway/src/control.rs
+++ b/crates/sardinerelay-gateway/src/control.rs
@@ -22,7 +22,7 @@
     hyper::body::Incoming,
     log::{info, warn},
     sardinerelay::id::Zone,
-    sardinerelayd::stop::Drain,
+    sardinerelayd::{panics, stop::Drain},
     std::{
         collections::BTreeSet,
         io,
@@ -58,7 +58,7 @@
     let suspension = Detector::new(Instant::now());
     let orders = Arc::new(OrderHandler { zones, suspension });
     let checked = Arc::clone(&orders);
-    tokio::spawn(async move {
+    panics::spawn_essential("detect suspensions", async move {
         loop {
             checked.suspension.check(Instant::now());
             sleep(suspension::INTERVAL).await;
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -183,15 +183,17 @@
     /// Reports the crashes of the last minutes to a host that begins to allocate.
     pub fn report_crashes(&self) {
         for Confirmed { crash, parts } in self.crashes.all() {
-            let mut blamed = parts;
+            let state = self.allocator.state();
             // Parts that were answered since are not to blame.
-            blamed.retain(|part| self.allocator.state().quarantine.is_suspect(*part));
-            if !blamed.is_empty() {
+            let is_suspect = |part: &PartId| state.quarantine.is_suspect(*part);
+            let subjects: Vec<PartId> = parts.into_iter().filter(is_suspect).collect();
+            drop(state);
+            if !subjects.is_empty() {
                 self.report(AllocationReport::Crashed(Crash {
                     request: crash.request,
                     target: crash.target.clone(),
                     incarnation: crash.incarnation,
-                    subjects: blamed,
+                    subjects,
                 }));
             }
             self.report(RequestReport::Crashed(crash));
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -25,7 +25,10 @@
     jsonrpsee::types::ErrorCode,
     log::info,
     observations::Publishers,
-    sardinerelayd::{panics, peer::Error},
+    sardinerelayd::{
+        panics::{self, keep_running},
+        peer::Error,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -65,9 +68,7 @@
     loop {
         let followed = choose_hosts(&entry.settings.common.host, &addresses, leader);
         tasks.retain(|address, tasks| {
-            // A task that has ended has panicked, and another one takes its place.
-            let is_running = !tasks.iter().any(JoinHandle::is_finished);
-            let is_followed = followed.contains(address) && is_running;
+            let is_followed = followed.contains(address);
             if !is_followed {
                 tasks.iter().for_each(JoinHandle::abort);
             }
@@ -83,9 +84,14 @@
             tasks.entry(*address).or_insert_with(|| {
                 let client = clients.get(*address);
                 info!(address:% = address; "following");
-                let configuration =
-                    configuration::watch(Arc::clone(&updates), Arc::clone(&client), rank);
-                let evacuations = evacuations::watch(Arc::clone(&entry), client);
+                let (updates, configurations) = (Arc::clone(&updates), Arc::clone(&client));
+                let configuration = keep_running("watch the configuration", move || {
+                    configuration::watch(Arc::clone(&updates), Arc::clone(&configurations), rank)
+                });
+                let entry = Arc::clone(&entry);
+                let evacuations = keep_running("watch evacuations", move || {
+                    evacuations::watch(Arc::clone(&entry), Arc::clone(&client))
+                });
                 [tokio::spawn(configuration), tokio::spawn(evacuations)]
             });
         }
--- a/crates/sardinerelay-gateway/src/follow/observations.rs
+++ b/crates/sardinerelay-gateway/src/follow/observations.rs
@@ -13,7 +13,7 @@
     futures::future::join_all,
     log::{debug, info},
     sardinerelay::id::Zone,
-    sardinerelayd::peer::Client,
+    sardinerelayd::{panics::keep_running, peer::Client},
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -78,8 +78,6 @@
             }
             is_chosen
         });
-        // A task that has ended has panicked, and another one takes its place.
-        self.tasks.retain(|_, (_, task)| !task.is_finished());
         for (rank, address) in chosen.into_iter().enumerate() {
             if let Some((known, _)) = self.tasks.get(&address) {
                 if known.swap(rank, Ordering::Relaxed) != rank && rank == 0 {
@@ -88,12 +86,16 @@
                 continue;
             }
             let shared = Arc::new(AtomicUsize::new(rank));
-            let following = follow(
-                Arc::clone(&self.entry),
-                clients.get(address),
-                Arc::clone(&shared),
-                Arc::clone(&self.last_fresh),
-            );
+            let (entry, client) = (Arc::clone(&self.entry), clients.get(address));
+            let (rank, last_fresh) = (Arc::clone(&shared), Arc::clone(&self.last_fresh));
+            let following = keep_running("follow observations", move || {
+                follow(
+                    Arc::clone(&entry),
+                    Arc::clone(&client),
+                    Arc::clone(&rank),
+                    Arc::clone(&last_fresh),
+                )
+            });
             self.tasks
                 .insert(address, (shared, tokio::spawn(following)));
         }
--- a/crates/sardinerelay-gateway/src/observations/served.rs
+++ b/crates/sardinerelay-gateway/src/observations/served.rs
@@ -7,6 +7,7 @@
         update::{Request, Update},
     },
     log::{debug, info},
+    sardinerelayd::panics,
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
@@ -32,7 +33,7 @@
             publisher: Mutex::new(new_publisher()),
             published: watch::Sender::default(),
         });
-        tokio::spawn(Arc::clone(&served).run(observations));
+        panics::spawn_essential("serve observations", Arc::clone(&served).run(observations));
         served
     }
 
--- a/crates/sardinerelayd/src/peer/outbox.rs
+++ b/crates/sardinerelayd/src/peer/outbox.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Client, Packed},
+    crate::panics::keep_running,
     log::debug,
     sardinerelay::{
         id::Host,
@@ -71,10 +72,17 @@
     /// a notification times out after ten times as long.
     pub async fn run(
         self: Arc<Self>,
-        (from, to): (Host, Host),
+        hosts: (Host, Host),
         client: Arc<Client>,
         retry_pause: Duration,
     ) {
+        keep_running("send to a host", || {
+            self.send_all(hosts, &client, retry_pause)
+        })
+        .await;
+    }
+
+    async fn send_all(&self, (from, to): (Host, Host), client: &Client, retry_pause: Duration) {
         loop {
             let messages = self.next_batch();
             if messages.is_empty() {
--- a/crates/sardinerelayd/src/peer/server.rs
+++ b/crates/sardinerelayd/src/peer/server.rs
@@ -5,6 +5,7 @@
         MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, NotificationHandler, Secrets, SharedCounters, io,
         secret::SecretLayer,
     },
+    crate::panics,
     hyper::body::Incoming,
     jsonrpsee::{
         core::middleware::RpcServiceBuilder,
@@ -76,7 +77,8 @@
             .to_service_builder();
         let (stopped, stop) = stop_channel();
         let methods = methods.into();
-        tokio::spawn(accept(listener, builder, methods, counters, stopped));
+        let accepting = accept(listener, builder, methods, counters, stopped);
+        panics::spawn_essential("accept hosts", accepting);
         Ok(Self {
             address,
             _stop: stop,
