Let a host of the first start that was killed before it voted become a voter

Cause: host-4 was killed 0.9 s after the first start. Only that start is told that the whole system starts, so it came back as a spare learner, and the group had four voters instead of five until a voter was silent. Four bear one loss, five two.

Why this works: a host that makes its files at the first start and is no seed keeps an empty file until it knows that it votes (wal::Mark), and asks to join as before. Once it has voted it joins as a replacement.

Ruled out: the repair, which did as designed; load, which the test needs none of. Looked at: seeds (their files hold the membership), sardinerelayd (its group never grows by itself). Not mended: such a host that loses its disk too.

The membership of a replica has a file of its own.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -11,6 +11,7 @@
 mod handle;
 pub mod links;
 pub mod member;
+mod membership;
 mod notifications;
 pub mod register;
 pub mod repair;
@@ -36,17 +37,17 @@
 use {
     crate::{
         distribution::{MAX_TEXT_BYTES, Publisher},
-        exit_code::ExitCode,
-        logging, reload,
+        reload,
     },
     channels::{Input, Published},
     driver::Driver,
     links::Links,
     log::{info, warn},
+    membership::Member,
     sardinerelay::{
         id::Host,
         raft::{Config, DurableState, Role, SoftState},
-        wal::{self, Identity, Recovered, Store},
+        wal::{self, Identity, Mark, Recovered, Store},
     },
     sardinerelayd::{control::FatalError, panics, peer::Server},
     std::{
@@ -63,7 +64,6 @@
             watch,
         },
         task::JoinHandle,
-        time::sleep,
     },
     uuid::Uuid,
 };
@@ -74,12 +74,11 @@
 const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest proposal in bytes: a configuration, plus room for its encoding.
 const MAX_PROPOSAL_BYTES: usize = MAX_TEXT_BYTES + (1 << 20);
+/// File whose existence says that this host's replica was made when the whole system started, and hasn't learnt yet
+/// that it is a voter.
+const FOUNDING_FILE: &str = "founding";
 /// Largest number of inputs that wait for the driver.
 const INPUT_QUEUE_CAPACITY: usize = 1024;
-/// Interval at which a host that isn't a voter yet asks to join.
-const JOIN_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which a replica asks whether it is still a member.
-const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Settings of the replica on this host.
 #[derive(Debug, Clone)]
@@ -150,7 +149,12 @@
 /// together, or the peer server can't listen.
 pub async fn start(settings: Settings, shared: SharedState) -> Result<RunningReplica, FatalError> {
     let path = settings.data_dir.join("replica");
-    let (own_id, files) = open(&settings, &path)?;
+    let founding = Mark::new(
+        settings.volume.clone(),
+        settings.data_dir.join(FOUNDING_FILE),
+    );
+    let (own_id, files) = open(&settings, (&path, &founding))?;
+    let is_founding = settings.is_founding || founding.is_set()?;
     let clients = Arc::new(Clients::new(settings.peer_port));
     let mut config = Config::new(own_id, rand::random());
     config.heartbeat_interval = HEARTBEAT_INTERVAL;
@@ -188,10 +192,15 @@
     let (allocator, metrics) = (Arc::clone(&shared.allocator), Arc::clone(&shared.metrics));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
-    panics::spawn_essential(
-        "maintain the membership",
-        maintain_membership(settings, own_id, path, handle.clone()),
-    );
+    let member = Member {
+        settings,
+        own_id,
+        path,
+        founding,
+        is_founding,
+    };
+    let maintaining = membership::maintain(member, handle.clone());
+    panics::spawn_essential("maintain the membership", maintaining);
     let excluding = exclusions::run(handle.clone(), Arc::clone(&allocator));
     panics::spawn_essential("follow exclusions", excluding);
     let evacuating = evacuation::run(handle.clone(), allocator, metrics);
@@ -204,11 +213,14 @@
 }
 
 /// Opens the replica's files. Returns its ID with its store and durable state.
-fn open(settings: &Settings, path: &Path) -> Result<(Host, (Store, DurableState)), FatalError> {
+fn open(
+    settings: &Settings,
+    (path, founding): (&Path, &Mark),
+) -> Result<(Host, (Store, DurableState)), FatalError> {
     let open_on_volume = || Store::open_on(&settings.volume, path, wal::Limits::default());
     let opened = match open_on_volume() {
         Err(wal::Error::NotInitialised { .. }) => {
-            create(settings, path)?;
+            create(settings, (path, founding))?;
             open_on_volume()
         }
         opened => opened,
@@ -233,7 +245,9 @@
 }
 
 /// Creates the files of a founding voter, or of a learner with an ID that was never used.
-fn create(settings: &Settings, path: &Path) -> Result<(), FatalError> {
+///
+/// A learner of the first start keeps that it founds, because later starts aren't told.
+fn create(settings: &Settings, (path, founding): (&Path, &Mark)) -> Result<(), FatalError> {
     let seeds = settings.reloadable.seeds();
     let is_founder = settings.is_founding && seeds.contains(&settings.address);
     let (replica, durable) = match is_founder {
@@ -245,6 +259,9 @@
             )
         }
         false => {
+            if settings.is_founding {
+                founding.set()?;
+            }
             let replica = member::random_id(settings.address, &mut rand::rng());
             (replica, DurableState::default())
         }
@@ -258,59 +275,3 @@
         &durable,
     )?)
 }
-
-/// Asks to join until this replica is a voter, then keeps checking that it is still a member.
-///
-/// A replica that was removed while it was unreachable deletes its files and exits the process, so
-/// that the next start joins under a new ID.
-async fn maintain_membership(settings: Settings, own_id: Host, path: PathBuf, handle: Handle) {
-    let mut is_joining = own_id != member::founder_id(settings.address);
-    let mut is_leader_found = true;
-    loop {
-        let interval = if is_joining {
-            JOIN_INTERVAL
-        } else {
-            MEMBERSHIP_CHECK_INTERVAL
-        };
-        sleep(interval).await;
-        if handle.leadership.borrow().role == Role::Leader {
-            // The leader knows that it is a member, and would find no other leader.
-            is_joining = false;
-            continue;
-        }
-        let status = handle.query_status(&settings, own_id, is_joining).await;
-        if std::mem::replace(&mut is_leader_found, status.is_some()) != status.is_some() {
-            log_leader_search(own_id, is_joining, status.as_ref());
-        }
-        let Some(status) = status else {
-            continue;
-        };
-        if status.is_voter {
-            is_joining = false;
-        } else if !is_joining && !status.is_member {
-            warn!(replica = own_id; "this replica was removed from the group and rejoins under a new id");
-            if let Err(error) = Store::discard_on(&settings.volume, &path) {
-                warn!("could not delete {}: {error}", path.display());
-                continue;
-            }
-            logging::flush();
-            std::process::exit(ExitCode::Removed as i32);
-        }
-    }
-}
-
-/// Logs that a replica found the leader, or that no host it asked is the leader.
-fn log_leader_search(own_id: Host, is_joining: bool, status: Option<&MemberStatus>) {
-    match status {
-        Some(MemberStatus {
-            leader, is_voter, ..
-        }) => info!(
-            replica = own_id, joining = is_joining, leader = leader.unwrap_or_default(), votes = *is_voter;
-            "the leader answered the membership check"
-        ),
-        None => warn!(
-            replica = own_id, joining = is_joining;
-            "no host that was asked for this replica's membership is the leader"
-        ),
-    }
-}
--- a/crates/sardinerelay-gateway/src/group/handle.rs
+++ b/crates/sardinerelay-gateway/src/group/handle.rs
@@ -275,13 +275,12 @@
         }
     }
 
-    /// Asks for the status of `own_id`, starting with the known members and the seeds. Returns the
+    /// Asks for the status of a host, starting with the known members and the seeds. Returns the
     /// leader's response, none if no leader is found.
     pub(super) async fn query_status(
         &self,
         settings: &Settings,
-        own_id: Host,
-        is_joining: bool,
+        request: StatusRequest,
     ) -> Option<MemberStatus> {
         let members = self.status.borrow().members.clone();
         let members = members.into_iter().map(member::address);
@@ -296,11 +295,6 @@
             excluded: Some(settings.address),
             max_parallel: usize::MAX,
         };
-        let request = StatusRequest {
-            host: own_id,
-            is_joining,
-            is_founding: settings.is_founding,
-        };
         search.find(&request, |status| status.is_leader).await
     }
 }
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -100,12 +100,7 @@
     /// Founds a group of `size` replicas, of which the first ones are seeds, and waits until all of
     /// them vote.
     pub fn found(size: usize) -> Self {
-        let mut cluster = Self {
-            directory: TempDir::new().expect("a directory"),
-            number: GROUP_COUNT.fetch_add(1, Ordering::Relaxed),
-            replicas: (0..size).map(|_| None).collect(),
-            disks: (0..size).map(|_| Disk::default()).collect(),
-        };
+        let mut cluster = Self::not_started(size);
         (0..size).for_each(|host| cluster.start(host, true));
         let all: Vec<usize> = (0..size).collect();
         cluster.wait_for("all replicas vote", Duration::from_secs(20), |cluster| {
@@ -114,6 +109,16 @@
         cluster
     }
 
+    /// Returns a group of which no replica has been started.
+    pub fn not_started(size: usize) -> Self {
+        Self {
+            directory: TempDir::new().expect("a directory"),
+            number: GROUP_COUNT.fetch_add(1, Ordering::Relaxed),
+            replicas: (0..size).map(|_| None).collect(),
+            disks: (0..size).map(|_| Disk::default()).collect(),
+        }
+    }
+
     /// Starts a replica.
     ///
     /// # Panics
@@ -161,7 +166,6 @@
             data_dir: self.data_dir(host),
             volume: self.disks[host].volume(),
         };
-        fs::create_dir_all(&settings.data_dir).expect("a directory");
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
--- a/crates/sardinerelay-gateway/tests/group/membership.rs
+++ b/crates/sardinerelay-gateway/tests/group/membership.rs
@@ -1,13 +1,62 @@
 //! What replicas say of the membership of others.
 
 use {
-    super::cluster::Cluster,
+    super::cluster::{Cluster, SEEDS},
     std::{thread, time::Duration},
 };
 
 /// A host that is no member of any group.
 const STRANGER: u64 = 1;
 
+/// Time in which all replicas must vote that the system starts with.
+const FOUNDING_TIME: Duration = Duration::from_secs(10);
+
+/// Guards against a group that has one voter too few for good, because a host of the first start was killed before
+/// it voted. Only the first start is told that it founds.
+#[test]
+fn a_host_of_the_first_start_that_was_killed_before_it_voted_becomes_a_voter() {
+    let last = SEEDS + 1;
+    let mut cluster = Cluster::not_started(last + 1);
+    cluster.start(last, true);
+    cluster.kill(last);
+    (0..last).for_each(|host| cluster.start(host, true));
+    cluster.start(last, false);
+    let all: Vec<usize> = (0..=last).collect();
+    cluster.wait_for("all replicas vote", FOUNDING_TIME, |cluster| {
+        cluster.voting(&all)
+    });
+    // A majority of five remains, but not of four.
+    cluster.kill(0);
+    cluster.kill(1);
+    cluster.wait_for("a change is accepted", FOUNDING_TIME, |cluster| {
+        cluster.submit(last, 1, 100)
+    });
+}
+
+/// Guards against a group that grows with a host that is replaced and comes back: such a host founds no more.
+#[test]
+fn a_host_that_has_voted_joins_as_a_replacement_from_then_on() {
+    let (last, spare) = (SEEDS, SEEDS + 1);
+    let mut cluster = Cluster::not_started(spare + 1);
+    cluster.start(last, true);
+    cluster.kill(last);
+    (0..SEEDS).for_each(|host| cluster.start(host, true));
+    cluster.start(last, false);
+    cluster.wait_for("the last replica votes", FOUNDING_TIME, |cluster| {
+        cluster.voting(&[last])
+    });
+    // Once it has learnt that it votes.
+    thread::sleep(Duration::from_secs(1));
+    cluster.kill(last);
+    cluster.start(spare, false);
+    cluster.wait_for("the spare replica votes", FOUNDING_TIME, |cluster| {
+        cluster.voting(&[spare])
+    });
+    cluster.start(last, false);
+    thread::sleep(Duration::from_secs(3));
+    assert!(!cluster.voting(&[last]), "the group has grown");
+}
+
 /// A host deletes its replica when the leader says that it isn't a member. A leader that lost its
 /// quorum may have been replaced, and doesn't know.
 #[test]
--- a/crates/sardinerelay/src/wal.rs
+++ b/crates/sardinerelay/src/wal.rs
@@ -27,6 +27,7 @@
 mod file;
 mod frame;
 mod identity;
+mod mark;
 mod recover;
 mod snapshot;
 mod store;
@@ -36,6 +37,7 @@
 pub use self::{
     error::{Corruption, Error},
     identity::Identity,
+    mark::Mark,
     store::{Limits, Recovered, Store, TornTail},
     volume::Volume,
 };
--- a/crates/sardinerelay/tests/wal.rs
+++ b/crates/sardinerelay/tests/wal.rs
@@ -2,6 +2,7 @@
 
 mod wal {
     mod full_disk;
+    mod mark;
 }
 
 use {
