Tell a leader that leads again what it has lost with its memory

Cause: entry hosts tell a host that begins to allocate which crashes, answered parts and running requests they know, and recognised it by its address. All voters lost power, and the same one led again.

Evidence: core-lakes-b-1 leads before and after; no entry host that ran on logged another allocating host; of seven crashes it counted three, and four are needed.

Why this works: the status of voters has the term, and a later term of the same host counts as a host that begins to allocate. Earlier versions name none and are recognised as before.

Ruled out by the new log line, a crash counts against a part: answers, other parts, load reports that take crashes back.

Before (with the address alone): case_1_the_same_host_in_a_later_term FAILED. Looked at: report_running (same call, told once), sardinerelayd (goes by the term).

--- a/crates/sardinerelay-gateway/src/allocator/crashes.rs
+++ b/crates/sardinerelay-gateway/src/allocator/crashes.rs
@@ -17,7 +17,16 @@
     pub fn record_crash(&self, crash: &Crash) {
         let now = Instant::now();
         let mut state = self.state();
-        if let Some(part) = state.quarantine.record_crash(crash, now) {
+        let refused = state.quarantine.record_crash(crash, now);
+        for part in &crash.subjects {
+            let (crashes, was_answered) = state.quarantine.evidence(*part);
+            info!(
+                part:% = format_args!("{part:x}"), content:% = format_args!("{:016x}", crash.request),
+                target_id = crash.target.as_str(), crashes = crashes, answered = was_answered;
+                "a crash counts against a part"
+            );
+        }
+        if let Some(part) = refused {
             warn!(
                 part:% = format_args!("{part:x}"), content:% = format_args!("{:016x}", crash.request),
                 target_id = crash.target.as_str();
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -25,6 +25,7 @@
     jsonrpsee::types::ErrorCode,
     log::info,
     observations::Publishers,
+    sardinerelay::id::Term,
     sardinerelayd::{
         panics::{self, keep_running},
         peer::Error,
@@ -99,10 +100,10 @@
             sleep(MEMBERS_INTERVAL),
             publishers.ask_zones(&clients, &addresses)
         );
-        if let Some((found_leader, members)) = query_members(&clients, &addresses).await {
+        if let Some((found_leader, term, members)) = query_members(&clients, &addresses).await {
             leader = Some(found_leader);
             addresses = members;
-            if entry.remote.set_client(Some(clients.get(found_leader))) {
+            if entry.remote.set_client(clients.get(found_leader), term) {
                 entry.report_answered_parts();
                 entry.report_crashes();
                 entry.report_running();
@@ -138,12 +139,12 @@
     ranked.map(|(_, _, address)| address).collect()
 }
 
-/// Returns the addresses of the group's leader and of all members according to the first host that
-/// knows a leader, or none if no host knows one.
+/// Returns the address of the group's leader, its term and the addresses of all members according to the first host
+/// that knows a leader, or none if no host knows one.
 async fn query_members(
     clients: &Clients,
     known: &BTreeSet<Ipv4Addr>,
-) -> Option<(Ipv4Addr, BTreeSet<Ipv4Addr>)> {
+) -> Option<(Ipv4Addr, Term, BTreeSet<Ipv4Addr>)> {
     let search = Search {
         clients,
         known: known.clone(),
@@ -154,5 +155,6 @@
         |status: &MemberStatus| status.leader.is_some() && !status.members.is_empty();
     let status = search.find(&StatusRequest::default(), knows_leader).await?;
     let members = status.members.into_iter().map(member::address);
-    Some((member::address(status.leader?), members.collect()))
+    let leader = member::address(status.leader?);
+    Some((leader, status.term, members.collect()))
 }
--- a/crates/sardinerelay-gateway/src/group/channels.rs
+++ b/crates/sardinerelay-gateway/src/group/channels.rs
@@ -7,7 +7,7 @@
     },
     log::warn,
     sardinerelay::{
-        id::{Host, Version},
+        id::{Host, Term, Version},
         raft::{Message, RequestError, SoftState},
     },
     sardinerelayd::control::proposals::Ended,
@@ -72,6 +72,10 @@
 pub struct MemberStatus {
     /// The leader, if it is known.
     pub leader: Option<Host>,
+    /// The term that the replica knows, which is that of the leader if one is known. 0 from a host of an earlier
+    /// version.
+    #[serde(default)]
+    pub term: Term,
     /// Whether the replica that answers is the leader and has committed an entry in its term.
     #[serde(rename = "leads")]
     pub is_leader: bool,
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -228,6 +228,7 @@
         let is_changing = status.membership_index > status.commit;
         MemberStatus {
             leader: status.leader,
+            term: status.term,
             is_leader: status.role == Role::Leader && self.replica.lease().is_some(),
             is_member: status.membership.contains(host) || is_changing,
             is_voter: status.membership.voters.contains(&host),
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -164,6 +164,13 @@
         self.remember_answered(subject);
     }
 
+    /// Returns the number of crashes that a subject is blamed for, and whether it was ever answered.
+    pub fn evidence(&self, subject: Subject) -> (usize, bool) {
+        let suspect = self.suspects.get(&subject);
+        let crashes = suspect.map_or(0, |suspect| suspect.targets.len());
+        (crashes, self.answered.contains_key(&subject))
+    }
+
     /// Clears all suspects of the crashes of these targets, which something else explains. Those with as many
     /// crashes may be the cause as well, and keep them until they are answered.
     fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -10,6 +10,7 @@
         targets::RunId,
     },
     log::{info, warn},
+    sardinerelay::id::Term,
     sardinerelayd::peer::{Client, Packed},
     serde::Serialize,
     std::{
@@ -38,23 +39,26 @@
 #[derive(Debug, Default)]
 struct State {
     client: Option<Arc<Client>>,
+    /// Term in which that host began to allocate, 0 if it isn't known.
+    term: Term,
     unreachable_until: Option<Instant>,
     /// Until when no permits are asked for, because the last request for one failed.
     permits_unavailable_until: Option<Instant>,
 }
 
 impl RemoteAllocator {
-    /// Sets the client of the allocating host, or none if there is no such host. Returns whether it
-    /// has changed.
-    pub fn set_client(&self, client: Option<Arc<Client>>) -> bool {
+    /// Sets the client of the allocating host, and the term in which that host leads. Returns whether a host has begun
+    /// to allocate since the last call: another one, or the same in a later term. That one may have restarted, and
+    /// knows nothing then of what it was told before.
+    pub fn set_client(&self, client: Arc<Client>, term: Term) -> bool {
         let mut state = self.lock();
-        let address = |client: &Option<Arc<Client>>| client.as_ref().map(|client| client.address());
-        if address(&state.client) == address(&client) {
+        let known = state.client.as_ref().map(|known| known.address());
+        if known == Some(client.address()) && state.term == term {
             return false;
         }
-        if let Some(client) = &client {
-            info!(address:% = client.address(); "the allocating host changed");
-        }
+        info!(address:% = client.address(), term = term; "a host has begun to allocate");
+        let client = Some(client);
+        state.term = term;
         state.client = client;
         state.unreachable_until = None;
         state.permits_unavailable_until = None;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, which need no sockets and no clock.
 
 mod decisions {
+    mod allocating_host;
     mod builds;
     mod candidates;
     mod cold;
--- a/crates/sardinerelay-gateway/tests/group/membership.rs
+++ b/crates/sardinerelay-gateway/tests/group/membership.rs
@@ -57,6 +57,22 @@
     assert!(!cluster.voting(&[last]), "the group has grown");
 }
 
+/// Entry hosts recognise by the term that a leader has lost its memory.
+#[test]
+fn a_leader_that_has_restarted_names_a_later_term() {
+    let mut cluster = Cluster::found(SEEDS);
+    let leading_term = |cluster: &Cluster| {
+        let statuses = (0..SEEDS).filter_map(|host| cluster.leader_status(host, STRANGER));
+        statuses.map(|status| status.term).max()
+    };
+    let before = leading_term(&cluster).expect("a leader");
+    (0..SEEDS).for_each(|host| cluster.kill(host));
+    (0..SEEDS).for_each(|host| cluster.start(host, false));
+    cluster.wait_for("a leader of a later term", FOUNDING_TIME, |cluster| {
+        leading_term(cluster) > Some(before)
+    });
+}
+
 /// A host deletes its replica when the leader says that it isn't a member. A leader that lost its
 /// quorum may have been replaced, and doesn't know.
 #[test]
