--- a/crates/sardinerelay-gateway/src/remote.rs
+++ b/crates/sardinerelay-gateway/src/remote.rs
@@ -56,7 +56,7 @@
         if known == Some(client.address()) && state.term == term {
             return false;
         }
-        info!(address:% = client.address(), term = term; "a host has begun to allocate");
+        info!(address:% = client.address(), term = term; "the allocating host changed");
         let client = Some(client);
         state.term = term;
         state.client = client;
