Give the seventeenth group of a test process addresses of its own

The 17th group gets the addresses of the first, which may still run.

Looked at: the daemon's groups, the soak.

--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -401,7 +401,9 @@
         let process = process::id();
         let second = 40 + (process % 50) as u8;
         let third = (process / 50 % 16) as u8 * 16 + self.number % 16;
-        Ipv4Addr::new(127, second, third, host as u8 + 1)
+        // No group has 16 replicas, so the 17th group doesn't get the addresses of the first, which may still run.
+        let fourth = self.number / 16 % 15 * 16 + host as u8 + 1;
+        Ipv4Addr::new(127, second, third, fourth)
     }
 
     fn data_dir(&self, host: usize) -> PathBuf {
