Find the directory of a path in one piece of code

wal::Mark had a fourth form of it, beside those of write_atomically, of recovery and of create_on, and they differed for a mere name: two took the empty path for a directory, one left the sync out. file::directory_of is the form of the mark; all four call it. For any other path nothing changes.

No test of its own: a mere name would need the process's own directory to change.

--- a/crates/sardinerelay/src/wal/file.rs
+++ b/crates/sardinerelay/src/wal/file.rs
@@ -72,7 +72,14 @@
     }
     with_path("syncing", &temporary, file.sync_all())?;
     with_path("renaming", &temporary, fs::rename(&temporary, path))?;
-    sync_directory(path.parent().unwrap_or(Path::new(".")))
+    sync_directory(directory_of(path))
+}
+
+/// Returns the directory that a path is in, which is the current one for a mere name.
+pub(super) fn directory_of(path: &Path) -> &Path {
+    path.parent()
+        .filter(|parent| !parent.as_os_str().is_empty())
+        .unwrap_or(Path::new("."))
 }
 
 /// Deletes a directory with all of its files. The mark goes last, so that a deletion that is
--- a/crates/sardinerelay/src/wal/mark.rs
+++ b/crates/sardinerelay/src/wal/mark.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{Error, Volume, file},
-    std::{
-        fs,
-        path::{Path, PathBuf},
-    },
+    std::{fs, path::PathBuf},
 };
 
 /// A fact that holds while an empty file exists. After a crash it holds or doesn't as before or after the change
@@ -37,7 +34,7 @@
     ///
     /// Returns [`Error::Io`] if the file can't be made, for example because the disk is full.
     pub fn set(&self) -> Result<(), Error> {
-        let directory = self.directory();
+        let directory = file::directory_of(&self.path);
         file::with_path("creating", directory, fs::create_dir_all(directory))?;
         file::write_atomically(&self.volume, &self.path, &[])
     }
@@ -52,13 +49,6 @@
             return Ok(());
         }
         file::remove_file(&self.path)?;
-        file::sync_directory(self.directory())
-    }
-
-    fn directory(&self) -> &Path {
-        let parent = self.path.parent();
-        parent
-            .filter(|parent| !parent.as_os_str().is_empty())
-            .unwrap_or(Path::new("."))
+        file::sync_directory(file::directory_of(&self.path))
     }
 }
--- a/crates/sardinerelay/src/wal/recover.rs
+++ b/crates/sardinerelay/src/wal/recover.rs
@@ -209,7 +209,7 @@
         if offset == 0 {
             self.segments.pop();
             file::remove_file(path)?;
-            return file::sync_directory(path.parent().unwrap_or(Path::new(".")));
+            return file::sync_directory(file::directory_of(path));
         }
         let cut = File::options().write(true).open(path).and_then(|file| {
             file.set_len(offset)?;
--- a/crates/sardinerelay/src/wal/store.rs
+++ b/crates/sardinerelay/src/wal/store.rs
@@ -149,9 +149,7 @@
             .try_for_each(|record| store.push_record(&record))?;
         store.sync()?;
         // The directory itself must still be in its parent after a crash, from when it is complete.
-        path.parent()
-            .filter(|parent| !parent.as_os_str().is_empty())
-            .map_or(Ok(()), file::sync_directory)?;
+        file::sync_directory(file::directory_of(path))?;
         identity.write(volume, path)
     }
 
