--- a/crates/sardinerelay-gateway/tests/group/membership.rs
+++ b/crates/sardinerelay-gateway/tests/group/membership.rs
@@ -11,16 +11,21 @@
 /// Time in which all replicas must vote that the system starts with.
 const FOUNDING_TIME: Duration = Duration::from_secs(10);
 
+/// Founds a group of all replicas up to `last`, which is killed before there is a leader and comes back.
+fn found_with_an_early_kill(cluster: &mut Cluster, last: usize) {
+    cluster.start(last, true);
+    cluster.kill(last);
+    (0..last).for_each(|host| cluster.start(host, true));
+    cluster.start(last, false);
+}
+
 /// Guards against a group that has one voter too few for good, because a host of the first start was killed before
 /// it voted. Only the first start is told that it founds.
 #[test]
 fn a_host_of_the_first_start_that_was_killed_before_it_voted_becomes_a_voter() {
     let last = SEEDS + 1;
     let mut cluster = Cluster::not_started(last + 1);
-    cluster.start(last, true);
-    cluster.kill(last);
-    (0..last).for_each(|host| cluster.start(host, true));
-    cluster.start(last, false);
+    found_with_an_early_kill(&mut cluster, last);
     let all: Vec<usize> = (0..=last).collect();
     cluster.wait_for("all replicas vote", FOUNDING_TIME, |cluster| {
         cluster.voting(&all)
@@ -38,10 +43,7 @@
 fn a_host_that_has_voted_joins_as_a_replacement_from_then_on() {
     let (last, spare) = (SEEDS, SEEDS + 1);
     let mut cluster = Cluster::not_started(spare + 1);
-    cluster.start(last, true);
-    cluster.kill(last);
-    (0..SEEDS).for_each(|host| cluster.start(host, true));
-    cluster.start(last, false);
+    found_with_an_early_kill(&mut cluster, last);
     cluster.wait_for("the last replica votes", FOUNDING_TIME, |cluster| {
         cluster.voting(&[last])
     });
