Review: a deadly part is never blamed if a server got to its first event

A server that crashes after the first event of an answer counts as having answered, so the part of the prompt that crashes it is cleared each time.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// Time from the first event of a deadly answer to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+
 /// What a server is told at its start.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -30,6 +33,8 @@
     pub gap: Duration,
     /// File to which it writes what it ran.
     pub runs: PathBuf,
+    /// ID of the part of prompts that crashes it once it has begun to write an answer; empty if there is none.
+    pub deadly_part: String,
 }
 
 pub fn unix_ms() -> u64 {
@@ -48,6 +53,7 @@
             self.events.to_string(),
             self.gap.as_millis().to_string(),
             self.runs.display().to_string(),
+            self.deadly_part.clone(),
         ]
     }
 
@@ -60,6 +66,7 @@
             events: arguments[4].parse().expect("a number"),
             gap: Duration::from_millis(arguments[5].parse().expect("a time")),
             runs: arguments[6].clone().into(),
+            deadly_part: arguments.get(7).cloned().unwrap_or_default(),
         }
     }
 
@@ -140,6 +147,9 @@
             );
             return stream.write_all(text.as_bytes());
         }
+        let prompt = request.header("prompt-prefix").unwrap_or_default();
+        let has_deadly_part = !self.deadly_part.is_empty()
+            && prompt.split(',').any(|part| part.split(':').next() == Some(&self.deadly_part));
         let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
         self.record(&format!("runs {id} after event {last:?}"));
         let head = format!(
@@ -152,6 +162,11 @@
             sleep(self.gap);
             let event = format!("id: {number}\ndata: {} {id}\n\n", self.version);
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            if has_deadly_part {
+                self.record(&format!("crashes of {id} after its first event"));
+                sleep(CRASH_DELAY);
+                std::process::exit(1);
+            }
         }
         stream.write_all(b"0\r\n\r\n")
     }
--- a/review/standin-3/restarted.rs
+++ b/review/standin-3/restarted.rs
@@ -106,6 +106,7 @@
         events: EVENTS,
         gap: GAP,
         runs: runs.clone(),
+        deadly_part: String::new(),
     };
     let (first, second) = (engine(11, "v1"), engine(12, "v1"));
     let mut restarted = Server::start(&first);
--- a/review/standin-3/rolled.rs
+++ b/review/standin-3/rolled.rs
@@ -103,6 +103,7 @@
             events: EVENTS,
             gap: GAP,
             runs: runs.clone(),
+            deadly_part: String::new(),
         })
         .collect();
     let _servers: Vec<Server> = engines.iter().map(Server::start).collect();
