Review: a generation goes on at its copy while its server still works on it

A server that loses an answer may run the request to its end. The relay goes on at the copy at once, although the server's report names the run.

--- a/review/standin-3/deadly.rs
+++ b/review/standin-3/deadly.rs
@@ -114,9 +114,12 @@
     }
 }
 
-impl Drop for Platform {
+/// Kills all servers when it is dropped. The platform itself lives on in the thread that serves its list.
+struct Guard(Arc<Platform>);
+
+impl Drop for Guard {
     fn drop(&mut self) {
-        for server in self.servers.lock().unwrap().iter_mut() {
+        for server in self.0.servers.lock().unwrap().iter_mut() {
             let _ = server.child.kill();
             let _ = server.child.wait();
         }
@@ -142,6 +145,7 @@
     let scratch = Scratch::new("review-deadly");
     let runs = scratch.0.join("runs");
     let platform = Arc::new(Platform::default());
+    let _guard = Guard(Arc::clone(&platform));
     {
         let mut servers = platform.servers.lock().unwrap();
         for number in 20..20 + SERVERS {
@@ -154,6 +158,9 @@
                 gap: Duration::from_millis(60),
                 runs: runs.clone(),
                 deadly_part: DEADLY_PART.to_owned(),
+                loses_answers: false,
+                copies: Arc::default(),
+                active: Arc::default(),
             };
             let child = spawn(&engine);
             servers.push(Server { engine, child, crashed: None, starts: 0 });
@@ -180,6 +187,8 @@
         machine.start(&text);
     }
     if put_until(record, &net, &[1, 2, 3], &configuration(), Duration::from_secs(15)).is_none() {
+        stop.store(true, Ordering::Relaxed);
+        let _ = supervisor.join();
         return NOT_RUN;
     }
     sleep(Duration::from_secs(5));
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -4,12 +4,13 @@
 use {
     super::common::*,
     std::{
+        collections::{BTreeMap, BTreeSet},
         fs::OpenOptions,
         io::Write as _,
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::PathBuf,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicU64, Ordering},
         },
         thread::sleep,
@@ -17,6 +18,11 @@
     },
 };
 
+/// Beginning of the IDs of attempts whose answer is lost after [`EVENTS_BEFORE_LOSS`] events: the connection closes, and
+/// the server runs the request to its end all the same.
+pub const LOST_ID: &str = "ee";
+const EVENTS_BEFORE_LOSS: u64 = 10;
+
 /// Time from the first event of a deadly answer to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
@@ -35,6 +41,12 @@
     pub runs: PathBuf,
     /// ID of the part of prompts that crashes it once it has begun to write an answer; empty if there is none.
     pub deadly_part: String,
+    /// Whether answers to attempts with [`LOST_ID`] are lost here.
+    pub loses_answers: bool,
+    /// Attempts of whose memory it keeps a copy.
+    pub copies: Arc<Mutex<BTreeSet<String>>>,
+    /// Attempts that it works on, and the events that each has made.
+    pub active: Arc<Mutex<BTreeMap<String, u64>>>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -54,6 +66,7 @@
             self.gap.as_millis().to_string(),
             self.runs.display().to_string(),
             self.deadly_part.clone(),
+            self.loses_answers.to_string(),
         ]
     }
 
@@ -67,6 +80,9 @@
             gap: Duration::from_millis(arguments[5].parse().expect("a time")),
             runs: arguments[6].clone().into(),
             deadly_part: arguments.get(7).cloned().unwrap_or_default(),
+            loses_answers: arguments.get(8).is_some_and(|value| value == "true"),
+            copies: Arc::default(),
+            active: Arc::default(),
         }
     }
 
@@ -107,9 +123,16 @@
                 ("POST", "/hold-take") => {
                     self.answer(&mut stream, 200, &format!(r#"{{"hold":"h-{}"}}"#, unix_ms()))
                 }
+                ("POST", path) if path.starts_with("/copy/") => {
+                    let id = path.trim_start_matches("/copy/").to_owned();
+                    self.copies.lock().unwrap().insert(id);
+                    self.answer(&mut stream, 200, "{}")
+                }
                 _ => {
                     running.fetch_add(1, Ordering::Relaxed);
                     let served = self.generate(&mut stream, &request);
+                    let id = request.header("attempt-id").unwrap_or_default();
+                    self.active.lock().unwrap().remove(&id);
                     running.fetch_sub(1, Ordering::Relaxed);
                     served
                 }
@@ -121,8 +144,12 @@
     }
 
     fn report(&self, running: u64) -> String {
+        let active = self.active.lock().unwrap();
+        let runs = active.iter().map(|(id, made)| format!(r#"["{id}",{},{made},5]"#, 300 + 4 * made));
+        let runs: Vec<String> = runs.collect();
+        let runs = runs.join(",");
         format!(
-            r#"{{"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"seq":0,"queued":0,"running":{running},"kvUsed":{},"kvTotal":34364,"handles":0,"born":{},"pinned":0,"held":0,"runs":[],"next":0,"state":"ready"}}"#,
+            r#"{{"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"seq":0,"queued":0,"running":{running},"kvUsed":{},"kvTotal":34364,"handles":0,"born":{},"pinned":0,"held":0,"runs":[{runs}],"next":0,"state":"ready"}}"#,
             running * 1500,
             self.born
         )
@@ -151,7 +178,20 @@
         let has_deadly_part = !self.deadly_part.is_empty()
             && prompt.split(',').any(|part| part.split(':').next() == Some(&self.deadly_part));
         let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
-        self.record(&format!("runs {id} after event {last:?}"));
+        let copy_from = request.header("kv-from");
+        if let Some(from) = &copy_from
+            && (*from != format!("{}/{id}", self.address) || !self.copies.lock().unwrap().remove(&id))
+        {
+            let text = format!(
+                "HTTP/1.1 503 No Copy\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            return stream.write_all(text.as_bytes());
+        }
+        if let Some(to) = request.header("kv-backup").and_then(|to| to.parse().ok()) {
+            self.send_copy(to, &id);
+        }
+        let loses_answer = self.loses_answers && id.starts_with(LOST_ID) && copy_from.is_none();
+        self.record(&format!("runs {id} after event {last:?}, from the copy {copy_from:?}"));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {}.{}\r\nContent-Type: text/event-stream\r\n\
              Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -160,6 +200,18 @@
         stream.write_all(head.as_bytes())?;
         for number in last.unwrap_or(0) + 1..=self.events {
             sleep(self.gap);
+            self.active.lock().unwrap().insert(id.clone(), number);
+            if loses_answer && number >= EVENTS_BEFORE_LOSS {
+                if number == EVENTS_BEFORE_LOSS {
+                    stream.shutdown(Shutdown::Both)?;
+                    self.record(&format!("loses the answer of {id} and goes on"));
+                }
+                self.record(&format!("works on {id}, event {number}"));
+                if number == self.events {
+                    return Err(std::io::ErrorKind::ConnectionAborted.into());
+                }
+                continue;
+            }
             let event = format!("id: {number}\ndata: {} {id}\n\n", self.version);
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             if has_deadly_part {
@@ -171,6 +223,14 @@
         stream.write_all(b"0\r\n\r\n")
     }
 
+    /// Sends the memory of a run to another server.
+    fn send_copy(&self, to: SocketAddr, id: &str) {
+        let request =
+            format!("POST /copy/{id} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        let sent = call(to, request.as_bytes(), Duration::from_millis(500));
+        self.record(&format!("sends a copy of {id} to {to}: {}", sent.is_ok()));
+    }
+
     fn record(&self, text: &str) {
         let file = OpenOptions::new().create(true).append(true).open(&self.runs);
         if let Ok(mut file) = file {
--- a/review/standin-3/restarted.rs
+++ b/review/standin-3/restarted.rs
@@ -107,6 +107,9 @@
         gap: GAP,
         runs: runs.clone(),
         deadly_part: String::new(),
+        loses_answers: false,
+        copies: Arc::default(),
+        active: Arc::default(),
     };
     let (first, second) = (engine(11, "v1"), engine(12, "v1"));
     let mut restarted = Server::start(&first);
--- a/review/standin-3/rolled.rs
+++ b/review/standin-3/rolled.rs
@@ -104,6 +104,9 @@
             gap: GAP,
             runs: runs.clone(),
             deadly_part: String::new(),
+            loses_answers: false,
+            copies: Arc::default(),
+            active: Arc::default(),
         })
         .collect();
     let _servers: Vec<Server> = engines.iter().map(Server::start).collect();
