--- a/review/standin-3/deadly.rs
+++ b/review/standin-3/deadly.rs
@@ -161,6 +161,7 @@
                 loses_answers: false,
                 copies: Arc::default(),
                 active: Arc::default(),
+                begun: Arc::default(),
             };
             let child = spawn(&engine);
             servers.push(Server { engine, child, crashed: None, starts: 0 });
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -18,9 +18,9 @@
     },
 };
 
-/// Beginning of the IDs of attempts whose answer is lost after [`EVENTS_BEFORE_LOSS`] events: the connection closes, and
-/// the server runs the request to its end all the same.
-pub const LOST_ID: &str = "ee";
+/// A server that loses answers loses that of one request in so many: the connection closes after
+/// [`EVENTS_BEFORE_LOSS`] events, and the server runs the request to its end all the same.
+const LOST_EACH: u64 = 20;
 const EVENTS_BEFORE_LOSS: u64 = 10;
 
 /// Time from the first event of a deadly answer to the crash.
@@ -41,12 +41,14 @@
     pub runs: PathBuf,
     /// ID of the part of prompts that crashes it once it has begun to write an answer; empty if there is none.
     pub deadly_part: String,
-    /// Whether answers to attempts with [`LOST_ID`] are lost here.
+    /// Whether it loses answers.
     pub loses_answers: bool,
     /// Attempts of whose memory it keeps a copy.
     pub copies: Arc<Mutex<BTreeSet<String>>>,
     /// Attempts that it works on, and the events that each has made.
     pub active: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// Number of requests that it has begun to run.
+    pub begun: Arc<AtomicU64>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -83,6 +85,7 @@
             loses_answers: arguments.get(8).is_some_and(|value| value == "true"),
             copies: Arc::default(),
             active: Arc::default(),
+            begun: Arc::default(),
         }
     }
 
@@ -190,7 +193,9 @@
         if let Some(to) = request.header("kv-backup").and_then(|to| to.parse().ok()) {
             self.send_copy(to, &id);
         }
-        let loses_answer = self.loses_answers && id.starts_with(LOST_ID) && copy_from.is_none();
+        let number = self.begun.fetch_add(1, Ordering::Relaxed);
+        let loses_answer =
+            self.loses_answers && number % LOST_EACH == LOST_EACH / 4 && copy_from.is_none();
         self.record(&format!("runs {id} after event {last:?}, from the copy {copy_from:?}"));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {}.{}\r\nContent-Type: text/event-stream\r\n\
--- a/review/standin-3/restarted.rs
+++ b/review/standin-3/restarted.rs
@@ -110,6 +110,7 @@
         loses_answers: false,
         copies: Arc::default(),
         active: Arc::default(),
+        begun: Arc::default(),
     };
     let (first, second) = (engine(11, "v1"), engine(12, "v1"));
     let mut restarted = Server::start(&first);
--- a/review/standin-3/rolled.rs
+++ b/review/standin-3/rolled.rs
@@ -107,6 +107,7 @@
             loses_answers: false,
             copies: Arc::default(),
             active: Arc::default(),
+            begun: Arc::default(),
         })
         .collect();
     let _servers: Vec<Server> = engines.iter().map(Server::start).collect();
