--- a/review/standin-3/deadly.rs
+++ b/review/standin-3/deadly.rs
@@ -197,6 +197,7 @@
     let clients: Vec<_> = (0..SOUND_CLIENTS)
         .map(|client| {
             let (net, stop, sound) = (Arc::clone(&net), Arc::clone(&stop), Arc::clone(&sound));
+            let record = record.clone();
             thread::spawn(move || {
                 sleep(Duration::from_millis(client * 40));
                 let mut number = 0u64;
@@ -205,7 +206,8 @@
                     let at = Instant::now();
                     let front = net.front_of(4 + (client % 3) as u8);
                     let own = format!("{client:04x}{number:04x}");
-                    let begins = request(front, &format!("aa{client:06x}{number:08x}"), &own, false);
+                    let id = format!("aa{client:06x}{number:08x}");
+                    let begins = request(&record, front, (&id, &own), false);
                     sound.lock().unwrap().push((at, begins));
                     sleep(PAUSE.saturating_sub(at.elapsed()));
                 }
@@ -221,7 +223,8 @@
         if has_trouble() {
             let front = net.front_of(4 + (number % 3) as u8);
             let (id, own) = (format!("dd{number:014x}"), format!("{number:08x}"));
-            deadly.push(thread::spawn(move || request(front, &id, &own, true)));
+            let record = record.clone();
+            deadly.push(thread::spawn(move || request(&record, front, (&id, &own), true)));
         }
         sleep(DEADLY_PAUSE);
     }
@@ -234,6 +237,9 @@
         let _ = client.join();
     }
     let text = fs::read_to_string(&runs).unwrap_or_default();
+    for line in text.lines() {
+        record.line(format!("servers: {line}"));
+    }
     let reached = text.lines().filter(|line| line.contains(" runs dd")).count();
     record.line(format!("{number} requests with the deadly part were sent; servers ran them {reached} times"));
     for machine in &machines[..3] {
@@ -278,7 +284,7 @@
 }
 
 /// Sends a request on a new connection. Returns whether its stream begins.
-fn request(front: std::net::SocketAddr, id: &str, own: &str, is_deadly: bool) -> bool {
+fn request(record: &Record, front: std::net::SocketAddr, (id, own): (&str, &str), is_deadly: bool) -> bool {
     let body = "Does the die fit?";
     let deadly = if is_deadly { format!("{DEADLY_PART}:110,") } else { String::new() };
     let text = format!(
@@ -288,7 +294,14 @@
         body.len()
     );
     match call(front, text.as_bytes(), Duration::from_millis(6500)) {
-        Ok(answer) => answer.status == 200 && !answer.body.is_empty(),
-        Err(_) => false,
+        Ok(answer) => {
+            let begins = answer.status == 200 && !answer.body.is_empty();
+            record.line(format!("{id}: {}, begins: {begins}, whole: {}", answer.status, answer.is_whole));
+            begins
+        }
+        Err(error) => {
+            record.line(format!("{id}: {error}"));
+            false
+        }
     }
 }
--- a/review/standin-3/lost_answer.rs
+++ b/review/standin-3/lost_answer.rs
@@ -201,8 +201,7 @@
     let lost: Vec<&str> =
         lines.iter().filter(|line| line.get(4) == Some(&"loses")).map(|line| line[8]).collect();
     record.line(format!("the answers of {} requests were lost", lost.len()));
-    let about_lost = |line: &&str| lost.iter().any(|id| line.contains(id)) && !line.contains("works");
-    for line in runs.lines().filter(about_lost).take(60) {
+    for line in runs.lines() {
         record.line(format!("servers: {line}"));
     }
     record.line(format!("{begun} runs; {both} requests ran on at two servers"));
--- a/review/standin-3/restarted.rs
+++ b/review/standin-3/restarted.rs
@@ -169,8 +169,8 @@
     }
     let text = fs::read_to_string(&runs).unwrap_or_default();
     let mixed = counts.mixed.lock().unwrap().clone();
-    for line in text.lines().filter(|line| mixed.iter().any(|id| line.contains(id.as_str()))) {
-        record.line(format!("run: {line}"));
+    for line in text.lines() {
+        record.line(format!("servers: {line}"));
     }
     for machine in &machines[3..] {
         let text = machine.log_text();
@@ -223,7 +223,10 @@
             self.mixed.lock().unwrap().push(id.to_owned());
         }
         match is_whole {
-            true => self.whole.fetch_add(1, Ordering::Relaxed),
+            true => {
+                record.line(format!("{id}: {} with {} events, whole", answer.status, versions.len()));
+                self.whole.fetch_add(1, Ordering::Relaxed)
+            }
             false => {
                 record.line(format!("{id}: {} with {} events, cut or refused", answer.status, versions.len()));
                 sleep(Duration::from_millis(200));
--- a/review/standin-3/rolled.rs
+++ b/review/standin-3/rolled.rs
@@ -11,6 +11,7 @@
     engine::{Engine, unix_ms},
     std::{
         collections::BTreeSet,
+        fs,
         io::Write as _,
         net::{SocketAddr, TcpStream},
         path::PathBuf,
@@ -175,6 +176,9 @@
             record.line(format!("log of machine {OTHER}: {line}"));
         }
     }
+    for line in fs::read_to_string(&runs).unwrap_or_default().lines() {
+        record.line(format!("servers: {line}"));
+    }
     judge(record, &seen.lock().unwrap())
 }
 
@@ -214,6 +218,7 @@
     let first_id = format!("aa{number:014x}");
     let first = request(net.front_of(STOPPED), &first_id, None, DEADLINE);
     if first.is_whole {
+        record.line(format!("{first_id}: {} and whole at once", first.status));
         seen.lock().unwrap().whole_at_once += 1;
         return;
     }
