Tell voters again which build began a stream

Cause: the host that passes on the first event told three voters once, in a notification. A voter keeps it in memory and nobody tells it again when it starts anew. The reports to a host that begins to allocate don't contain it, and a voter that only follows isn't noticed by them.

Now the announcement is a call which the voter confirms with the number of its record; after another number or a failure the host tells all again. A member that starts copies the records of the other members, so it is enough that one of them or the host is left. A voter that may still be told answers with an error instead of "nobody knows".

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -40,7 +40,11 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{mpsc::UnboundedSender, watch},
+        sync::{
+            broadcast::{self, Receiver},
+            mpsc::UnboundedSender,
+            watch,
+        },
         time::sleep,
     },
 };
@@ -53,6 +57,8 @@
 /// Shortest time for which a part of a prompt must still be refused to be reported. Each report makes
 /// that time a little longer, so without a limit it would never end.
 const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
+/// Number of streams that may begin before a voter that is told of them late is told of all streams instead.
+const STREAM_NEWS_CAPACITY: usize = 256;
 /// Number of low bits of a request's number that count up. The bits above them are drawn at random
 /// when the process starts, so that numbers differ between processes.
 const RUN_COUNTER_BITS: u32 = 32;
@@ -87,6 +93,8 @@
     pub(crate) crashes: crashes::Recent,
     /// Requests that run on engines.
     pub(crate) running: shares::Running,
+    /// Tells of streams that began, for the voters.
+    stream_news: broadcast::Sender<Began>,
     forecast: Mutex<Forecast>,
     budgets: Mutex<HashMap<Service, Budget>>,
     next_run: AtomicU64,
@@ -139,6 +147,7 @@
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
             running: shares::Running::default(),
+            stream_news: broadcast::Sender::new(STREAM_NEWS_CAPACITY),
             forecast: Mutex::default(),
             budgets: Mutex::default(),
             next_run: AtomicU64::new(prefix),
@@ -169,7 +178,13 @@
     /// Remembers which build began a stream that its caller may take up, here and at voters.
     pub fn record_origin(&self, began: Began) {
         self.state().origins.record(&began, Instant::now());
-        self.report(began);
+        // Fails while no voter is followed. One that is followed later is told of all streams.
+        let _ = self.stream_news.send(began);
+    }
+
+    /// Returns a channel with the streams that begin from now on.
+    pub fn stream_news(&self) -> Receiver<Began> {
+        self.stream_news.subscribe()
     }
 
     /// Returns an unused number for a request. A random prefix distinguishes this host's numbers
--- a/crates/sardinerelay-gateway/src/follow.rs
+++ b/crates/sardinerelay-gateway/src/follow.rs
@@ -19,17 +19,14 @@
     crate::{
         entry::{EntryHost, Voters},
         group::{Clients, MemberStatus, StatusRequest, discovery::Search, member},
+        origin::announcer,
         reporter::{self, Report},
     },
     configuration::Updates,
-    jsonrpsee::types::ErrorCode,
     log::info,
     observations::Publishers,
     sardinerelay::id::Term,
-    sardinerelayd::{
-        panics::{self, keep_running},
-        peer::Error,
-    },
+    sardinerelayd::panics::{self, keep_running},
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -63,7 +60,7 @@
         "fetch the configuration",
         transfer::fetch(Arc::clone(&updates)),
     );
-    let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 2]> = BTreeMap::new();
+    let mut tasks: BTreeMap<Ipv4Addr, [JoinHandle<()>; 3]> = BTreeMap::new();
     let mut publishers = Publishers::new(Arc::clone(&entry));
     let mut leader = None;
     loop {
@@ -89,11 +86,19 @@
                 let configuration = keep_running("watch the configuration", move || {
                     configuration::watch(Arc::clone(&updates), Arc::clone(&configurations), rank)
                 });
-                let entry = Arc::clone(&entry);
+                let (watcher, orders) = (Arc::clone(&entry), Arc::clone(&client));
                 let evacuations = keep_running("watch evacuations", move || {
-                    evacuations::watch(Arc::clone(&entry), Arc::clone(&client))
+                    evacuations::watch(Arc::clone(&watcher), Arc::clone(&orders))
+                });
+                let entry = Arc::clone(&entry);
+                let streams = keep_running("tell of streams", move || {
+                    announcer::run(Arc::clone(&entry), Arc::clone(&client))
                 });
-                [tokio::spawn(configuration), tokio::spawn(evacuations)]
+                [
+                    tokio::spawn(configuration),
+                    tokio::spawn(evacuations),
+                    tokio::spawn(streams),
+                ]
             });
         }
         tokio::join!(
@@ -114,11 +119,6 @@
     }
 }
 
-/// Whether the other host has an earlier version, which doesn't know the method.
-fn is_unknown_method(error: &Error) -> bool {
-    matches!(error, Error::Remote { code, .. } if *code == ErrorCode::MethodNotFound.code())
-}
-
 /// Returns the hosts that this one follows: the leader, and others in an order that depends on this
 /// host's name, so that entry hosts spread evenly over them.
 fn choose_hosts(
--- a/crates/sardinerelay-gateway/src/follow/configuration.rs
+++ b/crates/sardinerelay-gateway/src/follow/configuration.rs
@@ -3,7 +3,7 @@
 //! All followed hosts are watched side by side. `transfer` fetches what they offer.
 
 use {
-    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY, is_unknown_method},
+    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY},
     crate::{
         control,
         distribution::{Stamp, Watch},
@@ -163,7 +163,7 @@
         let limit = CONFIGURATION_WAIT + FOLLOW_RESPONSE_MARGIN;
         let called = client.call(WATCH_CONFIGURATION_METHOD, &watch, limit).await;
         let called: Result<Option<Stamp>, Error> = match called {
-            Err(error) if is_unknown_method(&error) => {
+            Err(error) if error.is_unknown_method() => {
                 follow_whole(&updates, &client).await.map(|()| None)
             }
             called => called,
--- a/crates/sardinerelay-gateway/src/follow/evacuations.rs
+++ b/crates/sardinerelay-gateway/src/follow/evacuations.rs
@@ -1,7 +1,7 @@
 //! Learns the orders for zones from the voters that an entry host follows.
 
 use {
-    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY, is_unknown_method},
+    super::{CONFIGURATION_WAIT, FOLLOW_RESPONSE_MARGIN, FOLLOW_RETRY_DELAY},
     crate::{
         entry::EntryHost,
         group::{Evacuations, WATCH_EVACUATIONS_METHOD, WatchEvacuations},
@@ -30,7 +30,7 @@
         match called {
             Ok(Some(evacuations)) => entry.adopt_evacuations(&evacuations),
             Ok(None) => {}
-            Err(error) if is_unknown_method(&error) => {
+            Err(error) if error.is_unknown_method() => {
                 if !std::mem::replace(&mut is_earlier_version, true) {
                     info!(address:% = client.address(); "the followed host knows no evacuations");
                 }
--- a/crates/sardinerelay-gateway/src/follow/subscription.rs
+++ b/crates/sardinerelay-gateway/src/follow/subscription.rs
@@ -1,7 +1,7 @@
 //! The observations of one host, received as updates, or whole from a host of an earlier version.
 
 use {
-    super::{FOLLOW_RESPONSE_MARGIN, is_unknown_method},
+    super::FOLLOW_RESPONSE_MARGIN,
     crate::{
         group::{FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD, FollowObservations},
         observations::{
@@ -83,7 +83,7 @@
         let asked = Instant::now();
         let called = self.client.call(FOLLOW_TARGETS_METHOD, &request, limit);
         let update: Option<Packed<Update>> = match called.await {
-            Err(error) if is_unknown_method(&error) => return self.next_whole(follower).await,
+            Err(error) if error.is_unknown_method() => return self.next_whole(follower).await,
             called => called?,
         };
         if std::mem::take(&mut self.is_earlier) {
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -13,6 +13,7 @@
 pub mod member;
 mod membership;
 mod notifications;
+pub mod origins;
 pub mod register;
 pub mod repair;
 pub mod report;
@@ -29,8 +30,8 @@
         FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD, FOLLOW_TARGETS_METHOD,
         FollowConfiguration, FollowObservations, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
         ORIGIN_METHOD, PACE_METHOD, PERMIT_METHOD, RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD,
-        RUNNING_METHOD, Relocate, SharedState, StatusRequest, WATCH_CONFIGURATION_METHOD,
-        WATCH_EVACUATIONS_METHOD, WatchEvacuations, ZONE_METHOD,
+        RUNNING_METHOD, Relocate, SharedState, StatusRequest, TELL_ORIGINS_METHOD,
+        WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD, WatchEvacuations, ZONE_METHOD,
     },
 };
 
@@ -192,6 +193,7 @@
     let (allocator, metrics) = (Arc::clone(&shared.allocator), Arc::clone(&shared.metrics));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
+    let address = settings.address;
     let member = Member {
         settings,
         own_id,
@@ -203,6 +205,8 @@
     panics::spawn_essential("maintain the membership", maintaining);
     let excluding = exclusions::run(handle.clone(), Arc::clone(&allocator));
     panics::spawn_essential("follow exclusions", excluding);
+    let copying = origins::run(handle.clone(), address, Arc::clone(&allocator));
+    panics::spawn_essential("copy which builds began streams", copying);
     let evacuating = evacuation::run(handle.clone(), allocator, metrics);
     panics::spawn_essential("follow evacuations", evacuating);
     Ok(RunningReplica {
--- a/crates/sardinerelay-gateway/src/group/notifications.rs
+++ b/crates/sardinerelay-gateway/src/group/notifications.rs
@@ -4,6 +4,7 @@
     super::{
         Handle,
         channels::Input,
+        origins,
         report::{AllocationReport, RequestReport, RunningRequest},
         rpc::{
             ANSWERED_METHOD, BEGAN_METHOD, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
@@ -146,11 +147,7 @@
     /// Remembers which builds began streams.
     fn apply_began(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let began: Vec<Began> = parse(parameters)?;
-        let now = Instant::now();
-        let mut state = self.allocator.state();
-        began
-            .iter()
-            .for_each(|began| state.origins.record(began, now));
+        origins::record(&self.allocator, &began);
         Ok(())
     }
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -6,6 +6,7 @@
         channels::{Input, MemberStatus, Outcome},
         evacuation::{Evacuations, Order, Revision},
         notifications::{NotificationContext, notification_handler},
+        origins,
         register::Document,
     },
     crate::{
@@ -19,7 +20,7 @@
             Followers, Observations, ObservationsSender, or_default, served::Served, update,
         },
         observer::division::LoadsReport,
-        origin::Query,
+        origin::{Began, Query},
         placement::Need,
         targets::RunId,
     },
@@ -97,9 +98,15 @@
 /// Notifies the leader of load reports that another voter read, in a [`LoadsReport`]. Hosts of earlier versions
 /// ignore it.
 pub const LOADS_METHOD: &str = "loads.report";
-/// Notifies voters of streams that [`Began`].
+/// Tells a voter of streams that [`Began`]. The result is the number of its record, as in
+/// [`Origins::incarnation`](crate::origin::Origins::incarnation).
+pub const TELL_ORIGINS_METHOD: &str = "stream.tell";
+/// Copies a page of a voter's record of streams.
+pub(super) const COPY_ORIGINS_METHOD: &str = "stream.copy";
+/// Notifies voters of earlier versions of streams that [`Began`].
 pub const BEGAN_METHOD: &str = "stream.began";
-/// Asks a voter which build began a stream.
+/// Asks a voter which build began a stream. A voter that doesn't know it answers with an error as long as it
+/// may still be told.
 pub const ORIGIN_METHOD: &str = "stream.origin";
 /// Label of [`PERMIT_METHOD`] in metrics.
 const PERMIT_LABEL: &str = "permit";
@@ -388,8 +395,22 @@
         let query: Query = context.counters.parse_call(&parameters)?;
         let allocator = &context.shared.allocator;
         let origin = allocator.find_origin(&query, MAX_ORIGIN_WAIT).await;
+        if origin.is_none() && !allocator.state().origins.is_complete() {
+            warn!(stream = query.stream.as_str(); "it isn't known yet which build began a stream");
+            return Err(ErrorObjectOwned::from(ErrorCode::ServerIsBusy));
+        }
         RpcResult::Ok(origin.map(|(build, _)| build))
     })?;
+    module.register_async_method(TELL_ORIGINS_METHOD, |parameters, context, _| async move {
+        let Packed(streams): Packed<Vec<Began>> = context.counters.parse_call(&parameters)?;
+        let allocator = &context.shared.allocator;
+        origins::record(allocator, &streams);
+        RpcResult::Ok(allocator.state().origins.incarnation())
+    })?;
+    module.register_async_method(COPY_ORIGINS_METHOD, |parameters, context, _| async move {
+        let copy: origins::Copy = context.counters.parse_call(&parameters)?;
+        RpcResult::Ok(Packed(origins::page(&context.shared.allocator, &copy)))
+    })?;
     module.register_async_method(PERMIT_METHOD, |parameters, context, _| async move {
         let Packed(request): Packed<permit::Request> = context.counters.parse_call(&parameters)?;
         let began = Instant::now();
--- a/crates/sardinerelay-gateway/src/origin.rs
+++ b/crates/sardinerelay-gateway/src/origin.rs
@@ -1,14 +1,19 @@
 //! Which build began a stream that its caller may take up again at another host.
 //!
 //! The host that passes on a stream's first event tells it to the voters that it follows, so that it is
-//! known when entry hosts end. See `docs/design/builds.md`.
+//! known when entry hosts end. A record in memory lasts only as long as its process, so it is told again: by
+//! the host itself ([`announcer`]) and by the other voters ([`crate::group::origins`]) to a voter that starts
+//! anew. See `docs/design/builds.md`.
+
+pub mod announcer;
 
 use {
     compact_str::CompactString,
     sardinerelay::id::{Build, Service},
     serde::{Deserialize, Serialize},
     std::{
-        collections::HashMap,
+        collections::BTreeMap,
+        ops::Bound,
         time::{Duration, Instant},
     },
 };
@@ -40,15 +45,63 @@
     pub window_ms: u64,
 }
 
+/// Number that a record gets when it is created empty, so that others notice that it was lost.
+pub type Incarnation = u64;
+
 /// The streams that began recently.
-#[derive(Debug, Default)]
+///
+/// What it holds is true for as long as it is kept. That it doesn't hold a stream says something only once
+/// [`Self::is_complete`]: until then those who know of earlier streams may not have told them yet.
+#[derive(Debug)]
 pub struct Origins {
+    incarnation: Incarnation,
     /// The build that began each stream, and when the record expires.
-    records: HashMap<StreamId, (Build, Instant)>,
+    records: BTreeMap<StreamId, (Build, Instant)>,
+    is_complete: bool,
     last_sweep: Option<Instant>,
 }
 
+impl Default for Origins {
+    fn default() -> Self {
+        Self {
+            incarnation: rand::random(),
+            records: BTreeMap::new(),
+            is_complete: false,
+            last_sweep: None,
+        }
+    }
+}
+
 impl Origins {
+    /// Returns the number that tells this record from the one of an earlier process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Whether all streams of before this process were told, as far as anybody knows them.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Records that all who may know of earlier streams have told them, or had the time for it.
+    pub fn complete(&mut self) {
+        self.is_complete = true;
+    }
+
+    /// Returns up to `max` streams that follow `after` in the order of their IDs, from the first one on if that
+    /// is none, each with the time for which it may still be taken up.
+    pub fn page(&self, after: Option<&StreamId>, max: usize, now: Instant) -> Vec<Began> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let following = self.records.range::<StreamId, _>((from, Bound::Unbounded));
+        let lasting = following.filter(|(_, (_, expires))| *expires > now);
+        let page = lasting.take(max).map(|(stream, (build, expires))| Began {
+            stream: stream.clone(),
+            build: build.clone(),
+            lifetime: expires.saturating_duration_since(now),
+        });
+        page.collect()
+    }
+
     /// Remembers a stream. None is remembered beyond [`MAX_RECORDS`]; such a stream can be taken up
     /// only while all targets have one build.
     pub fn record(&mut self, began: &Began, now: Instant) {
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -5,12 +5,10 @@
         call::PartId,
         entry::EntryHost,
         group::{
-            ANSWERED_METHOD, AllocationReport, BEGAN_METHOD, LIMIT_METHOD, MISDIRECTED_METHOD,
-            PACE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport,
-            RunningRequest,
+            ANSWERED_METHOD, AllocationReport, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
+            REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport, RunningRequest,
         },
         limit::permit,
-        origin::Began,
         pace::{Batch, Pace},
         targets::Misdirected,
     },
@@ -40,8 +38,6 @@
     Misdirected(Misdirected),
     /// A request runs, which a host that begins to allocate doesn't know.
     Running(RunningRequest),
-    /// A stream has begun that its caller may take up at another host.
-    Began(Began),
     /// The parts of prompts that were answered last, which a host that begins to allocate doesn't know.
     AnsweredParts(Vec<PartId>),
     /// How fast an engine decoded a generation.
@@ -66,12 +62,6 @@
     }
 }
 
-impl From<Began> for Report {
-    fn from(began: Began) -> Self {
-        Self::Began(began)
-    }
-}
-
 impl From<Pace> for Report {
     fn from(pace: Pace) -> Self {
         Self::Pace(pace)
@@ -90,15 +80,14 @@
     }
 }
 
-/// Sends reports to the allocating host until their sender is gone, and streams that began to all
-/// followed voters. All of one kind that are queued go in one message. Reports are dropped while the
-/// host can't be reached; what targets say then shows the same, only later. A stream that no voter knows
-/// can't be taken up elsewhere while several builds serve.
+/// Sends reports to the allocating host until their sender is gone. All of one kind that are queued go in
+/// one message. Reports are dropped while the host can't be reached; what targets say then shows the same,
+/// only later.
 pub async fn run(entry: Arc<EntryHost>, mut outgoing: UnboundedReceiver<Report>) {
     let mut paces = Batch::default();
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
-        let (mut requests, mut streams, mut running) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut requests, mut running) = (Vec::new(), Vec::new());
         let (mut misdirected, mut answered) = (Vec::new(), Vec::new());
         let mut next = Some(first);
         while let Some(report) = next {
@@ -109,13 +98,11 @@
                 Report::Misdirected(target) => misdirected.push(target),
                 Report::Running(report) => running.push(report),
                 Report::AnsweredParts(parts) => answered.extend(parts),
-                Report::Began(began) => streams.push(began),
                 Report::Pace(pace) => paces.push(pace),
             }
             // Fails when the queue is empty.
             next = outgoing.try_recv().ok();
         }
-        announce(&entry, streams);
         // Before the crashes that they help to judge.
         send(&entry, ANSWERED_METHOD, answered).await;
         send(&entry, REPORT_METHOD, allocations).await;
@@ -127,24 +114,6 @@
     }
 }
 
-/// Tells all followed voters of streams that began, if there are any. One that doesn't read delays
-/// nothing else.
-fn announce(entry: &EntryHost, streams: Vec<Began>) {
-    if streams.is_empty() {
-        return;
-    }
-    let message = Arc::new(Packed(streams));
-    for voter in entry.voters().followed {
-        let message = Arc::clone(&message);
-        tokio::spawn(async move {
-            let sent = voter.notify(BEGAN_METHOD, &*message, SEND_TIMEOUT).await;
-            if let Err(error) = sent {
-                debug!("telling {} of streams failed: {error}", voter.address());
-            }
-        });
-    }
-}
-
 /// Sends reports of one kind in one message, if there are any.
 async fn send<Kind>(entry: &EntryHost, method: &'static str, reports: Vec<Kind>)
 where
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -10,6 +10,8 @@
 mod membership;
 #[path = "group/observations.rs"]
 mod observations;
+#[path = "group/origins.rs"]
+mod origins;
 #[path = "group/reads.rs"]
 mod reads;
 #[path = "group/refusals.rs"]
--- a/crates/sardinerelayd/src/peer.rs
+++ b/crates/sardinerelayd/src/peer.rs
@@ -23,7 +23,7 @@
 };
 
 use {
-    jsonrpsee::types::{ErrorObjectOwned, Params},
+    jsonrpsee::types::{ErrorCode, ErrorObjectOwned, Params},
     serde::de::DeserializeOwned,
     std::{
         net::SocketAddr,
@@ -121,6 +121,11 @@
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::Encoding(_))
     }
+
+    /// Whether the other host doesn't know the method, because it runs another version.
+    pub fn is_unknown_method(&self) -> bool {
+        matches!(self, Self::Remote { code, .. } if *code == ErrorCode::MethodNotFound.code())
+    }
 }
 
 /// Counts bytes and messages of all connections between hosts. Bytes are those of the TCP streams.
