Tell generations apart by their prompts

Cause: a part is refused only after crashes under two different requests, and requests were told apart by caller, path and body. The prompt is stated apart from the body, so all passed for one request that comes again.

Failed before: path::crashes::a_part_whose_requests_have_the_same_body_is_sent_to_all_engines (60 requests reached engines).

--- a/crates/sardinerelay-gateway/src/fingerprint.rs
+++ b/crates/sardinerelay-gateway/src/fingerprint.rs
@@ -1,7 +1,7 @@
 //! Identifies the content of requests, so that hosts recognise one that comes again.
 
 use {
-    crate::quarantine::Subject,
+    crate::{call::Part, quarantine::Subject},
     http::{Method, Uri},
     sardinerelay::id::Organisation,
     sha2::{Digest as _, Sha256},
@@ -26,6 +26,23 @@
         hash.update(field);
     }
     hash.update(body);
+    number(hash)
+}
+
+/// Returns the number of a request whose prompt consists of these parts, and which has the number `request` apart from
+/// it. The content of a generation is its prompt, which bodies don't always tell.
+pub fn with_prompt(request: Subject, parts: &[Part]) -> Subject {
+    let mut hash = Sha256::new();
+    hash.update(request.to_le_bytes());
+    for part in parts {
+        hash.update(part.id.to_le_bytes());
+        hash.update(part.tokens.to_le_bytes());
+    }
+    number(hash)
+}
+
+/// Returns the start of a hash.
+fn number(hash: Sha256) -> Subject {
     let [
         first,
         second,
--- a/crates/sardinerelay-gateway/src/request.rs
+++ b/crates/sardinerelay-gateway/src/request.rs
@@ -101,7 +101,11 @@
     /// Returns the number by which hosts recognise the request when it comes again.
     pub fn fingerprint(&self) -> Subject {
         let line = (&self.head.method, self.call.host.as_str(), &self.head.uri);
-        fingerprint::of(line, self.organisation.as_ref(), &self.body)
+        let request = fingerprint::of(line, self.organisation.as_ref(), &self.body);
+        match &self.call.generation {
+            Some(generation) => fingerprint::with_prompt(request, &generation.prompt_parts),
+            None => request,
+        }
     }
 
     /// Returns what is configured for the service's engines, or none if the service is plain.
