Count crashes of engines after the first event

Some 50 crashes in 40 s; nothing ended it.

Cause: the first event was taken for an answer. It cleared all parts of the prompt and the whole request, and a crash was reported only if there had been no event.

Ruled out: crashes that weren't noticed (each confirmed by a refused connection within 40 ms), and load reports that took them back (engines away for 3 s).

Now only a complete answer clears. Crashes after the first event are reported if the engine refuses connections, and weighed together once all hosts have reported what was at the engine: the part that explains most is refused, the others are cleared of these crashes. A generation that goes on for longer than the crashed ones takes their crashes back.

Where else: whole requests that come again follow the same rule; calls did already; sardinerelayd has no quarantine.

--- a/crates/sardinerelay-gateway/src/allocation.rs
+++ b/crates/sardinerelay-gateway/src/allocation.rs
@@ -10,6 +10,7 @@
         pace::Pace,
         placement::{self, Choice, Need, Secondary},
         quarantine::Crash,
+        reporter::Report,
         request::Job,
         targets::{RunId, Targets},
     },
@@ -61,16 +62,30 @@
 
     /// Records that the engine has begun to answer, which means that it has read the prompt.
     pub fn record_started(&self) {
-        self.entry.allocator.record_answered(self.run);
+        self.entry.allocator.record_started(self.run);
         self.entry.report(AllocationReport::Started(self.run));
     }
 
+    /// Records that the engine has answered to the end, which clears the parts of the prompt.
+    pub fn record_completed(&self) {
+        self.entry.allocator.record_completed(self.run);
+        self.entry.report(Report::Completed(self.run));
+    }
+
+    /// Records that the engine's connection broke this long after its first event. If its process has ended, it is
+    /// reported as a crash that this request may have caused.
+    pub fn record_late_break(&self, job: &Job, lasted: Duration) {
+        let lost = (self.run, &self.need.shared_parts[..]);
+        self.entry
+            .record_lost(job, &self.choice.target, lost, Some(lasted));
+    }
+
     /// Records that the engine's connection broke before it began to answer. An engine that is
     /// leaving isn't taken to have crashed.
     pub fn record_crash(&self, job: &Job) {
         let target = &self.choice.target;
         let lost = (self.run, &self.need.shared_parts[..]);
-        let request = self.entry.record_lost(job, target, lost);
+        let request = self.entry.record_lost(job, target, lost, None);
         let now = Instant::now();
         let state = self.entry.state();
         let target = state.targets.get(&self.choice.target);
--- a/crates/sardinerelay-gateway/src/allocator.rs
+++ b/crates/sardinerelay-gateway/src/allocator.rs
@@ -293,16 +293,23 @@
     }
 
     /// Records that a request's engine has read its prompt and begun to answer it.
-    pub fn record_answered(&self, run: RunId) {
+    pub fn record_started(&self, run: RunId) {
+        let now = Instant::now();
         let mut state = self.state();
-        state.targets.record_prompt_read(run, Instant::now());
-        state.quarantine.record_answered(run);
+        state.targets.record_prompt_read(run, now);
+        state.quarantine.record_started(run, now);
+    }
+
+    /// Records that a request was answered to the end.
+    pub fn record_completed(&self, run: RunId) {
+        self.state().quarantine.record_answered(run);
     }
 
     /// Reconsiders waiting requests and expires old state periodically. Never returns.
     pub async fn run_maintenance(&self) {
         loop {
             sleep(DECIDE_INTERVAL).await;
+            self.judge_crashes();
             let now = Instant::now();
             let mut state = self.state();
             if !state.queue.is_empty() || !state.moves.is_empty() {
--- a/crates/sardinerelay-gateway/src/entry/crashes.rs
+++ b/crates/sardinerelay-gateway/src/entry/crashes.rs
@@ -9,7 +9,7 @@
         call::PartId,
         group::{AllocationReport, RequestCrash, RequestReport},
         observations::Instance,
-        quarantine::{Crash, Subject},
+        quarantine::{Crash, LateCrash, Subject},
         reporter::Report,
         request::Job,
         targets::RunId,
@@ -40,6 +40,27 @@
     crash: RequestCrash,
     /// The parts of the request's prompt that other requests may share.
     parts: Vec<PartId>,
+    /// Time from the first event of the answer to the crash; none if there was no event.
+    lasted: Option<Duration>,
+}
+
+impl Confirmed {
+    /// Returns the report of a crash that came after the first event and was seen at `at`, with the parts that may
+    /// be the cause; none if it came before.
+    fn late(&self, parts: Vec<PartId>, at: Instant) -> Option<LateCrash> {
+        let crash = Crash {
+            request: self.crash.request,
+            target: self.crash.target.clone(),
+            incarnation: self.crash.incarnation,
+            subjects: parts,
+        };
+        self.lasted.map(|lasted| LateCrash {
+            crash,
+            run: self.crash.run,
+            lasted,
+            age: at.elapsed(),
+        })
+    }
 }
 
 /// Crashes that this host has reported, for a host that begins to allocate.
@@ -55,12 +76,11 @@
         crashes.push_back((at, crash));
     }
 
-    /// Returns the crashes within `REPORT_LIFETIME`.
-    fn all(&self) -> Vec<Confirmed> {
+    /// Returns the crashes within `REPORT_LIFETIME`, and when they were seen.
+    fn all(&self) -> Vec<(Instant, Confirmed)> {
         let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         crashes.retain(|(at, _)| at.elapsed() < REPORT_LIFETIME);
-        let crashes = crashes.iter().map(|(_, crash)| crash.clone());
-        crashes.collect()
+        crashes.iter().cloned().collect()
     }
 }
 
@@ -85,7 +105,7 @@
         request.is_some_and(|request| self.state().requests.is_suspect(request))
     }
 
-    /// Records that a target has answered a request or begun to, so that it didn't crash.
+    /// Records that a target has answered a request to the end, so that it didn't crash.
     pub fn record_answered(&self, job: &Job) {
         let Some(request) = self.watched(job) else {
             return;
@@ -104,14 +124,15 @@
         (!is_empty).then(|| job.fingerprint())
     }
 
-    /// Records that a target's connection broke before it answered a request. If the target has
-    /// ended, the request may be the cause. One that was about to stop isn't taken to have crashed.
-    /// Returns the request's fingerprint.
+    /// Records that a target's connection broke before it had answered a request to the end, `lasted` after the first
+    /// event if there was one. If the target has ended, the request may be the cause. One that was about to stop isn't
+    /// taken to have crashed. Returns the request's fingerprint.
     pub fn record_lost(
         self: &Arc<Self>,
         job: &Job,
         target: &Target,
         (run, parts): (RunId, &[PartId]),
+        lasted: Option<Duration>,
     ) -> Subject {
         let request = job.fingerprint();
         let organisation = job.organisation.as_ref();
@@ -129,7 +150,7 @@
         drop(state);
         if let Some(instance) = instance {
             let (entry, parts) = (Arc::clone(self), parts.to_vec());
-            let blamed = (request, parts);
+            let blamed = (request, parts, lasted);
             tokio::spawn(async move { entry.check_crash(blamed, run, instance, now).await });
         }
         request
@@ -138,7 +159,7 @@
     /// Reports a crash if the target's process has ended.
     async fn check_crash(
         &self,
-        (request, parts): (Subject, Vec<PartId>),
+        (request, parts, lasted): (Subject, Vec<PartId>, Option<Duration>),
         run: RunId,
         target: Instance,
         at: Instant,
@@ -154,14 +175,22 @@
             incarnation: target.incarnation,
         };
         warn!(
-            content:% = format_args!("{request:016x}"), run = run, target_id = crash.target.as_str();
+            content:% = format_args!("{request:016x}"), run = run, target_id = crash.target.as_str(),
+            lasted_ms = lasted.map(|lasted| lasted.as_millis() as u64);
             "a target crashed while it had a request"
         );
         let confirmed = Confirmed {
             crash: crash.clone(),
             parts,
+            lasted,
         };
+        let late = confirmed.late(confirmed.parts.clone(), at);
         self.crashes.push(at, confirmed);
+        if let Some(late) = late {
+            self.allocator.record_late_crash(&late);
+            self.report(late);
+            return;
+        }
         let report = RequestReport::Crashed(crash);
         self.allocator.record_request(&report);
         self.report(report);
@@ -182,12 +211,18 @@
 
     /// Reports the crashes of the last minutes to a host that begins to allocate.
     pub fn report_crashes(&self) {
-        for Confirmed { crash, parts } in self.crashes.all() {
+        for (at, confirmed) in self.crashes.all() {
             let state = self.allocator.state();
             // Parts that were answered since are not to blame.
             let is_suspect = |part: &PartId| state.quarantine.is_suspect(*part);
-            let subjects: Vec<PartId> = parts.into_iter().filter(is_suspect).collect();
+            let parts = confirmed.parts.iter().copied();
+            let subjects: Vec<PartId> = parts.filter(is_suspect).collect();
             drop(state);
+            if let Some(late) = confirmed.late(subjects.clone(), at) {
+                self.report(late);
+                continue;
+            }
+            let crash = confirmed.crash;
             if !subjects.is_empty() {
                 self.report(AllocationReport::Crashed(Crash {
                     request: crash.request,
--- a/crates/sardinerelay-gateway/src/generation/delivery.rs
+++ b/crates/sardinerelay-gateway/src/generation/delivery.rs
@@ -48,9 +48,9 @@
         let mut ended = None;
         let events_before = self.events;
         while let Some(event) = splitter.next_event() {
-            if !std::mem::replace(&mut self.has_engine_begun, true) {
+            if self.engine_begun.is_none() {
+                self.engine_begun = Some(Instant::now());
                 self.allocation.record_started();
-                self.job.entry.record_answered(&self.job);
             }
             if !self.is_contiguous(&event) {
                 // The events before it count as delivered and are still sent.
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -68,10 +68,12 @@
     pub(super) has_started: bool,
     /// Version of the present engine's software.
     pub(super) engine_build: Build,
-    /// Whether the present engine has sent an event.
-    pub(super) has_engine_begun: bool,
+    /// When the present engine sent its first event.
+    pub(super) engine_begun: Option<Instant>,
     /// Number of engines that failed before they sent an event.
     pub(super) engines_without_begin: u32,
+    /// Number of engines that failed although they weren't known to leave.
+    pub(super) engines_failed: u32,
     /// When events were last sent to the caller.
     pub(super) last_sent: Option<Instant>,
     pub(super) longest_pause: Duration,
@@ -128,8 +130,9 @@
             events: 0,
             has_started: false,
             engine_build: Build::default(),
-            has_engine_begun: false,
+            engine_begun: None,
             engines_without_begin: 0,
+            engines_failed: 0,
             last_sent: None,
             longest_pause: Duration::ZERO,
             continuations: 0,
@@ -209,7 +212,7 @@
         let caller = self.chunks.clone();
         let mut mover = Mover::new();
         let mut closed: Option<End> = None;
-        self.has_engine_begun = false;
+        self.engine_begun = None;
         self.engine_build = build;
         loop {
             let frame = tokio::select! {
@@ -260,10 +263,11 @@
                 is_clean,
                 is_framed,
                 is_between_events: splitter.is_empty(),
-                has_begun: self.has_engine_begun,
+                has_begun: self.engine_begun.is_some(),
                 may_be_stopped: self.may_be_stopped(&mover),
             };
             if end.is_complete() {
+                self.record_completed(end);
                 self.job.entry.pool.put_back(exchange);
                 return StreamEnd::Complete;
             }
@@ -292,9 +296,10 @@
             ..end
         };
         if end.is_complete() {
+            self.record_completed(end);
             return StreamEnd::Complete;
         }
-        self.record_crash_at_begin();
+        self.record_break();
         StreamEnd::Broken(match end {
             End {
                 is_clean: false, ..
@@ -310,10 +315,22 @@
         })
     }
 
-    /// Records that the engine crashed, if it had not begun to answer.
-    fn record_crash_at_begin(&self) {
-        if !self.has_engine_begun {
-            self.allocation.record_crash(&self.job);
+    /// Records that the generation was answered to the end, which shows that it makes no engine crash. Without
+    /// framing, a stream whose engine crashed between two events looks as complete, and shows nothing.
+    fn record_completed(&self, end: End) {
+        if end.is_framed {
+            self.allocation.record_completed();
+            self.job.entry.record_answered(&self.job);
+        }
+    }
+
+    /// Records that the engine's connection broke, which may be because the engine crashed.
+    fn record_break(&self) {
+        match self.engine_begun {
+            Some(begun) => self
+                .allocation
+                .record_late_break(&self.job, begun.elapsed()),
+            None => self.allocation.record_crash(&self.job),
         }
     }
 
@@ -330,7 +347,7 @@
     }
 
     /// Logs that the engine failed. Unless it was leaving, this counts against its health.
-    fn record_failure(&self, reason: &'static str) {
+    fn record_failure(&mut self, reason: &'static str) {
         let now = Instant::now();
         let target = &self.allocation.choice.target;
         let mut state = self.job.entry.state();
@@ -344,6 +361,9 @@
             target_state.health.record_failure(now);
         }
         drop(state);
+        if leaving_since.is_none() {
+            self.engines_failed += 1;
+        }
         let leaving_known =
             leaving_since.map_or(0, |since| now.saturating_duration_since(since).as_millis());
         info!(
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -21,18 +21,24 @@
 /// ended, because its prompt may be what makes them fail.
 const MAX_ENGINES_WITHOUT_BEGIN: u32 = 2;
 
+/// Number of engines that may fail, without being known to leave, whether they had begun or not. The prompt may
+/// make them fail at any event.
+const MAX_FAILED_ENGINES: u32 = 3;
+
 impl ClientStream {
     /// Continues the stream on another engine after the last delivered event: from the copy if it
     /// is usable, otherwise as a new run if the route allows that. Returns none if neither
     /// succeeds.
     pub(super) async fn reopen(&mut self) -> Option<(response::Parts, EngineStream)> {
         let failed = self.allocation.choice.target.clone();
-        if !self.has_engine_begun {
+        let has_begun = self.engine_begun.is_some();
+        if !has_begun {
             self.engines_without_begin += 1;
         }
         let may_crash_engines = self.engines_without_begin >= MAX_ENGINES_WITHOUT_BEGIN
+            || self.engines_failed >= MAX_FAILED_ENGINES
             || self.allocation.is_refused()
-            || (!self.has_engine_begun && self.job.entry.is_suspect(&self.job));
+            || (!has_begun && self.job.entry.is_suspect(&self.job));
         if self.continuations >= MAX_CONTINUATIONS || may_crash_engines {
             return None;
         }
--- a/crates/sardinerelay-gateway/src/group/notifications.rs
+++ b/crates/sardinerelay-gateway/src/group/notifications.rs
@@ -7,13 +7,20 @@
         origins,
         report::{AllocationReport, RequestReport, RunningRequest},
         rpc::{
-            ANSWERED_METHOD, BEGAN_METHOD, LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD,
-            PACE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD,
+            ANSWERED_METHOD, BEGAN_METHOD, COMPLETED_METHOD, LATE_CRASH_METHOD, LIMIT_METHOD,
+            LOADS_METHOD, MISDIRECTED_METHOD, PACE_METHOD, REPORT_METHOD, REQUEST_METHOD,
+            RUNNING_METHOD,
         },
     },
     crate::{
-        allocator::Allocator, call::PartId, limit::permit, observer::division::LoadsReport,
-        origin::Began, pace::Pace, targets::Misdirected,
+        allocator::Allocator,
+        call::PartId,
+        limit::permit,
+        observer::division::LoadsReport,
+        origin::Began,
+        pace::Pace,
+        quarantine::LateCrash,
+        targets::{Misdirected, RunId},
     },
     log::{debug, warn},
     sardinerelay::id::Host,
@@ -44,6 +51,8 @@
             LIMIT_METHOD => context.apply_limits(parameters),
             RUNNING_METHOD => context.apply_running(parameters),
             REQUEST_METHOD => context.apply_request_reports(parameters),
+            COMPLETED_METHOD => context.apply_completions(parameters),
+            LATE_CRASH_METHOD => context.apply_late_crashes(parameters),
             ANSWERED_METHOD => context.adopt_answered_parts(parameters),
             MISDIRECTED_METHOD => context.give_back(parameters),
             BEGAN_METHOD => context.apply_began(parameters),
@@ -107,6 +116,23 @@
         Ok(())
     }
 
+    /// Records that requests were answered to the end.
+    fn apply_completions(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let runs: Vec<RunId> = parse(parameters)?;
+        runs.into_iter()
+            .for_each(|run| self.allocator.record_completed(run));
+        Ok(())
+    }
+
+    /// Records crashes of engines that had begun to answer requests.
+    fn apply_late_crashes(&self, parameters: &str) -> Result<(), serde_json::Error> {
+        let crashes: Vec<LateCrash> = parse(parameters)?;
+        for late in &crashes {
+            self.allocator.record_late_crash(late);
+        }
+        Ok(())
+    }
+
     /// Remembers the parts that were answered while another host allocated.
     fn adopt_answered_parts(&self, parameters: &str) -> Result<(), serde_json::Error> {
         let parts: Vec<PartId> = parse(parameters)?;
@@ -167,7 +193,7 @@
                     drop(state);
                     self.allocator.record_no_room(&target);
                 }
-                AllocationReport::Started(run) => self.allocator.record_answered(run),
+                AllocationReport::Started(run) => self.allocator.record_started(run),
                 AllocationReport::Ended(run) => self.allocator.release(run),
                 AllocationReport::Moved(run, succeeded) => {
                     self.allocator.finish_move(run, succeeded)
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -80,6 +80,11 @@
 pub const RELOCATE_METHOD: &str = "place.relocate";
 /// Notifies a host that begins to allocate of the parts of prompts that were answered last.
 pub const ANSWERED_METHOD: &str = "quarantine.answered";
+/// Notifies the allocating host of requests that were answered to the end, by their numbers. Hosts of earlier
+/// versions ignore it, and take a first event for an answer.
+pub const COMPLETED_METHOD: &str = "quarantine.completed";
+/// Notifies the allocating host of [`LateCrash`](crate::quarantine::LateCrash)es. Hosts of earlier versions ignore it.
+pub const LATE_CRASH_METHOD: &str = "quarantine.crashed";
 /// Notifies the allocating host of [`AllocationReport`]s.
 pub const REPORT_METHOD: &str = "place.report";
 /// Asks for a permit to send a call to a target that states a rate limit.
--- a/crates/sardinerelay-gateway/src/plain.rs
+++ b/crates/sardinerelay-gateway/src/plain.rs
@@ -199,7 +199,7 @@
         Ok(Ok(outcome)) => outcome,
         Ok(Err(SendError::NotSent(_))) => AttemptOutcome::NotRun(NotRunReason::Unreachable),
         Ok(Err(SendError::NoResponse(_))) => {
-            job.entry.record_lost(job, target, (run, &[]));
+            job.entry.record_lost(job, target, (run, &[]), None);
             AttemptOutcome::Unknown("the connection to the target broke")
         }
         Err(_) => AttemptOutcome::TimedOut,
--- a/crates/sardinerelay-gateway/src/quarantine.rs
+++ b/crates/sardinerelay-gateway/src/quarantine.rs
@@ -1,12 +1,16 @@
 //! Refuses what makes targets crash: parts of prompts, and requests that come again.
 //!
-//! A subject is blamed for a crash if a request with it was at the target and had no answer yet. It
-//! is refused after several such crashes without a single answer begun in between, so a subject that
-//! others share is cleared by the first of them that is answered. Of several parts that could be the
-//! cause, those that were answered before are not blamed, and of those that are left only the last one in the
-//! prompt: requests share the first parts of their prompts most. See `docs/design/admission.md`.
+//! A subject is blamed for a crash if a request with it was at the target and its answer was not complete. A first
+//! event shows that the target has begun, not that it will live, so only a complete answer clears a subject, and a
+//! request that goes on for longer than the crashed ones takes their crashes back. A subject is refused after
+//! several crashes. Of several parts that could be the cause, those that were answered before are blamed later, and
+//! of those that are left only the last one in the prompt: requests share the first parts of their prompts most.
+//! See `docs/design/admission.md`.
+
+mod suspect;
 
 use {
+    self::suspect::Suspect,
     crate::targets::RunId,
     sardinerelay::id::{Incarnation, Target},
     serde::{Deserialize, Serialize},
@@ -54,6 +58,8 @@
     }
 }
 
+/// Time in which all hosts report the requests that were at a crashed target. Subjects are compared after it.
+const REPORT_TIME: Duration = Duration::from_millis(250);
 /// Largest number of suspects that other hosts are told of.
 const MAX_PUBLISHED: usize = 64;
 /// Time after a supposed crash in which a load report shows that the target did not crash. A crashed
@@ -75,7 +81,7 @@
 /// [`crate::fingerprint`].
 pub type Subject = u64;
 
-/// A crash of a target before it began to answer a request.
+/// A crash of a target that had a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The request, by its [`crate::fingerprint`].
@@ -89,6 +95,18 @@
     pub subjects: Vec<Subject>,
 }
 
+/// A crash of a target that had begun to answer a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LateCrash {
+    pub crash: Crash,
+    /// The request's number.
+    pub run: RunId,
+    /// Time from the answer's first event to the crash.
+    pub lasted: Duration,
+    /// Time since the crash.
+    pub age: Duration,
+}
+
 /// A subject that is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
@@ -106,7 +124,9 @@
     suspects: BTreeMap<Subject, Suspect>,
     /// Until when each subject is refused.
     refused: BTreeMap<Subject, Instant>,
-    unanswered: HashMap<RunId, Vec<Subject>>,
+    /// Crashes that a refused subject explains, and when they were explained.
+    explained: BTreeMap<(Target, Incarnation), Instant>,
+    running: HashMap<RunId, Running>,
     /// The subjects that were answered at least once, with the number of the last answer.
     answered: HashMap<Subject, u64>,
     /// Number of answers so far.
@@ -115,12 +135,12 @@
     answered_order: VecDeque<Subject>,
 }
 
+/// A request whose answer isn't complete.
 #[derive(Debug)]
-struct Suspect {
-    /// The targets that crashed, and when.
-    targets: BTreeMap<(Target, Incarnation), Instant>,
-    requests: BTreeSet<Subject>,
-    last_crash: Instant,
+struct Running {
+    subjects: Vec<Subject>,
+    /// When its present target sent the first event.
+    started: Option<Instant>,
 }
 
 impl Quarantine {
@@ -147,7 +167,7 @@
     /// there are too many.
     pub fn suspects(&self) -> Vec<Subject> {
         let mut suspects: Vec<(&Subject, &Suspect)> = self.suspects.iter().collect();
-        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.targets.len()));
+        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect.len()));
         suspects.truncate(MAX_PUBLISHED);
         suspects.into_iter().map(|(subject, _)| *subject).collect()
     }
@@ -157,7 +177,7 @@
         self.published = suspects.iter().copied().collect();
     }
 
-    /// Records that a subject was answered, which clears it.
+    /// Records that a subject was answered to the end, which clears it.
     pub fn clear(&mut self, subject: Subject) {
         self.published.remove(&subject);
         self.suspects.remove(&subject);
@@ -167,30 +187,48 @@
     /// Returns the number of crashes that a subject is blamed for, and whether it was ever answered.
     pub fn evidence(&self, subject: Subject) -> (usize, bool) {
         let suspect = self.suspects.get(&subject);
-        let crashes = suspect.map_or(0, |suspect| suspect.targets.len());
+        let crashes = suspect.map_or(0, Suspect::len);
         (crashes, self.answered.contains_key(&subject))
     }
 
+    /// Whether a refused subject explains the crash of a target.
+    pub fn explains(&self, target: &Target, incarnation: Incarnation) -> bool {
+        let crashed = (target.clone(), incarnation);
+        self.explained.contains_key(&crashed)
+    }
+
+    /// Takes back the crashes that something else explains.
+    pub fn disregard<Explains>(&mut self, explains: Explains)
+    where
+        Explains: Fn(&Target, Incarnation) -> bool,
+    {
+        for suspect in self.suspects.values_mut() {
+            for crashed in suspect.crashed() {
+                if explains(&crashed.0, crashed.1) {
+                    suspect.forgive(&crashed);
+                }
+            }
+        }
+        self.drop_cleared();
+    }
+
     /// Clears all suspects of the crashes of these targets, which something else explains. Those with as many
     /// crashes may be the cause as well, and keep them until they are answered.
-    fn explain(&mut self, crashed: &[(Target, Incarnation)]) {
+    fn explain(&mut self, crashed: &[(Target, Incarnation)], now: Instant) {
         for suspect in self.suspects.values_mut() {
-            if suspect.targets.len() < crashed.len() {
-                suspect
-                    .targets
-                    .retain(|target, _| !crashed.contains(target));
+            if suspect.len() < crashed.len() {
+                crashed.iter().for_each(|target| suspect.forgive(target));
+            } else {
+                suspect.settle();
             }
         }
-        self.suspects
-            .retain(|_, suspect| !suspect.targets.is_empty());
+        self.drop_cleared();
+        let explained = crashed.iter().map(|target| (target.clone(), now));
+        self.explained.extend(explained);
     }
 
-    /// Returns the targets whose crashes were blamed on a subject.
-    fn crashed_by(&self, subject: Subject) -> Vec<(Target, Incarnation)> {
-        let suspect = self.suspects.get(&subject);
-        suspect.map_or(Vec::new(), |suspect| {
-            suspect.targets.keys().cloned().collect()
-        })
+    fn drop_cleared(&mut self) {
+        self.suspects.retain(|_, suspect| !suspect.is_empty());
     }
 
     /// Returns for how long a request with these subjects is still refused, if it is.
@@ -210,17 +248,47 @@
     /// Records that a request is sent to a target.
     pub fn record_sent(&mut self, run: RunId, subjects: &[Subject]) {
         if !subjects.is_empty() {
-            self.unanswered.insert(run, subjects.to_vec());
+            let running = Running {
+                subjects: subjects.to_vec(),
+                started: None,
+            };
+            self.running.insert(run, running);
+        }
+    }
+
+    /// Records that a target has sent the first event of an answer. From now on each moment without a crash speaks
+    /// for the request's subjects.
+    pub fn record_started(&mut self, run: RunId, now: Instant) {
+        if let Some(running) = self.running.get_mut(&run) {
+            running.started = Some(now);
         }
     }
 
-    /// Records that a target has begun to answer a request, which clears its subjects.
+    /// Records that a request was answered to the end, which clears its subjects.
     pub fn record_answered(&mut self, run: RunId) {
-        for subject in self.unanswered.remove(&run).unwrap_or_default() {
+        let running = self.running.remove(&run);
+        let subjects = running.map(|running| running.subjects);
+        for subject in subjects.unwrap_or_default() {
             self.clear(subject);
         }
     }
 
+    /// Takes back the crashes that requests which go on show to have other causes.
+    fn credit_running(&mut self, now: Instant) {
+        for running in self.running.values() {
+            let Some(started) = running.started else {
+                continue;
+            };
+            let lasted = now.saturating_duration_since(started);
+            for subject in &running.subjects {
+                if let Some(suspect) = self.suspects.get_mut(subject) {
+                    suspect.credit(lasted);
+                }
+            }
+        }
+        self.drop_cleared();
+    }
+
     fn remember_answered(&mut self, subject: Subject) {
         self.answers += 1;
         if self.answered.insert(subject, self.answers).is_some() {
@@ -251,32 +319,13 @@
 
     /// Records that a request has ended.
     pub fn record_end(&mut self, run: RunId) {
-        self.unanswered.remove(&run);
+        self.running.remove(&run);
     }
 
-    /// Records a crash. Returns the subject that is refused from now on, if it has become one.
+    /// Records a crash before the first event. Returns the subject that is refused from now on, if it has become one.
     pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> Option<Subject> {
         self.expire(now);
-        let is_explained = crash
-            .subjects
-            .iter()
-            .any(|subject| self.refused.contains_key(subject));
-        if is_explained {
-            return None;
-        }
-        for subject in &crash.subjects {
-            let suspect = self.suspects.entry(*subject).or_insert_with(|| Suspect {
-                targets: BTreeMap::new(),
-                requests: BTreeSet::new(),
-                last_crash: now,
-            });
-            suspect
-                .targets
-                .entry((crash.target.clone(), crash.incarnation))
-                .or_insert(now);
-            suspect.requests.insert(crash.request);
-            suspect.last_crash = now;
-        }
+        self.blame(crash, None, (now, now))?;
         let (answered, unknown): (Vec<Subject>, Vec<Subject>) = crash
             .subjects
             .iter()
@@ -285,21 +334,74 @@
             .most_suspect(&unknown, self.rules.min_crashes)
             .or_else(|| self.most_suspect(&answered, self.rules.min_crashes_of_answered));
         if let Some(subject) = refused {
-            self.refuse(subject, now + REFUSAL_DURATION);
+            self.refuse(subject, now);
         }
         self.limit_suspects();
         refused
     }
 
+    /// Records a crash after the first event. What it leads to is decided in [`Self::judge`].
+    pub fn record_late_crash(&mut self, late: &LateCrash, now: Instant) {
+        self.expire(now);
+        if let Some(running) = self.running.get_mut(&late.run) {
+            running.started = None;
+        }
+        let at = now.checked_sub(late.age).unwrap_or(now);
+        self.blame(&late.crash, Some(late.lasted), (at, now));
+        self.limit_suspects();
+    }
+
+    /// Blames a crash on the subjects of a request. Returns none if a refused subject explains it.
+    fn blame(
+        &mut self,
+        crash: &Crash,
+        lasted: Option<Duration>,
+        (at, now): (Instant, Instant),
+    ) -> Option<()> {
+        let crashed = (crash.target.clone(), crash.incarnation);
+        let mut subjects = crash.subjects.iter();
+        if subjects.any(|subject| self.refused.contains_key(subject)) {
+            self.explained.insert(crashed.clone(), now);
+            self.disregard(|target, incarnation| (target, incarnation) == (&crashed.0, crashed.1));
+            return None;
+        }
+        if self.explained.contains_key(&crashed) {
+            return None;
+        }
+        for (position, subject) in crash.subjects.iter().enumerate() {
+            let suspect = self.suspects.entry(*subject);
+            let suspect = suspect.or_insert_with(|| Suspect::new(now));
+            let request = (crash.request, position);
+            suspect.record(crashed.clone(), request, lasted, (at, now));
+        }
+        Some(())
+    }
+
+    /// Refuses the subject that explains crashes best, once all requests at the crashed targets are known. Returns
+    /// it. Has to be called regularly.
+    pub fn judge(&mut self, now: Instant) -> Option<Subject> {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        self.credit_running(now);
+        let settled = now.checked_sub(REPORT_TIME)?;
+        let ranked = self.suspects.iter().filter_map(|(subject, suspect)| {
+            let is_answered = self.answered.contains_key(subject);
+            let rank = suspect.rank((is_answered, &self.rules), settled)?;
+            Some((rank, *subject))
+        });
+        let (_, subject) = ranked.max_by_key(|(rank, _)| *rank)?;
+        self.refuse(subject, now);
+        Some(subject)
+    }
+
     /// Returns the one of `subjects` whose requests were at most crashes, if these are enough. Of several, it is
     /// the last one.
     fn most_suspect(&self, subjects: &[Subject], min_crashes: usize) -> Option<Subject> {
         let crashes = |subject: &Subject| {
             let suspect = self.suspects.get(subject)?;
-            let has_enough = suspect.targets.len() >= min_crashes
-                && suspect.span() >= self.rules.min_span
-                && suspect.requests.len() >= self.rules.min_requests;
-            has_enough.then_some((suspect.targets.len(), *subject))
+            let has_enough = suspect.is_enough_at_begin(min_crashes, &self.rules);
+            has_enough.then_some((suspect.len(), *subject))
         };
         let enough = subjects.iter().filter_map(crashes);
         let most = enough.max_by_key(|(crashes, _)| *crashes);
@@ -307,11 +409,11 @@
     }
 
     /// Refuses a subject. Its crashes need no other explanation, so other suspects are cleared of them.
-    fn refuse(&mut self, subject: Subject, until: Instant) {
-        self.refused.insert(subject, until);
-        let crashed = self.crashed_by(subject);
-        self.suspects.remove(&subject);
-        self.explain(&crashed);
+    fn refuse(&mut self, subject: Subject, now: Instant) {
+        self.refused.insert(subject, now + REFUSAL_DURATION);
+        let suspect = self.suspects.remove(&subject);
+        let crashed = suspect.map_or(Vec::new(), |suspect| suspect.crashed());
+        self.explain(&crashed, now);
     }
 
     /// Records that a target's load report was read at `read`. If its connections broke just before,
@@ -322,23 +424,15 @@
         }
         let target = (target.clone(), incarnation);
         for suspect in self.suspects.values_mut() {
-            let crashed = suspect.targets.get(&target);
-            let is_refuted = crashed.is_some_and(|at| *at < read && read < *at + ALIVE_CHECK_TIME);
-            if is_refuted {
-                suspect.targets.remove(&target);
-            }
+            suspect.refute(&target, read, ALIVE_CHECK_TIME);
         }
-        self.suspects
-            .retain(|_, suspect| !suspect.targets.is_empty());
+        self.drop_cleared();
     }
 
     /// Whether load reports may still show that a target did not crash.
     pub fn awaits_reports(&self, now: Instant) -> bool {
-        let mut crashes = self
-            .suspects
-            .values()
-            .flat_map(|suspect| suspect.targets.values());
-        crashes.any(|at| now.saturating_duration_since(*at) < ALIVE_CHECK_TIME + REPORT_DELAY)
+        let mut crashes = self.suspects.values().flat_map(Suspect::times);
+        crashes.any(|at| now.saturating_duration_since(at) < ALIVE_CHECK_TIME + REPORT_DELAY)
     }
 
     /// Adopts what another host refuses. Returns whether any of it is new.
@@ -373,6 +467,8 @@
     /// Forgets what is too old.
     fn expire(&mut self, now: Instant) {
         self.refused.retain(|_, until| now < *until);
+        self.explained
+            .retain(|_, at| now < *at + SUSPICION_LIFETIME);
         self.suspects
             .retain(|_, suspect| now < suspect.last_crash + SUSPICION_LIFETIME);
     }
@@ -388,14 +484,3 @@
         }
     }
 }
-
-impl Suspect {
-    /// Returns the time between the first and the last crash.
-    fn span(&self) -> Duration {
-        let times = self.targets.values();
-        match (times.clone().min(), times.max()) {
-            (Some(first), Some(last)) => last.saturating_duration_since(*first),
-            _ => Duration::ZERO,
-        }
-    }
-}
--- a/crates/sardinerelay-gateway/src/reporter.rs
+++ b/crates/sardinerelay-gateway/src/reporter.rs
@@ -5,12 +5,14 @@
         call::PartId,
         entry::EntryHost,
         group::{
-            ANSWERED_METHOD, AllocationReport, LIMIT_METHOD, MISDIRECTED_METHOD, PACE_METHOD,
-            REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, RequestReport, RunningRequest,
+            ANSWERED_METHOD, AllocationReport, COMPLETED_METHOD, LATE_CRASH_METHOD, LIMIT_METHOD,
+            MISDIRECTED_METHOD, PACE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD,
+            RequestReport, RunningRequest,
         },
         limit::permit,
         pace::{Batch, Pace},
-        targets::Misdirected,
+        quarantine::LateCrash,
+        targets::{Misdirected, RunId},
     },
     log::debug,
     sardinerelayd::peer::Packed,
@@ -32,6 +34,10 @@
     Allocation(AllocationReport),
     /// A target has stated another rate limit.
     Limit(permit::Change),
+    /// A request was answered to the end.
+    Completed(RunId),
+    /// An engine crashed that had begun to answer a request.
+    LateCrash(LateCrash),
     /// What is known of a request that may make targets crash.
     Request(RequestReport),
     /// A target didn't get a request that was counted for it.
@@ -62,6 +68,12 @@
     }
 }
 
+impl From<LateCrash> for Report {
+    fn from(late: LateCrash) -> Self {
+        Self::LateCrash(late)
+    }
+}
+
 impl From<Pace> for Report {
     fn from(pace: Pace) -> Self {
         Self::Pace(pace)
@@ -88,6 +100,7 @@
     while let Some(first) = outgoing.recv().await {
         let (mut allocations, mut limits) = (Vec::new(), Vec::new());
         let (mut requests, mut running) = (Vec::new(), Vec::new());
+        let (mut completed, mut late_crashes) = (Vec::new(), Vec::new());
         let (mut misdirected, mut answered) = (Vec::new(), Vec::new());
         let mut next = Some(first);
         while let Some(report) = next {
@@ -98,6 +111,8 @@
                 Report::Misdirected(target) => misdirected.push(target),
                 Report::Running(report) => running.push(report),
                 Report::AnsweredParts(parts) => answered.extend(parts),
+                Report::Completed(run) => completed.push(run),
+                Report::LateCrash(late) => late_crashes.push(late),
                 Report::Pace(pace) => paces.push(pace),
             }
             // Fails when the queue is empty.
@@ -105,7 +120,10 @@
         }
         // Before the crashes that they help to judge.
         send(&entry, ANSWERED_METHOD, answered).await;
+        // Before the ends of the same requests.
+        send(&entry, COMPLETED_METHOD, completed).await;
         send(&entry, REPORT_METHOD, allocations).await;
+        send(&entry, LATE_CRASH_METHOD, late_crashes).await;
         send(&entry, LIMIT_METHOD, limits).await;
         send(&entry, RUNNING_METHOD, running).await;
         send(&entry, REQUEST_METHOD, requests).await;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -10,6 +10,7 @@
     mod even;
     mod fixtures;
     mod homes;
+    mod late_crashes;
     mod leaving;
     mod limits;
     mod list;
