Replace a voter that leaves before it ends, and a dead one sooner

The acknowledged configuration is never read again and none is accepted: 48 PUT and 15 GET failed.

Cause: a learner became a voter only in place of one that had been silent for 4 s, however long it had stood by, and a change of the leader began these 4 s anew. A voter that stopped said nothing. So two of three voters were gone.

Now a voter that stops says so and is replaced while it still answers; one that ends without a word is replaced after 1.5 s, only by a learner that has caught up; a new leader keeps since when its predecessor is silent; steps of a repair follow each other at once.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -56,7 +56,7 @@
         collections::BTreeSet,
         net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
-        sync::Arc,
+        sync::{Arc, atomic::AtomicBool},
         time::Duration,
     },
     thiserror::Error as ThisError,
@@ -121,6 +121,9 @@
 /// one.
 #[derive(Debug, Clone)]
 pub struct Handle {
+    own_id: Host,
+    /// Whether the process is about to end, so that a removal of the replica is no reason to end it.
+    is_stopping: Arc<AtomicBool>,
     inputs: Sender<Input>,
     newest: watch::Receiver<Option<Arc<Document>>>,
     status: watch::Receiver<MemberStatus>,
@@ -179,6 +182,8 @@
     let (inputs, queue) = channel(INPUT_QUEUE_CAPACITY);
     let publisher = Arc::new(Publisher::start().map_err(FatalError::Thread)?);
     let handle = Handle {
+        own_id,
+        is_stopping: Arc::default(),
         publisher: Arc::clone(&publisher),
         inputs,
         newest: published.newest.subscribe(),
--- a/crates/sardinerelay-gateway/src/group/channels.rs
+++ b/crates/sardinerelay-gateway/src/group/channels.rs
@@ -42,6 +42,8 @@
     Join(Host, bool, Sender<MemberStatus>),
     /// Asks for the status of the host with this ID.
     Status(Host, Sender<MemberStatus>),
+    /// The voter with this ID is about to end.
+    Leave(Host, Sender<MemberStatus>),
     /// Refuses these subjects. There is no reply: whoever asks looks at what is published.
     Exclude(Vec<Exclusion>),
     /// Evacuates a zone or ends its evacuation. The outcome carries the zone's revision, 0 if the order
@@ -86,6 +88,9 @@
     /// Whether the host is a voter.
     #[serde(rename = "votes")]
     pub is_voter: bool,
+    /// Whether a learner could become a voter now in place of one that leaves.
+    #[serde(default, rename = "successor")]
+    pub has_successor: bool,
     /// The IDs of all members.
     pub members: Vec<Host>,
 }
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -18,7 +18,8 @@
     sardinerelay::{
         id::{Host, Index},
         raft::{
-            self, DurableState, Payload, Position, Ready, Replica, RequestError, Role, Snapshot,
+            self, DurableState, Membership, Payload, Position, Ready, Replica, RequestError, Role,
+            Snapshot,
         },
         state,
         wal::Store,
@@ -52,6 +53,8 @@
 };
 /// Interval at which the leader checks whether the membership needs a repair.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while a repair is under way: it bears no further loss before it has ended.
+const REPAIR_STEP_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without a message after which a voter isn't published as heard.
 const MAX_HEARD_AGE: Duration = Duration::from_secs(1);
 
@@ -74,9 +77,13 @@
     join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
     /// When messages from each member last arrived.
     last_heard: BTreeMap<Host, Instant>,
+    /// When each voter last said that it is about to end.
+    leaving: BTreeMap<Host, Instant>,
     /// Since when this replica has been the leader, none if it is not.
     leader_since: Option<Instant>,
-    last_repair: Instant,
+    /// The last leader on another host.
+    last_leader: Option<Host>,
+    next_repair: Instant,
 }
 
 impl Driver {
@@ -112,8 +119,10 @@
             reads: Reads::default(),
             join_requests: BTreeMap::new(),
             last_heard: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             leader_since: None,
-            last_repair: Instant::now(),
+            last_leader: None,
+            next_repair: Instant::now(),
         })
     }
 
@@ -121,8 +130,8 @@
     pub(super) async fn run(mut self, mut inputs: Receiver<Input>) -> Result<(), FatalError> {
         self.process_output()?;
         loop {
-            let next_repair = self.last_repair + REPAIR_INTERVAL;
-            let wake_up = TokioInstant::from_std(self.replica.deadline().min(next_repair));
+            let wake_up = self.replica.deadline().min(self.next_repair);
+            let wake_up = TokioInstant::from_std(wake_up);
             tokio::select! {
                 biased;
                 completion = self.disk.next_completion() => match completion {
@@ -138,10 +147,14 @@
             }
             let now = Instant::now();
             self.replica.tick(now);
-            if now >= next_repair {
-                self.last_repair = now;
-                self.repair(now);
+            if now >= self.next_repair {
+                let is_under_way = self.repair(now);
                 self.publish_heard(now);
+                self.next_repair = now
+                    + match is_under_way {
+                        true => REPAIR_STEP_INTERVAL,
+                        false => REPAIR_INTERVAL,
+                    };
             }
             self.process_output()?;
         }
@@ -183,6 +196,13 @@
             Input::Status(host, reply) => {
                 let _ = reply.send(self.status_of(host));
             }
+            Input::Leave(host, reply) => {
+                if self.leaving.insert(host, now).is_none() {
+                    info!(host = host, address:% = member::address(host); "a voter is about to end");
+                }
+                self.next_repair = now;
+                let _ = reply.send(self.status_of(host));
+            }
             Input::Exclude(exclusions) => {
                 if let Err(error) = self.propose(Command::Exclude(exclusions)) {
                     debug!("exclusions can't be proposed now: {error}");
@@ -232,6 +252,7 @@
             is_leader: status.role == Role::Leader && self.replica.lease().is_some(),
             is_member: status.membership.contains(host) || is_changing,
             is_voter: status.membership.voters.contains(&host),
+            has_successor: !self.promotable(&status.membership).is_empty(),
             members: status.membership.hosts().collect(),
         }
     }
@@ -289,7 +310,12 @@
         let is_leader = soft_state.role == Role::Leader;
         if is_leader && self.leader_since.is_none() {
             self.leader_since = Some(now);
-            self.last_heard.clear();
+            // A follower hears only from the leader, so this is all that it knows of the others.
+            let last_leader = self.last_leader;
+            self.last_heard.retain(|host, _| Some(*host) == last_leader);
+        }
+        if !is_leader && soft_state.leader.is_some() {
+            self.last_leader = soft_state.leader;
         }
         if !is_leader {
             self.leader_since = None;
@@ -397,29 +423,32 @@
     }
 
     /// Takes the next step towards the desired membership, if this replica is the leader and the
-    /// previous step is committed.
-    fn repair(&mut self, now: Instant) {
+    /// previous step is committed. Returns whether further steps may follow.
+    fn repair(&mut self, now: Instant) -> bool {
         let Some(since) = self.leader_since else {
-            return;
+            return false;
         };
         let status = self.replica.status();
         repair::drop_expired_requests(&mut self.join_requests, &status.membership, now);
         if status.membership_index > status.commit || self.replica.lease().is_none() {
-            return;
+            return true;
         }
         for host in status.membership.hosts() {
             self.last_heard.entry(host).or_insert(since);
         }
         let desired_voters = (self.register.desired_voters as usize).max(MIN_VOTERS);
+        let promotable = self.promotable(&status.membership);
         let state = GroupState {
             membership: &status.membership,
             leader: self.replica.id(),
             desired_voters,
             last_heard: &self.last_heard,
+            leaving: &self.leaving,
+            promotable: &promotable,
             join_requests: &self.join_requests,
         };
         let Some(step) = state.next_step(now) else {
-            return;
+            return false;
         };
         let proposed = match step {
             Step::Change(change) => self.replica.change(change).map(|_| ()),
@@ -429,6 +458,14 @@
             Ok(()) => info!(step:? = step; "repairing the membership"),
             Err(error) => debug!("the repair step {step:?} has to wait: {error}"),
         }
+        true
+    }
+
+    /// Returns the learners that may become voters now.
+    fn promotable(&self, membership: &Membership) -> BTreeSet<Host> {
+        let learners = membership.learners.iter().copied();
+        let promotable = learners.filter(|learner| self.replica.is_promotable(*learner));
+        promotable.collect()
     }
 
     /// Publishes the other voters from which messages arrived recently; none if this replica isn't the leader.
--- a/crates/sardinerelay-gateway/src/group/handle.rs
+++ b/crates/sardinerelay-gateway/src/group/handle.rs
@@ -11,12 +11,17 @@
         register::Document,
         rpc::{self, StatusRequest},
     },
-    log::warn,
+    log::{info, warn},
     sardinerelay::{
         id::{Host, Version, Zone},
         raft::{Role, SoftState},
     },
-    std::{collections::BTreeSet, net::Ipv4Addr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeSet,
+        net::Ipv4Addr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::{
         sync::{oneshot, watch},
         time::{Instant, sleep, timeout},
@@ -25,6 +30,10 @@
 
 /// Delay before a retry if no leader has accepted a request.
 const LEADER_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Interval at which a voter that is about to end asks to be replaced.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a leader after which it no longer does.
+const MAX_LEADERLESS_TIME: Duration = Duration::from_secs(1);
 /// Timeout of one request to a leader on another host.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -216,6 +225,47 @@
         let _ = self.inputs.send(Input::Transfer).await;
     }
 
+    /// Asks the leader to replace this voter by a learner that has caught up, before a planned stop, and waits for
+    /// that up to `time_limit`. Without such a learner there is nothing to wait for.
+    pub async fn leave(&self, time_limit: Duration) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        if !self.status.borrow().is_voter {
+            return;
+        }
+        let began = Instant::now();
+        let mut last_found = began;
+        let request = StatusRequest {
+            host: self.own_id,
+            is_leaving: true,
+            ..StatusRequest::default()
+        };
+        while began.elapsed() < time_limit {
+            let members = self.status.borrow().members.clone();
+            let search = Search {
+                clients: &self.clients,
+                known: members.into_iter().map(member::address).collect(),
+                excluded: Some(member::address(self.own_id)),
+                max_parallel: usize::MAX,
+            };
+            let remaining = time_limit.saturating_sub(began.elapsed());
+            let found = search.find(&request, |status| status.is_leader);
+            match timeout(remaining, found).await {
+                Ok(Some(status)) if !status.is_voter => {
+                    info!(took_ms = began.elapsed().as_millis() as u64; "this voter was replaced before its stop");
+                    return;
+                }
+                Ok(Some(status)) if !status.has_successor => return,
+                Ok(Some(_)) => last_found = Instant::now(),
+                Ok(None) | Err(_) if last_found.elapsed() > MAX_LEADERLESS_TIME => {
+                    warn!("no leader was found that could replace this voter");
+                    return;
+                }
+                Ok(None) | Err(_) => {}
+            }
+            sleep(LEAVE_INTERVAL).await;
+        }
+    }
+
     /// Makes a request to the leader, and retries it until it is done or `time_limit` has passed.
     ///
     /// `attempt` makes the request to the leader with the given ID, or to the replica on this host
--- a/crates/sardinerelay-gateway/src/group/membership.rs
+++ b/crates/sardinerelay-gateway/src/group/membership.rs
@@ -9,7 +9,7 @@
         raft::Role,
         wal::{Mark, Store},
     },
-    std::{path::PathBuf, time::Duration},
+    std::{path::PathBuf, sync::atomic::Ordering, time::Duration},
     tokio::time::sleep,
 };
 
@@ -72,6 +72,7 @@
             host: own_id,
             is_joining,
             is_founding: member.is_founding,
+            is_leaving: false,
         };
         let status = handle.query_status(&member.settings, request).await;
         if std::mem::replace(&mut is_leader_found, status.is_some()) != status.is_some() {
@@ -83,7 +84,7 @@
         if status.is_voter {
             is_joining = false;
             member.end_founding();
-        } else if !is_joining && !status.is_member {
+        } else if !is_joining && !status.is_member && !handle.is_stopping.load(Ordering::Relaxed) {
             warn!(replica = own_id; "this replica was removed from the group and rejoins under a new id");
             if let Err(error) = Store::discard_on(&member.settings.volume, &member.path) {
                 warn!("could not delete {}: {error}", member.path.display());
--- a/crates/sardinerelay-gateway/src/group/repair.rs
+++ b/crates/sardinerelay-gateway/src/group/repair.rs
@@ -1,10 +1,10 @@
 //! Repairs the group's membership without an operator, one safe step at a time.
 //!
 //! A host that starts with an empty disk joins as a learner. It becomes a voter in place of the
-//! replica that ran at its address before, or of the voter that has been silent for the longest
-//! time. A voter is removed only if its own host joins anew, or if it is silent and a learner is
-//! live, so that a repair never leaves the group weaker than the loss itself did. See
-//! `docs/design/platform.md`.
+//! replica that ran at its address before, of a voter that says that it is about to end, or of the
+//! voter that has been silent for the longest time. A voter is removed only if its own host joins
+//! anew, or if it leaves or is silent and a learner has caught up, so that a repair never leaves the
+//! group weaker than the loss itself did. See `docs/design/platform.md`.
 
 use {
     super::member,
@@ -13,16 +13,21 @@
         raft::{Change, Membership},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::Ipv4Addr,
         time::{Duration, Instant},
     },
 };
 
-/// Time without a message after which a member counts as silent. A silent voter may be replaced by
-/// a learner at another address, and a silent learner isn't promoted. It is longer than an election
-/// takes, and longer than most restarts.
+/// Time without a message after which a silent learner is removed. It is longer than most restarts take.
 pub const MEMBER_SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time without a message after which a voter may be replaced by a learner that has caught up. Until then the group
+/// bears no further loss, and a voter that comes back later only joins anew. It is longer than heartbeats are delayed
+/// on bad links.
+pub const VOTER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a voter that said that it is about to end doesn't count as leaving any more. It says so more
+/// often than that.
+const LEAVE_LIFETIME: Duration = Duration::from_secs(2);
 /// Time after which a request to join expires. Hosts repeat it more often than that until they are
 /// voters.
 const JOIN_REQUEST_LIFETIME: Duration = Duration::from_secs(3);
@@ -49,6 +54,10 @@
     pub desired_voters: usize,
     /// When a message from each member last arrived, not before this replica became the leader.
     pub last_heard: &'a BTreeMap<Host, Instant>,
+    /// When each voter last said that it is about to end.
+    pub leaving: &'a BTreeMap<Host, Instant>,
+    /// The learners that have caught up and answer, so that they may become voters.
+    pub promotable: &'a BTreeSet<Host>,
     /// Requests to join, by the address of the replica that joins.
     pub join_requests: &'a BTreeMap<Ipv4Addr, JoinRequest>,
 }
@@ -66,6 +75,7 @@
     /// Returns the next step, `None` if no step is possible or needed.
     pub fn next_step(&self, now: Instant) -> Option<Step> {
         self.remove_predecessor()
+            .or_else(|| self.remove_surplus(now))
             .or_else(|| self.add_learner(now))
             .or_else(|| self.promote(now))
             .or_else(|| self.remove_silent_learner(now))
@@ -89,11 +99,21 @@
         Some(Step::Change(Change::AddLearner(request.host)))
     }
 
-    /// Makes a live learner a voter. If the group has enough voters, it first raises their number
-    /// for a founding host, or else removes a silent voter.
+    /// Removes a voter that leaves or is silent if the group has more voters than it should, after a learner has
+    /// become a voter in its place.
+    fn remove_surplus(&self, now: Instant) -> Option<Step> {
+        if self.membership.voters.len() <= self.desired_voters {
+            return None;
+        }
+        let surplus = self.silent_voter(now).or_else(|| self.leaving_voter(now))?;
+        Some(Step::Change(Change::Remove(surplus)))
+    }
+
+    /// Makes a learner that has caught up a voter. If the group has enough voters, it first raises their number
+    /// for a founding host, or else removes a silent voter. A voter that leaves is removed after the learner votes, as
+    /// it still answers.
     fn promote(&self, now: Instant) -> Option<Step> {
-        let is_live = |host: &&Host| !self.is_silent(**host, now);
-        let learner = *self.membership.learners.iter().find(is_live)?;
+        let learner = *self.promotable.first()?;
         let voters = self.membership.voters.len();
         if voters < self.desired_voters {
             return Some(Step::Change(Change::Promote(learner)));
@@ -102,14 +122,18 @@
         if request.is_some_and(|request| request.is_founding) {
             return Some(Step::Grow(voters + 1));
         }
-        let replaced = self.longest_silent_voter(now)?;
-        Some(Step::Change(Change::Remove(replaced)))
+        if let Some(silent) = self.silent_voter(now) {
+            return Some(Step::Change(Change::Remove(silent)));
+        }
+        self.leaving_voter(now)?;
+        Some(Step::Change(Change::Promote(learner)))
     }
 
     /// Removes a learner that is silent and no longer asks to join.
     fn remove_silent_learner(&self, now: Instant) -> Option<Step> {
-        let is_gone =
-            |host: &&Host| self.is_silent(**host, now) && self.request_of(**host).is_none();
+        let is_gone = |host: &&Host| {
+            self.is_silent(**host, MEMBER_SILENCE_TIMEOUT, now) && self.request_of(**host).is_none()
+        };
         let learner = *self.membership.learners.iter().find(is_gone)?;
         Some(Step::Change(Change::Remove(learner)))
     }
@@ -119,16 +143,27 @@
         request.filter(|request| request.host == host)
     }
 
-    fn longest_silent_voter(&self, now: Instant) -> Option<Host> {
-        let is_silent = |host: &Host| *host != self.leader && self.is_silent(*host, now);
+    /// Returns a voter that has said that it is about to end.
+    fn leaving_voter(&self, now: Instant) -> Option<Host> {
+        let is_leaving = |host: &Host| {
+            let said = self.leaving.get(host);
+            *host != self.leader && said.is_some_and(|said| now < *said + LEAVE_LIFETIME)
+        };
+        let mut voters = self.membership.voters.iter().copied();
+        voters.find(is_leaving)
+    }
+
+    /// Returns the voter that has been silent for the longest time, if one is silent.
+    fn silent_voter(&self, now: Instant) -> Option<Host> {
+        let is_silent =
+            |host: &Host| *host != self.leader && self.is_silent(*host, VOTER_SILENCE_TIMEOUT, now);
         let voters = self.membership.voters.iter().copied().filter(is_silent);
         voters.min_by_key(|host| self.last_heard.get(host).copied())
     }
 
-    fn is_silent(&self, host: Host, now: Instant) -> bool {
+    fn is_silent(&self, host: Host, timeout: Duration, now: Instant) -> bool {
         let last_heard = self.last_heard.get(&host);
-        last_heard
-            .is_some_and(|heard| now.saturating_duration_since(*heard) > MEMBER_SILENCE_TIMEOUT)
+        last_heard.is_some_and(|heard| now.saturating_duration_since(*heard) > timeout)
     }
 }
 
--- a/crates/sardinerelay-gateway/src/group/rpc.rs
+++ b/crates/sardinerelay-gateway/src/group/rpc.rs
@@ -169,6 +169,9 @@
     /// Whether that host was started together with the whole system.
     #[serde(rename = "founding")]
     pub is_founding: bool,
+    /// Whether that host is about to end, and wants to be replaced if a learner has caught up.
+    #[serde(default, rename = "leaving")]
+    pub is_leaving: bool,
 }
 
 /// Parameters of [`FOLLOW_CONFIGURATION_METHOD`]. The result is `null` if the wait ends
@@ -446,9 +449,14 @@
 
 async fn local_status(handle: &Handle, request: &StatusRequest) -> MemberStatus {
     let (reply, status) = oneshot::channel();
-    let input = match request.is_joining {
-        true => Input::Join(request.host, request.is_founding, reply),
-        false => Input::Status(request.host, reply),
+    let input = match request {
+        StatusRequest {
+            is_joining: true, ..
+        } => Input::Join(request.host, request.is_founding, reply),
+        StatusRequest {
+            is_leaving: true, ..
+        } => Input::Leave(request.host, reply),
+        _ => Input::Status(request.host, reply),
     };
     if handle.inputs.send(input).await.is_err() {
         return MemberStatus::default();
--- a/crates/sardinerelay-gateway/src/run.rs
+++ b/crates/sardinerelay-gateway/src/run.rs
@@ -284,6 +284,7 @@
             let end = Instant::now() + settings.grace_period / 2;
             handle.transfer().await;
             sleep(LEADERSHIP_TRANSFER_TIME.min(settings.grace_period / 2)).await;
+            handle.leave(end.saturating_duration_since(Instant::now())).await;
             if let Err(unwritten) = drain.close(end).await {
                 warn!(host = host; "{unwritten}");
             }
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -25,6 +25,7 @@
     mod reads;
     mod register;
     mod repair;
+    mod repair_model;
     mod requests;
     mod sse;
     mod stop_orders;
--- a/crates/sardinerelay-gateway/tests/decisions/repair.rs
+++ b/crates/sardinerelay-gateway/tests/decisions/repair.rs
@@ -8,10 +8,13 @@
     },
     sardinerelay_gateway::group::{
         member,
-        repair::{GroupState, JoinRequest, MEMBER_SILENCE_TIMEOUT, Step, drop_expired_requests},
+        repair::{
+            GroupState, JoinRequest, MEMBER_SILENCE_TIMEOUT, Step, VOTER_SILENCE_TIMEOUT,
+            drop_expired_requests,
+        },
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::Ipv4Addr,
         time::{Duration, Instant},
     },
@@ -24,11 +27,17 @@
     Ipv4Addr::new(10, 3, 0, 9),
 ];
 
+/// Time without a message after which a learner isn't promoted.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A group as its leader sees it.
 struct Group {
     membership: Membership,
     last_heard: BTreeMap<Host, Instant>,
     join_requests: BTreeMap<Ipv4Addr, JoinRequest>,
+    leaving: BTreeMap<Host, Instant>,
+    /// Learners that haven't caught up.
+    behind: BTreeSet<Host>,
     desired_voters: usize,
     now: Instant,
 }
@@ -42,6 +51,8 @@
             last_heard: membership.hosts().map(|host| (host, now)).collect(),
             membership,
             join_requests: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            behind: BTreeSet::new(),
             desired_voters: 3,
             now,
         }
@@ -67,12 +78,26 @@
         self.last_heard.insert(host, self.now - duration);
     }
 
+    /// The learners that may become voters: those that were heard within an election timeout.
+    fn promotable(&self) -> BTreeSet<Host> {
+        let is_ready = |host: &Host| {
+            let heard = self.last_heard.get(host);
+            let is_live = heard.is_some_and(|heard| self.now < *heard + ELECTION_TIMEOUT);
+            is_live && !self.behind.contains(host)
+        };
+        let learners = self.membership.learners.iter().copied();
+        learners.filter(is_ready).collect()
+    }
+
     fn next(&self) -> Option<Step> {
+        let promotable = self.promotable();
         let state = GroupState {
             membership: &self.membership,
             leader: member::founder_id(ADDRESSES[0]),
             desired_voters: self.desired_voters,
             last_heard: &self.last_heard,
+            leaving: &self.leaving,
+            promotable: &promotable,
             join_requests: &self.join_requests,
         };
         state.next_step(self.now)
@@ -210,6 +235,64 @@
     assert_eq!(group.membership.voters.len(), 3);
 }
 
+#[test]
+fn a_voter_that_leaves_is_replaced_while_it_still_answers() {
+    let mut group = Group::of_three();
+    let leaving = member::founder_id(ADDRESSES[1]);
+    group.leaving.insert(leaving, group.now);
+    assert_eq!(group.settle(), [], "there is no successor");
+    let new = group.join(ADDRESSES[3], false);
+    assert_eq!(
+        group.settle(),
+        [
+            Step::Change(Change::AddLearner(new)),
+            Step::Change(Change::Promote(new)),
+            Step::Change(Change::Remove(leaving)),
+        ]
+    );
+}
+
+/// A voter that was stopped and has come back says nothing more of leaving.
+#[test]
+fn a_voter_that_has_come_back_is_not_replaced() {
+    let mut group = Group::of_three();
+    let restarted = member::founder_id(ADDRESSES[1]);
+    group
+        .leaving
+        .insert(restarted, group.now - Duration::from_secs(3));
+    let new = group.join(ADDRESSES[3], false);
+    assert_eq!(group.settle(), [Step::Change(Change::AddLearner(new))]);
+}
+
+/// Guards against a group of two that waits for a learner which has not caught up.
+#[test]
+fn no_voter_is_removed_for_a_learner_that_is_behind() {
+    let mut group = Group::of_three();
+    let new = group.join(ADDRESSES[3], false);
+    group.behind.insert(new);
+    group.settle();
+    group.silence(member::founder_id(ADDRESSES[1]), VOTER_SILENCE_TIMEOUT * 2);
+    group
+        .leaving
+        .insert(member::founder_id(ADDRESSES[2]), group.now);
+    assert_eq!(group.settle(), []);
+    assert_eq!(group.membership.voters.len(), 3);
+}
+
+/// A voter that ended after its successor began to vote must not count on.
+#[test]
+fn a_voter_too_many_is_removed_once_it_is_silent() {
+    let mut group = Group::of_three();
+    let gone = member::founder_id(ADDRESSES[1]);
+    let new = group.join(ADDRESSES[3], false);
+    group.membership.learners.insert(new);
+    let promoted = group.membership.changed(Change::Promote(new));
+    group.membership = promoted.expect("applicable step");
+    assert_eq!(group.settle(), [], "all four answer");
+    group.silence(gone, VOTER_SILENCE_TIMEOUT + Duration::from_millis(1));
+    assert_eq!(group.settle(), [Step::Change(Change::Remove(gone))]);
+}
+
 /// In a random order of silences and joins, a voter may be removed only if another host takes its
 /// place.
 #[rstest]
--- a/crates/sardinerelay-gateway/tests/group.rs
+++ b/crates/sardinerelay-gateway/tests/group.rs
@@ -18,5 +18,7 @@
 mod refusals;
 #[path = "group/rejoin.rs"]
 mod rejoin;
+#[path = "group/replaced.rs"]
+mod replaced;
 #[path = "group/restart.rs"]
 mod restart;
--- a/crates/sardinerelay-gateway/tests/group/cluster.rs
+++ b/crates/sardinerelay-gateway/tests/group/cluster.rs
@@ -51,6 +51,8 @@
 const PEER_PORT: u16 = 7200;
 /// Time limit of one request to the group.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a replica that stops gives another one to take over leadership.
+const TRANSFER_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a test checks what it waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -213,9 +215,26 @@
     /// Ends a replica without notice and deletes its files.
     pub fn wipe(&mut self, host: usize) {
         self.kill(host);
+        self.wipe_stopped(host);
+    }
+
+    /// Deletes the files of a replica that doesn't run.
+    pub fn wipe_stopped(&self, host: usize) {
         fs::remove_dir_all(self.data_dir(host)).expect("the directory can be removed");
     }
 
+    /// Ends a replica as a planned stop does, which may take this long.
+    pub fn stop(&mut self, host: usize, grace_period: Duration) {
+        let running = self.running(host);
+        let handle = self.handle(host);
+        running.runtime.block_on(async {
+            handle.transfer().await;
+            tokio::time::sleep(TRANSFER_TIME).await;
+            handle.leave(grace_period).await;
+        });
+        self.kill(host);
+    }
+
     /// Leaves the files of a wiped replica as a kill leaves them that comes while it makes them anew.
     pub fn interrupt_creation(&self, host: usize) {
         let path = self.data_dir(host).join("replica");
--- a/crates/sardinerelay/src/raft/leader.rs
+++ b/crates/sardinerelay/src/raft/leader.rs
@@ -326,6 +326,11 @@
         }
     }
 
+    /// Whether a learner is close enough to the end of the log to become a voter, and this replica is the leader.
+    pub fn is_promotable(&self, learner: Host) -> bool {
+        self.log.membership().learners.contains(&learner) && self.check_promotable(learner).is_ok()
+    }
+
     /// Checks that a learner is close enough to the end of the log to become a voter.
     fn check_promotable(&self, host: Host) -> Result<(), RequestError> {
         let State::Leader(leader) = &self.state else {
