Find out whether an engine works on before its stream goes on elsewhere

Cause: ClientStream::reopen took the end of the connection for the end of the run. New runs of streams that may be resumed had the same fault.

Ruled out: that the server can't be asked. Its report named the run all the while.

Now generation::settle asks for evidence first: an engine that refuses connections has crashed, and the stream goes on at once, as before. One that answers is told to stop the run and to send its memory; if it knows no such run, the stream goes on; if it can't be stopped, the stream waits until reports don't name the run, and ends visibly incomplete when callers bear no longer pause.

In sardinerelayd a retry before the first token told the first engine to stop only after another one had been found; now before (no test for the order).

--- a/crates/sardinerelay-gateway/src/call.rs
+++ b/crates/sardinerelay-gateway/src/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{origin::StreamId, statement::Statement},
     compact_str::CompactString,
-    sardinerelay::id::{Model, Zone},
+    sardinerelay::id::{Incarnation, Model, Zone},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -132,6 +132,19 @@
     pub stops_run: bool,
 }
 
+/// What an engine reports of the attempts that it works on. Its values may be some hundred milliseconds old.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RunReport {
+    /// The incarnation that reports, none if it doesn't say.
+    pub incarnation: Option<Incarnation>,
+    /// IDs of the attempts that run, none if the report doesn't list them.
+    pub runs: Option<Vec<CompactString>>,
+    /// Number of attempts that run.
+    pub running: u32,
+    /// Number of attempts that wait.
+    pub waiting: u32,
+}
+
 /// An engine's response to a [`Transfer`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TransferOutcome {
--- a/crates/sardinerelay-gateway/src/codec.rs
+++ b/crates/sardinerelay-gateway/src/codec.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         call::{
-            Call, Forward, OperatorCall, ReservationRequest, ResponseHead, Transfer,
+            Call, Forward, OperatorCall, ReservationRequest, ResponseHead, RunReport, Transfer,
             TransferOutcome,
         },
         observations::{Instance, Load},
@@ -81,6 +81,8 @@
     pub load_request: fn(SocketAddr) -> Request<Full<Bytes>>,
     /// Parses the body of a target's load report.
     pub parse_load: fn(&[u8]) -> Result<Load, ParseError>,
+    /// Parses what the same report says of the attempts that an engine works on.
+    pub parse_runs: fn(&[u8]) -> Result<RunReport, ParseError>,
     /// Makes the request for a transfer, to the engine with this address.
     pub transfer_request: fn(SocketAddr, &Transfer) -> Request<Full<Bytes>>,
     /// Parses the status and the body of an engine's response to a transfer.
--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -13,6 +13,7 @@
 mod pump;
 mod reserve;
 mod resume;
+mod settle;
 mod taken_up;
 mod transfer;
 
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -32,7 +32,7 @@
 const DEAD_ENGINE_SILENCE: Duration = Duration::from_millis(400);
 /// Time without data after which a dead engine's stream is given up even if no other engine can
 /// continue it. Callers wait about as long.
-const MAX_STREAM_SILENCE: Duration = Duration::from_secs(7);
+pub(super) const MAX_STREAM_SILENCE: Duration = Duration::from_secs(7);
 /// Time for which events are still read after a completed transfer. The old engine may have
 /// produced them before it stopped the generation.
 const MOVED_STREAM_DRAIN_TIMEOUT: Duration = Duration::from_millis(150);
@@ -68,6 +68,8 @@
     pub(super) has_started: bool,
     /// Version of the present engine's software.
     pub(super) engine_build: Build,
+    /// When the generation was sent to the present engine, or a little later.
+    pub(super) sent_at: Instant,
     /// When the present engine sent its first event.
     pub(super) engine_begun: Option<Instant>,
     /// Number of engines that failed before they sent an event.
@@ -130,6 +132,7 @@
             events: 0,
             has_started: false,
             engine_build: Build::default(),
+            sent_at: Instant::now(),
             engine_begun: None,
             engines_without_begin: 0,
             engines_failed: 0,
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -4,13 +4,15 @@
     super::{
         is_resumable,
         open::{self, EngineStream, OpenOutcome, StartPoint},
-        pump::ClientStream,
+        pump::{ClientStream, MAX_STREAM_SILENCE},
+        settle::{Settled, Unsettled},
         transfer::Moved,
     },
-    crate::call::MemoryCopy,
+    crate::{call::MemoryCopy, observations::Instance},
     http::response,
     log::warn,
     sardinerelay::id::Target,
+    std::time::Instant,
 };
 
 /// Largest number of attempts to continue one stream after failures. Moves count too, but are not
@@ -25,6 +27,9 @@
 /// make them fail at any event.
 const MAX_FAILED_ENGINES: u32 = 3;
 
+/// The generation can't go on elsewhere, because its engine works on it.
+struct StillRuns;
+
 impl ClientStream {
     /// Continues the stream on another engine after the last delivered event: from the copy if it
     /// is usable, otherwise as a new run if the route allows that. Returns none if neither
@@ -43,25 +48,58 @@
             return None;
         }
         self.continuations += 1;
-        if let Some(target) = self.allocation.usable_copy()
-            && let Some(instance) = self.job.entry.instance(&target)
-            && self.allocation.accepts(&instance)
-        {
-            let copy = MemoryCopy {
-                address: instance.address,
-                name: self.job.call.id.clone(),
-            };
-            let source = self.reopen_from_copy(copy, target, "copy").await;
-            if source.is_some() {
-                return source;
-            }
-        }
-        let source = self.restart(&failed).await;
+        let source = match self.reopen_from_backup(&failed).await {
+            Ok(Some(reopened)) => return Some(reopened),
+            Ok(None) => self.restart(&failed).await,
+            Err(StillRuns) => None,
+        };
         let outcome = if source.is_some() { "anew" } else { "lost" };
         self.job.entry.metrics.record_continuation(outcome);
         source
     }
 
+    /// Continues the stream from the copy that was made while it ran. Returns none if there is no copy, or if the
+    /// engine that has it doesn't continue.
+    async fn reopen_from_backup(
+        &mut self,
+        failed: &Target,
+    ) -> Result<Option<(response::Parts, EngineStream)>, StillRuns> {
+        let Some(target) = self.allocation.usable_copy() else {
+            return Ok(None);
+        };
+        let instance = self.job.entry.instance(&target);
+        let instance = instance.filter(|instance| self.allocation.accepts(instance));
+        let Some(instance) = instance else {
+            return Ok(None);
+        };
+        match self.settle(failed, Some(instance.clone())).await {
+            Settled::Running => Err(StillRuns),
+            Settled::Moved(moved, to) => Ok(self.reopen_moved(moved, to).await),
+            Settled::Ended(_) => {
+                let copy = MemoryCopy {
+                    address: instance.address,
+                    name: self.job.call.id.clone(),
+                };
+                Ok(self.reopen_from_copy(copy, target, "copy").await)
+            }
+        }
+    }
+
+    /// Finds out whether `engine` works on the generation after its connection has closed, and tells it to stop and
+    /// to send the memory to `destination`.
+    async fn settle(&self, engine: &Target, destination: Option<Instance>) -> Settled {
+        let silent_since = self.last_sent.unwrap_or(self.sent_at);
+        let unsettled = Unsettled {
+            job: &self.job,
+            engine,
+            sent: self.sent_at,
+            has_begun: self.engine_begun.is_some(),
+            destination,
+            until: self.job.deadline().min(silent_since + MAX_STREAM_SILENCE),
+        };
+        unsettled.settle().await
+    }
+
     /// Continues the stream on the engine that has the generation's memory after a move.
     pub(super) async fn reopen_moved(
         &mut self,
@@ -90,6 +128,7 @@
             return None;
         }
         self.allocation.switch_to(target.clone());
+        self.sent_at = Instant::now();
         let start = StartPoint {
             last_event: self.last_delivered,
             copy_from: Some(copy),
@@ -106,14 +145,30 @@
         }
     }
 
-    /// Continues the stream as a new run on an engine other than `failed`. A send that certainly
-    /// did not run doesn't count as one of the route's attempts.
+    /// Continues the stream as a new run on an engine other than `failed`, or there as the same run if `failed` still
+    /// worked on it. A send that certainly did not run doesn't count as one of the route's attempts.
     async fn restart(&mut self, failed: &Target) -> Option<(response::Parts, EngineStream)> {
         let mut tried = vec![failed.clone()];
+        let mut may_run_at = Some(failed.clone());
         while is_resumable(&self.job) && self.runs < self.job.route.max_attempts {
             if !self.try_take_retry() || !self.allocation.try_reassign(&tried) {
                 return None;
             }
+            if let Some(engine) = may_run_at.take() {
+                let destination = self.job.entry.instance(&self.allocation.choice.target);
+                match self.settle(&engine, destination).await {
+                    Settled::Ended(_) => {}
+                    Settled::Moved(Moved::AtDestination(copy), to) => {
+                        return self.reopen_from_copy(copy, to, "moved").await;
+                    }
+                    Settled::Moved(Moved::AtSource(copy), _) => {
+                        return self.reopen_from_copy(copy, engine, "stopped").await;
+                    }
+                    Settled::Running => return None,
+                }
+            }
+            self.sent_at = Instant::now();
+            self.engine_begun = None;
             let start = StartPoint {
                 last_event: self.last_delivered,
                 ..StartPoint::default()
@@ -128,7 +183,10 @@
                     return Some((head, source));
                 }
                 OpenOutcome::NotRun(_) => {}
-                _ => self.runs += 1,
+                _ => {
+                    self.runs += 1;
+                    may_run_at = tried.last().cloned();
+                }
             }
         }
         None
--- a/crates/sardinerelay-gateway/src/metrics.rs
+++ b/crates/sardinerelay-gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     placement_wait: Histogram<f64>,
     retries: Counter<u64>,
     continuations: Counter<u64>,
+    settled: Counter<u64>,
     limit_changes: Counter<u64>,
     statements: Counter<u64>,
     permits: Counter<u64>,
@@ -63,6 +64,10 @@
             placement_wait: seconds("waited", "Time from request to placement"),
             retries: count("repeats", "Requests sent to a further target"),
             continuations: count("continued", "Generations continued elsewhere"),
+            settled: count(
+                "settled",
+                "Generations whose engine's connection closed, by what showed that it works on or not",
+            ),
             limit_changes: count("limit_changes", "Changes of targets' stated rate limits"),
             statements: count(
                 "statements",
@@ -150,6 +155,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records what showed whether an engine works on a generation after its connection closed.
+    pub fn record_settled(&self, evidence: &'static str) {
+        self.settled.add(1, &[KeyValue::new("evidence", evidence)]);
+    }
+
     /// Records that a target has begun to say something of itself to this host.
     pub fn record_statement(&self, kind: &'static str) {
         self.statements.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -70,6 +70,16 @@
     NoResponse(#[source] Cause),
 }
 
+impl SendError {
+    /// Whether the target refused the connection, as it does after its process has ended.
+    pub fn is_refused(&self) -> bool {
+        let Self::NotSent(Cause::Socket(error)) = self else {
+            return false;
+        };
+        error.kind() == io::ErrorKind::ConnectionRefused
+    }
+}
+
 /// What went wrong while a request was sent or its response read.
 #[derive(Debug, ThisError)]
 pub enum Cause {
--- a/crates/sardinerelayd/src/filter/dispatch.rs
+++ b/crates/sardinerelayd/src/filter/dispatch.rs
@@ -89,6 +89,8 @@
                     return Ok(self.answer(request, reservation, guard, reader, first_event));
                 }
                 Err(error) => {
+                    // The engine is told to stop before another one is waited for, since it may still work.
+                    drop(guard);
                     if let Some(refusal) = invalid_refusal(&error) {
                         // This engine did not run the request, but an earlier one may have.
                         return Err(match may_have_run {
