Keep on voters' disks which build began a stream

Callers would see: streams whose host is gone can't be taken up after all voters were killed at once, while several builds serve.

Voters append what they are told to a file and sync it every 0.25 s if there is anything new. A torn end, a full disk and a large file are handled; a disk that fails leaves the record in memory.

--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -199,7 +199,7 @@
     let (allocator, metrics) = (Arc::clone(&shared.allocator), Arc::clone(&shared.metrics));
     let server = rpc::serve(listen, own_id, handle.clone(), shared).await?;
     let driver = tokio::spawn(driver.run(queue));
-    let address = settings.address;
+    let (address, data_dir) = (settings.address, settings.data_dir.clone());
     let member = Member {
         settings,
         own_id,
@@ -211,6 +211,10 @@
     panics::spawn_essential("maintain the membership", maintaining);
     let excluding = exclusions::run(handle.clone(), Arc::clone(&allocator));
     panics::spawn_essential("follow exclusions", excluding);
+    if let Some(records) = origins::load(&allocator, &data_dir) {
+        let saving = origins::save(Arc::clone(&allocator), records);
+        panics::spawn_essential("save which builds began streams", saving);
+    }
     let copying = origins::run(handle.clone(), address, Arc::clone(&allocator));
     panics::spawn_essential("copy which builds began streams", copying);
     let evacuating = evacuation::run(handle.clone(), allocator, metrics);
--- a/crates/sardinerelay-gateway/src/group/origins.rs
+++ b/crates/sardinerelay-gateway/src/group/origins.rs
@@ -1,24 +1,29 @@
 //! Fills the record of a voter that starts: which builds began the streams of before.
 //!
 //! The hosts that pass the streams on tell a voter that has started anew, but such a host may be gone by then.
-//! So the voter also copies the records of the other members. See `docs/design/builds.md`.
+//! So the voter also copies the records of the other members, and keeps its own on disk, since all of them may end
+//! at once. See `docs/design/builds.md`.
 
 use {
     super::{Handle, member, rpc::COPY_ORIGINS_METHOD},
     crate::{
         allocator::Allocator,
-        origin::{Began, StreamId},
+        origin::{
+            Began, StreamId,
+            file::{self, Records},
+        },
     },
-    log::{debug, info},
+    log::{debug, info, warn},
     sardinerelayd::peer::{Client, Error, Packed},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeSet,
         net::Ipv4Addr,
+        path::Path,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{task::spawn_blocking, time::sleep},
 };
 
 /// Interval between looks for members whose record wasn't copied yet.
@@ -31,6 +36,63 @@
 /// record that lacks a stream after that says that nobody knows it.
 const TELL_TIME: Duration = Duration::from_secs(4);
 
+/// Interval at which new streams are written to disk. A loss of power of all voters loses those since the last time.
+const SAVE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Reads the record on disk, and lets streams be kept for [`save`]. A record that can't be read is lost, as one on a
+/// lost disk is.
+pub(super) fn load(allocator: &Allocator, directory: &Path) -> Option<Records> {
+    let (records, streams) = match Records::open(directory) {
+        Ok(opened) => opened,
+        Err(error) => {
+            warn!(reason:% = error; "the record of streams on disk can't be used");
+            return None;
+        }
+    };
+    record(allocator, &streams);
+    allocator.state().origins.keep_unsaved();
+    info!(streams = streams.len(); "read which builds began streams");
+    Some(records)
+}
+
+/// Writes new streams to disk for as long as the process runs. Streams that can't be written, since the disk is full,
+/// are known in memory all the same.
+pub(super) async fn save(allocator: Arc<Allocator>, mut records: Records) {
+    let mut has_failed = false;
+    loop {
+        sleep(SAVE_INTERVAL).await;
+        let (unsaved, all) = {
+            let mut state = allocator.state();
+            let unsaved = state.origins.take_unsaved();
+            // What was written last may end in the middle of a stream.
+            let is_due = records.is_large() || has_failed;
+            let all = is_due.then(|| file::all(&state.origins, Instant::now()));
+            (unsaved, all)
+        };
+        if unsaved.is_empty() && !has_failed {
+            continue;
+        }
+        let written = spawn_blocking(move || {
+            let written = match all {
+                Some(all) => records.replace(&all),
+                None => records.append(&unsaved),
+            };
+            (records, written)
+        });
+        let Ok((kept, written)) = written.await else {
+            // The blocking task has panicked, which is logged, and has taken the file with it.
+            return;
+        };
+        records = kept;
+        if let Err(error) = &written
+            && !has_failed
+        {
+            warn!(reason:% = error; "which builds began streams can't be written to disk");
+        }
+        has_failed = written.is_err();
+    }
+}
+
 /// Asks for the streams that follow one in the order of their IDs. The result is a packed [`Page`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Copy {
--- a/crates/sardinerelay-gateway/src/origin.rs
+++ b/crates/sardinerelay-gateway/src/origin.rs
@@ -3,9 +3,10 @@
 //! The host that passes on a stream's first event tells it to the voters that it follows, so that it is
 //! known when entry hosts end. A record in memory lasts only as long as its process, so it is told again: by
 //! the host itself ([`announcer`]) and by the other voters ([`crate::group::origins`]) to a voter that starts
-//! anew. See `docs/design/builds.md`.
+//! anew. Voters keep it on disk too ([`file`]). See `docs/design/builds.md`.
 
 pub mod announcer;
+pub mod file;
 
 use {
     compact_str::CompactString,
@@ -58,6 +59,8 @@
     /// The build that began each stream, and when the record expires.
     records: BTreeMap<StreamId, (Build, Instant)>,
     is_complete: bool,
+    /// Streams that are to be written to disk; none if this host doesn't keep them there.
+    unsaved: Option<Vec<Began>>,
     last_sweep: Option<Instant>,
 }
 
@@ -67,6 +70,7 @@
             incarnation: rand::random(),
             records: BTreeMap::new(),
             is_complete: false,
+            unsaved: None,
             last_sweep: None,
         }
     }
@@ -115,10 +119,27 @@
         }
         if self.records.len() < MAX_RECORDS {
             let record = (began.build.clone(), now + began.lifetime);
-            self.records.insert(began.stream.clone(), record);
+            let known = self.records.insert(began.stream.clone(), record);
+            let is_new = known.is_none_or(|(build, _)| build != began.build);
+            if let Some(unsaved) = self.unsaved.as_mut().filter(|_| is_new) {
+                unsaved.push(began.clone());
+            }
         }
     }
 
+    /// Keeps the streams that are recorded from now on until [`Self::take_unsaved`] returns them.
+    pub fn keep_unsaved(&mut self) {
+        self.unsaved.get_or_insert_default();
+    }
+
+    /// Returns the streams that were recorded since the last call.
+    pub fn take_unsaved(&mut self) -> Vec<Began> {
+        self.unsaved
+            .as_mut()
+            .map(std::mem::take)
+            .unwrap_or_default()
+    }
+
     /// Returns the build that began a stream, none if it isn't remembered.
     pub fn find(&self, stream: &StreamId, now: Instant) -> Option<Build> {
         let (build, expires) = self.records.get(stream)?;
--- a/crates/sardinerelay-gateway/tests/decisions.rs
+++ b/crates/sardinerelay-gateway/tests/decisions.rs
@@ -15,6 +15,7 @@
     mod limits;
     mod list;
     mod moves;
+    mod origins;
     mod overload;
     mod paging;
     mod placement;
--- a/crates/sardinerelay-gateway/tests/group/origins.rs
+++ b/crates/sardinerelay-gateway/tests/group/origins.rs
@@ -73,3 +73,17 @@
         |cluster| knows(cluster, 3),
     );
 }
+
+/// Guards against streams that can't be taken up after all voters were killed at once, when the host that told them is
+/// gone too.
+#[test]
+fn voters_that_are_killed_at_once_still_know_which_build_began_a_stream() {
+    let mut cluster = Cluster::found(3);
+    tell(&cluster, &[0, 1, 2]);
+    // Until it is on disk.
+    thread::sleep(Duration::from_secs(1));
+    (0..3).for_each(|host| cluster.kill(host));
+    (0..3).for_each(|host| cluster.start(host, false));
+    let known: Vec<usize> = (0..3).filter(|host| knows(&cluster, *host)).collect();
+    assert_eq!(known, [0, 1, 2], "the voters that know the stream");
+}
