Correct a stream's build when its engine turns out to have started anew

Cause: the build was taken from the list at the send. The list lags, so streams that begin at a server that has just started again with another version passed for streams of the old one, and went on there.

Ruled out: that the relay can't know. The list shows the new incarnation while the streams still run, a second before they break.

Now an event that arrives after the list has shown another incarnation is that one's, and the build is corrected here and at the voters. While several builds serve, a broken stream goes on only once a list that is newer than its send by more than the lag shows the incarnation that it was sent to.

Where else: copies and moves compare builds when they are used; sardinerelayd has no builds.

--- a/crates/sardinerelay-gateway/src/generation.rs
+++ b/crates/sardinerelay-gateway/src/generation.rs
@@ -6,6 +6,7 @@
 //! copy of its memory on another engine and continues there as the same run when its engine ends.
 //! See `docs/design/platform.md`.
 
+mod build;
 mod chunks;
 mod delivery;
 mod moving;
--- a/crates/sardinerelay-gateway/src/generation/delivery.rs
+++ b/crates/sardinerelay-gateway/src/generation/delivery.rs
@@ -1,24 +1,16 @@
 //! Passes the events of an engine on to the caller, each of them once and in order.
 
 use {
-    super::{
-        is_resumable,
-        pump::{ClientStream, StreamEnd},
-    },
-    crate::{
-        origin::Began,
-        sse::{Event, Splitter},
-    },
+    super::pump::{ClientStream, StreamEnd},
+    crate::sse::{Event, Splitter},
     bytes::{Bytes, BytesMut},
     hyper::body::Frame,
-    std::time::{Duration, Instant},
+    std::time::Instant,
     tokio::time::{Instant as TokioInstant, sleep_until},
 };
 
 /// Number of events between updates of the memory that a stream's generation holds.
 const EVENTS_PER_PROGRESS_UPDATE: u64 = 8;
-/// Time for which it is remembered which build began a stream, beyond the caller's deadline.
-const ORIGIN_MARGIN: Duration = Duration::from_secs(5);
 
 impl ClientStream {
     /// Receives a part of the body and forwards the events that it completes. Returns how the
@@ -48,6 +40,7 @@
         let mut ended = None;
         let events_before = self.events;
         while let Some(event) = splitter.next_event() {
+            self.correct_build();
             if self.engine_begun.is_none() {
                 self.engine_begun = Some(Instant::now());
                 self.allocation.record_started();
@@ -107,20 +100,6 @@
         }
     }
 
-    /// Records the build whose first event goes to the caller. Only that build may continue the
-    /// stream, here or at another host.
-    fn record_origin(&mut self) {
-        let build = self.engine_build.clone();
-        self.allocation.require_build(build.clone());
-        if is_resumable(&self.job) && self.job.call.last_event.is_none() {
-            self.job.entry.record_origin(Began {
-                stream: self.job.call.id.clone(),
-                build,
-                lifetime: self.job.remaining_or_timeout() + ORIGIN_MARGIN,
-            });
-        }
-    }
-
     /// Whether no event is missing between the last delivered one and this one. Events that repeat
     /// an earlier one or have no number count as contiguous.
     fn is_contiguous(&self, event: &Event) -> bool {
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -1,7 +1,7 @@
 //! Sends a generation to an engine and reads the head of its response.
 
 use {
-    super::urgency,
+    super::{build::Origin, urgency},
     crate::{
         allocation::Allocation,
         body,
@@ -15,7 +15,7 @@
     http::{HeaderMap, header, response},
     hyper::body::{Body as _, Incoming},
     log::info,
-    sardinerelay::id::{Build, Target},
+    sardinerelay::id::Target,
     std::time::{Duration, Instant},
     tokio::time::{Instant as TokioInstant, sleep, timeout_at},
 };
@@ -42,8 +42,8 @@
 pub(super) struct EngineStream {
     pub(super) exchange: Exchange,
     pub(super) body: Incoming,
-    /// Version of the engine's software.
-    pub(super) build: Build,
+    /// The engine as it was listed when the generation was sent. It may have started anew since the list was made.
+    pub(super) origin: Origin,
     /// Whether the headers delimit the body, so that a closed connection is not taken for its end.
     pub(super) is_framed: bool,
 }
@@ -135,7 +135,10 @@
                 exchange,
                 is_framed: body.size_hint().exact().is_some() || is_chunked(&parts.headers),
                 body,
-                build: instance.build,
+                origin: Origin {
+                    incarnation: instance.incarnation,
+                    build: instance.build,
+                },
             };
             OpenOutcome::Stream(parts, stream)
         }
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{
+        build::Origin,
         chunks, client_response, is_resumable,
         moving::Mover,
         open::{self, EngineStream},
@@ -21,7 +22,7 @@
     http::Response,
     http_body_util::BodyExt as _,
     log::info,
-    sardinerelay::id::{Build, Target},
+    sardinerelay::id::Target,
     std::time::{Duration, Instant},
     tokio::time::{Instant as TokioInstant, interval, sleep_until},
 };
@@ -66,8 +67,10 @@
     pub(super) events: u64,
     /// Whether events were sent to the caller.
     pub(super) has_started: bool,
-    /// Version of the present engine's software.
-    pub(super) engine_build: Build,
+    /// The present engine's process and build, as far as they are known.
+    pub(super) origin: Origin,
+    /// Another process of the present engine, which the list shows since the last event.
+    pub(super) listed_anew: Option<Origin>,
     /// When the generation was sent to the present engine, or a little later.
     pub(super) sent_at: Instant,
     /// When the present engine sent its first event.
@@ -131,7 +134,8 @@
             chunks,
             events: 0,
             has_started: false,
-            engine_build: Build::default(),
+            origin: Origin::default(),
+            listed_anew: None,
             sent_at: Instant::now(),
             engine_begun: None,
             engines_without_begin: 0,
@@ -205,7 +209,7 @@
         let EngineStream {
             exchange,
             mut body,
-            build,
+            origin,
             is_framed,
         } = source;
         let mut splitter = Splitter::new(&self.job.entry.pool.memory);
@@ -216,7 +220,8 @@
         let mut mover = Mover::new();
         let mut closed: Option<End> = None;
         self.engine_begun = None;
-        self.engine_build = build;
+        self.origin = origin;
+        self.listed_anew = None;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -241,6 +246,7 @@
                         .map_or(StreamEnd::TimedOut, |(moved, to)| StreamEnd::Moved(moved, to));
                 }
                 _ = check.tick() => {
+                    self.notice_restart();
                     if mover.is_done() || mover.is_transferring() {
                         continue;
                     }
--- a/crates/sardinerelay-gateway/src/generation/resume.rs
+++ b/crates/sardinerelay-gateway/src/generation/resume.rs
@@ -48,6 +48,9 @@
             return None;
         }
         self.continuations += 1;
+        if !self.is_build_certain().await {
+            return None;
+        }
         let source = match self.reopen_from_backup(&failed).await {
             Ok(Some(reopened)) => return Some(reopened),
             Ok(None) => self.restart(&failed).await,
