Keep methods and status apart from the server and the driver

The methods between hosts with their parameters are in group::method, what the driver says of members is in group::driver::status. Names that needed explaining: a page request was called Copy, an engine's process Origin. No change of behaviour.

--- a/crates/sardinerelay-gateway/src/generation/build.rs
+++ b/crates/sardinerelay-gateway/src/generation/build.rs
@@ -23,7 +23,7 @@
 
 /// An engine's process and its build.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(super) struct Origin {
+pub(super) struct Process {
     pub(super) incarnation: Incarnation,
     pub(super) build: Build,
 }
@@ -33,11 +33,11 @@
     /// generation was sent. Only to be called when all events that have arrived were read.
     pub(super) fn notice_restart(&mut self) {
         let listed = self.job.entry.instance(&self.allocation.choice.target);
-        let listed = listed.map(|instance| Origin {
+        let listed = listed.map(|instance| Process {
             incarnation: instance.incarnation,
             build: instance.build,
         });
-        self.listed_anew = listed.filter(|listed| listed.incarnation != self.origin.incarnation);
+        self.listed_anew = listed.filter(|listed| listed.incarnation != self.process.incarnation);
     }
 
     /// Corrects the build of the present engine after an event has arrived from it.
@@ -45,13 +45,13 @@
         let Some(listed) = self.listed_anew.take() else {
             return;
         };
-        let believed = std::mem::replace(&mut self.origin, listed);
-        if believed.build == self.origin.build {
+        let believed = std::mem::replace(&mut self.process, listed);
+        if believed.build == self.process.build {
             return;
         }
         warn!(
             request = self.job.call.id.as_str(), target_id = self.allocation.choice.target.as_str(),
-            believed = believed.build.as_str(), build = self.origin.build.as_str();
+            believed = believed.build.as_str(), build = self.process.build.as_str();
             "the engine had started anew with another build before it got the generation"
         );
         if self.has_started {
@@ -62,7 +62,7 @@
     /// Records the build whose first event goes to the caller. Only that build may continue the
     /// stream, here or at another host.
     pub(super) fn record_origin(&mut self) {
-        let build = self.origin.build.clone();
+        let build = self.process.build.clone();
         self.allocation.require_build(build.clone());
         if is_resumable(&self.job) && self.job.call.last_event.is_none() {
             self.job.entry.record_origin(Began {
@@ -90,7 +90,7 @@
             sleep(LIST_INTERVAL).await;
         }
         let listed = self.job.entry.instance(&self.allocation.choice.target);
-        let is_same = listed.is_none_or(|listed| listed.incarnation == self.origin.incarnation);
+        let is_same = listed.is_none_or(|listed| listed.incarnation == self.process.incarnation);
         if !is_same {
             info!(
                 request = self.job.call.id.as_str(), target_id = self.allocation.choice.target.as_str();
@@ -103,6 +103,6 @@
     fn serves_several_builds(&self) -> bool {
         let state = self.job.entry.state();
         let mut listed = state.targets.of_service(&self.job.service);
-        listed.any(|known| known.instance.build != self.origin.build)
+        listed.any(|known| known.instance.build != self.process.build)
     }
 }
--- a/crates/sardinerelay-gateway/src/generation/open.rs
+++ b/crates/sardinerelay-gateway/src/generation/open.rs
@@ -1,7 +1,7 @@
 //! Sends a generation to an engine and reads the head of its response.
 
 use {
-    super::{build::Origin, urgency},
+    super::{build::Process, urgency},
     crate::{
         allocation::Allocation,
         body,
@@ -43,7 +43,7 @@
     pub(super) exchange: Exchange,
     pub(super) body: Incoming,
     /// The engine as it was listed when the generation was sent. It may have started anew since the list was made.
-    pub(super) origin: Origin,
+    pub(super) process: Process,
     /// Whether the headers delimit the body, so that a closed connection is not taken for its end.
     pub(super) is_framed: bool,
 }
@@ -135,7 +135,7 @@
                 exchange,
                 is_framed: body.size_hint().exact().is_some() || is_chunked(&parts.headers),
                 body,
-                origin: Origin {
+                process: Process {
                     incarnation: instance.incarnation,
                     build: instance.build,
                 },
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        build::Origin,
+        build::Process,
         chunks, client_response, is_resumable,
         moving::Mover,
         open::{self, EngineStream},
@@ -68,9 +68,9 @@
     /// Whether events were sent to the caller.
     pub(super) has_started: bool,
     /// The present engine's process and build, as far as they are known.
-    pub(super) origin: Origin,
+    pub(super) process: Process,
     /// Another process of the present engine, which the list shows since the last event.
-    pub(super) listed_anew: Option<Origin>,
+    pub(super) listed_anew: Option<Process>,
     /// When the generation was sent to the present engine, or a little later.
     pub(super) sent_at: Instant,
     /// When the present engine sent its first event.
@@ -134,7 +134,7 @@
             chunks,
             events: 0,
             has_started: false,
-            origin: Origin::default(),
+            process: Process::default(),
             listed_anew: None,
             sent_at: Instant::now(),
             engine_begun: None,
@@ -209,7 +209,7 @@
         let EngineStream {
             exchange,
             mut body,
-            origin,
+            process,
             is_framed,
         } = source;
         let mut splitter = Splitter::new(&self.job.entry.pool.memory);
@@ -220,7 +220,7 @@
         let mut mover = Mover::new();
         let mut closed: Option<End> = None;
         self.engine_begun = None;
-        self.origin = origin;
+        self.process = process;
         self.listed_anew = None;
         loop {
             let frame = tokio::select! {
--- a/crates/sardinerelay-gateway/src/group.rs
+++ b/crates/sardinerelay-gateway/src/group.rs
@@ -12,6 +12,7 @@
 pub mod links;
 pub mod member;
 mod membership;
+mod method;
 mod notifications;
 pub mod origins;
 pub mod register;
@@ -23,17 +24,18 @@
     channels::{MemberStatus, Outcome},
     evacuation::{Evacuations, Revision},
     links::Clients,
-    register::{Document, Exclusion},
-    report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport, RunningRequest},
-    rpc::{
+    method::{
         ACQUIRE_METHOD, ANSWERED_METHOD, Acquire, BEGAN_METHOD, COMPLETED_METHOD,
         FETCH_CONFIGURATION_METHOD, FOLLOW_CONFIGURATION_METHOD, FOLLOW_OBSERVATIONS_METHOD,
         FOLLOW_TARGETS_METHOD, FollowConfiguration, FollowObservations, LATE_CRASH_METHOD,
         LIMIT_METHOD, LOADS_METHOD, MISDIRECTED_METHOD, ORIGIN_METHOD, PACE_METHOD, PERMIT_METHOD,
-        RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, Relocate, SharedState,
-        StatusRequest, TELL_ORIGINS_METHOD, WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD,
+        RELOCATE_METHOD, REPORT_METHOD, REQUEST_METHOD, RUNNING_METHOD, Relocate, StatusRequest,
+        TELL_ORIGINS_METHOD, WATCH_CONFIGURATION_METHOD, WATCH_EVACUATIONS_METHOD,
         WatchEvacuations, ZONE_METHOD,
     },
+    register::{Document, Exclusion},
+    report::{AllocationReport, LocalAllocation, RequestCrash, RequestReport, RunningRequest},
+    rpc::SharedState,
 };
 
 use {
--- a/crates/sardinerelay-gateway/src/group/discovery.rs
+++ b/crates/sardinerelay-gateway/src/group/discovery.rs
@@ -9,7 +9,7 @@
         channels::MemberStatus,
         links::Clients,
         member,
-        rpc::{STATUS_METHOD, StatusRequest},
+        method::{STATUS_METHOD, StatusRequest},
     },
     futures::{StreamExt as _, stream::FuturesUnordered},
     log::debug,
--- a/crates/sardinerelay-gateway/src/group/driver.rs
+++ b/crates/sardinerelay-gateway/src/group/driver.rs
@@ -4,9 +4,11 @@
 //! replica itself holds back whatever depends on a write that is not synced yet, so the task never
 //! waits for the disk.
 
+mod status;
+
 use {
     super::{
-        channels::{Input, MemberStatus, Outcome, Published},
+        channels::{Input, Outcome, Published},
         links::Links,
         member,
         register::{Command, Document, Register},
@@ -18,8 +20,7 @@
     sardinerelay::{
         id::{Host, Index},
         raft::{
-            self, DurableState, Membership, Payload, Position, Ready, Replica, RequestError, Role,
-            Snapshot,
+            self, DurableState, Payload, Position, Ready, Replica, RequestError, Role, Snapshot,
         },
         state,
         wal::Store,
@@ -55,8 +56,6 @@
 const REPAIR_INTERVAL: Duration = Duration::from_millis(250);
 /// The same while a repair is under way: it bears no further loss before it has ended.
 const REPAIR_STEP_INTERVAL: Duration = Duration::from_millis(20);
-/// Time without a message after which a voter isn't published as heard.
-const MAX_HEARD_AGE: Duration = Duration::from_secs(1);
 
 /// The task that owns the replica.
 #[derive(Debug)]
@@ -242,21 +241,6 @@
         self.replica.propose(Bytes::from(data))
     }
 
-    fn status_of(&self, host: Host) -> MemberStatus {
-        let status = self.replica.status();
-        // A removal that isn't committed may be lost with this leader.
-        let is_changing = status.membership_index > status.commit;
-        MemberStatus {
-            leader: status.leader,
-            term: status.term,
-            is_leader: status.role == Role::Leader && self.replica.lease().is_some(),
-            is_member: status.membership.contains(host) || is_changing,
-            is_voter: status.membership.voters.contains(&host),
-            has_successor: !self.promotable(&status.membership).is_empty(),
-            members: status.membership.hosts().collect(),
-        }
-    }
-
     /// Processes the replica's output until there is none, then takes a snapshot if one is due.
     fn process_output(&mut self) -> Result<(), FatalError> {
         loop {
@@ -461,32 +445,6 @@
         true
     }
 
-    /// Returns the learners that may become voters now.
-    fn promotable(&self, membership: &Membership) -> BTreeSet<Host> {
-        let learners = membership.learners.iter().copied();
-        let promotable = learners.filter(|learner| self.replica.is_promotable(*learner));
-        promotable.collect()
-    }
-
-    /// Publishes the other voters from which messages arrived recently; none if this replica isn't the leader.
-    fn publish_heard(&self, now: Instant) {
-        let mut heard = BTreeSet::new();
-        if self.leader_since.is_some() {
-            let voters = self.replica.status().membership.voters;
-            let is_recent = |host: &Host| {
-                let last = self.last_heard.get(host);
-                last.is_some_and(|last| now.saturating_duration_since(*last) < MAX_HEARD_AGE)
-            };
-            let others = voters.into_iter().filter(|host| *host != self.replica.id());
-            heard = others.filter(is_recent).map(member::address).collect();
-        }
-        self.published.heard.send_if_modified(|known| {
-            let is_new = *known != heard;
-            *known = heard;
-            is_new
-        });
-    }
-
     /// Takes a snapshot of the register if the log has grown enough.
     fn compact(&mut self) {
         if !self.disk.is_snapshot_due(SNAPSHOT_THRESHOLD) {
--- a/crates/sardinerelay-gateway/src/group/handle.rs
+++ b/crates/sardinerelay-gateway/src/group/handle.rs
@@ -8,8 +8,8 @@
         evacuation::{Order, Revision},
         links::Clients,
         member,
+        method::{self, StatusRequest},
         register::Document,
-        rpc::{self, StatusRequest},
     },
     log::{info, warn},
     sardinerelay::{
@@ -111,7 +111,7 @@
     /// Returns [`Error::NoQuorum`] if this is not confirmed within `time_limit`. Submitting again
     /// is safe.
     pub async fn submit(&self, document: Document, time_limit: Duration) -> Result<Version, Error> {
-        let request = rpc::Submit {
+        let request = method::Submit {
             document: sardinerelayd::peer::Packed(document),
         };
         let attempt = |leader: Option<Host>| {
@@ -123,7 +123,7 @@
                         self.call_local(|reply| Input::Submit(document, reply))
                             .await
                     }
-                    Some(leader) => self.forward(leader, rpc::SUBMIT_METHOD, request).await,
+                    Some(leader) => self.forward(leader, method::SUBMIT_METHOD, request).await,
                 }
             }
         };
@@ -142,7 +142,7 @@
         let attempt = |leader: Option<Host>| async move {
             match leader {
                 None => self.call_local(Input::Confirm).await,
-                Some(leader) => self.forward(leader, rpc::CONFIRM_METHOD, &()).await,
+                Some(leader) => self.forward(leader, method::CONFIRM_METHOD, &()).await,
             }
         };
         let version = self.call_leader(attempt, time_limit).await?;
@@ -179,11 +179,11 @@
         time_limit: Duration,
     ) -> Result<Revision, Error> {
         let began = Instant::now();
-        let query = &rpc::ZoneQuery { zone: zone.clone() };
+        let query = &method::ZoneQuery { zone: zone.clone() };
         let attempt = |leader: Option<Host>| async move {
             match leader {
                 None => self.confirmed_revision(&query.zone).await,
-                Some(leader) => self.forward(leader, rpc::ZONE_STATE_METHOD, query).await,
+                Some(leader) => self.forward(leader, method::ZONE_STATE_METHOD, query).await,
             }
         };
         let base = self.call_leader(attempt, time_limit).await?;
@@ -198,7 +198,7 @@
                     self.call_local(|reply| Input::Order(order.clone(), reply))
                         .await
                 }
-                Some(leader) => self.forward(leader, rpc::ORDER_METHOD, order).await,
+                Some(leader) => self.forward(leader, method::ORDER_METHOD, order).await,
             }
         };
         let remaining = time_limit.saturating_sub(began.elapsed());
--- a/crates/sardinerelay-gateway/src/group/notifications.rs
+++ b/crates/sardinerelay-gateway/src/group/notifications.rs
@@ -4,13 +4,13 @@
     super::{
         Handle,
         channels::Input,
-        origins,
-        report::{AllocationReport, RequestReport, RunningRequest},
-        rpc::{
+        method::{
             ANSWERED_METHOD, BEGAN_METHOD, COMPLETED_METHOD, LATE_CRASH_METHOD, LIMIT_METHOD,
             LOADS_METHOD, MISDIRECTED_METHOD, PACE_METHOD, REPORT_METHOD, REQUEST_METHOD,
             RUNNING_METHOD,
         },
+        origins,
+        report::{AllocationReport, RequestReport, RunningRequest},
     },
     crate::{
         allocator::Allocator,
--- a/crates/sardinerelay-gateway/src/group/origins.rs
+++ b/crates/sardinerelay-gateway/src/group/origins.rs
@@ -5,7 +5,7 @@
 //! at once. See `docs/design/builds.md`.
 
 use {
-    super::{Handle, member, rpc::COPY_ORIGINS_METHOD},
+    super::{Handle, member, method::COPY_ORIGINS_METHOD},
     crate::{
         allocator::Allocator,
         origin::{
@@ -95,7 +95,7 @@
 
 /// Asks for the streams that follow one in the order of their IDs. The result is a packed [`Page`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Copy {
+pub(super) struct PageRequest {
     pub(super) after: Option<StreamId>,
 }
 
@@ -108,11 +108,11 @@
 }
 
 /// Returns a page of this voter's record.
-pub(super) fn page(allocator: &Allocator, copy: &Copy) -> Page {
+pub(super) fn page(allocator: &Allocator, request: &PageRequest) -> Page {
     let state = allocator.state();
     let origins = &state.origins;
     Page {
-        streams: origins.page(copy.after.as_ref(), PAGE_STREAMS, Instant::now()),
+        streams: origins.page(request.after.as_ref(), PAGE_STREAMS, Instant::now()),
         is_complete: origins.is_complete(),
     }
 }
@@ -157,10 +157,12 @@
 
 /// Copies a member's record. Returns whether that was complete.
 async fn copy_from(member: &Client, allocator: &Allocator) -> Result<bool, Error> {
-    let mut copy = Copy { after: None };
+    let mut request = PageRequest { after: None };
     let mut count = 0;
     loop {
-        let called = member.call(COPY_ORIGINS_METHOD, &copy, CALL_TIMEOUT).await;
+        let called = member
+            .call(COPY_ORIGINS_METHOD, &request, CALL_TIMEOUT)
+            .await;
         let Packed(page): Packed<Page> = match called {
             // A member of an earlier version can't be asked.
             Err(error) if error.is_unknown_method() => return Ok(false),
@@ -168,7 +170,7 @@
         };
         record(allocator, &page.streams);
         count += page.streams.len();
-        copy.after = page.streams.last().map(|began| began.stream.clone());
+        request.after = page.streams.last().map(|began| began.stream.clone());
         if page.streams.len() < PAGE_STREAMS {
             info!(
                 address:% = member.address(), streams = count, complete = page.is_complete;
