Bound the memory of finding out whether engines work on

Cause: reports and answers to orders were read up to 4 MB each, from all broken streams at once, and the future that continues a stream made each forwarding stream larger.

Now a report may have 32 KiB and an answer to an order 16 KiB, 16 of each are open at a time, and continuing is boxed.

--- a/crates/sardinerelay-gateway/src/entry.rs
+++ b/crates/sardinerelay-gateway/src/entry.rs
@@ -41,6 +41,7 @@
     },
     tokio::{
         sync::{
+            Semaphore,
             broadcast::{self, Receiver},
             mpsc::UnboundedSender,
             watch,
@@ -59,6 +60,11 @@
 const MIN_REPORTED_REFUSAL: Duration = Duration::from_secs(10);
 /// Number of streams that may begin before a voter that is told of them late is told of all streams instead.
 const STREAM_NEWS_CAPACITY: usize = 256;
+/// Number of reports of engines that are read at a time to find out whether they work on a generation. Their engines may
+/// send bytes without end.
+const MAX_REPORT_READS: usize = 16;
+/// Number of orders to stop a generation that are open at a time, for the same reason.
+const MAX_STOP_ORDERS: usize = 16;
 /// Number of low bits of a request's number that count up. The bits above them are drawn at random
 /// when the process starts, so that numbers differ between processes.
 const RUN_COUNTER_BITS: u32 = 32;
@@ -93,6 +99,10 @@
     pub(crate) crashes: crashes::Recent,
     /// Requests that run on engines.
     pub(crate) running: shares::Running,
+    /// Bounds the reports that are read at a time to find out whether engines work on.
+    pub(crate) report_reads: Semaphore,
+    /// Bounds the orders to stop generations that are open at a time.
+    pub(crate) stop_orders: Semaphore,
     /// Tells of streams that began, for the voters.
     stream_news: broadcast::Sender<Began>,
     forecast: Mutex<Forecast>,
@@ -147,6 +157,8 @@
             voters: Mutex::default(),
             crashes: crashes::Recent::default(),
             running: shares::Running::default(),
+            report_reads: Semaphore::new(MAX_REPORT_READS),
+            stop_orders: Semaphore::new(MAX_STOP_ORDERS),
             stream_news: broadcast::Sender::new(STREAM_NEWS_CAPACITY),
             forecast: Mutex::default(),
             budgets: Mutex::default(),
--- a/crates/sardinerelay-gateway/src/generation/pump.rs
+++ b/crates/sardinerelay-gateway/src/generation/pump.rs
@@ -114,7 +114,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let (chunks, body) = chunks::channel(super::MAX_QUEUED_CHUNKS);
     let mut client = ClientStream::new(job, allocation, chunks);
-    let Some((head, source)) = client.reopen().await else {
+    let Some((head, source)) = Box::pin(client.reopen()).await else {
         return Err(Refusal::OutcomeUnknown("the engine broke off"));
     };
     tokio::spawn(async move { client.run(Some(source)).await });
@@ -170,14 +170,17 @@
                     let caller = self.chunks.clone();
                     source = tokio::select! {
                         () = caller.closed() => break "left",
-                        reopened = self.reopen() => reopened.map(|(_, source)| source),
+                        // Rare, and much larger than forwarding, whose memory each stream takes.
+                        reopened = Box::pin(self.reopen()) => reopened.map(|(_, source)| source),
                     };
                 }
                 StreamEnd::Moved(moved, to) => {
                     let caller = self.chunks.clone();
                     source = tokio::select! {
                         () = caller.closed() => break "left",
-                        reopened = self.reopen_moved(moved, to) => reopened.map(|(_, source)| source),
+                        reopened = Box::pin(self.reopen_moved(moved, to)) => {
+                            reopened.map(|(_, source)| source)
+                        }
                     };
                 }
             }
--- a/crates/sardinerelay-gateway/src/generation/settle.rs
+++ b/crates/sardinerelay-gateway/src/generation/settle.rs
@@ -25,6 +25,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Timeout of one read. A report needs no slot, so an engine that takes longer doesn't work, or can't be reached.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Largest report, in bytes. One run takes some 50.
+const MAX_REPORT_BYTES: usize = 32 << 10;
 /// Number of reads in a row without an answer after which an engine counts as unreachable. One is enough if its reports
 /// don't reach the voters either.
 const MAX_UNANSWERED_READS: u32 = 2;
@@ -193,7 +195,12 @@
             to,
             since: Instant::now(),
         });
-        Some(Box::pin(transfer.copy(true)))
+        let entry = Arc::clone(&self.job.entry);
+        Some(Box::pin(async move {
+            // Fails only if the semaphore is closed, which never happens.
+            let _permit = entry.stop_orders.acquire().await.ok();
+            transfer.copy(true).await
+        }))
     }
 
     /// Returns what the answer to the order settles; none if the engine may still work on the generation.
@@ -218,9 +225,12 @@
     async fn read(&self, engine: &Instance) -> Sign {
         let entry: &EntryHost = &self.job.entry;
         let request = (entry.codec.load_request)(engine.address);
+        let limits = (REPORT_TIMEOUT, MAX_REPORT_BYTES);
+        // Fails only if the semaphore is closed, which never happens.
+        let _permit = entry.report_reads.acquire().await.ok();
         let called = entry
             .pool
-            .call(engine, (request, Purpose::Read), REPORT_TIMEOUT)
+            .call_within(engine, (request, Purpose::Read), limits)
             .await;
         let response = match called {
             Ok(response) if response.status().is_success() => response,
--- a/crates/sardinerelay-gateway/src/generation/transfer.rs
+++ b/crates/sardinerelay-gateway/src/generation/transfer.rs
@@ -26,6 +26,9 @@
 /// is nearly as long as callers bear a pause.
 const LAST_COPY_TIMEOUT: Duration = Duration::from_millis(4500);
 
+/// Largest answer to a request for a copy, in bytes. It names the copy.
+const MAX_ANSWER_BYTES: usize = 16 << 10;
+
 /// Where the generation can continue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Moved {
@@ -79,7 +82,7 @@
         let response = self
             .entry
             .pool
-            .call(&self.from, outgoing, time_limit)
+            .call_within(&self.from, outgoing, (time_limit, MAX_ANSWER_BYTES))
             .await?;
         let source_copy = |name: CompactString| call::MemoryCopy {
             address: self.from.address,
--- a/crates/sardinerelay-gateway/src/pool.rs
+++ b/crates/sardinerelay-gateway/src/pool.rs
@@ -267,8 +267,23 @@
     pub async fn call(
         &self,
         target: &Instance,
-        (request, purpose): (Request<Full<Bytes>>, Purpose),
+        outgoing: (Request<Full<Bytes>>, Purpose),
         time_limit: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        let limits = (time_limit, MAX_OWN_RESPONSE_BYTES);
+        self.call_within(target, outgoing, limits).await
+    }
+
+    /// Does the same with another limit of the response's body, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] as [`Self::call`] does.
+    pub async fn call_within(
+        &self,
+        target: &Instance,
+        (request, purpose): (Request<Full<Bytes>>, Purpose),
+        (time_limit, max_bytes): (Duration, usize),
     ) -> Result<Response<Bytes>, SendError> {
         let outgoing = Outgoing {
             request,
@@ -285,7 +300,7 @@
             }
             let (parts, body) = response.into_parts();
             let limits = body::Limits {
-                max_bytes: MAX_OWN_RESPONSE_BYTES,
+                max_bytes,
                 until: Instant::now() + time_limit,
             };
             let body = body::read(body, limits, &self.memory).await;
